--- /dev/null
+++ b/include/pollenwick/Ids.h
@@ -0,0 +1,90 @@
+#ifndef POLLENWICK_IDS_H
+#define POLLENWICK_IDS_H
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace pollenwick {
+
+/// Text identifier that cannot be mixed with identifiers of another kind.
+template <typename Tag> struct TextId {
+  std::string Text;
+
+  TextId() = default;
+  explicit TextId(std::string Value) : Text(std::move(Value)) {}
+
+  bool empty() const { return Text.empty(); }
+  friend auto operator<=>(const TextId &, const TextId &) = default;
+  friend std::ostream &operator<<(std::ostream &Out, const TextId &Id) {
+    return Out << Id.Text;
+  }
+};
+
+/// Numeric identifier that cannot be mixed with identifiers of another kind.
+template <typename Tag> struct NumberId {
+  std::uint64_t Value = 0;
+
+  NumberId() = default;
+  constexpr explicit NumberId(std::uint64_t V) : Value(V) {}
+
+  friend auto operator<=>(const NumberId &, const NumberId &) = default;
+  friend std::ostream &operator<<(std::ostream &Out, const NumberId &Id) {
+    return Out << Id.Value;
+  }
+};
+
+using TenantId = TextId<struct TenantTag>;
+using HostId = TextId<struct HostTag>;
+using ServiceId = TextId<struct ServiceTag>;
+using ZoneId = TextId<struct ZoneTag>;
+using ClassId = TextId<struct ClassTag>;
+/// `SERVICE/ROUTE`, which is also the path prefix of the route without the
+/// leading slash.
+using RouteId = TextId<struct RouteTag>;
+
+/// Monotonically increasing number of a bundle; 0 means "no bundle".
+using Revision = NumberId<struct RevisionTag>;
+/// Distinguishes two processes of the same host. Drawn at random at start.
+using StartId = NumberId<struct StartTag>;
+/// Number of a call, unique within the incarnation that issued it.
+using CallId = NumberId<struct CallTag>;
+/// Stays the same for all calls of one root request.
+using RootId = NumberId<struct RootTag>;
+
+/// SHA-256 digest.
+using Digest = std::array<std::uint8_t, 32>;
+
+/// Digest of a caller's key. The key itself is never stored.
+struct KeyDigest {
+  Digest Bytes{};
+  friend auto operator<=>(const KeyDigest &, const KeyDigest &) = default;
+};
+
+/// One run of a node process.
+struct IncarnationId {
+  HostId Host;
+  StartId Start;
+  friend auto operator<=>(const IncarnationId &,
+                          const IncarnationId &) = default;
+};
+
+} // namespace pollenwick
+
+template <typename Tag> struct std::hash<pollenwick::TextId<Tag>> {
+  std::size_t operator()(const pollenwick::TextId<Tag> &Id) const noexcept {
+    return std::hash<std::string>()(Id.Text);
+  }
+};
+
+template <typename Tag> struct std::hash<pollenwick::NumberId<Tag>> {
+  std::size_t operator()(const pollenwick::NumberId<Tag> &Id) const noexcept {
+    return std::hash<std::uint64_t>()(Id.Value);
+  }
+};
+
+#endif
--- /dev/null
+++ b/include/pollenwick/Tokens.h
@@ -0,0 +1,31 @@
+#ifndef POLLENWICK_TOKENS_H
+#define POLLENWICK_TOKENS_H
+
+#include <compare>
+#include <cstdint>
+
+namespace pollenwick {
+
+/// Amount of quota. One admission costs `OneToken`; integers make the shares
+/// of a tenant sum exactly to the whole.
+struct MicroTokens {
+  std::int64_t Value = 0;
+
+  friend auto operator<=>(const MicroTokens &, const MicroTokens &) = default;
+  MicroTokens &operator+=(MicroTokens Other) {
+    Value += Other.Value;
+    return *this;
+  }
+  MicroTokens &operator-=(MicroTokens Other) {
+    Value -= Other.Value;
+    return *this;
+  }
+  friend MicroTokens operator+(MicroTokens A, MicroTokens B) { return A += B; }
+  friend MicroTokens operator-(MicroTokens A, MicroTokens B) { return A -= B; }
+};
+
+inline constexpr MicroTokens OneToken{1'000'000};
+
+} // namespace pollenwick
+
+#endif
