--- /dev/null
+++ b/src/node/BackendClient.h
@@ -0,0 +1,53 @@
+#ifndef POLLENWICK_NODE_BACKENDCLIENT_H
+#define POLLENWICK_NODE_BACKENDCLIENT_H
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "node/Settings.h"
+#include "peer/Calls.h"
+
+namespace pollenwick {
+
+class BackendSession;
+
+/// What became of one HTTP exchange with the local backend server.
+struct BackendResult {
+  CallReply Reply;
+  bool ConnectionLost = false; ///< The server ended the connection mid-call.
+};
+
+/// Pool of kept-alive connections to the local backend server. Thread-safe;
+/// each exchange blocks its thread until the answer or the deadline.
+class BackendClient {
+public:
+  BackendClient(Endpoint Server, std::size_t MaxConnections,
+                std::size_t MaxBodyBytes);
+  ~BackendClient();
+
+  /// Runs the call. The reply is `NotRun` only if no byte of the request was
+  /// sent; `Done` only if the whole answer was read.
+  BackendResult run(const CallRequest &Call, const std::string &Handle);
+
+  /// True when a connection can be opened.
+  bool isReachable();
+
+  void limitTo(std::size_t MaxConnections, std::size_t MaxBodyBytes);
+
+private:
+  std::unique_ptr<BackendSession> acquire();
+  void release(std::unique_ptr<BackendSession> Session);
+
+  const Endpoint Server;
+  std::mutex Mutex;
+  std::size_t MaxIdle;
+  std::size_t MaxBody;
+  std::vector<std::unique_ptr<BackendSession>> Idle;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/Kernel.h
@@ -0,0 +1,60 @@
+#ifndef POLLENWICK_NODE_KERNEL_H
+#define POLLENWICK_NODE_KERNEL_H
+
+#include <any>
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <Poco/JSON/Object.h>
+
+namespace pollenwick {
+
+/// A part of the node with threads of its own.
+class Duty {
+public:
+  virtual ~Duty() = default;
+  virtual std::string_view name() const = 0;
+  virtual void start() = 0;
+  /// Ends the threads of the duty; called once, in reverse order of start.
+  virtual void stop() = 0;
+  /// Adds the state of the duty to the dump of the process. Thread-safe.
+  virtual void dump(Poco::JSON::Object &Out) const = 0;
+};
+
+/// Registry in which the parts of the node find each other by name. Filled
+/// before any duty starts and constant afterwards, so that look-ups need no
+/// lock. It owns nothing.
+class Kernel {
+public:
+  template <typename T> void add(std::string Name, T &Service) {
+    if (!Services.emplace(std::move(Name), &Service).second)
+      throw std::logic_error("service registered twice");
+  }
+
+  /// Throws std::logic_error when the name is unknown or of another type.
+  template <typename T> T &find(std::string_view Name) const {
+    auto It = Services.find(Name);
+    if (It == Services.end())
+      throw std::logic_error("unknown service " + std::string(Name));
+    T *const *Found = std::any_cast<T *>(&It->second);
+    if (!Found)
+      throw std::logic_error("service " + std::string(Name) +
+                             " has another type");
+    return **Found;
+  }
+
+  void addDuty(Duty &Part) { Duties.push_back(&Part); }
+  const std::vector<Duty *> &duties() const { return Duties; }
+
+private:
+  std::map<std::string, std::any, std::less<>> Services;
+  std::vector<Duty *> Duties;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/Ring.h
@@ -0,0 +1,66 @@
+#ifndef POLLENWICK_NODE_RING_H
+#define POLLENWICK_NODE_RING_H
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace pollenwick {
+
+/// Bounded queue between duties. `push` never blocks: a full or closed ring
+/// is reported to the producer, which turns it into a refusal.
+template <typename T> class Ring {
+public:
+  explicit Ring(std::size_t Capacity) : Limit(Capacity) {}
+
+  /// Returns false, and leaves `Value` untouched, when the ring is full or
+  /// closed.
+  bool push(T &&Value) {
+    {
+      std::scoped_lock Lock(Mutex);
+      if (Closed || Items.size() >= Limit)
+        return false;
+      Items.push_back(std::move(Value));
+    }
+    Ready.notify_one();
+    return true;
+  }
+
+  /// Waits for an element; empty when the ring is closed and drained.
+  std::optional<T> pop() {
+    std::unique_lock Lock(Mutex);
+    Ready.wait(Lock, [this] { return Closed || !Items.empty(); });
+    if (Items.empty())
+      return std::nullopt;
+    T Value = std::move(Items.front());
+    Items.pop_front();
+    return Value;
+  }
+
+  void close() {
+    {
+      std::scoped_lock Lock(Mutex);
+      Closed = true;
+    }
+    Ready.notify_all();
+  }
+
+  std::size_t size() const {
+    std::scoped_lock Lock(Mutex);
+    return Items.size();
+  }
+
+private:
+  const std::size_t Limit;
+  mutable std::mutex Mutex;
+  std::condition_variable Ready;
+  std::deque<T> Items;
+  bool Closed = false;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/peer/Calls.h
@@ -0,0 +1,81 @@
+#ifndef POLLENWICK_PEER_CALLS_H
+#define POLLENWICK_PEER_CALLS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "pollenwick/Ids.h"
+#include "pollenwick/Outcome.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+};
+
+/// What a callee node tells about its load with each reply.
+struct LoadReport {
+  std::uint32_t ThresholdRank = UINT32_MAX;
+  std::uint32_t ThresholdHash = 0;
+  Duration QueueDelay{};
+  std::uint32_t InFlight = 0;
+  std::uint32_t Limit = 0; ///< 0: nothing reported.
+  bool Draining = false;
+};
+
+/// A call between the node that decided to run it and its callee node.
+struct CallRequest {
+  IncarnationId Caller;
+  CallId Id;
+  RouteId Route;
+  std::string Method;
+  std::string PathAndQuery;
+  TenantId Tenant; ///< Empty on open routes without a key.
+  ClassId Class;
+  RootId Root;
+  std::uint32_t Hash = 0; ///< Same for all calls of one root request.
+  Instant Deadline;
+  Instant AdmittedAt; ///< When the root request was admitted at its ingress.
+  std::uint32_t Allowance = 0;
+  Digest Fingerprint{};
+  KeyDigest Key;
+  Revision DecidedAt;
+  bool HasKey = false;
+  bool SubCall = false;
+  bool Isolated = false; ///< Run while no other call is in flight.
+  std::vector<HeaderField> Headers;
+  std::string Body;
+};
+
+struct CallReply {
+  Outcome Result = Outcome::NotRun;
+  RefusalReason Reason = RefusalReason::None;
+  std::string Message;
+  std::uint16_t Status = 0;
+  std::vector<HeaderField> Headers;
+  std::string Body;
+  std::uint32_t UnusedAllowance = 0;
+  Duration RetryAfter{};
+  LoadReport Load;
+};
+
+/// Reply for a call that was refused, or whose fate is not known.
+CallReply refuse(Outcome Result, RefusalReason Reason, std::string Message,
+                 Duration RetryAfter = Duration::zero());
+
+/// First header of that name, compared without case; nullptr when absent.
+const std::string *findHeader(const std::vector<HeaderField> &Headers,
+                              std::string_view Name);
+
+/// True for headers that belong to one connection or to this system, and are
+/// therefore not passed on.
+bool isHopHeader(std::string_view Name);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/peer/PeerConnections.cpp
@@ -0,0 +1,67 @@
+#include "peer/PeerConnections.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace pollenwick {
+namespace {
+
+constexpr auto ConnectTimeout = 500 * kj::MILLISECONDS;
+
+void setNoDelay(kj::AsyncIoStream &Stream) {
+  int On = 1;
+  Stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
+} // namespace
+
+kj::Promise<PeerConnections::SharedConnection>
+PeerConnections::connect(const PeerAddress &To) {
+  if (auto It = Open.find(To); It != Open.end())
+    return It->second;
+  return Timer
+      .timeoutAfter(ConnectTimeout,
+                    Network.parseAddress(To.Address.c_str(), To.Port)
+                        .then([](kj::Own<kj::NetworkAddress> &&Address) {
+                          auto Promise = Address->connect();
+                          return Promise.attach(kj::mv(Address));
+                        }))
+      .then([this, To](kj::Own<kj::AsyncIoStream> &&Stream) {
+        setNoDelay(*Stream);
+        auto Made = std::make_shared<Connection>(kj::mv(Stream));
+        ++Opened;
+        // When two exchanges connect at once, the first connection is kept.
+        return Open.try_emplace(To, Made).first->second;
+      });
+}
+
+void PeerConnections::forget(const PeerAddress &To,
+                             const SharedConnection &Lost) {
+  if (auto It = Open.find(To); It != Open.end() && It->second == Lost)
+    Open.erase(It);
+}
+
+kj::Promise<PeerError>
+PeerConnections::run(const PeerAddress &To, Duration Timeout,
+                     const PeerDuty::Exchange &Exchange) {
+  return connect(To).then(
+      [this, To, Timeout, &Exchange](SharedConnection Used) {
+        auto TimedOut =
+            Timer.afterDelay(Timeout.count() * kj::MICROSECONDS).then([] {
+              return PeerError::TimedOut;
+            });
+        return Exchange(Used->Peer)
+            .then([] { return PeerError::None; },
+                  [this, To, Used](kj::Exception &&) {
+                    forget(To, Used);
+                    return PeerError::Lost;
+                  })
+            .exclusiveJoin(kj::mv(TimedOut))
+            .attach(Used);
+      },
+      [](kj::Exception &&) -> kj::Promise<PeerError> {
+        return PeerError::NotConnected;
+      });
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/peer/PeerDuty.cpp
@@ -0,0 +1,155 @@
+#include "peer/PeerDuty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include "peer/Clock.h"
+#include "peer/PeerConnections.h"
+#include "peer/PeerServer.h"
+#include "peer/Wire.h"
+
+namespace pollenwick {
+namespace {
+
+/// An answer that is still on its way when the deadline ends is waited for a
+/// little longer, so that the callee's own verdict is used where possible.
+constexpr Duration ReplySlack = std::chrono::milliseconds(20);
+constexpr Duration MinTimeout = std::chrono::milliseconds(1);
+
+CallReply errorReply(PeerError Error) {
+  switch (Error) {
+  case PeerError::None:
+    break;
+  case PeerError::Busy:
+    return refuse(Outcome::NotRun, RefusalReason::QueueFull,
+                  "too many calls are waiting for peers; send fewer");
+  case PeerError::NotConnected:
+    return refuse(Outcome::NotRun, RefusalReason::PeerLost,
+                  "no connection to the callee node");
+  case PeerError::Lost:
+    return refuse(Outcome::Unknown, RefusalReason::PeerLost,
+                  "connection to the callee node was lost");
+  case PeerError::TimedOut:
+    return refuse(Outcome::Unknown, RefusalReason::DeadlineExceeded,
+                  "callee node did not answer before the deadline");
+  }
+  return refuse(Outcome::Unknown, RefusalReason::PeerLost,
+                "callee node sent no reply");
+}
+
+Duration timeoutOf(const CallRequest &Request) {
+  return std::max(Request.Deadline - now() + ReplySlack, MinTimeout);
+}
+
+} // namespace
+
+PeerDuty::PeerDuty(PeerHandlers H, std::uint32_t M)
+    : Handlers(std::move(H)), MaxWaiting(M) {}
+
+PeerDuty::~PeerDuty() { stop(); }
+
+std::string PeerDuty::start(const std::string &Address, std::uint16_t Port) {
+  std::promise<std::string> Started;
+  auto Result = Started.get_future();
+  Thread = std::thread([this, Address, Port, S = std::move(Started)]() mutable {
+    run(Address, Port, std::move(S));
+  });
+  std::string Error = Result.get();
+  if (!Error.empty())
+    Thread.join();
+  return Error;
+}
+
+void PeerDuty::stop() {
+  if (!Thread.joinable())
+    return;
+  Stopper->fulfill();
+  Thread.join();
+}
+
+void PeerDuty::run(const std::string &Address, std::uint16_t Port,
+                   std::promise<std::string> Started) {
+  bool Ready = false;
+  try {
+    auto Io = kj::setupAsyncIo();
+    auto &Network = Io.provider->getNetwork();
+    auto Listener = Network.parseAddress(Address.c_str(), Port)
+                        .wait(Io.waitScope)
+                        ->listen();
+    capnp::TwoPartyServer Server(kj::heap<PeerServer>(Handlers));
+    auto Serving =
+        Server.listen(*Listener).eagerlyEvaluate([](kj::Exception &&) {});
+    PeerConnections Outgoing(Network, Io.provider->getTimer(), Opened);
+    Connections = &Outgoing;
+    Executor = kj::getCurrentThreadExecutor().addRef();
+    auto Stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+    Stopper = kj::mv(Stop.fulfiller);
+    Ready = true;
+    Started.set_value("");
+    Stop.promise.wait(Io.waitScope);
+  } catch (const kj::Exception &Error) {
+    if (!Ready)
+      Started.set_value("cannot listen on peer port " + Address + ":" +
+                        std::to_string(Port) + ": " +
+                        Error.getDescription().cStr() +
+                        "; use a free port or end the process that holds it");
+  }
+}
+
+PeerError PeerDuty::exchange(const PeerAddress &To, Duration Timeout,
+                             const Exchange &Run) {
+  if (Waiting.fetch_add(1) >= MaxWaiting) {
+    Waiting.fetch_sub(1);
+    return PeerError::Busy;
+  }
+  PeerError Result = PeerError::Lost;
+  try {
+    Result = Executor->executeSync(
+        [&] { return Connections->run(To, Timeout, Run); });
+  } catch (const kj::Exception &) {
+    // The duty has stopped; the request may have been sent before.
+    Result = PeerError::Lost;
+  }
+  Waiting.fetch_sub(1);
+  return Result;
+}
+
+CallReply PeerDuty::call(const PeerAddress &To, const CallRequest &Request) {
+  CallReply Reply;
+  CallId Id;
+  const PeerError Error =
+      exchange(To, timeoutOf(Request), [&](wire::Peer::Client &Peer) {
+        auto Message = Peer.callRequest();
+        writeCall(Message.initCall(), Request, now());
+        return Message.send().then([&](auto &&Response) {
+          Reply = readReply(Response.getReply(), Id);
+        });
+      });
+  if (Error != PeerError::None || Id != Request.Id)
+    return errorReply(Error);
+  return Reply;
+}
+
+CallReply PeerDuty::claim(const PeerAddress &To, const std::string &Ticket,
+                          const CallRequest &Request) {
+  CallReply Reply;
+  CallId Id;
+  const PeerError Error =
+      exchange(To, timeoutOf(Request), [&](wire::Peer::Client &Peer) {
+        auto Message = Peer.claimRequest();
+        auto Claim = Message.initClaim();
+        Claim.setTicket(Ticket);
+        writeCall(Claim.initCall(), Request, now());
+        return Message.send().then([&](auto &&Response) {
+          Reply = readReply(Response.getReply(), Id);
+        });
+      });
+  if (Error != PeerError::None || Id != Request.Id)
+    return errorReply(Error);
+  return Reply;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/peer/PeerHandlers.h
@@ -0,0 +1,40 @@
+#ifndef POLLENWICK_PEER_PEERHANDLERS_H
+#define POLLENWICK_PEER_PEERHANDLERS_H
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "peer/Calls.h"
+#include "peer/Peer.capnp.h"
+
+namespace pollenwick {
+
+using ReplyCallback = std::function<void(CallReply)>;
+/// Set when the caller of a call is gone or has given up.
+using CancelFlag = std::shared_ptr<std::atomic<bool>>;
+
+/// What a node answers to its peers. All are called on the peer duty's thread
+/// and must not block it; the two that run calls answer later, from any
+/// thread.
+struct PeerHandlers {
+  std::function<void(CallRequest, CancelFlag, ReplyCallback)> OnCall;
+  std::function<void(std::string Ticket, CallRequest, CancelFlag,
+                     ReplyCallback)>
+      OnClaim;
+  std::function<void(wire::BorrowRequest::Reader, wire::BorrowReply::Builder)>
+      OnBorrow;
+  /// Receives quota messages and returns those that answer them.
+  std::function<void(wire::Peer::QuotaParams::Reader,
+                     wire::Peer::QuotaResults::Builder)>
+      OnQuota;
+  std::function<void(wire::Confirmation::Builder)> OnConfirm;
+  std::function<std::string()> OnPointer;
+  std::function<std::optional<std::string>(const Digest &)> OnChunk;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/peer/PeerServer.h
@@ -0,0 +1,28 @@
+#ifndef POLLENWICK_PEER_PEERSERVER_H
+#define POLLENWICK_PEER_PEERSERVER_H
+
+#include "peer/PeerHandlers.h"
+
+namespace pollenwick {
+
+/// Cap'n Proto server side of the peer port; lives on the peer duty's thread.
+class PeerServer final : public wire::Peer::Server {
+public:
+  explicit PeerServer(const PeerHandlers &H) : Handlers(H) {}
+
+protected:
+  kj::Promise<void> call(CallContext Context) override;
+  kj::Promise<void> claim(ClaimContext Context) override;
+  kj::Promise<void> borrow(BorrowContext Context) override;
+  kj::Promise<void> quota(QuotaContext Context) override;
+  kj::Promise<void> confirm(ConfirmContext Context) override;
+  kj::Promise<void> pointer(PointerContext Context) override;
+  kj::Promise<void> chunk(ChunkContext Context) override;
+
+private:
+  const PeerHandlers &Handlers;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/peer/Wire.cpp
@@ -0,0 +1,179 @@
+#include "peer/Wire.h"
+
+#include <algorithm>
+
+namespace pollenwick {
+namespace {
+
+std::string text(capnp::Text::Reader In) { return {In.cStr(), In.size()}; }
+
+std::string bytes(capnp::Data::Reader In) {
+  return {reinterpret_cast<const char *>(In.begin()), In.size()};
+}
+
+capnp::Data::Reader dataOf(const std::string &In) {
+  return {reinterpret_cast<const kj::byte *>(In.data()), In.size()};
+}
+
+void writeHeaders(capnp::List<wire::Header>::Builder Out,
+                  const std::vector<HeaderField> &Headers) {
+  for (std::uint32_t I = 0; I < Out.size(); ++I) {
+    Out[I].setName(Headers[I].Name);
+    Out[I].setValue(Headers[I].Value);
+  }
+}
+
+std::vector<HeaderField> readHeaders(capnp::List<wire::Header>::Reader In) {
+  std::vector<HeaderField> Out;
+  Out.reserve(In.size());
+  for (auto Header : In)
+    Out.push_back({text(Header.getName()), text(Header.getValue())});
+  return Out;
+}
+
+wire::Outcome toWire(Outcome Value) {
+  switch (Value) {
+  case Outcome::Done:
+    return wire::Outcome::DONE;
+  case Outcome::NotRun:
+    return wire::Outcome::NOT_RUN;
+  case Outcome::Unknown:
+    return wire::Outcome::UNKNOWN;
+  }
+  return wire::Outcome::UNKNOWN;
+}
+
+Outcome fromWire(wire::Outcome Value) {
+  switch (Value) {
+  case wire::Outcome::DONE:
+    return Outcome::Done;
+  case wire::Outcome::NOT_RUN:
+    return Outcome::NotRun;
+  case wire::Outcome::UNKNOWN:
+    return Outcome::Unknown;
+  }
+  return Outcome::Unknown; // A value of a newer peer.
+}
+
+LoadReport readLoad(wire::LoadReport::Reader In) {
+  LoadReport Out;
+  Out.ThresholdRank = In.getThresholdRank();
+  Out.ThresholdHash = In.getThresholdHash();
+  Out.QueueDelay = Duration(In.getQueueDelayMicros());
+  Out.InFlight = In.getInFlight();
+  Out.Limit = In.getLimit();
+  Out.Draining = In.getDraining();
+  return Out;
+}
+
+void writeLoad(wire::LoadReport::Builder Out, const LoadReport &Load) {
+  Out.setThresholdRank(Load.ThresholdRank);
+  Out.setThresholdHash(Load.ThresholdHash);
+  Out.setQueueDelayMicros(Load.QueueDelay.count());
+  Out.setInFlight(Load.InFlight);
+  Out.setLimit(Load.Limit);
+  Out.setDraining(Load.Draining);
+}
+
+constexpr auto LastReason = RefusalReason::Cancelled;
+
+} // namespace
+
+Digest readDigest(capnp::Data::Reader In) {
+  Digest Out{};
+  if (In.size() == Out.size())
+    std::ranges::copy(In, Out.begin());
+  return Out;
+}
+
+void writeIncarnation(wire::Incarnation::Builder Out, const IncarnationId &Id) {
+  Out.setHost(Id.Host.Text);
+  Out.setStart(Id.Start.Value);
+}
+
+IncarnationId readIncarnation(wire::Incarnation::Reader In) {
+  return {HostId(text(In.getHost())), StartId(In.getStart())};
+}
+
+void writeCall(wire::Call::Builder Out, const CallRequest &Call, Instant Now) {
+  writeIncarnation(Out.initCaller(), Call.Caller);
+  Out.setId(Call.Id.Value);
+  Out.setRoute(Call.Route.Text);
+  Out.setPathAndQuery(Call.PathAndQuery);
+  Out.setMethod(Call.Method);
+  Out.setTenant(Call.Tenant.Text);
+  Out.setClass(Call.Class.Text);
+  Out.setRootId(Call.Root.Value);
+  Out.setRequestHash(Call.Hash);
+  Out.setRemainingMicros((Call.Deadline - Now).count());
+  Out.setAgeMicros((Now - Call.AdmittedAt).count());
+  Out.setAllowance(Call.Allowance);
+  Out.setFingerprint(bytesOf(Call.Fingerprint));
+  if (Call.HasKey)
+    Out.setKey(bytesOf(Call.Key.Bytes));
+  Out.setRevision(Call.DecidedAt.Value);
+  Out.setSubCall(Call.SubCall);
+  Out.setIsolated(Call.Isolated);
+  writeHeaders(Out.initHeaders(static_cast<unsigned>(Call.Headers.size())),
+               Call.Headers);
+  Out.setBody(dataOf(Call.Body));
+}
+
+CallRequest readCall(wire::Call::Reader In, Instant Now) {
+  CallRequest Call;
+  Call.Caller = readIncarnation(In.getCaller());
+  Call.Id = CallId(In.getId());
+  Call.Route = RouteId(text(In.getRoute()));
+  Call.PathAndQuery = text(In.getPathAndQuery());
+  Call.Method = text(In.getMethod());
+  Call.Tenant = TenantId(text(In.getTenant()));
+  Call.Class = ClassId(text(In.getClass()));
+  Call.Root = RootId(In.getRootId());
+  Call.Hash = In.getRequestHash();
+  Call.Deadline = Now + Duration(In.getRemainingMicros());
+  Call.AdmittedAt = Now - Duration(In.getAgeMicros());
+  Call.Allowance = In.getAllowance();
+  Call.Fingerprint = readDigest(In.getFingerprint());
+  Call.HasKey = In.getKey().size() == Call.Key.Bytes.size();
+  Call.Key.Bytes = readDigest(In.getKey());
+  Call.DecidedAt = Revision(In.getRevision());
+  Call.SubCall = In.getSubCall();
+  Call.Isolated = In.getIsolated();
+  Call.Headers = readHeaders(In.getHeaders());
+  Call.Body = bytes(In.getBody());
+  return Call;
+}
+
+void writeReply(wire::Reply::Builder Out, const CallReply &Reply, CallId Id) {
+  Out.setId(Id.Value);
+  Out.setOutcome(toWire(Reply.Result));
+  Out.setReason(static_cast<std::uint8_t>(Reply.Reason));
+  Out.setMessage(Reply.Message);
+  Out.setStatus(Reply.Status);
+  Out.setUnusedAllowance(Reply.UnusedAllowance);
+  Out.setRetryAfterMicros(Reply.RetryAfter.count());
+  writeLoad(Out.initLoad(), Reply.Load);
+  writeHeaders(Out.initHeaders(static_cast<unsigned>(Reply.Headers.size())),
+               Reply.Headers);
+  Out.setBody(dataOf(Reply.Body));
+}
+
+CallReply readReply(wire::Reply::Reader In, CallId &Id) {
+  Id = CallId(In.getId());
+  CallReply Reply;
+  Reply.Result = fromWire(In.getOutcome());
+  const std::uint8_t Reason = In.getReason();
+  Reply.Reason = Reason <= static_cast<std::uint8_t>(LastReason)
+                     ? static_cast<RefusalReason>(Reason)
+                     : RefusalReason::PeerLost;
+  Reply.Message = text(In.getMessage());
+  Reply.Status = In.getStatus();
+  Reply.UnusedAllowance = In.getUnusedAllowance();
+  Reply.RetryAfter = Duration(In.getRetryAfterMicros());
+  Reply.Load = readLoad(In.getLoad());
+  Reply.Headers = readHeaders(In.getHeaders());
+  Reply.Body = bytes(In.getBody());
+  return Reply;
+}
+
+} // namespace pollenwick
