--- /dev/null
+++ b/src/core/once/Ticket.h
@@ -0,0 +1,46 @@
+#ifndef POLLENWICK_CORE_ONCE_TICKET_H
+#define POLLENWICK_CORE_ONCE_TICKET_H
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "pollenwick/Ids.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// Secret of one incarnation, drawn at start and never stored or sent.
+using MacKey = std::array<std::uint8_t, 32>;
+using Mac = std::array<std::uint8_t, 32>;
+
+/// Permission to run one non-idempotent call once, at the node that minted it.
+struct Ticket {
+  IncarnationId Issuer;
+  std::uint64_t Sequence = 0; ///< Unique within the issuer, from 1.
+  TenantId Tenant;
+  RouteId Route;
+  Instant Expiry; ///< On the issuer's clock; meaningless to other nodes.
+  Mac Code{};     ///< HMAC-SHA256 over all other fields.
+};
+
+/// Longest accepted text form, in bytes.
+inline constexpr std::size_t MaxTicketText = 1024;
+
+/// HMAC-SHA256 of the ticket's fields other than `Code`.
+Mac ticketMac(const MacKey &Key, const Ticket &Subject);
+
+/// Compares in constant time.
+bool macMatches(const MacKey &Key, const Ticket &Subject);
+
+/// Text form for the `Pollenwick-Ticket` header.
+std::string ticketText(const Ticket &Subject);
+
+/// Nothing if the text is malformed. Does not check the MAC.
+std::optional<Ticket> parseTicket(std::string_view Text);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/once/TicketBook.h
@@ -0,0 +1,131 @@
+#ifndef POLLENWICK_CORE_ONCE_TICKETBOOK_H
+#define POLLENWICK_CORE_ONCE_TICKETBOOK_H
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/once/Ticket.h"
+#include "pollenwick/Outcome.h"
+
+namespace pollenwick {
+
+struct TicketLimits {
+  std::size_t MaxTickets = 65'536;          ///< Remembered tickets.
+  std::size_t MaxTicketsPerTenant = 32'768; ///< Of them, for one tenant.
+  std::size_t MaxAnswerBytes = 4'096;       ///< Largest answer kept.
+  std::size_t MaxAnswerTotal = 8U << 20;    ///< Bytes of all answers kept.
+  /// How long a used ticket is remembered after it expired. Within this time
+  /// an expired ticket that is not remembered certainly has not run.
+  Duration Grace = std::chrono::seconds(30);
+};
+
+/// Whole answer of a backend server.
+struct TicketAnswer {
+  int Status = 0;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// Final result of a ticket.
+struct TicketResult {
+  Outcome Result = Outcome::Unknown;
+  RefusalReason Reason = RefusalReason::None;
+  std::optional<TicketAnswer> Answer; ///< Present only with `Done`.
+};
+
+/// What the issuer remembers of a used ticket.
+struct UsedTicket {
+  Digest Body{}; ///< Digest of the body at first use.
+  std::uint32_t TenantSlot = 0;
+  Outcome Result = Outcome::Unknown;
+  RefusalReason Reason = RefusalReason::None;
+  bool Running = true;
+  std::int32_t AnswerSlot = -1; ///< Into `TicketBook::Answers`; -1: not kept.
+};
+
+/// The tickets that one incarnation issued and saw used. Guarded by one mutex.
+struct TicketBook {
+  IncarnationId Self;
+  MacKey Key{};
+  TicketLimits Limits;
+  std::uint64_t LastSequence = 0;
+
+  struct TenantUse {
+    TenantId Tenant;
+    std::size_t Tickets = 0;
+  };
+  struct Forget {
+    Instant At;
+    std::uint64_t Sequence = 0;
+    friend auto operator<=>(const Forget &, const Forget &) = default;
+  };
+
+  absl::flat_hash_map<std::uint64_t, UsedTicket> Used; ///< By sequence.
+  std::priority_queue<Forget, std::vector<Forget>, std::greater<>> ForgetQueue;
+  std::vector<TenantUse> Tenants;
+  std::vector<std::optional<TicketAnswer>> Answers;
+  std::vector<std::int32_t> FreeAnswers;
+  std::size_t AnswerBytes = 0;
+};
+
+/// The caller of `claimTicket` must dispatch the call and then call
+/// `finishTicket`, also when the call is refused before dispatch.
+struct Execute {
+  std::uint64_t Sequence = 0;
+};
+/// The first use is still running; nothing is known yet.
+struct InProgress {};
+/// The result of the first use, word for word.
+struct Replay {
+  TicketAnswer Answer;
+};
+/// Only the node of this host may judge the ticket.
+struct ForwardTo {
+  HostId Issuer;
+};
+using ClaimResult =
+    std::variant<Execute, InProgress, Replay, Refusal, ForwardTo>;
+
+/// A request that presents a ticket.
+struct TicketClaim {
+  std::string_view TicketHeader;
+  TenantId Tenant; ///< Resolved from the request's own key.
+  RouteId Route;
+  Digest Body{};
+};
+
+/// Refuses with `QueueFull`, not run, while no further use can be remembered.
+std::variant<Ticket, Refusal> mintTicket(TicketBook &Book, const TenantId &,
+                                         const RouteId &, Duration Lifetime,
+                                         Instant Now);
+
+/// Decides on a request with a ticket. Gives `Execute` at most once per ticket
+/// over all nodes. A refusal is "not run" only if the ticket has not run and
+/// never will; in all other cases it is "unknown".
+ClaimResult claimTicket(TicketBook &Book, const TicketClaim &Claim,
+                        Instant Now);
+
+/// Records the result of an executed ticket. "Not run" spends the ticket for
+/// good. A definite result may replace "unknown", never another definite one.
+void finishTicket(TicketBook &Book, std::uint64_t Sequence,
+                  TicketResult Result);
+
+/// Refusal that a node passes on when the issuer cannot be reached or did not
+/// answer. Always "unknown": an earlier copy of the request may have run.
+Refusal issuerUnreachable(const HostId &Issuer);
+
+/// Forgets tickets whose expiry and grace have passed. Returns their number.
+std::size_t expireTickets(TicketBook &Book, Instant Now);
+
+/// Upper estimate of the heap bytes held.
+std::size_t memoryOf(const TicketBook &Book);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/quarantine/Quarantine.h
@@ -0,0 +1,145 @@
+#ifndef POLLENWICK_CORE_QUARANTINE_QUARANTINE_H
+#define POLLENWICK_CORE_QUARANTINE_QUARANTINE_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "pollenwick/Ids.h"
+#include "pollenwick/Outcome.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// First 16 bytes of SHA-256 over route, tenant and digest of the body.
+struct Fingerprint {
+  std::array<std::uint8_t, 16> Bytes{};
+  friend auto operator<=>(const Fingerprint &, const Fingerprint &) = default;
+  template <typename H> friend H AbslHashValue(H State, const Fingerprint &F) {
+    return H::combine(std::move(State), F.Bytes);
+  }
+};
+
+Fingerprint fingerprintOf(const RouteId &Route, const TenantId &Tenant,
+                          const Digest &Body);
+
+/// One crash of a backend server.
+struct CrashId {
+  HostId Host;
+  StartId Start;            ///< Incarnation of the node that saw the crash.
+  std::uint32_t Number = 0; ///< Within that incarnation, from 1.
+  friend auto operator<=>(const CrashId &, const CrashId &) = default;
+};
+
+/// Presence of a fingerprint at a crash, as nodes tell each other.
+struct Suspicion {
+  Fingerprint Subject;
+  CrashId Crash;
+  bool Alone = false;   ///< No other call was in flight.
+  bool Cleared = false; ///< The subject has completed normally since.
+  Duration Remaining{}; ///< Until it is forgotten.
+};
+
+struct QuarantineLimits {
+  Duration SuspectTime = std::chrono::seconds(60);
+  Duration QuarantineTime = std::chrono::minutes(10);
+  /// A call that completed here within this time before a crash is no suspect.
+  Duration CompletedTime = std::chrono::seconds(10);
+  std::size_t MaxSubjects = 2'048;  ///< Fingerprints under suspicion.
+  std::size_t MaxCompleted = 2'048; ///< Slots for recent completions.
+};
+
+/// Crashes at which one fingerprint was present. Two are enough to decide.
+struct SuspectRecord {
+  struct Presence {
+    CrashId Crash;
+    bool Alone = false;
+    bool Cleared = false;
+  };
+  std::vector<Presence> Crashes;
+  Instant Expiry;
+  bool Spread = false; ///< All servers of the service know the suspicion.
+};
+
+/// Owned by one node; guarded by one mutex.
+struct Quarantine {
+  IncarnationId Self;
+  QuarantineLimits Limits;
+  std::uint32_t LastCrash = 0;
+  absl::flat_hash_map<Fingerprint, std::uint32_t> InFlight; ///< Local server.
+  std::uint32_t InFlightTotal = 0;
+  std::optional<Fingerprint> Trial;   ///< Suspect that runs alone.
+  std::optional<Fingerprint> Waiting; ///< Suspect that waits for idleness.
+  Instant WaitingUntil;
+  absl::flat_hash_map<Fingerprint, SuspectRecord> Subjects;
+  struct Completion {
+    Fingerprint Subject;
+    Instant At;
+  };
+  std::vector<Completion> Completed; ///< Direct-mapped by fingerprint.
+};
+
+/// The call may be sent to the local server. `Alone`: as a trial.
+struct StartCall {
+  bool Alone = false;
+};
+/// The local server must become idle first, or runs a trial; try again here
+/// (for a suspect) or route elsewhere (for any other call).
+struct ServerReserved {
+  bool Suspect = false;
+};
+/// Only the host that saw the crash may try the suspect.
+struct TryAt {
+  HostId Host;
+};
+using StartVerdict = std::variant<StartCall, ServerReserved, TryAt, Refusal>;
+
+/// Decides immediately before a call is sent to the local server and counts it
+/// as in flight if it starts. All refusals are "not run".
+StartVerdict onCallStarted(Quarantine &State, const Fingerprint &Subject,
+                           Instant Now);
+
+/// A call left the local server. `Completed`: with a whole answer, which clears
+/// its suspicion. Returns suspicions to gossip.
+std::vector<Suspicion> onCallFinished(Quarantine &State,
+                                      const Fingerprint &Subject,
+                                      bool Completed, Instant Now);
+
+/// The local server crashed: every call in flight becomes a suspect. Returns
+/// the suspicions to send to all servers of the service. The answers of the
+/// calls are held back until `onSpread` or a short time limit.
+std::vector<Suspicion> onServerCrash(Quarantine &State, Instant Now);
+
+/// All servers of the service have acknowledged the suspicions of a crash.
+/// Until then no suspect of that crash runs.
+void onSpread(Quarantine &State, const CrashId &Crash);
+
+/// Whether the fingerprint is refused everywhere.
+bool isQuarantined(const Quarantine &State, const Fingerprint &Subject,
+                   Instant Now);
+/// Whether the fingerprint is under suspicion; a suspect is not retried.
+bool isSuspect(const Quarantine &State, const Fingerprint &Subject,
+               Instant Now);
+
+/// Takes over what another node knows. Commutative and idempotent; a known
+/// suspicion never lives longer through it.
+void merge(Quarantine &State, const std::vector<Suspicion> &Heard, Instant Now);
+
+/// What this node knows, newest first, at most `Limit` entries.
+std::vector<Suspicion> known(const Quarantine &State, std::size_t Limit,
+                             Instant Now);
+
+/// Forgets what has expired.
+void expire(Quarantine &State, Instant Now);
+
+/// Upper estimate of the heap bytes held.
+std::size_t memoryOf(const Quarantine &State);
+
+} // namespace pollenwick
+
+#endif
