--- /dev/null
+++ b/src/core/quota/Holder.h
@@ -0,0 +1,124 @@
+#ifndef POLLENWICK_CORE_QUOTA_HOLDER_H
+#define POLLENWICK_CORE_QUOTA_HOLDER_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/quota/Messages.h"
+#include "core/view/ViewLease.h"
+
+namespace pollenwick {
+
+/// A lease as its lender knows it.
+struct LentLease {
+  IncarnationId Borrower;
+  std::uint64_t Sequence = 0;
+  MicroTokens Tokens;
+  MicroTokens Spent;
+  Instant Expiry{};
+  bool Recalled = false;
+};
+
+/// Room set aside for tokens that were asked from another shard.
+struct PendingPull {
+  MicroTokens Reserved;
+  Instant Deadline{};
+};
+
+/// One shard at its holder. Invariant: Balance + Outstanding + Inherited +
+/// Reserved never exceeds Share.Burst by anything but a lowered share.
+struct Shard {
+  ShardShare Share;
+  /// Larger share that takes effect when no node acts on an older host list.
+  std::optional<ShardShare> Raise;
+  bool Active = false;   ///< Accrues and lends.
+  bool Released = false; ///< Handed over under this host list.
+  /// Asked for the balance while waiting; empty if unknown.
+  HostId PreviousHolder;
+
+  Instant AccruedAt{};
+  MicroTokens Balance;
+  std::int64_t Remainder = 0;          ///< Millionths of a micro-token.
+  std::map<LeaseId, LentLease> Leases; ///< In order of expiry.
+  MicroTokens Outstanding;             ///< Unsettled part of `Leases`.
+  MicroTokens Inherited;               ///< Lent by the previous holder.
+  Instant InheritedExpiry{};
+
+  std::map<std::uint64_t, PendingPull> Pulls;
+  MicroTokens Reserved;
+  Instant NextPull{};
+  Duration PullInterval{};
+  Instant NextClaim{};
+};
+
+/// All shards of one node. Owned by one duty thread.
+struct HolderState {
+  IncarnationId Self;
+  ZoneId Zone;
+  Instant StartedAt{};
+  Revision Number;     ///< Of the bundle; 0: none yet.
+  Revision HostsSince; ///< First revision of the present host list.
+  Policy Rules;
+  std::unordered_map<TenantId, Shard> Shards;
+  /// Holders of all shards of the tenants whose shard is kept here.
+  std::unordered_map<TenantId, std::vector<ShardHolder>> Others;
+  std::uint64_t NextLease = 1;
+  std::uint64_t NextPull = 1;
+};
+
+struct LendResult {
+  BorrowReply Reply;
+  std::vector<Recall> Recalls;
+};
+
+/// Messages that are due.
+struct HolderActions {
+  std::vector<PullRequest> Pulls;
+  std::vector<Claim> Claims;
+};
+
+/// State of a process that has just bound the peer port of its host.
+HolderState makeHolder(IncarnationId Self, ZoneId Zone, Instant Now);
+
+/// Applies an accepted bundle: keeps, drops and creates shards. `HostsSince`
+/// is the first revision of the unbroken run of revisions with this host list;
+/// `Previous` is the bundle that was held before, if any.
+void adoptBundle(HolderState &State, const Bundle &Rules, Revision HostsSince,
+                 const Bundle *Previous, Instant Now);
+
+/// Accrues to `Now`, and drops the leases that expire on the way.
+void accrue(Shard &Kept, Instant Now);
+
+/// Answers a borrow request. Lends nothing without a view lease.
+LendResult lend(HolderState &State, const BorrowRequest &Request,
+                const ViewLease &View, Instant Now);
+
+/// Applies spent and returned counts.
+void settle(HolderState &State, const Settlement &Message, Instant Now);
+
+/// Gives tokens to a shard that runs dry.
+PullReply givePull(HolderState &State, const PullRequest &Request,
+                   const ViewLease &View, Instant Now);
+/// Credits given tokens, at most once and only into the room set aside.
+void acceptPull(HolderState &State, const PullReply &Reply, Instant Now);
+
+/// Releases a shard to the holder named by a newer host list.
+std::optional<Handover> release(HolderState &State, const Claim &Message,
+                                Instant Now);
+/// Takes a released shard over; ignored unless this incarnation waits for it.
+void adopt(HolderState &State, const Handover &Message, const ViewLease &View,
+           Instant Now);
+
+/// Ends waits, applies raises, and returns the messages that are due. Call it
+/// every `HolderTick`.
+HolderActions tickHolder(HolderState &State, const ViewLease &View,
+                         Instant Now);
+
+inline constexpr Duration HolderTick = std::chrono::milliseconds(5);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/quota/Messages.h
@@ -0,0 +1,112 @@
+#ifndef POLLENWICK_CORE_QUOTA_MESSAGES_H
+#define POLLENWICK_CORE_QUOTA_MESSAGES_H
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/quota/Shares.h"
+#include "pollenwick/Ids.h"
+#include "pollenwick/Time.h"
+#include "pollenwick/Tokens.h"
+
+namespace pollenwick {
+
+/// Number of a lease, unique within the incarnation of its lender.
+using LeaseId = NumberId<struct LeaseTag>;
+
+/// State of a lease at the borrower. Counts are totals, not differences, so
+/// that repeated and reordered reports do no harm.
+struct LeaseReport {
+  LeaseId Id;
+  MicroTokens Spent;
+  MicroTokens Returned;
+  bool Closed = false; ///< The borrower no longer holds the lease.
+};
+
+/// Ingress to holder.
+struct BorrowRequest {
+  ShardId Shard;
+  HostId Holder;
+  IncarnationId Borrower;
+  std::uint64_t Sequence = 0;
+  MicroTokens Needed; ///< What the waiting request lacks.
+  MicroTokens Wanted; ///< Accepted as a batch; at least `Needed`.
+};
+
+/// Holder to ingress. Always an answer, also when nothing was lent.
+struct BorrowReply {
+  ShardId Shard;
+  IncarnationId Holder;
+  HostId Borrower;
+  std::uint64_t Sequence = 0; ///< Of the request.
+  LeaseId Lease;
+  MicroTokens Tokens; ///< May be less than needed; zero: nothing lent.
+  Duration Lifetime{};
+  /// Idle leases are being recalled: worth asking once more after
+  /// `RecallWait`.
+  bool RecallPending = false;
+};
+
+/// Time after which an ingress asks a holder again that recalls leases. Covers
+/// two one-way trips between zones.
+inline constexpr Duration RecallWait = std::chrono::milliseconds(4);
+
+/// Ingress to holder: spent and returned counts.
+struct Settlement {
+  ShardId Shard;
+  IncarnationId Holder;
+  IncarnationId Borrower;
+  std::vector<LeaseReport> Reports;
+};
+
+/// Holder to ingress: asks for the unspent part of a lease.
+struct Recall {
+  ShardId Shard;
+  IncarnationId Holder;
+  IncarnationId Borrower;
+  LeaseId Lease;
+};
+
+/// Holder of a shard that runs dry, to the holder of another shard: asks for
+/// tokens that would otherwise be lost to the cap. Room for the tokens is set
+/// aside before the request is sent.
+struct PullRequest {
+  ShardId From;
+  HostId Holder;
+  ShardId To;
+  IncarnationId Puller;
+  std::uint64_t Sequence = 0;
+  MicroTokens Wanted;
+  MicroTokens Balance; ///< Of the puller.
+};
+
+struct PullReply {
+  ShardId To;
+  IncarnationId Puller;
+  std::uint64_t Sequence = 0;
+  MicroTokens Tokens;
+};
+
+/// New holder to previous holder: asks for the release of a shard.
+struct Claim {
+  ShardId Shard;
+  HostId PreviousHolder;
+  Revision HostsSince; ///< First revision of the claimant's host list.
+  IncarnationId Claimant;
+};
+
+/// Previous holder to new holder: the release, with the balance. Valid for
+/// the one incarnation that claimed.
+struct Handover {
+  ShardId Shard;
+  Revision HostsSince; ///< Of the claim.
+  IncarnationId To;
+  MicroTokens Balance;
+  MicroTokens Outstanding;        ///< Lent, may be unspent.
+  Duration OutstandingLifetime{}; ///< Until the last lease ends.
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/quota/Shares.h
@@ -0,0 +1,58 @@
+#ifndef POLLENWICK_CORE_QUOTA_SHARES_H
+#define POLLENWICK_CORE_QUOTA_SHARES_H
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick {
+
+/// The part of a tenant's token bucket that one zone keeps.
+struct ShardId {
+  TenantId Tenant;
+  ZoneId Zone;
+  friend auto operator<=>(const ShardId &, const ShardId &) = default;
+};
+
+struct ShardShare {
+  MicroTokens RatePerSecond;
+  MicroTokens Burst;
+  friend auto operator<=>(const ShardShare &, const ShardShare &) = default;
+};
+
+/// Holder of a shard according to a bundle.
+struct ShardHolder {
+  ZoneId Zone;
+  HostId Host;
+};
+
+/// Zones that have hosts, in order.
+std::vector<ZoneId> zonesOf(const Bundle &Rules);
+
+/// Share of the zone with this index. The shares of all zones sum exactly to
+/// the tenant's rate and burst.
+ShardShare shareOf(const TenantSpec &Tenant, std::size_t Index,
+                   std::size_t Zones);
+
+/// Holder of each zone's shard, in the order of `zonesOf`, by rendezvous
+/// hashing over the hosts of the zone.
+std::vector<ShardHolder> holdersOf(const Bundle &Rules, const TenantId &Tenant);
+
+/// Time for which a lender counts a lease after granting it. Exceeds the
+/// borrower's lifetime by more than clocks drift apart within it.
+constexpr Duration lenderLifetime(Duration Lease) {
+  constexpr int DriftDivisor = 64;
+  return Lease + Lease / DriftDivisor;
+}
+
+/// Time from the anchoring of a host list until no token that was granted
+/// under an older one can be spent.
+constexpr Duration fenceWait(const Policy &Rules) {
+  return lenderLifetime(Rules.ViewLease) + lenderLifetime(Rules.QuotaLease);
+}
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/view/View.h
@@ -0,0 +1,107 @@
+#ifndef POLLENWICK_CORE_VIEW_VIEW_H
+#define POLLENWICK_CORE_VIEW_VIEW_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/view/ViewLease.h"
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick {
+
+/// Whom a question about the newest revision goes to.
+enum class ViewSource : std::uint8_t { Service, Parent, Witness };
+
+/// One question that the shell sends. The answer is recorded under `Nonce`.
+struct ViewQuestion {
+  ViewSource Source = ViewSource::Service;
+  HostId Target; ///< Empty for the configuration service.
+  std::uint64_t Nonce = 0;
+};
+
+/// Reply of a peer to `confirm`.
+struct ConfirmReply {
+  RevisionKey Held;
+  Duration Age{}; ///< Since the newest confirmation of `Held`.
+};
+
+/// Reply of a witness.
+struct WitnessReply {
+  RevisionKey Held;
+  Revision HostsSince; ///< First revision with the host list that is held.
+  Duration HostsHeldFor{};
+};
+
+/// View of one node. Owned by one duty thread.
+struct ViewState {
+  struct Pending {
+    ViewQuestion Question;
+    Instant SentAt{};
+  };
+  struct Witnessed {
+    WitnessReply Reply;
+    Instant SentAt{};
+    Instant HostsHeldSince{}; ///< Upper bound, on the clock of this node.
+  };
+
+  HostId Self;
+  Instant StartedAt{};
+  Duration Fresh = std::chrono::seconds(5);
+  RevisionKey Held;    ///< Number 0: no bundle yet.
+  Revision HostsSince; ///< First revision with the host list that is held.
+  Instant HostsHeldAt{};
+  std::vector<HostId> Witnesses;
+  std::vector<HostId> Parents;
+  bool Watcher = false; ///< Reads the configuration service itself.
+
+  RevisionKey NewestKnown; ///< Held or named by any answer.
+  std::optional<Instant> ConfirmedAt;
+  /// Confirmation of a revision that is not held yet.
+  std::optional<Instant> NewestConfirmedAt;
+  std::map<HostId, Witnessed> Answers;
+  std::map<std::uint64_t, Pending> Waiting;
+  std::map<HostId, Instant> LastAsked; ///< The service under an empty id.
+  std::uint64_t NextNonce = 1;
+};
+
+/// A view that holds no bundle.
+ViewState makeView(HostId Self, Instant Now);
+
+/// Takes over an accepted revision; ignored unless it is newer than the held
+/// one. `HostsSince` is the first revision of the unbroken run of revisions
+/// with the same host list and witnesses that ends with this one.
+void holdRevision(ViewState &State, const RevisionKey &Key, Revision HostsSince,
+                  const Policy &Rules, Instant Now);
+
+/// Questions that are due. Witnesses are asked when the service and the
+/// parents have not confirmed recently, and while the host list is not
+/// anchored.
+std::vector<ViewQuestion> dueQuestions(ViewState &State, Instant Now);
+
+/// Answer of the configuration service. Answers to unknown nonces are ignored.
+void recordService(ViewState &State, std::uint64_t Nonce,
+                   const RevisionKey &Newest);
+/// Answer of a peer. The confirmation dates from the sending of the question
+/// minus the age.
+void recordConfirmation(ViewState &State, std::uint64_t Nonce,
+                        const ConfirmReply &Reply);
+/// Answer of a witness.
+void recordWitness(ViewState &State, std::uint64_t Nonce,
+                   const WitnessReply &Reply, Instant Now);
+/// A revision named by a heartbeat. It never confirms anything.
+void recordHearsay(ViewState &State, const RevisionKey &Key);
+
+/// What this node says to a peer; nothing while it has no confirmation.
+std::optional<ConfirmReply> answerConfirm(const ViewState &State, Instant Now);
+/// What this node says as a witness. A restarted witness has forgotten what it
+/// knew and says nothing until a confirmation newer than its start.
+std::optional<WitnessReply> answerWitness(const ViewState &State, Instant Now);
+
+/// The lease at this moment.
+ViewLease viewLease(const ViewState &State);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/view/ViewLease.h
@@ -0,0 +1,34 @@
+#ifndef POLLENWICK_CORE_VIEW_VIEWLEASE_H
+#define POLLENWICK_CORE_VIEW_VIEWLEASE_H
+
+#include <compare>
+#include <optional>
+
+#include "pollenwick/Ids.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// Orders racing revisions the same way on every node.
+struct RevisionKey {
+  Revision Number;
+  Digest Root{};
+  friend auto operator<=>(const RevisionKey &, const RevisionKey &) = default;
+};
+
+/// Permission to act on the view, as it stands at one moment. A value: cheap
+/// to copy to other duties, which compare `Until` with the clock themselves
+/// immediately before each grant, admission and dispatch.
+struct ViewLease {
+  Instant Until{};       ///< The view may be acted on strictly before this.
+  Instant ConfirmedAt{}; ///< The held revision was the newest at this time.
+  /// From this time on a majority of the witnesses knows the host list that
+  /// is held, so nobody obtains a lease on an older one.
+  std::optional<Instant> AnchoredAt;
+
+  bool validAt(Instant Now) const { return Now < Until; }
+};
+
+} // namespace pollenwick
+
+#endif
