--- /dev/null
+++ b/src/core/admission/Callee.h
@@ -0,0 +1,94 @@
+#ifndef POLLENWICK_CORE_ADMISSION_CALLEE_H
+#define POLLENWICK_CORE_ADMISSION_CALLEE_H
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/admission/CallQueue.h"
+#include "core/admission/Ingress.h"
+#include "core/admission/Limit.h"
+#include "core/admission/OfferedLoad.h"
+#include "pollenwick/Outcome.h"
+
+namespace pollenwick {
+
+struct CalleeTuning {
+  ThresholdTuning Threshold;
+  LimitTuning Limit;
+  /// Waiting calls per allowed running call.
+  double QueuePerSlot = 2;
+};
+
+/// Admission state of the callee node beside one backend server. Owner: the
+/// request path, under one mutex.
+struct CalleeState {
+  CalleeTuning Tuning;
+  ServiceIndex Service = 0;
+  ConcurrencyLimit Limit;
+  ThresholdState Threshold;
+  CallQueue Queue;
+  std::vector<std::uint32_t> Running; ///< Calls in slots, by rank.
+  std::uint32_t InSlots = 0;
+  std::vector<double> OwnTime; ///< Mean own time by route, us.
+  double HeldTime = 0;         ///< Mean time a slot is held, us.
+  double QueueDelay = 0;       ///< Mean wait of calls that got a slot, us.
+  double SlotTime = 0;         ///< Slot-microseconds used in the window.
+  Instant SlotTimeAt{};
+};
+
+CalleeState makeCallee(const ReachTable &Reach, ServiceIndex Service,
+                       Instant Now, const CalleeTuning &Tuning = {});
+
+enum class OfferVerdict : std::uint8_t { Run, Queued, Refused };
+
+struct OfferResult {
+  OfferVerdict Verdict = OfferVerdict::Refused;
+  RefusalReason Reason = RefusalReason::None;
+  /// Waiting call that made room. Its answer is "not run: shed".
+  std::optional<CallId> Evicted;
+};
+
+/// Decides on a call that arrived. `Run` takes a slot.
+OfferResult offerCall(CalleeState &State, const ReachTable &Reach,
+                      const OfferedCall &Call, Instant Now);
+
+struct TakeResult {
+  std::optional<OfferedCall> Call; ///< Has taken a slot.
+  std::vector<CallId> Expired;     ///< Answer "not run: deadline exceeded".
+};
+
+/// Next waiting call, if a slot is free. Ask again until `Call` is empty.
+TakeResult takeCall(CalleeState &State, Instant Now);
+
+struct FinishedCall {
+  RouteIndex Route = 0;
+  std::uint32_t Rank = 0;
+  Duration Held{};       ///< Time the slot was held.
+  Duration Own{};        ///< `Held` without the time of its sub-calls.
+  bool Completed = true; ///< False: cancelled or failed; not a latency sample.
+};
+
+/// Frees the slot of a call that ended.
+void releaseSlot(CalleeState &State, const FinishedCall &Call, Instant Now);
+
+/// Removes a waiting call whose root is known to fail. False if not waiting.
+bool cancelWaiting(CalleeState &State, CallId Id);
+
+/// Ends the measuring window if it is over. Called by `offerCall`; the shell
+/// also calls it on its tick, so that an idle node relaxes.
+void refreshThreshold(CalleeState &State, const ReachTable &Reach, Instant Now);
+
+/// Part of a reply that tells the caller's node about this server.
+struct CalleeReport {
+  ThresholdReport Threshold;
+  Duration QueueDelay{};
+  std::uint32_t InFlight = 0; ///< In slots and waiting.
+};
+
+CalleeReport reportFor(const CalleeState &State, TenantIndex Tenant,
+                       Instant Now);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/admission/Ingress.h
@@ -0,0 +1,90 @@
+#ifndef POLLENWICK_CORE_ADMISSION_INGRESS_H
+#define POLLENWICK_CORE_ADMISSION_INGRESS_H
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "core/admission/Level.h"
+#include "core/admission/ReachTable.h"
+#include "pollenwick/Outcome.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// One service's admission level as a reply carries it. A reply holds the
+/// report of its own callee node and those it relays for deeper services.
+struct ThresholdReport {
+  ServiceIndex Service = 0;
+  Level Tenant = AdmitAll; ///< For the tenant of the call.
+  Level Common = AdmitAll; ///< Upper bound for any tenant.
+  Duration Age{};          ///< Since the callee node computed it.
+};
+
+struct IngressTuning {
+  /// A level is applied as reported for this long, then relaxes.
+  Duration Hold = std::chrono::milliseconds(150);
+  /// Time in which a stale level relaxes by one whole class.
+  Duration RelaxPerClass = std::chrono::milliseconds(400);
+  /// Weight of one report against the level held, so that the hosts of a
+  /// service are averaged. In permille.
+  std::uint32_t ReportWeight = 200;
+};
+
+/// Level that an ingress holds, with the time of its newest report.
+struct HeldLevel {
+  std::uint32_t Value = AdmitAll.Value;
+  std::uint32_t AtMilliseconds = 0;
+};
+
+struct TenantUse {
+  std::uint64_t Admitted = 0;
+  std::uint64_t Shed = 0;
+};
+
+/// Admission state of one ingress. Owner: the request path, under one mutex.
+struct IngressState {
+  IngressTuning Tuning;
+  std::vector<HeldLevel> Common;    ///< By service.
+  std::vector<HeldLevel> PerTenant; ///< By tenant, then service.
+  std::vector<TenantUse> Use;       ///< By tenant.
+};
+
+IngressState makeIngress(const ReachTable &Reach, IngressTuning Tuning = {});
+
+struct RootRequest {
+  RouteIndex Route = 0;
+  TenantIndex Tenant = 0;
+  std::uint64_t Hash = 0; ///< The same for all calls of the root request.
+};
+
+struct AdmitResult {
+  bool Admitted = false;
+  RefusalReason Reason = RefusalReason::None;
+  ServiceIndex Limiting = 0; ///< Service with the strictest level.
+  Level Applied = AdmitAll;
+  Duration RetryAfter{}; ///< Set when refused.
+};
+
+/// Decides on a root request before any work is done for it. Only root
+/// requests are decided here: sub-calls belong to an admitted root.
+AdmitResult admit(IngressState &State, const ReachTable &Reach,
+                  const RootRequest &Request, Instant Now);
+
+/// Learns the levels that a reply carries for the tenant of the call.
+void onReply(IngressState &State, const ReachTable &Reach, TenantIndex Tenant,
+             std::span<const ThresholdReport> Reports, Instant Now);
+
+/// Level in force for a service and a tenant, after relaxation.
+Level levelOf(const IngressState &State, const ReachTable &Reach,
+              ServiceIndex Service, TenantIndex Tenant, Instant Now);
+
+/// Appends the levels of the services below `Route` that cut any request, for
+/// the reply of a callee node to its caller.
+void relayReports(const IngressState &State, const ReachTable &Reach,
+                  RouteIndex Route, TenantIndex Tenant, Instant Now,
+                  std::vector<ThresholdReport> &Reports);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/admission/ReachTable.h
@@ -0,0 +1,43 @@
+#ifndef POLLENWICK_CORE_ADMISSION_REACHTABLE_H
+#define POLLENWICK_CORE_ADMISSION_REACHTABLE_H
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick {
+
+/// Positions in the vectors of a `ReachTable`; valid for one bundle only.
+using ServiceIndex = std::uint32_t;
+using TenantIndex = std::uint32_t;
+using RouteIndex = std::uint32_t;
+
+struct RouteReach {
+  ServiceIndex Service = 0;
+  std::uint32_t Rank = 0;             ///< Dense: 0 is shed last.
+  std::vector<ServiceIndex> Services; ///< Reached, its own included, sorted.
+};
+
+/// What admission needs of a bundle, computed once per bundle.
+struct ReachTable {
+  std::vector<ServiceId> Services;
+  std::vector<std::uint32_t> Slots; ///< Per backend server, by service.
+  std::vector<TenantId> Tenants;
+  std::vector<std::uint32_t> Weights; ///< By tenant, at least 1.
+  std::vector<RouteReach> Routes;
+  std::uint32_t Ranks = 1; ///< Number of distinct ranks.
+  std::unordered_map<ServiceId, ServiceIndex> ServiceByName;
+  std::unordered_map<TenantId, TenantIndex> TenantByName;
+  std::unordered_map<RouteId, RouteIndex> RouteByName;
+};
+
+/// Edges to unknown routes are ignored, cycles are followed once; the bundle
+/// check reports both.
+ReachTable buildReachTable(const Bundle &Rules);
+
+} // namespace pollenwick
+
+#endif
