--- /dev/null
+++ b/src/core/admission/Callee.cpp
@@ -0,0 +1,207 @@
+#include "core/admission/Callee.h"
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+
+namespace pollenwick {
+
+namespace {
+
+/// Weights of one sample in the running means. The time a slot is held decides
+/// the capacity estimate and must not follow single calls.
+constexpr std::uint32_t HeldSamplesMax = 200;
+constexpr double OwnTimeWeight = 0.05;
+constexpr double DelayWeight = 0.05;
+
+/// Queue bound of the best class while other classes use the server, as a
+/// multiple of the usual bound. It only guards memory.
+constexpr std::size_t ProtectedQueueFactor = 16;
+
+constexpr std::size_t MinQueue = 4;
+
+std::size_t queueBound(const CalleeState &State) {
+  const double Bound = State.Tuning.QueuePerSlot * limitOf(State.Limit);
+  return std::max(MinQueue, static_cast<std::size_t>(Bound));
+}
+
+bool worseClassesRun(const CalleeState &State) {
+  return std::any_of(State.Running.begin() + 1, State.Running.end(),
+                     [](std::uint32_t Count) { return Count > 0; });
+}
+
+bool worseClassesActive(const CalleeState &State) {
+  const OfferedCall *Worst = worstCall(State.Queue);
+  return worseClassesRun(State) || (Worst && Worst->Rank > 0);
+}
+
+void addSlotTime(CalleeState &State, Instant Now) {
+  State.SlotTime +=
+      State.InSlots * static_cast<double>((Now - State.SlotTimeAt).count());
+  State.SlotTimeAt = Now;
+}
+
+void takeSlot(CalleeState &State, const OfferedCall &Call, Instant Now) {
+  addSlotTime(State, Now);
+  ++State.InSlots;
+  ++State.Running[Call.Rank];
+  const auto Wait = static_cast<double>((Now - Call.ArrivedAt).count());
+  State.QueueDelay += DelayWeight * (Wait - State.QueueDelay);
+  ++State.DelaySamples;
+}
+
+bool meetsDeadline(const CalleeState &State, const OfferedCall &Call,
+                   Instant Now) {
+  const Duration Needed{static_cast<std::int64_t>(State.OwnTime[Call.Route])};
+  return Now + Needed < Call.Deadline;
+}
+
+OfferResult refuse(RefusalReason Reason) {
+  return {OfferVerdict::Refused, Reason, std::nullopt};
+}
+
+/// A full queue: the call that comes last in the shedding order leaves.
+OfferResult offerToFullQueue(CalleeState &State, const OfferedCall &Call) {
+  const OfferedCall *Worst = worstCall(State.Queue);
+  if (Worst && ShedsAfter()(Call, *Worst)) {
+    const CallId Evicted = Worst->Id;
+    if (Call.Rank > 0 || Worst->Rank > 0 || !worseClassesRun(State)) {
+      removeCall(State.Queue, Evicted);
+      pushCall(State.Queue, Call);
+      return {OfferVerdict::Queued, RefusalReason::None, Evicted};
+    }
+  }
+  const bool Protected = Call.Rank == 0 && worseClassesActive(State);
+  if (Protected &&
+      State.Queue.ById.size() < queueBound(State) * ProtectedQueueFactor) {
+    pushCall(State.Queue, Call);
+    return {OfferVerdict::Queued, RefusalReason::None, std::nullopt};
+  }
+  return refuse(RefusalReason::QueueFull);
+}
+
+/// A new root that the ingress admitted under an older level.
+bool beyondLevel(const CalleeState &State, const OfferedCall &Call) {
+  const Duration Delay{static_cast<std::int64_t>(State.QueueDelay)};
+  if (Call.WorkDone || Delay <= State.Tuning.Threshold.TargetDelay)
+    return false;
+  if (Call.Rank == 0 && worseClassesActive(State))
+    return false;
+  const Level Allowed =
+      std::min(State.Threshold.Levels[Call.Tenant], State.Threshold.Common);
+  return positionOf(Call.Rank, Call.Hash) >= Allowed;
+}
+
+} // namespace
+
+CalleeState makeCallee(const ReachTable &Reach, ServiceIndex Service,
+                       Instant Now, const CalleeTuning &Tuning) {
+  CalleeState State;
+  State.Tuning = Tuning;
+  State.Service = Service;
+  State.Limit =
+      makeLimit(Reach.Slots[Service], Reach.Routes.size(), Now, Tuning.Limit);
+  State.Threshold = makeThreshold(Reach, Now, Tuning.Threshold);
+  State.Running.resize(Reach.Ranks);
+  State.OwnTime.resize(Reach.Routes.size());
+  State.SlotTimeAt = Now;
+  return State;
+}
+
+OfferResult offerCall(CalleeState &State, const ReachTable &Reach,
+                      const OfferedCall &Call, Instant Now) {
+  assert(Call.Rank < State.Running.size());
+  refreshThreshold(State, Reach, Now);
+  recordOffered(State.Threshold, Call.Rank, Call.Tenant);
+  if (!meetsDeadline(State, Call, Now))
+    return refuse(RefusalReason::DeadlineExceeded);
+  if (beyondLevel(State, Call))
+    return refuse(RefusalReason::Shed);
+  if (State.InSlots < limitOf(State.Limit) && State.Queue.ById.empty()) {
+    takeSlot(State, Call, Now);
+    return {OfferVerdict::Run, RefusalReason::None, std::nullopt};
+  }
+  if (State.Queue.ById.size() >= queueBound(State))
+    return offerToFullQueue(State, Call);
+  pushCall(State.Queue, Call);
+  return {OfferVerdict::Queued, RefusalReason::None, std::nullopt};
+}
+
+TakeResult takeCall(CalleeState &State, Instant Now) {
+  TakeResult Result;
+  while (State.InSlots < limitOf(State.Limit)) {
+    std::optional<OfferedCall> Next = popNext(State.Queue);
+    if (!Next)
+      break;
+    if (!meetsDeadline(State, *Next, Now)) {
+      Result.Expired.push_back(Next->Id);
+      continue;
+    }
+    takeSlot(State, *Next, Now);
+    Result.Call = Next;
+    break;
+  }
+  return Result;
+}
+
+void releaseSlot(CalleeState &State, const FinishedCall &Call, Instant Now) {
+  assert(State.InSlots > 0 && State.Running[Call.Rank] > 0);
+  const bool Saturated = State.InSlots >= limitOf(State.Limit);
+  addSlotTime(State, Now);
+  --State.InSlots;
+  --State.Running[Call.Rank];
+  State.HeldSamples = std::min(State.HeldSamples + 1, HeldSamplesMax);
+  State.HeldTime += (static_cast<double>(Call.Held.count()) - State.HeldTime) /
+                    State.HeldSamples;
+  if (!Call.Completed)
+    return;
+  double &Own = State.OwnTime[Call.Route];
+  const auto Sample = static_cast<double>(Call.Own.count());
+  Own = Own == 0 ? Sample : Own + OwnTimeWeight * (Sample - Own);
+  onOwnTime(State.Limit, Call.Route, Call.Own, Saturated, Now);
+}
+
+bool cancelWaiting(CalleeState &State, CallId Id) {
+  return removeCall(State.Queue, Id);
+}
+
+void refreshThreshold(CalleeState &State, const ReachTable &Reach,
+                      Instant Now) {
+  if (!thresholdDue(State.Threshold, Now))
+    return;
+  addSlotTime(State, Now);
+  const auto Window =
+      static_cast<double>((Now - State.Threshold.ComputedAt).count());
+  if (State.DelaySamples == 0) {
+    // No call got a slot: the delay grows if calls wait, else it is over.
+    if (State.Queue.ById.empty())
+      State.QueueDelay = 0;
+    else
+      State.QueueDelay += Window;
+  }
+  WindowMeasure Measure;
+  const std::uint32_t Limit = limitOf(State.Limit);
+  if (State.HeldTime > 0)
+    Measure.CapacityPerSecond = Limit / State.HeldTime * 1e6;
+  Measure.Utilization = State.SlotTime / Window / Limit;
+  Measure.QueueDelay = Duration{static_cast<std::int64_t>(State.QueueDelay)};
+  Measure.WorseClassesActive = worseClassesActive(State);
+  updateThreshold(State.Threshold, Reach, Measure, Now);
+  State.SlotTime = 0;
+  State.DelaySamples = 0;
+}
+
+CalleeReport reportFor(const CalleeState &State, TenantIndex Tenant,
+                       Instant Now) {
+  CalleeReport Report;
+  Report.Threshold.Service = State.Service;
+  Report.Threshold.Tenant = State.Threshold.Levels[Tenant];
+  Report.Threshold.Common = State.Threshold.Common;
+  Report.Threshold.Age = Now - State.Threshold.ComputedAt;
+  Report.QueueDelay = Duration{static_cast<std::int64_t>(State.QueueDelay)};
+  Report.InFlight =
+      State.InSlots + static_cast<std::uint32_t>(State.Queue.ById.size());
+  return Report;
+}
+
+} // namespace pollenwick
--- a/src/core/admission/Callee.h
+++ b/src/core/admission/Callee.h
@@ -30,10 +30,12 @@
   CallQueue Queue;
   std::vector<std::uint32_t> Running; ///< Calls in slots, by rank.
   std::uint32_t InSlots = 0;
-  std::vector<double> OwnTime; ///< Mean own time by route, us.
-  double HeldTime = 0;         ///< Mean time a slot is held, us.
-  double QueueDelay = 0;       ///< Mean wait of calls that got a slot, us.
-  double SlotTime = 0;         ///< Slot-microseconds used in the window.
+  std::vector<double> OwnTime;    ///< Mean own time by route, us.
+  double HeldTime = 0;            ///< Mean time a slot is held, us.
+  std::uint32_t HeldSamples = 0;  ///< Averaged so far; stops at a fixed number.
+  double QueueDelay = 0;          ///< Mean wait of calls that got a slot, us.
+  std::uint32_t DelaySamples = 0; ///< In the window.
+  double SlotTime = 0;            ///< Slot-microseconds used in the window.
   Instant SlotTimeAt{};
 };
 
--- /dev/null
+++ b/src/core/admission/Ingress.cpp
@@ -0,0 +1,145 @@
+#include "core/admission/Ingress.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pollenwick {
+
+namespace {
+
+/// Levels this close to "admit all" are taken as such; the average would only
+/// approach it and keep the level in every relayed reply.
+constexpr std::uint32_t SnapDistance = 256;
+
+constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
+
+std::uint32_t milliseconds(Instant At) {
+  return static_cast<std::uint32_t>(At.time_since_epoch().count() / 1000);
+}
+
+Duration ageOf(const HeldLevel &Held, Instant Now) {
+  // Unsigned subtraction is right across the wrap of the counter.
+  const auto Age =
+      static_cast<std::int32_t>(milliseconds(Now) - Held.AtMilliseconds);
+  return std::chrono::milliseconds(std::max(0, Age));
+}
+
+/// A stale level rises at a constant pace. The pace is slow against the time
+/// of a reply, so one admitted request brings the true level back before the
+/// class below is open.
+std::uint32_t relaxed(const HeldLevel &Held, const IngressTuning &Tuning,
+                      std::uint32_t Top, Instant Now) {
+  const Duration Stale = ageOf(Held, Now) - Tuning.Hold;
+  if (Stale <= Duration::zero() || Held.Value >= Top)
+    return std::min(Held.Value, Top);
+  const double Rise = static_cast<double>(Stale.count()) /
+                      static_cast<double>(Tuning.RelaxPerClass.count());
+  const double Value = Held.Value + Rise * LevelUnit;
+  return Value >= Top ? Top : static_cast<std::uint32_t>(Value);
+}
+
+void learn(HeldLevel &Held, Level Reported, const IngressTuning &Tuning,
+           std::uint32_t Top, Duration ReportAge, Instant Now) {
+  const std::uint32_t Target = std::min(Reported.Value, Top);
+  const double Current = relaxed(Held, Tuning, Top, Now);
+  const bool Stale = ageOf(Held, Now) > Tuning.Hold;
+  const double Weight = Stale ? 1.0 : Tuning.ReportWeight / 1000.0;
+  const double Mixed = Current + Weight * (Target - Current);
+  Held.Value = static_cast<std::uint32_t>(Mixed);
+  if (Target == Top && Top - Held.Value < SnapDistance)
+    Held.Value = Top;
+  const std::uint32_t At = milliseconds(Now - ReportAge);
+  if (Stale || static_cast<std::int32_t>(At - Held.AtMilliseconds) > 0)
+    Held.AtMilliseconds = At;
+}
+
+std::size_t cellOf(const ReachTable &Reach, ServiceIndex Service,
+                   TenantIndex Tenant) {
+  return std::size_t{Tenant} * Reach.Services.size() + Service;
+}
+
+} // namespace
+
+IngressState makeIngress(const ReachTable &Reach, IngressTuning Tuning) {
+  IngressState State;
+  State.Tuning = Tuning;
+  State.Common.resize(Reach.Services.size());
+  State.PerTenant.resize(Reach.Services.size() * Reach.Tenants.size());
+  State.Use.resize(Reach.Tenants.size());
+  return State;
+}
+
+Level levelOf(const IngressState &State, const ReachTable &Reach,
+              ServiceIndex Service, TenantIndex Tenant, Instant Now) {
+  const std::uint32_t Top = admitAll(Reach.Ranks).Value;
+  const HeldLevel &Own = State.PerTenant[cellOf(Reach, Service, Tenant)];
+  return {std::min(relaxed(State.Common[Service], State.Tuning, Top, Now),
+                   relaxed(Own, State.Tuning, Top, Now))};
+}
+
+AdmitResult admit(IngressState &State, const ReachTable &Reach,
+                  const RootRequest &Request, Instant Now) {
+  assert(Request.Route < Reach.Routes.size());
+  assert(Request.Tenant < Reach.Tenants.size());
+  const RouteReach &Route = Reach.Routes[Request.Route];
+  AdmitResult Result;
+  Result.Applied = admitAll(Reach.Ranks);
+  Result.Limiting = Route.Service;
+  for (ServiceIndex Service : Route.Services) {
+    const Level Held = levelOf(State, Reach, Service, Request.Tenant, Now);
+    if (Held < Result.Applied) {
+      Result.Applied = Held;
+      Result.Limiting = Service;
+    }
+  }
+  const Level Position = positionOf(Route.Rank, Request.Hash);
+  Result.Admitted = Position < Result.Applied;
+  if (Result.Admitted) {
+    ++State.Use[Request.Tenant].Admitted;
+    return Result;
+  }
+  ++State.Use[Request.Tenant].Shed;
+  Result.Reason = RefusalReason::Shed;
+  const double Distance =
+      static_cast<double>(Position.Value - Result.Applied.Value) / LevelUnit;
+  const Duration Wait{static_cast<std::int64_t>(
+      Distance * static_cast<double>(State.Tuning.RelaxPerClass.count()))};
+  Result.RetryAfter = std::clamp(Wait, MinRetryAfter, MaxRetryAfter);
+  return Result;
+}
+
+void onReply(IngressState &State, const ReachTable &Reach, TenantIndex Tenant,
+             std::span<const ThresholdReport> Reports, Instant Now) {
+  const std::uint32_t Top = admitAll(Reach.Ranks).Value;
+  for (const ThresholdReport &Report : Reports) {
+    if (Report.Service >= Reach.Services.size())
+      continue; // The sender has another bundle.
+    learn(State.Common[Report.Service], Report.Common, State.Tuning, Top,
+          Report.Age, Now);
+    learn(State.PerTenant[cellOf(Reach, Report.Service, Tenant)], Report.Tenant,
+          State.Tuning, Top, Report.Age, Now);
+  }
+}
+
+void relayReports(const IngressState &State, const ReachTable &Reach,
+                  RouteIndex Route, TenantIndex Tenant, Instant Now,
+                  std::vector<ThresholdReport> &Reports) {
+  const std::uint32_t Top = admitAll(Reach.Ranks).Value;
+  const RouteReach &Reached = Reach.Routes[Route];
+  for (ServiceIndex Service : Reached.Services) {
+    if (Service == Reached.Service)
+      continue;
+    const HeldLevel &Common = State.Common[Service];
+    const HeldLevel &Own = State.PerTenant[cellOf(Reach, Service, Tenant)];
+    if (Common.Value >= Top && Own.Value >= Top)
+      continue;
+    // The caller relaxes the level by the age itself.
+    Reports.push_back({Service,
+                       {std::min(Own.Value, Top)},
+                       {std::min(Common.Value, Top)},
+                       std::min(ageOf(Common, Now), ageOf(Own, Now))});
+  }
+}
+
+} // namespace pollenwick
--- a/src/core/admission/Level.h
+++ b/src/core/admission/Level.h
@@ -17,9 +17,12 @@
 };
 
 inline constexpr std::uint32_t LevelUnit = 1U << 16;
-/// Ranks from a bundle are mapped to 0..MaxRank.
-inline constexpr std::uint32_t MaxRank = 255;
-inline constexpr Level AdmitAll{(MaxRank + 1) * LevelUnit};
+/// Level of a reply or an ingress that cuts nothing, before the number of ranks
+/// is known.
+inline constexpr Level AdmitAll{};
+
+/// Level that cuts nothing. Averages of levels need this finite value.
+inline Level admitAll(std::uint32_t Ranks) { return {Ranks * LevelUnit}; }
 
 /// Position of a request in the shedding order. Every node computes the same
 /// position for all calls of one root request.
--- a/src/core/admission/Limit.h
+++ b/src/core/admission/Limit.h
@@ -15,7 +15,13 @@
   double SlowRatio = 1.5;  ///< Slowness that starts a trial.
   double TrialStep = 0.7;  ///< Limit of a trial against the limit before.
   double Elasticity = 0.5; ///< Latency per concurrency that proves contention.
-  double GrowStep = 1.1;
+  double GrowRatio = 1.2;  ///< Slowness up to which the limit grows.
+  double GrowStep = 1.25;
+};
+
+struct RouteBaseline {
+  double Mean = 0;           ///< Usual own time, us.
+  std::uint32_t Samples = 0; ///< Averaged so far; stops at a fixed number.
 };
 
 /// Concurrency limit of one backend server, adapted by the latency measured at
@@ -23,13 +29,13 @@
 struct ConcurrencyLimit {
   LimitTuning Tuning;
   double Limit = 1;
-  double Cap = 1;               ///< Slots of the service.
-  std::vector<double> Baseline; ///< Usual own time by route, us; 0 unknown.
+  double Cap = 1;                       ///< Slots of the service.
+  std::vector<RouteBaseline> Baselines; ///< By route.
   double SlownessSum = 0;
   std::uint32_t Samples = 0;
   std::uint32_t SaturatedSamples = 0; ///< Finished while the limit was used.
   Instant WindowStart{};
-  double LastSlowness = 1;
+  bool Settling = false;  ///< The window still holds calls of the old limit.
   double BeforeTrial = 0; ///< Limit before the running trial; 0 if none.
   double SlownessBeforeTrial = 0;
   double Accepted = 1; ///< Slowness found not to come from concurrency.
--- /dev/null
+++ b/src/core/admission/ReachTable.cpp
@@ -0,0 +1,75 @@
+#include "core/admission/ReachTable.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace pollenwick {
+
+namespace {
+
+std::map<ClassId, std::uint32_t> denseRanks(const Bundle &Rules) {
+  std::set<std::uint32_t> Distinct;
+  for (const ClassSpec &Class : Rules.Classes)
+    Distinct.insert(Class.Rank);
+  std::map<ClassId, std::uint32_t> Ranks;
+  for (const ClassSpec &Class : Rules.Classes)
+    Ranks[Class.Id] = static_cast<std::uint32_t>(
+        std::distance(Distinct.begin(), Distinct.find(Class.Rank)));
+  return Ranks;
+}
+
+void collectServices(const Bundle &Rules, const ReachTable &Table,
+                     RouteIndex Route, std::vector<bool> &Seen,
+                     std::set<ServiceIndex> &Services) {
+  if (Seen[Route])
+    return;
+  Seen[Route] = true;
+  Services.insert(Table.Routes[Route].Service);
+  for (const EdgeSpec &Edge : Rules.Routes[Route].Calls)
+    if (auto To = Table.RouteByName.find(Edge.Route);
+        To != Table.RouteByName.end())
+      collectServices(Rules, Table, To->second, Seen, Services);
+}
+
+} // namespace
+
+ReachTable buildReachTable(const Bundle &Rules) {
+  ReachTable Table;
+  for (const ServiceSpec &Service : Rules.Services) {
+    Table.ServiceByName[Service.Id] =
+        static_cast<ServiceIndex>(Table.Services.size());
+    Table.Services.push_back(Service.Id);
+    Table.Slots.push_back(std::max(1U, Service.Slots));
+  }
+  for (const TenantSpec &Tenant : Rules.Tenants) {
+    Table.TenantByName[Tenant.Id] =
+        static_cast<TenantIndex>(Table.Tenants.size());
+    Table.Tenants.push_back(Tenant.Id);
+    Table.Weights.push_back(std::max(1U, Tenant.Weight));
+  }
+  const std::map<ClassId, std::uint32_t> Ranks = denseRanks(Rules);
+  for (const auto &[Class, Rank] : Ranks)
+    Table.Ranks = std::max(Table.Ranks, Rank + 1);
+  for (const RouteSpec &Route : Rules.Routes) {
+    Table.RouteByName[Route.Id] = static_cast<RouteIndex>(Table.Routes.size());
+    RouteReach Reach;
+    if (auto Own = Table.ServiceByName.find(Route.Service);
+        Own != Table.ServiceByName.end())
+      Reach.Service = Own->second;
+    // A route of an undeclared class is shed first: the bundle check rejects
+    // it, and the guarantee for deposits must not depend on that check.
+    auto Rank = Ranks.find(Route.Class);
+    Reach.Rank = Rank == Ranks.end() ? Table.Ranks - 1 : Rank->second;
+    Table.Routes.push_back(std::move(Reach));
+  }
+  for (RouteIndex Route = 0; Route < Table.Routes.size(); ++Route) {
+    std::vector<bool> Seen(Table.Routes.size());
+    std::set<ServiceIndex> Services;
+    collectServices(Rules, Table, Route, Seen, Services);
+    Table.Routes[Route].Services.assign(Services.begin(), Services.end());
+  }
+  return Table;
+}
+
+} // namespace pollenwick
