Add bundle source form, published form and operator signature

The nodes and the command need one reader for the JSON source and for the chunks, so both share the section reader. The root digest covers the revision and the parent as well as the chunk list: a return to older content would otherwise repeat an older root, and the chain of parents would be ambiguous. A pointer is accepted in its canonical bytes only, since JSON white space and letter case would otherwise let changed bytes pass. Binary chunks were ruled out: chunks are read by people with the show command and change rarely.

--- /dev/null
+++ b/include/pollenwick/Pointer.h
@@ -0,0 +1,35 @@
+#ifndef POLLENWICK_POINTER_H
+#define POLLENWICK_POINTER_H
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "pollenwick/Ids.h"
+
+namespace pollenwick {
+
+/// Ed25519 signature.
+using Signature = std::array<std::uint8_t, 64>;
+
+struct ChunkRef {
+  std::string Name; ///< Section, for example `services` or `hosts/cartago`.
+  Digest Sum{};     ///< SHA-256 of the chunk's bytes.
+  std::uint32_t Bytes = 0;
+  friend bool operator==(const ChunkRef &, const ChunkRef &) = default;
+};
+
+/// Head of a published bundle: one operator signature over everything else.
+struct Pointer {
+  Revision Number;
+  Digest Parent{}; ///< Root of the revision it follows; zero for the first.
+  Digest Root{};   ///< Identifies this revision; see `rootOf`.
+  std::vector<ChunkRef> Chunks;
+  Signature Sign{};
+  friend bool operator==(const Pointer &, const Pointer &) = default;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/bundle/Check.cpp
@@ -0,0 +1,1 @@
+#include "bundle/Check.h"
--- /dev/null
+++ b/src/bundle/Check.h
@@ -0,0 +1,63 @@
+#ifndef POLLENWICK_BUNDLE_CHECK_H
+#define POLLENWICK_BUNDLE_CHECK_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick {
+
+enum class ProblemKind : std::uint8_t {
+  BadName,
+  Duplicate,
+  UnknownName,
+  RouteWithoutClass,
+  RouteOutsideService,
+  NotSplittable,
+  Cycle,
+  TooDeep,
+  IdempotentReachesNonIdempotent,
+  OpenReachesClosed,
+  Contradiction,
+  KeyUsedTwice,
+  HostTwice,
+  AddressTwice,
+  Witnesses,
+  ChunkTooLarge,
+  RevisionNotIncreasing,
+  BadValue,
+  Truncated, ///< Further problems were left out.
+};
+
+struct Problem {
+  ProblemKind Kind;
+  std::string Message; ///< Names the offending value and the remedy.
+};
+
+std::string_view problemText(ProblemKind Kind);
+
+/// Longest chain of nested calls, the root call included.
+inline constexpr std::uint32_t MaxCallDepth = 29;
+/// Hosts whose majority keeps the view lease when the service is down.
+inline constexpr std::size_t WitnessCount = 5;
+
+/// Everything that is wrong with a bundle, up to 1,000 problems. `Current` is
+/// the revision that the bundle is to follow.
+std::vector<Problem>
+checkBundle(const Bundle &Source,
+            std::optional<Revision> Current = std::nullopt);
+
+/// Zones that have hosts, sorted.
+std::vector<ZoneId> zonesOf(const Bundle &Source);
+
+/// Share of the zone at `Index` of `Count`. The shares differ by at most one
+/// micro-token and sum exactly to `Total`.
+MicroTokens zoneShare(MicroTokens Total, std::size_t Index, std::size_t Count);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/bundle/Json.cpp
@@ -0,0 +1,292 @@
+#include "bundle/Json.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/ParseHandler.h>
+#include <Poco/JSON/Parser.h>
+#include <cmath>
+
+#include "absl/status/status.h"
+#include "absl/strings/str_cat.h"
+
+namespace pollenwick {
+namespace {
+
+// The deepest document nests root, section, entry, list and edge.
+constexpr std::size_t MaxDepth = 8;
+// One token of rate per nanosecond; keeps sums of micro-tokens within 64 bits.
+constexpr std::int64_t MaxTokens = 1'000'000'000;
+constexpr std::int64_t MaxMillis = 86'400'000;
+
+/// Refuses repeated fields, of which the default handler keeps the last one.
+class StrictHandler : public Poco::JSON::ParseHandler {
+public:
+  void startObject() override {
+    Names.emplace_back();
+    ParseHandler::startObject();
+  }
+  void endObject() override {
+    Names.pop_back();
+    ParseHandler::endObject();
+  }
+  void key(const std::string &Name) override {
+    if (!Names.back().insert(Name).second)
+      throw Poco::DataFormatException("field \"" + Name + "\" is given twice");
+    ParseHandler::key(Name);
+  }
+
+private:
+  std::vector<std::set<std::string>> Names;
+};
+
+// Bounds depth and memory before the parser allocates anything.
+absl::Status scanLimits(std::string_view Text, JsonLimits Limits) {
+  if (Text.size() > Limits.Bytes)
+    return absl::ResourceExhaustedError(
+        absl::StrCat("document has ", Text.size(), " bytes, the limit is ",
+                     Limits.Bytes, "; split or shorten it"));
+  std::size_t Depth = 0;
+  std::size_t Values = 0;
+  bool Quoted = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    const char C = Text[I];
+    if (Quoted) {
+      if (C == '\\')
+        ++I;
+      else if (C == '"')
+        Quoted = false;
+      continue;
+    }
+    Quoted = C == '"';
+    if (C == '{' || C == '[')
+      ++Depth;
+    if ((C == '}' || C == ']') && Depth > 0)
+      --Depth;
+    if (C == '{' || C == '[' || C == ',')
+      ++Values;
+    if (Depth > MaxDepth)
+      return absl::InvalidArgumentError(
+          absl::StrCat("byte ", I, ": nesting is deeper than ", MaxDepth,
+                       "; no part of a bundle needs that, remove it"));
+    if (Values > Limits.Values)
+      return absl::ResourceExhaustedError(
+          absl::StrCat("document has more than ", Limits.Values,
+                       " values; split or shorten it"));
+  }
+  if (Depth != 0 || Quoted)
+    return absl::InvalidArgumentError(
+        "document ends inside an object, a list or a text; it was cut short, "
+        "fetch or write it again");
+  return absl::OkStatus();
+}
+
+std::string shortened(std::string Text) {
+  if (Text.size() > 80)
+    Text = Text.substr(0, 77) + "...";
+  return Text;
+}
+
+std::string valueText(const Poco::Dynamic::Var &Value) {
+  try {
+    if (Value.isEmpty())
+      return "null";
+    return shortened(Value.toString());
+  } catch (const std::exception &) {
+    return "(list or object)";
+  }
+}
+
+} // namespace
+
+absl::StatusOr<Poco::JSON::Object::Ptr> parseJson(std::string_view Text,
+                                                  JsonLimits Limits) {
+  if (absl::Status Scan = scanLimits(Text, Limits); !Scan.ok())
+    return Scan;
+  try {
+    Poco::JSON::Parser Parser(new StrictHandler);
+    Parser.setDepth(MaxDepth + 1);
+    const Poco::Dynamic::Var Root = Parser.parse(std::string(Text));
+    if (Root.type() == typeid(Poco::JSON::Object::Ptr))
+      return Root.extract<Poco::JSON::Object::Ptr>();
+    return absl::InvalidArgumentError(
+        "document is not a JSON object; start it with {");
+  } catch (const Poco::Exception &Error) {
+    return absl::InvalidArgumentError(absl::StrCat(
+        "document is not valid JSON: ", shortened(Error.displayText()),
+        "; correct the syntax"));
+  } catch (const std::exception &Error) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("document is not valid JSON: ", shortened(Error.what()),
+                     "; correct the syntax"));
+  }
+}
+
+ObjectReader::ObjectReader(Poco::JSON::Object::Ptr Object, std::string Path,
+                           absl::Status &Result)
+    : Fields(std::move(Object)), Where(std::move(Path)), Status(Result) {}
+
+bool ObjectReader::has(const std::string &Name) const {
+  return Fields && Fields->has(Name);
+}
+
+std::string ObjectReader::pathOf(const std::string &Name) const {
+  return Where.empty() ? Name : Where + "." + Name;
+}
+
+void ObjectReader::fail(std::string_view Message) {
+  if (Status.ok())
+    Status = absl::InvalidArgumentError(
+        absl::string_view(Message.data(), Message.size()));
+}
+
+Poco::Dynamic::Var ObjectReader::take(const std::string &Name, bool Required) {
+  Seen.insert(Name);
+  if (has(Name))
+    return Fields->get(Name);
+  if (Required)
+    fail(absl::StrCat(pathOf(Name), " is missing; add it"));
+  return {};
+}
+
+std::string ObjectReader::text(const std::string &Name,
+                               std::optional<std::string> Default) {
+  const Poco::Dynamic::Var Value = take(Name, !Default);
+  if (!has(Name))
+    return Default.value_or("");
+  if (!Value.isString()) {
+    fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                      "; give a text in quotes"));
+    return "";
+  }
+  return Value.extract<std::string>();
+}
+
+std::uint64_t ObjectReader::number(const std::string &Name, std::uint64_t Min,
+                                   std::uint64_t Max,
+                                   std::optional<std::uint64_t> Default) {
+  const Poco::Dynamic::Var Value = take(Name, !Default);
+  if (!has(Name))
+    return Default.value_or(Min);
+  try {
+    if (Value.isInteger() && !Value.isBoolean() && Value >= 0) {
+      const auto Number = Value.convert<std::uint64_t>();
+      if (Number >= Min && Number <= Max)
+        return Number;
+    }
+  } catch (const std::exception &) {
+    // Reported below like any other value out of range.
+  }
+  fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                    "; give a whole number from ", Min, " to ", Max));
+  return Min;
+}
+
+bool ObjectReader::flag(const std::string &Name, bool Default) {
+  const Poco::Dynamic::Var Value = take(Name, false);
+  if (!has(Name))
+    return Default;
+  if (Value.isBoolean())
+    return Value.extract<bool>();
+  fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                    "; give true or false"));
+  return Default;
+}
+
+Duration ObjectReader::millis(const std::string &Name, Duration Default) {
+  const auto Count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Default).count();
+  return std::chrono::milliseconds(
+      number(Name, 1, MaxMillis, static_cast<std::uint64_t>(Count)));
+}
+
+MicroTokens ObjectReader::tokens(const std::string &Name) {
+  const Poco::Dynamic::Var Value = take(Name, true);
+  try {
+    if (has(Name) && Value.isNumeric() && !Value.isBoolean()) {
+      const auto Tokens = Value.convert<double>();
+      if (Tokens >= 0 && Tokens <= static_cast<double>(MaxTokens))
+        return MicroTokens{std::llround(Tokens * 1e6)};
+    }
+  } catch (const std::exception &) {
+    // Reported below like any other value out of range.
+  }
+  fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                    "; give a number of tokens from 0 to ", MaxTokens));
+  return {};
+}
+
+std::vector<std::string> ObjectReader::texts(const std::string &Name) {
+  const Poco::Dynamic::Var Value = take(Name, false);
+  std::vector<std::string> Result;
+  if (!has(Name))
+    return Result;
+  if (Value.type() != typeid(Poco::JSON::Array::Ptr)) {
+    fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                      "; give a list of texts"));
+    return Result;
+  }
+  for (const Poco::Dynamic::Var &Item :
+       *Value.extract<Poco::JSON::Array::Ptr>()) {
+    if (!Item.isString()) {
+      fail(absl::StrCat(pathOf(Name), " holds ", valueText(Item),
+                        "; give texts in quotes only"));
+      return Result;
+    }
+    Result.push_back(Item.extract<std::string>());
+  }
+  return Result;
+}
+
+void ObjectReader::each(const std::string &Name,
+                        const std::function<void(ObjectReader &)> &Visit) {
+  const Poco::Dynamic::Var Value = take(Name, false);
+  if (!has(Name) || !Status.ok())
+    return;
+  if (Value.type() != typeid(Poco::JSON::Array::Ptr)) {
+    fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                      "; give a list of objects"));
+    return;
+  }
+  const auto List = Value.extract<Poco::JSON::Array::Ptr>();
+  for (std::size_t I = 0; I < List->size() && Status.ok(); ++I) {
+    const std::string Path = absl::StrCat(pathOf(Name), "[", I, "]");
+    const Poco::JSON::Object::Ptr Item = List->getObject(I);
+    if (!Item) {
+      fail(absl::StrCat(Path, " is ", valueText(List->get(I)),
+                        "; give an object"));
+      return;
+    }
+    ObjectReader Reader(Item, Path, Status);
+    Visit(Reader);
+    Reader.finish();
+  }
+}
+
+void ObjectReader::object(const std::string &Name,
+                          const std::function<void(ObjectReader &)> &Visit) {
+  const Poco::Dynamic::Var Value = take(Name, false);
+  if (!has(Name) || !Status.ok())
+    return;
+  if (Value.type() != typeid(Poco::JSON::Object::Ptr)) {
+    fail(absl::StrCat(pathOf(Name), " is ", valueText(Value),
+                      "; give an object"));
+    return;
+  }
+  ObjectReader Reader(Value.extract<Poco::JSON::Object::Ptr>(), pathOf(Name),
+                      Status);
+  Visit(Reader);
+  Reader.finish();
+}
+
+void ObjectReader::finish() {
+  if (!Status.ok())
+    return;
+  for (const auto &[Name, Value] : *Fields)
+    if (!Seen.contains(Name)) {
+      fail(absl::StrCat(pathOf(shortened(Name)),
+                        " is no known field; correct its name or remove it"));
+      return;
+    }
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/bundle/Published.cpp
@@ -0,0 +1,236 @@
+#include "bundle/Published.h"
+
+#include <algorithm>
+#include <limits>
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+#include "bundle/Digests.h"
+#include "bundle/Json.h"
+#include "bundle/Sections.h"
+
+namespace pollenwick {
+namespace {
+
+// A chunk of 4,000 hosts has 32,000 values.
+constexpr JsonLimits ChunkLimits{MaxChunkBytes, 64'000};
+constexpr JsonLimits PointerLimits{MaxPointerBytes, 8'000};
+constexpr std::size_t MaxNameBytes = 80;
+// About 110 bytes each, so that a chunk stays well below the limit.
+constexpr std::size_t KeysPerChunk = 4'000;
+constexpr std::size_t MaxKeyChunks = 256;
+
+template <typename Item> std::vector<Item> sortedById(std::vector<Item> List) {
+  std::stable_sort(List.begin(), List.end(),
+                   [](const Item &A, const Item &B) { return A.Id < B.Id; });
+  return List;
+}
+
+class ChunkWriter {
+public:
+  explicit ChunkWriter(PublishedBundle &Target) : Out(Target) {}
+
+  void add(const std::string &Name, Poco::JSON::Object &Content) {
+    std::ostringstream Stream;
+    Content.stringify(Stream);
+    std::string Text = Stream.str();
+    if (Text.size() > MaxChunkBytes && Result.ok())
+      Result = absl::ResourceExhaustedError(absl::StrCat(
+          "chunk \"", Name, "\" has ", Text.size(), " bytes, the limit is ",
+          MaxChunkBytes, "; shorten the ids or split the zone"));
+    const Digest Sum = sha256(Text);
+    Out.Head.Chunks.push_back(
+        {Name, Sum, static_cast<std::uint32_t>(Text.size())});
+    Out.Chunks.emplace(Sum, std::move(Text));
+  }
+
+  absl::Status status() const { return Result; }
+
+private:
+  PublishedBundle &Out;
+  absl::Status Result;
+};
+
+void addHosts(const Bundle &Source, ChunkWriter &Writer) {
+  std::map<ZoneId, std::vector<HostSpec>> ByZone;
+  for (const HostSpec &Host : Source.Hosts)
+    ByZone[Host.Zone].push_back(Host);
+  for (auto &[Zone, Hosts] : ByZone) {
+    Poco::JSON::Object::Ptr Content = newObject();
+    Content->set("hosts", writeHosts(sortedById(std::move(Hosts))));
+    Writer.add("hosts/" + Zone.Text, *Content);
+  }
+}
+
+// Keys are spread by the first byte of their digest: adding or revoking one
+// key changes one chunk.
+void addKeys(const Bundle &Source, ChunkWriter &Writer) {
+  std::size_t Count = 1;
+  while (Count < MaxKeyChunks && Source.Keys.size() / Count > KeysPerChunk)
+    Count *= 2;
+  std::vector<std::vector<KeySpec>> Groups(Count);
+  for (const KeySpec &Key : Source.Keys)
+    Groups[Key.Key.Bytes[0] % Count].push_back(Key);
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::sort(Groups[I].begin(), Groups[I].end(),
+              [](const KeySpec &A, const KeySpec &B) {
+                return std::tie(A.Key, A.Tenant) < std::tie(B.Key, B.Tenant);
+              });
+    Poco::JSON::Object::Ptr Content = newObject();
+    Content->set("keys", writeKeys(Groups[I]));
+    Writer.add(absl::StrCat("keys/", I), *Content);
+  }
+}
+
+} // namespace
+
+absl::StatusOr<PublishedBundle> encodeBundle(const Bundle &Source) {
+  PublishedBundle Result;
+  Result.Head.Number = Source.Number;
+  Result.Head.Parent = Source.Parent;
+  ChunkWriter Writer(Result);
+  Poco::JSON::Object::Ptr Content = newObject();
+  Content->set("services", writeServices(sortedById(Source.Services)));
+  Writer.add("services", *Content);
+  addHosts(Source, Writer);
+  Content = newObject();
+  Content->set("tenants", writeTenants(sortedById(Source.Tenants)));
+  Writer.add("tenants", *Content);
+  addKeys(Source, Writer);
+  Content = newObject();
+  Content->set("classes", writeClasses(sortedById(Source.Classes)));
+  Content->set("routes", writeRoutes(sortedById(Source.Routes)));
+  Writer.add("routes", *Content);
+  Content = newObject();
+  Content->set("policy", writePolicy(Source.Rules));
+  Writer.add("policy", *Content);
+  if (!Writer.status().ok())
+    return Writer.status();
+  if (Result.Head.Chunks.size() > MaxChunks)
+    return absl::ResourceExhaustedError(
+        absl::StrCat("bundle has ", Result.Head.Chunks.size(),
+                     " chunks, the limit is ", MaxChunks, "; use fewer zones"));
+  Result.Head.Root = rootOf(Result.Head);
+  return Result;
+}
+
+absl::StatusOr<Bundle> assembleBundle(const Pointer &Head,
+                                      const ChunkMap &Chunks) {
+  Bundle Out;
+  Out.Number = Head.Number;
+  Out.Parent = Head.Parent;
+  for (const ChunkRef &Ref : Head.Chunks) {
+    const auto Found = Chunks.find(Ref.Sum);
+    if (Found == Chunks.end())
+      return absl::NotFoundError(
+          absl::StrCat("chunk \"", Ref.Name, "\" (", digestText(Ref.Sum),
+                       ") is missing; fetch ", chunkValueName(Ref.Sum)));
+    if (Found->second.size() != Ref.Bytes || sha256(Found->second) != Ref.Sum)
+      return absl::DataLossError(
+          absl::StrCat("chunk \"", Ref.Name, "\" does not have the digest ",
+                       digestText(Ref.Sum), "; fetch it again"));
+    absl::StatusOr<Poco::JSON::Object::Ptr> Root =
+        parseJson(Found->second, ChunkLimits);
+    absl::Status Result = Root.status();
+    if (Result.ok()) {
+      ObjectReader Reader(*Root, "", Result);
+      readSections(Reader, Out);
+      Reader.finish();
+    }
+    if (!Result.ok())
+      return absl::Status(
+          Result.code(),
+          absl::StrCat("chunk \"", Ref.Name, "\": ", Result.message()));
+  }
+  return Out;
+}
+
+Digest rootOf(const Pointer &Head) {
+  std::string List = absl::StrCat("pollenwick root 1\n", Head.Number.Value,
+                                  "\n", digestText(Head.Parent), "\n");
+  // Lengths come first, so that no two lists give the same bytes.
+  for (const ChunkRef &Ref : Head.Chunks)
+    absl::StrAppend(&List, Ref.Name.size(), " ", Ref.Name, " ", Ref.Bytes, " ",
+                    digestText(Ref.Sum), "\n");
+  return sha256(List);
+}
+
+std::string encodePointer(const Pointer &Head) {
+  Poco::JSON::Object::Ptr Root = newObject();
+  Root->set("format", 1);
+  Root->set("revision", Head.Number.Value);
+  Root->set("parent", digestText(Head.Parent));
+  Root->set("root", digestText(Head.Root));
+  Poco::JSON::Array::Ptr List = new Poco::JSON::Array;
+  for (const ChunkRef &Ref : Head.Chunks) {
+    Poco::JSON::Object::Ptr Item = newObject();
+    Item->set("name", Ref.Name);
+    Item->set("sha256", digestText(Ref.Sum));
+    Item->set("bytes", Ref.Bytes);
+    List->add(Item);
+  }
+  Root->set("chunks", List);
+  Root->set("signature", hexText(Head.Sign.data(), Head.Sign.size()));
+  std::ostringstream Out;
+  Root->stringify(Out);
+  Out << '\n';
+  return Out.str();
+}
+
+absl::StatusOr<Pointer> parsePointer(std::string_view Document) {
+  absl::StatusOr<Poco::JSON::Object::Ptr> Root =
+      parseJson(Document, PointerLimits);
+  if (!Root.ok())
+    return Root.status();
+  absl::Status Result;
+  ObjectReader Reader(*Root, "", Result);
+  Pointer Head;
+  const auto Hex = [](ObjectReader &In, const char *Name, auto &Bytes) {
+    if (!parseHex(In.text(Name), Bytes.data(), Bytes.size()))
+      In.fail(absl::StrCat(Name, " is not ", Bytes.size() * 2,
+                           " lower-case hex digits; sign the bundle again"));
+  };
+  Reader.number("format", 1, 1);
+  Head.Number = Revision(Reader.number(
+      "revision", 1, std::numeric_limits<std::int64_t>::max() - 1));
+  Hex(Reader, "parent", Head.Parent);
+  Hex(Reader, "root", Head.Root);
+  Reader.each("chunks", [&](ObjectReader &Item) {
+    ChunkRef Ref;
+    Ref.Name = Item.text("name");
+    Hex(Item, "sha256", Ref.Sum);
+    Ref.Bytes =
+        static_cast<std::uint32_t>(Item.number("bytes", 1, MaxChunkBytes));
+    if (Ref.Name.empty() || Ref.Name.size() > MaxNameBytes)
+      Item.fail("chunk name is not 1 to 80 bytes long; sign the bundle again");
+    Head.Chunks.push_back(std::move(Ref));
+  });
+  Hex(Reader, "signature", Head.Sign);
+  Reader.finish();
+  if (!Result.ok())
+    return Result;
+  if (Head.Chunks.empty() || Head.Chunks.size() > MaxChunks)
+    return absl::InvalidArgumentError(
+        absl::StrCat("pointer lists ", Head.Chunks.size(),
+                     " chunks; it needs 1 to ", MaxChunks));
+  if (Head.Root != rootOf(Head))
+    return absl::DataLossError(absl::StrCat(
+        "root ", digestText(Head.Root),
+        " does not cover the revision, parent and chunks of the pointer; "
+        "fetch it again"));
+  // Only the canonical bytes count, so that a changed byte is never ignored.
+  if (encodePointer(Head) != Document)
+    return absl::DataLossError(
+        "pointer is not in its canonical form; fetch it again");
+  return Head;
+}
+
+std::string chunkValueName(const Digest &Sum) {
+  return "chunk-" + digestText(Sum);
+}
+
+std::string ancestorValueName(const Digest &Root) {
+  return "pointer-" + digestText(Root);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/bundle/Sections.cpp
@@ -0,0 +1,231 @@
+#include "bundle/Sections.h"
+
+#include <limits>
+
+#include "bundle/Digests.h"
+
+namespace pollenwick {
+namespace {
+
+constexpr std::uint64_t MaxCount = 1'000'000;
+constexpr std::uint64_t MaxPort = 65535;
+constexpr std::uint64_t MaxWeight = 1000;
+constexpr std::uint64_t MaxBody = 64U << 20;
+
+template <typename Id> std::vector<Id> idsOf(std::vector<std::string> Texts) {
+  std::vector<Id> Result;
+  Result.reserve(Texts.size());
+  for (std::string &Text : Texts)
+    Result.emplace_back(std::move(Text));
+  return Result;
+}
+
+std::uint32_t count32(ObjectReader &Reader, const std::string &Name,
+                      std::uint64_t Min, std::uint64_t Max,
+                      std::optional<std::uint64_t> Default = std::nullopt) {
+  return static_cast<std::uint32_t>(Reader.number(Name, Min, Max, Default));
+}
+
+HostSpec readHost(ObjectReader &Reader) {
+  const auto Port = [&](const char *Name) {
+    return static_cast<std::uint16_t>(Reader.number(Name, 1, MaxPort));
+  };
+  HostSpec Host;
+  Host.Id = HostId(Reader.text("id"));
+  Host.Service = ServiceId(Reader.text("service"));
+  Host.Zone = ZoneId(Reader.text("zone"));
+  Host.Address = Reader.text("address");
+  Host.CallerPort = Port("caller_port");
+  Host.PeerPort = Port("peer_port");
+  Host.MembershipPort = Port("membership_port");
+  return Host;
+}
+
+KeySpec readKey(ObjectReader &Reader) {
+  KeySpec Key;
+  Key.Tenant = TenantId(Reader.text("tenant"));
+  const std::string Text = Reader.text("sha256");
+  if (absl::StatusOr<Digest> Sum = parseDigest(Text); Sum.ok())
+    Key.Key = KeyDigest{*Sum};
+  else
+    Reader.fail({Sum.status().message().data(), Sum.status().message().size()});
+  return Key;
+}
+
+RouteSpec readRoute(ObjectReader &Reader) {
+  RouteSpec Route;
+  Route.Id = RouteId(Reader.text("id"));
+  // The service is the part of the id before the slash unless it is given.
+  Route.Service = ServiceId(
+      Reader.text("service", Route.Id.Text.substr(0, Route.Id.Text.find('/'))));
+  Route.Class = ClassId(Reader.text("class", ""));
+  Route.Idempotent = Reader.flag("idempotent", true);
+  Route.Open = Reader.flag("open", false);
+  Route.Internal = Reader.flag("internal", false);
+  Route.Tenants = idsOf<TenantId>(Reader.texts("tenants"));
+  Reader.each("calls", [&](ObjectReader &Edge) {
+    Route.Calls.push_back(
+        {RouteId(Edge.text("route")), count32(Edge, "count", 1, 1000, 1)});
+  });
+  Route.Deadline = Reader.millis("deadline_ms", RouteSpec().Deadline);
+  return Route;
+}
+
+Policy readPolicy(ObjectReader &Reader) {
+  Policy Rules;
+  Rules.RetryAllowance =
+      count32(Reader, "retry_allowance", 0, 1000, Rules.RetryAllowance);
+  Rules.RetryRatioPermille = count32(Reader, "retry_ratio_permille", 0, 1000,
+                                     Rules.RetryRatioPermille);
+  Rules.ViewLease = Reader.millis("view_lease_ms", Rules.ViewLease);
+  Rules.QuotaLease = Reader.millis("quota_lease_ms", Rules.QuotaLease);
+  Rules.TicketLifetime =
+      Reader.millis("ticket_lifetime_ms", Rules.TicketLifetime);
+  Rules.QuarantineTime =
+      Reader.millis("quarantine_time_ms", Rules.QuarantineTime);
+  Rules.MaxBodyBytes =
+      count32(Reader, "max_body_bytes", 1, MaxBody, Rules.MaxBodyBytes);
+  Rules.Witnesses = idsOf<HostId>(Reader.texts("witnesses"));
+  return Rules;
+}
+
+Poco::Dynamic::Var tokensVar(MicroTokens Tokens) {
+  if (Tokens.Value % OneToken.Value == 0)
+    return Tokens.Value / OneToken.Value;
+  return static_cast<double>(Tokens.Value) / 1e6;
+}
+
+std::int64_t millisOf(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+template <typename Item, typename Write>
+Poco::JSON::Array::Ptr writeList(const std::vector<Item> &List, Write Fill) {
+  Poco::JSON::Array::Ptr Result = new Poco::JSON::Array;
+  for (const Item &Entry : List) {
+    Poco::JSON::Object::Ptr Object = newObject();
+    Fill(*Object, Entry);
+    Result->add(Object);
+  }
+  return Result;
+}
+
+template <typename Id>
+Poco::JSON::Array::Ptr textList(const std::vector<Id> &List) {
+  Poco::JSON::Array::Ptr Result = new Poco::JSON::Array;
+  for (const Id &Entry : List)
+    Result->add(Entry.Text);
+  return Result;
+}
+
+} // namespace
+
+void readSections(ObjectReader &Reader, Bundle &Out) {
+  Reader.each("services", [&](ObjectReader &Item) {
+    ServiceSpec Service;
+    Service.Id = ServiceId(Item.text("id"));
+    Service.Slots = count32(Item, "slots", 1, MaxCount);
+    Service.Connections = count32(Item, "connections", 1, MaxCount);
+    Out.Services.push_back(std::move(Service));
+  });
+  Reader.each("hosts",
+              [&](ObjectReader &Item) { Out.Hosts.push_back(readHost(Item)); });
+  Reader.each("tenants", [&](ObjectReader &Item) {
+    TenantSpec Tenant;
+    Tenant.Id = TenantId(Item.text("id"));
+    Tenant.RatePerSecond = Item.tokens("rate");
+    Tenant.Burst = Item.tokens("burst");
+    Tenant.Weight = count32(Item, "weight", 1, MaxWeight, 1);
+    Out.Tenants.push_back(std::move(Tenant));
+  });
+  Reader.each("keys",
+              [&](ObjectReader &Item) { Out.Keys.push_back(readKey(Item)); });
+  Reader.each("classes", [&](ObjectReader &Item) {
+    Out.Classes.push_back(
+        {ClassId(Item.text("id")), count32(Item, "rank", 0, MaxCount)});
+  });
+  Reader.each("routes", [&](ObjectReader &Item) {
+    Out.Routes.push_back(readRoute(Item));
+  });
+  Reader.object("policy",
+                [&](ObjectReader &Item) { Out.Rules = readPolicy(Item); });
+}
+
+Poco::JSON::Object::Ptr newObject() {
+  return new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
+}
+
+Poco::JSON::Array::Ptr writeServices(const std::vector<ServiceSpec> &List) {
+  return writeList(List, [](auto &Out, const ServiceSpec &Service) {
+    Out.set("id", Service.Id.Text);
+    Out.set("slots", Service.Slots);
+    Out.set("connections", Service.Connections);
+  });
+}
+
+Poco::JSON::Array::Ptr writeHosts(const std::vector<HostSpec> &List) {
+  return writeList(List, [](auto &Out, const HostSpec &Host) {
+    Out.set("id", Host.Id.Text);
+    Out.set("service", Host.Service.Text);
+    Out.set("zone", Host.Zone.Text);
+    Out.set("address", Host.Address);
+    Out.set("caller_port", Host.CallerPort);
+    Out.set("peer_port", Host.PeerPort);
+    Out.set("membership_port", Host.MembershipPort);
+  });
+}
+
+Poco::JSON::Array::Ptr writeTenants(const std::vector<TenantSpec> &List) {
+  return writeList(List, [](auto &Out, const TenantSpec &Tenant) {
+    Out.set("id", Tenant.Id.Text);
+    Out.set("rate", tokensVar(Tenant.RatePerSecond));
+    Out.set("burst", tokensVar(Tenant.Burst));
+    Out.set("weight", Tenant.Weight);
+  });
+}
+
+Poco::JSON::Array::Ptr writeKeys(const std::vector<KeySpec> &List) {
+  return writeList(List, [](auto &Out, const KeySpec &Key) {
+    Out.set("tenant", Key.Tenant.Text);
+    Out.set("sha256", digestText(Key.Key.Bytes));
+  });
+}
+
+Poco::JSON::Array::Ptr writeClasses(const std::vector<ClassSpec> &List) {
+  return writeList(List, [](auto &Out, const ClassSpec &Class) {
+    Out.set("id", Class.Id.Text);
+    Out.set("rank", Class.Rank);
+  });
+}
+
+Poco::JSON::Array::Ptr writeRoutes(const std::vector<RouteSpec> &List) {
+  return writeList(List, [](auto &Out, const RouteSpec &Route) {
+    Out.set("id", Route.Id.Text);
+    Out.set("service", Route.Service.Text);
+    Out.set("class", Route.Class.Text);
+    Out.set("idempotent", Route.Idempotent);
+    Out.set("open", Route.Open);
+    Out.set("internal", Route.Internal);
+    Out.set("tenants", textList(Route.Tenants));
+    Out.set("calls", writeList(Route.Calls, [](auto &Item, const EdgeSpec &E) {
+              Item.set("route", E.Route.Text);
+              Item.set("count", E.Count);
+            }));
+    Out.set("deadline_ms", millisOf(Route.Deadline));
+  });
+}
+
+Poco::JSON::Object::Ptr writePolicy(const Policy &Rules) {
+  Poco::JSON::Object::Ptr Out = newObject();
+  Out->set("retry_allowance", Rules.RetryAllowance);
+  Out->set("retry_ratio_permille", Rules.RetryRatioPermille);
+  Out->set("view_lease_ms", millisOf(Rules.ViewLease));
+  Out->set("quota_lease_ms", millisOf(Rules.QuotaLease));
+  Out->set("ticket_lifetime_ms", millisOf(Rules.TicketLifetime));
+  Out->set("quarantine_time_ms", millisOf(Rules.QuarantineTime));
+  Out->set("max_body_bytes", Rules.MaxBodyBytes);
+  Out->set("witnesses", textList(Rules.Witnesses));
+  return Out;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/bundle/Sections.h
@@ -0,0 +1,27 @@
+#ifndef POLLENWICK_BUNDLE_SECTIONS_H
+#define POLLENWICK_BUNDLE_SECTIONS_H
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include "bundle/Json.h"
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick {
+
+/// Reads the sections that the document has and appends them to `Out`. The
+/// source form has all sections, a chunk has some.
+void readSections(ObjectReader &Reader, Bundle &Out);
+
+Poco::JSON::Object::Ptr newObject();
+Poco::JSON::Array::Ptr writeServices(const std::vector<ServiceSpec> &List);
+Poco::JSON::Array::Ptr writeHosts(const std::vector<HostSpec> &List);
+Poco::JSON::Array::Ptr writeTenants(const std::vector<TenantSpec> &List);
+Poco::JSON::Array::Ptr writeKeys(const std::vector<KeySpec> &List);
+Poco::JSON::Array::Ptr writeClasses(const std::vector<ClassSpec> &List);
+Poco::JSON::Array::Ptr writeRoutes(const std::vector<RouteSpec> &List);
+Poco::JSON::Object::Ptr writePolicy(const Policy &Rules);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/bundle/Signing.cpp
@@ -0,0 +1,143 @@
+#include "bundle/Signing.h"
+
+#include <algorithm>
+#include <memory>
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "bundle/Digests.h"
+#include "bundle/Published.h"
+
+namespace pollenwick {
+namespace {
+
+struct Free {
+  void operator()(EVP_PKEY *Key) const { EVP_PKEY_free(Key); }
+  void operator()(EVP_MD_CTX *Context) const { EVP_MD_CTX_free(Context); }
+};
+using KeyHandle = std::unique_ptr<EVP_PKEY, Free>;
+using DigestHandle = std::unique_ptr<EVP_MD_CTX, Free>;
+
+// The prefix keeps a signature from being valid for any other document.
+std::string signedBytes(const Pointer &Head) {
+  return absl::StrCat("pollenwick pointer 1\n", digestText(Head.Root));
+}
+
+const unsigned char *bytesOf(const std::string &Text) {
+  return reinterpret_cast<const unsigned char *>(Text.data());
+}
+
+bool verifies(const Pointer &Head, const PublicKey &Key) {
+  const KeyHandle Handle(EVP_PKEY_new_raw_public_key(
+      EVP_PKEY_ED25519, nullptr, Key.Bytes.data(), Key.Bytes.size()));
+  const DigestHandle Context(EVP_MD_CTX_new());
+  if (!Handle || !Context)
+    return false;
+  const std::string Message = signedBytes(Head);
+  return EVP_DigestVerifyInit(Context.get(), nullptr, nullptr, nullptr,
+                              Handle.get()) == 1 &&
+         EVP_DigestVerify(Context.get(), Head.Sign.data(), Head.Sign.size(),
+                          bytesOf(Message), Message.size()) == 1;
+}
+
+template <typename Key>
+absl::StatusOr<Key> parseKey(std::string_view Text, std::string_view Kind) {
+  const absl::string_view Trimmed =
+      absl::StripAsciiWhitespace(absl::string_view(Text.data(), Text.size()));
+  Key Result;
+  if (!parseHex({Trimmed.data(), Trimmed.size()}, Result.Bytes.data(),
+                Result.Bytes.size()))
+    return absl::InvalidArgumentError(absl::StrCat(
+        Kind, " key is not 64 lower-case hex digits (", Trimmed.size(),
+        " characters were given); use a file written by "
+        "`pollenwick-bundle keygen`"));
+  return Result;
+}
+
+} // namespace
+
+absl::StatusOr<PublicKey> publicKeyOf(const PrivateKey &Key) {
+  const KeyHandle Handle(EVP_PKEY_new_raw_private_key(
+      EVP_PKEY_ED25519, nullptr, Key.Bytes.data(), Key.Bytes.size()));
+  PublicKey Result;
+  std::size_t Size = Result.Bytes.size();
+  if (!Handle || EVP_PKEY_get_raw_public_key(Handle.get(), Result.Bytes.data(),
+                                             &Size) != 1)
+    return absl::InternalError("libcrypto refused the Ed25519 private key; "
+                               "make a new pair with `keygen`");
+  return Result;
+}
+
+absl::StatusOr<KeyPair> generateKeyPair() {
+  KeyPair Pair;
+  if (RAND_priv_bytes(Pair.Private.Bytes.data(),
+                      static_cast<int>(Pair.Private.Bytes.size())) != 1)
+    return absl::UnavailableError("the system's random source gave no bytes; "
+                                  "try again");
+  absl::StatusOr<PublicKey> Public = publicKeyOf(Pair.Private);
+  if (!Public.ok())
+    return Public.status();
+  Pair.Public = *Public;
+  return Pair;
+}
+
+absl::StatusOr<std::string> generateTenantKey() {
+  std::array<std::uint8_t, 24> Bytes{};
+  if (RAND_priv_bytes(Bytes.data(), static_cast<int>(Bytes.size())) != 1)
+    return absl::UnavailableError("the system's random source gave no bytes; "
+                                  "try again");
+  return absl::StrCat("pw_", hexText(Bytes.data(), Bytes.size()));
+}
+
+absl::StatusOr<PublicKey> parsePublicKey(std::string_view Text) {
+  return parseKey<PublicKey>(Text, "public");
+}
+
+absl::StatusOr<PrivateKey> parsePrivateKey(std::string_view Text) {
+  return parseKey<PrivateKey>(Text, "private");
+}
+
+std::string keyText(const PublicKey &Key) {
+  return hexText(Key.Bytes.data(), Key.Bytes.size());
+}
+
+std::string keyText(const PrivateKey &Key) {
+  return hexText(Key.Bytes.data(), Key.Bytes.size());
+}
+
+absl::Status signPointer(Pointer &Head, const PrivateKey &Key) {
+  const KeyHandle Handle(EVP_PKEY_new_raw_private_key(
+      EVP_PKEY_ED25519, nullptr, Key.Bytes.data(), Key.Bytes.size()));
+  const DigestHandle Context(EVP_MD_CTX_new());
+  Head.Root = rootOf(Head);
+  const std::string Message = signedBytes(Head);
+  std::size_t Size = Head.Sign.size();
+  if (!Handle || !Context ||
+      EVP_DigestSignInit(Context.get(), nullptr, nullptr, nullptr,
+                         Handle.get()) != 1 ||
+      EVP_DigestSign(Context.get(), Head.Sign.data(), &Size, bytesOf(Message),
+                     Message.size()) != 1 ||
+      Size != Head.Sign.size())
+    return absl::InternalError("libcrypto could not sign the pointer; make a "
+                               "new pair with `keygen`");
+  return absl::OkStatus();
+}
+
+absl::StatusOr<Pointer> verifyPointer(std::string_view Document,
+                                      const std::vector<PublicKey> &Trusted) {
+  absl::StatusOr<Pointer> Head = parsePointer(Document);
+  if (!Head.ok())
+    return Head;
+  if (std::none_of(Trusted.begin(), Trusted.end(),
+                   [&](const PublicKey &Key) { return verifies(*Head, Key); }))
+    return absl::PermissionDeniedError(absl::StrCat(
+        "pointer of revision ", Head->Number.Value, " (root ",
+        digestText(Head->Root), ") has no valid signature by any of ",
+        Trusted.size(),
+        " trusted operator keys; sign it with a key that the nodes trust"));
+  return Head;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/bundle/Source.cpp
@@ -0,0 +1,58 @@
+#include "bundle/Source.h"
+
+#include <limits>
+#include <sstream>
+
+#include "bundle/Digests.h"
+#include "bundle/Json.h"
+#include "bundle/Sections.h"
+
+namespace pollenwick {
+namespace {
+
+// Enough for 3,000 hosts, 79 services and 50,000 keys.
+constexpr std::size_t MaxSourceValues = 400'000;
+
+} // namespace
+
+absl::StatusOr<Bundle> parseBundle(std::string_view Text) {
+  absl::StatusOr<Poco::JSON::Object::Ptr> Root =
+      parseJson(Text, {MaxSourceBytes, MaxSourceValues});
+  if (!Root.ok())
+    return Root.status();
+  absl::Status Result;
+  Bundle Out;
+  ObjectReader Reader(*Root, "", Result);
+  // One below the maximum, so that a next revision always exists.
+  Out.Number = Revision(Reader.number(
+      "revision", 1, std::numeric_limits<std::int64_t>::max() - 1));
+  const std::string Parent = Reader.text("parent", digestText(Digest{}));
+  if (absl::StatusOr<Digest> Sum = parseDigest(Parent); Sum.ok())
+    Out.Parent = *Sum;
+  else
+    Reader.fail({Sum.status().message().data(), Sum.status().message().size()});
+  readSections(Reader, Out);
+  Reader.finish();
+  if (!Result.ok())
+    return Result;
+  return Out;
+}
+
+std::string bundleText(const Bundle &Source) {
+  Poco::JSON::Object::Ptr Root = newObject();
+  Root->set("revision", Source.Number.Value);
+  Root->set("parent", digestText(Source.Parent));
+  Root->set("services", writeServices(Source.Services));
+  Root->set("hosts", writeHosts(Source.Hosts));
+  Root->set("tenants", writeTenants(Source.Tenants));
+  Root->set("keys", writeKeys(Source.Keys));
+  Root->set("classes", writeClasses(Source.Classes));
+  Root->set("routes", writeRoutes(Source.Routes));
+  Root->set("policy", writePolicy(Source.Rules));
+  std::ostringstream Out;
+  Root->stringify(Out, 2);
+  Out << '\n';
+  return Out.str();
+}
+
+} // namespace pollenwick
