--- /dev/null
+++ b/src/core/quota/Holder.cpp
@@ -0,0 +1,225 @@
+#include "core/quota/Holder.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+constexpr std::int64_t MicrosPerSecond = 1'000'000;
+/// Keeps rate x time within 64 bits: longer gaps fill any bucket that a
+/// bundle can describe.
+constexpr Duration LongestGap = std::chrono::hours(24);
+constexpr std::int64_t HighestRate = 1'000'000'000'000; ///< Micro-tokens/s.
+
+/// Above this part of the burst a shard lends batches and gives to others.
+constexpr int LowDivisor = 2;
+/// A batch takes at most this part of what lies above the low mark, so that
+/// several borrowers find one.
+constexpr int BatchDivisor = 4;
+
+/// A lease is recalled when it was not settled within this time; a younger one
+/// is probably in use.
+constexpr Duration RecallAge = std::chrono::milliseconds(6);
+/// Leases looked at per refused request. The oldest are the likeliest to idle.
+constexpr int RecallScan = 16;
+
+MicroTokens room(const Shard &Kept) {
+  return Kept.Share.Burst - Kept.Balance - Kept.Outstanding - Kept.Inherited -
+         Kept.Reserved;
+}
+
+/// Adds what the rate yields from `AccruedAt` to `Until`, up to the cap.
+void accrueSpan(Shard &Kept, Instant Until) {
+  const Duration Gap = std::min(Until - Kept.AccruedAt, LongestGap);
+  if (Gap <= Duration::zero())
+    return;
+  Kept.AccruedAt = Until;
+  if (!Kept.Active)
+    return;
+  const std::int64_t Rate = Kept.Share.RatePerSecond.Value;
+  assert(Rate >= 0 && Rate <= HighestRate);
+  const std::int64_t Seconds = Gap.count() / MicrosPerSecond;
+  const std::int64_t Millionths =
+      Rate * (Gap.count() % MicrosPerSecond) + Kept.Remainder;
+  const MicroTokens Gained{Rate * Seconds + Millionths / MicrosPerSecond};
+  const MicroTokens Room = room(Kept);
+  if (Gained < Room) {
+    Kept.Balance += Gained;
+    Kept.Remainder = Millionths % MicrosPerSecond;
+    return;
+  }
+  Kept.Balance += std::max(Room, MicroTokens{});
+  Kept.Remainder = 0;
+}
+
+MicroTokens unsettled(const LentLease &Lease) {
+  return Lease.Tokens - Lease.Spent;
+}
+
+Shard *findShard(HolderState &State, const ShardId &Id) {
+  if (Id.Zone != State.Zone)
+    return nullptr;
+  auto Found = State.Shards.find(Id.Tenant);
+  return Found == State.Shards.end() ? nullptr : &Found->second;
+}
+
+bool mayGrant(const HolderState &State, const Shard &Kept,
+              const ViewLease &View, Instant Now) {
+  return Kept.Active && !Kept.Retired && View.validAt(Now) &&
+         View.HostsSince == State.HostsSince;
+}
+
+/// Amount to lend: batches only while the shard is more than half full.
+MicroTokens lendable(const Shard &Kept, const BorrowRequest &Request) {
+  const MicroTokens Needed =
+      std::min(std::max(Request.Needed, MicroTokens{}), Kept.Balance);
+  const std::int64_t Low = Kept.Share.Burst.Value / LowDivisor;
+  const MicroTokens Spare{(Kept.Balance.Value - Low) / BatchDivisor};
+  return std::max(Needed, std::min(Request.Wanted, Spare));
+}
+
+std::vector<Recall> recallIdle(Shard &Kept, const BorrowRequest &Request,
+                               const IncarnationId &Self, Duration Lifetime,
+                               Instant Now, bool &Pending) {
+  std::vector<Recall> Recalls;
+  int Scanned = 0;
+  for (auto &[Id, Lease] : Kept.Leases) {
+    if (++Scanned > RecallScan)
+      break;
+    const Instant GrantedAt = Lease.Expiry - Lifetime;
+    if (Lease.Borrower == Request.Borrower || Now - GrantedAt < RecallAge)
+      continue;
+    Pending = true;
+    if (!std::exchange(Lease.Recalled, true))
+      Recalls.push_back({Request.Shard, Self, Lease.Borrower, Id});
+  }
+  return Recalls;
+}
+
+} // namespace
+
+HolderState makeHolder(IncarnationId Self, ZoneId Zone, Instant Now) {
+  HolderState State;
+  State.Self = std::move(Self);
+  State.Zone = std::move(Zone);
+  State.StartedAt = Now;
+  return State;
+}
+
+void accrue(Shard &Kept, Instant Now) {
+  // Each lease takes room up to its own end. Dropping it early would credit
+  // accrual for a time in which its tokens could still be spent.
+  auto DropInherited = [&] {
+    if (Kept.Inherited > MicroTokens{} && Kept.InheritedExpiry <= Now) {
+      accrueSpan(Kept, Kept.InheritedExpiry);
+      Kept.Inherited = MicroTokens{};
+    }
+  };
+  while (!Kept.Leases.empty() && Kept.Leases.begin()->second.Expiry <= Now) {
+    auto First = Kept.Leases.begin();
+    if (Kept.InheritedExpiry <= First->second.Expiry)
+      DropInherited();
+    accrueSpan(Kept, First->second.Expiry);
+    Kept.Outstanding -= unsettled(First->second);
+    Kept.Leases.erase(First);
+  }
+  DropInherited();
+  accrueSpan(Kept, Now);
+}
+
+LendResult lend(HolderState &State, const BorrowRequest &Request,
+                const ViewLease &View, Instant Now) {
+  LendResult Result;
+  BorrowReply &Reply = Result.Reply;
+  Reply.Shard = Request.Shard;
+  Reply.Holder = State.Self;
+  Reply.Borrower = Request.Borrower;
+  Reply.Sequence = Request.Sequence;
+  Reply.Lifetime = State.Rules.QuotaLease;
+  Shard *Kept = findShard(State, Request.Shard);
+  if (Kept == nullptr || !mayGrant(State, *Kept, View, Now))
+    return Result;
+  accrue(*Kept, Now);
+  Reply.Tokens = lendable(*Kept, Request);
+  const Duration Lifetime = lenderLifetime(State.Rules.QuotaLease);
+  if (Reply.Tokens > MicroTokens{}) {
+    Reply.Lease = LeaseId(State.NextLease++);
+    Kept->Balance -= Reply.Tokens;
+    Kept->Outstanding += Reply.Tokens;
+    Kept->Leases[Reply.Lease] = {Request.Borrower, Request.Sequence,
+                                 Reply.Tokens,     MicroTokens{},
+                                 Now + Lifetime,   false};
+  }
+  if (Reply.Tokens < Request.Needed)
+    Result.Recalls = recallIdle(*Kept, Request, State.Self, Lifetime, Now,
+                                Reply.RecallPending);
+  return Result;
+}
+
+void settle(HolderState &State, const Settlement &Message, Instant Now) {
+  Shard *Kept = findShard(State, Message.Shard);
+  if (Kept == nullptr || Message.Holder != State.Self)
+    return;
+  accrue(*Kept, Now);
+  for (const LeaseReport &Report : Message.Reports) {
+    auto Found = Kept->Leases.find(Report.Id);
+    // Closed or expired: a returned count would be credited twice.
+    if (Found == Kept->Leases.end() ||
+        Found->second.Borrower != Message.Borrower)
+      continue;
+    LentLease &Lease = Found->second;
+    const MicroTokens Spent =
+        std::clamp(Report.Spent, Lease.Spent, Lease.Tokens);
+    Kept->Outstanding -= Spent - Lease.Spent;
+    Lease.Spent = Spent;
+    if (!Report.Closed)
+      continue;
+    Kept->Outstanding -= unsettled(Lease);
+    Kept->Balance +=
+        std::clamp(Report.Returned, MicroTokens{}, unsettled(Lease));
+    Kept->Leases.erase(Found);
+  }
+  // A lowered share may leave returned tokens without room.
+  if (const MicroTokens Room = room(*Kept); Room < MicroTokens{})
+    Kept->Balance = std::max(MicroTokens{}, Kept->Balance + Room);
+}
+
+PullReply givePull(HolderState &State, const PullRequest &Request,
+                   const ViewLease &View, Instant Now) {
+  PullReply Reply{Request.To, Request.Puller, Request.Sequence, {}};
+  Shard *Kept = findShard(State, Request.From);
+  if (Kept == nullptr || !mayGrant(State, *Kept, View, Now))
+    return Reply;
+  accrue(*Kept, Now);
+  // Below the low mark nothing is about to be lost to the cap.
+  if (Kept->Balance.Value <= Kept->Share.Burst.Value / LowDivisor ||
+      Kept->Balance <= Request.Balance)
+    return Reply;
+  Reply.Tokens =
+      std::min(std::max(Request.Wanted, MicroTokens{}),
+               MicroTokens{(Kept->Balance - Request.Balance).Value / 2});
+  Kept->Balance -= Reply.Tokens;
+  return Reply;
+}
+
+void acceptPull(HolderState &State, const PullReply &Reply, Instant Now) {
+  Shard *Kept = findShard(State, Reply.To);
+  if (Kept == nullptr || Reply.Puller != State.Self)
+    return;
+  accrue(*Kept, Now);
+  auto Found = Kept->Pulls.find(Reply.Sequence);
+  // Without reserved room the tokens would come on top of a full burst.
+  if (Found == Kept->Pulls.end())
+    return;
+  const PendingPull Pull = Found->second;
+  Kept->Pulls.erase(Found);
+  Kept->Reserved -= Pull.Reserved;
+  if (Now >= Pull.Deadline || Reply.Tokens <= MicroTokens{})
+    return;
+  Kept->Balance += std::min(Reply.Tokens, Pull.Reserved);
+  Kept->PullInterval = Duration::zero();
+}
+
+} // namespace pollenwick
--- a/src/core/quota/Holder.h
+++ b/src/core/quota/Holder.h
@@ -34,10 +34,13 @@
   ShardShare Share;
   /// Larger share that takes effect when no node acts on an older host list.
   std::optional<ShardShare> Raise;
-  bool Active = false;   ///< Accrues and lends.
-  bool Released = false; ///< Handed over under this host list.
+  bool Active = false;  ///< Accrues and lends.
+  bool Retired = false; ///< Another host keeps it by the present host list.
+  /// Earliest end of the wait for leases of an older process.
+  Instant WaitUntil{};
   /// Asked for the balance while waiting; empty if unknown.
   HostId PreviousHolder;
+  std::optional<Handover> Released; ///< Sent again if it is claimed again.
 
   Instant AccruedAt{};
   MicroTokens Balance;
@@ -59,8 +62,8 @@
   IncarnationId Self;
   ZoneId Zone;
   Instant StartedAt{};
-  Revision Number;     ///< Of the bundle; 0: none yet.
-  Revision HostsSince; ///< First revision of the present host list.
+  RevisionKey Held;       ///< Of the bundle; number 0: none yet.
+  RevisionKey HostsSince; ///< First revision of the present host list.
   Policy Rules;
   std::unordered_map<TenantId, Shard> Shards;
   /// Holders of all shards of the tenants whose shard is kept here.
@@ -69,6 +72,16 @@
   std::uint64_t NextPull = 1;
 };
 
+/// Where a bundle stands in the chain of host lists. Tells whether a shard's
+/// holder is known to have been the same all the time since the held revision.
+struct Succession {
+  /// First revision of the unbroken run of revisions with this host list.
+  RevisionKey HostsSince;
+  /// First revision of the run with the host list before that; number 0:
+  /// unknown.
+  RevisionKey PreviousHostsSince;
+};
+
 struct LendResult {
   BorrowReply Reply;
   std::vector<Recall> Recalls;
@@ -83,10 +96,10 @@
 /// State of a process that has just bound the peer port of its host.
 HolderState makeHolder(IncarnationId Self, ZoneId Zone, Instant Now);
 
-/// Applies an accepted bundle: keeps, drops and creates shards. `HostsSince`
-/// is the first revision of the unbroken run of revisions with this host list;
-/// `Previous` is the bundle that was held before, if any.
-void adoptBundle(HolderState &State, const Bundle &Rules, Revision HostsSince,
+/// Applies an accepted bundle: keeps, retires and creates shards. `Previous` is
+/// the bundle that was held before, if any. Ignored unless `Key` is newer.
+void adoptBundle(HolderState &State, const Bundle &Rules,
+                 const RevisionKey &Key, const Succession &Hosts,
                  const Bundle *Previous, Instant Now);
 
 /// Accrues to `Now`, and drops the leases that expire on the way.
--- /dev/null
+++ b/src/core/quota/Ingress.cpp
@@ -0,0 +1,216 @@
+#include "core/quota/Ingress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+/// Time without use after which a lease goes back. Shorter than a lease, so
+/// that its tokens do not expire; recalls cover urgent need.
+constexpr Duration IdleReturn = std::chrono::milliseconds(100);
+/// A reply after this time is useless: every lease has ended.
+constexpr Duration PendingLimit = std::chrono::seconds(2);
+
+LeaseReport closeLease(const HeldLease &Lease) {
+  return {Lease.Id, Lease.Spent, Lease.Left, true};
+}
+
+void addReport(std::vector<Settlement> &Messages, const IngressState &State,
+               const TenantId &Tenant, const HeldLease &Lease,
+               const LeaseReport &Report) {
+  auto Found = std::ranges::find_if(Messages, [&](const Settlement &Message) {
+    return Message.Shard.Tenant == Tenant && Message.Shard.Zone == Lease.Zone &&
+           Message.Holder == Lease.Holder;
+  });
+  if (Found == Messages.end()) {
+    Messages.push_back({{Tenant, Lease.Zone}, Lease.Holder, State.Self, {}});
+    Found = std::prev(Messages.end());
+  }
+  Found->Reports.push_back(Report);
+}
+
+/// Moves a lease behind the ones that can be spent from.
+void putAside(TenantLeases &Held, std::size_t Index) {
+  std::swap(Held.Leases[Index], Held.Leases[--Held.Live]);
+}
+
+void dropExpired(TenantLeases &Held, Instant Now) {
+  for (std::size_t I = 0; I < Held.Live;) {
+    if (Now < Held.Leases[I].Expiry) {
+      ++I;
+      continue;
+    }
+    Held.Leases[I].Left = MicroTokens{};
+    putAside(Held, I);
+  }
+}
+
+} // namespace
+
+IngressState makeIngress(IncarnationId Self, ZoneId Zone) {
+  IngressState State;
+  State.Self = std::move(Self);
+  State.Zone = std::move(Zone);
+  return State;
+}
+
+void adoptBundle(IngressState &State, const Bundle &Rules) {
+  std::unordered_map<TenantId, TenantLeases> Tenants;
+  for (const TenantSpec &Tenant : Rules.Tenants) {
+    TenantLeases Held;
+    if (auto Found = State.Tenants.find(Tenant.Id);
+        Found != State.Tenants.end())
+      Held = std::move(Found->second);
+    Held.Holders = holdersOf(Rules, Tenant.Id);
+    std::ranges::stable_partition(Held.Holders, [&](const ShardHolder &H) {
+      return H.Zone == State.Zone;
+    });
+    Tenants.emplace(Tenant.Id, std::move(Held));
+  }
+  State.Tenants = std::move(Tenants);
+}
+
+SpendResult spend(IngressState &State, const TenantId &Tenant,
+                  const ViewLease &View, Instant Now) {
+  auto Found = State.Tenants.find(Tenant);
+  if (Found == State.Tenants.end())
+    return {};
+  if (!View.validAt(Now))
+    return {SpendStatus::NoViewLease, {}, {}};
+  TenantLeases &Held = Found->second;
+  dropExpired(Held, Now);
+  MicroTokens Sum;
+  std::size_t Enough = 0;
+  while (Enough < Held.Live && Sum < OneToken)
+    Sum += Held.Leases[Enough++].Left;
+  if (Sum < OneToken)
+    return {SpendStatus::Ask, OneToken - Sum, Held.Holders};
+  MicroTokens Due = OneToken;
+  while (Enough-- > 0) {
+    HeldLease &Lease = Held.Leases[Enough];
+    const MicroTokens Part = std::min(Due, Lease.Left);
+    Lease.Left -= Part;
+    Lease.Spent += Part;
+    Lease.UsedAt = Now;
+    Due -= Part;
+    if (Lease.Left == MicroTokens{})
+      putAside(Held, Enough);
+  }
+  return {SpendStatus::Spent, {}, {}};
+}
+
+BorrowRequest beginBorrow(IngressState &State, const TenantId &Tenant,
+                          const ShardHolder &Holder, MicroTokens Needed,
+                          std::uint32_t Batch, Instant Now) {
+  BorrowRequest Request;
+  Request.Shard = {Tenant, Holder.Zone};
+  Request.Holder = Holder.Host;
+  Request.Borrower = State.Self;
+  Request.Sequence = State.NextSequence++;
+  Request.Needed = Needed;
+  Request.Wanted =
+      std::max(Needed, MicroTokens{std::int64_t{Batch} * OneToken.Value});
+  if (auto Found = State.Tenants.find(Tenant); Found != State.Tenants.end())
+    Found->second.Pending.push_back(
+        {Request.Sequence, Holder.Zone, Holder.Host, Now});
+  return Request;
+}
+
+bool acceptLease(IngressState &State, const BorrowReply &Reply, Instant Now) {
+  auto Found = State.Tenants.find(Reply.Shard.Tenant);
+  if (Found == State.Tenants.end() || Reply.Borrower != State.Self)
+    return false;
+  TenantLeases &Held = Found->second;
+  auto Asked = std::ranges::find_if(Held.Pending, [&](const auto &Entry) {
+    return Entry.Sequence == Reply.Sequence && Entry.Zone == Reply.Shard.Zone &&
+           Entry.Holder == Reply.Holder.Host;
+  });
+  if (Asked == Held.Pending.end())
+    return false;
+  // The lender counts from the grant, which is later: this end comes first.
+  const Instant Expiry = Asked->SentAt + Reply.Lifetime;
+  Held.Pending.erase(Asked);
+  if (Reply.Tokens <= MicroTokens{} || Now >= Expiry)
+    return false;
+  Held.Leases.push_back({Reply.Lease, Reply.Shard.Zone, Reply.Holder, Expiry,
+                         Now, Reply.Tokens, MicroTokens{}, MicroTokens{}});
+  std::swap(Held.Leases.back(), Held.Leases[Held.Live++]);
+  return true;
+}
+
+std::optional<Settlement> onRecall(IngressState &State, const Recall &Message) {
+  auto Found = State.Tenants.find(Message.Shard.Tenant);
+  if (Found == State.Tenants.end() || Message.Borrower != State.Self)
+    return std::nullopt;
+  TenantLeases &Held = Found->second;
+  for (std::size_t I = 0; I < Held.Live; ++I) {
+    if (Held.Leases[I].Id != Message.Lease ||
+        Held.Leases[I].Holder != Message.Holder)
+      continue;
+    Settlement Reply{Message.Shard,
+                     Message.Holder,
+                     State.Self,
+                     {closeLease(Held.Leases[I])}};
+    putAside(Held, I);
+    Held.Leases.erase(Held.Leases.begin() +
+                      static_cast<std::ptrdiff_t>(Held.Live));
+    return Reply;
+  }
+  return std::nullopt;
+}
+
+namespace {
+
+/// Reports and removes what is due of one tenant. A lease is closed when it is
+/// used up, or unused since `IdleSince`.
+void settleTenant(const IngressState &State, const TenantId &Tenant,
+                  TenantLeases &Held, Instant IdleSince, Instant Now,
+                  std::vector<Settlement> &Messages) {
+  dropExpired(Held, Now);
+  for (std::size_t I = 0; I < Held.Live;) {
+    HeldLease &Lease = Held.Leases[I];
+    if (Lease.UsedAt <= IdleSince) {
+      putAside(Held, I);
+      continue;
+    }
+    if (Lease.Spent != Lease.Reported)
+      addReport(Messages, State, Tenant, Lease,
+                {Lease.Id, Lease.Spent, {}, false});
+    Lease.Reported = Lease.Spent;
+    ++I;
+  }
+  for (std::size_t I = Held.Live; I < Held.Leases.size(); ++I)
+    if (Now < Held.Leases[I].Expiry)
+      addReport(Messages, State, Tenant, Held.Leases[I],
+                closeLease(Held.Leases[I]));
+  Held.Leases.erase(Held.Leases.begin() +
+                        static_cast<std::ptrdiff_t>(Held.Live),
+                    Held.Leases.end());
+}
+
+} // namespace
+
+std::vector<Settlement> giveBackAll(IngressState &State, const TenantId &Tenant,
+                                    Instant Now) {
+  std::vector<Settlement> Messages;
+  if (auto Found = State.Tenants.find(Tenant); Found != State.Tenants.end())
+    settleTenant(State, Tenant, Found->second, Now, Now, Messages);
+  return Messages;
+}
+
+std::vector<Settlement> tickIngress(IngressState &State, Instant Now,
+                                    bool All) {
+  std::vector<Settlement> Messages;
+  const Instant IdleSince = All ? Now : Now - IdleReturn;
+  for (auto &[Tenant, Held] : State.Tenants) {
+    std::erase_if(Held.Pending, [&](const PendingBorrow &Entry) {
+      return Now - Entry.SentAt >= PendingLimit;
+    });
+    if (!Held.Leases.empty())
+      settleTenant(State, Tenant, Held, IdleSince, Now, Messages);
+  }
+  return Messages;
+}
+
+} // namespace pollenwick
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_CORE_QUOTA_INGRESS_H
 #define POLLENWICK_CORE_QUOTA_INGRESS_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -35,7 +36,8 @@
 /// Leases of one tenant at one ingress.
 struct TenantLeases {
   std::vector<ShardHolder> Holders; ///< To ask, the own zone's first.
-  std::vector<HeldLease> Leases;
+  std::vector<HeldLease> Leases;    ///< First the ones with tokens.
+  std::size_t Live = 0;             ///< How many have tokens.
   std::vector<PendingBorrow> Pending;
 };
 
--- a/src/core/quota/Messages.h
+++ b/src/core/quota/Messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/quota/Shares.h"
+#include "core/view/ViewLease.h"
 #include "pollenwick/Ids.h"
 #include "pollenwick/Time.h"
 #include "pollenwick/Tokens.h"
@@ -38,7 +39,7 @@
 struct BorrowReply {
   ShardId Shard;
   IncarnationId Holder;
-  HostId Borrower;
+  IncarnationId Borrower;
   std::uint64_t Sequence = 0; ///< Of the request.
   LeaseId Lease;
   MicroTokens Tokens; ///< May be less than needed; zero: nothing lent.
@@ -92,7 +93,7 @@
 struct Claim {
   ShardId Shard;
   HostId PreviousHolder;
-  Revision HostsSince; ///< First revision of the claimant's host list.
+  RevisionKey HostsSince; ///< First revision of the claimant's host list.
   IncarnationId Claimant;
 };
 
@@ -100,7 +101,7 @@
 /// the one incarnation that claimed.
 struct Handover {
   ShardId Shard;
-  Revision HostsSince; ///< Of the claim.
+  RevisionKey HostsSince; ///< Of the claim.
   IncarnationId To;
   MicroTokens Balance;
   MicroTokens Outstanding;        ///< Lent, may be unspent.
--- /dev/null
+++ b/src/core/quota/Ownership.cpp
@@ -0,0 +1,285 @@
+#include "core/quota/Holder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+/// Bounds of the time between two pulls of a shard that runs dry. Grows while
+/// the others have nothing to give.
+constexpr Duration ShortestPull = std::chrono::milliseconds(20);
+constexpr Duration LongestPull = std::chrono::milliseconds(320);
+/// Room is set aside for this long for tokens on their way.
+constexpr Duration PullDeadline = std::chrono::milliseconds(250);
+/// Time between two claims of a shard.
+constexpr Duration ClaimInterval = std::chrono::milliseconds(50);
+/// A shard pulls while it has less than this part of its burst.
+constexpr int LowDivisor = 2;
+
+ShardShare smaller(const ShardShare &A, const ShardShare &B) {
+  return {std::min(A.RatePerSecond, B.RatePerSecond),
+          std::min(A.Burst, B.Burst)};
+}
+
+void applyShare(Shard &Kept, const ShardShare &Share) {
+  Kept.Share = Share;
+  const MicroTokens Room = Share.Burst - Kept.Balance - Kept.Outstanding -
+                           Kept.Inherited - Kept.Reserved;
+  if (Room <= MicroTokens{}) {
+    Kept.Balance = std::max(MicroTokens{}, Kept.Balance + Room);
+    Kept.Remainder = 0;
+  }
+}
+
+/// Share of a zone, zero if the bundle does not know tenant or zone.
+ShardShare shareIn(const Bundle &Rules, const TenantId &Tenant,
+                   const ZoneId &Zone) {
+  const std::vector<ZoneId> Zones = zonesOf(Rules);
+  auto Place = std::ranges::find(Zones, Zone);
+  auto Spec = std::ranges::find(Rules.Tenants, Tenant, &TenantSpec::Id);
+  if (Place == Zones.end() || Spec == Rules.Tenants.end())
+    return {};
+  return shareOf(*Spec, static_cast<std::size_t>(Place - Zones.begin()),
+                 Zones.size());
+}
+
+HostId holderIn(const std::vector<ShardHolder> &Holders, const ZoneId &Zone) {
+  auto Found = std::ranges::find(Holders, Zone, &ShardHolder::Zone);
+  return Found == Holders.end() ? HostId() : Found->Host;
+}
+
+void retire(Shard &Kept, Instant Now) {
+  accrue(Kept, Now);
+  Kept.Retired = true;
+  Kept.Raise.reset();
+  Kept.Pulls.clear();
+  Kept.Reserved = MicroTokens{};
+}
+
+Shard waitingShard(const HolderState &State, Instant Now) {
+  Shard Fresh;
+  // The first bundle follows the start of the process, whose predecessor may
+  // have lent until then. A later new shard may have been kept here before.
+  const Instant From = State.Held.Number.Value == 0 ? State.StartedAt : Now;
+  Fresh.WaitUntil = From + lenderLifetime(State.Rules.QuotaLease);
+  Fresh.AccruedAt = Now;
+  return Fresh;
+}
+
+bool fenceEnded(const HolderState &State, const ViewLease &View, Instant Now) {
+  return View.AnchoredAt && View.HostsSince == State.HostsSince &&
+         Now >= *View.AnchoredAt + fenceWait(State.Rules);
+}
+
+/// A restarted process acts as holder only on a view confirmed since its
+/// start: its predecessor may have released the shard.
+bool confirmedSinceStart(const HolderState &State, const ViewLease &View,
+                         Instant Now) {
+  return View.validAt(Now) && View.HostsSince == State.HostsSince &&
+         View.ConfirmedAt >= State.StartedAt;
+}
+
+void activate(Shard &Kept, Instant Now) {
+  Kept.Active = true;
+  Kept.AccruedAt = Now;
+  Kept.Remainder = 0;
+  Kept.PreviousHolder = HostId();
+}
+
+void duePulls(HolderState &State, const TenantId &Tenant, Shard &Kept,
+              Instant Now, std::vector<PullRequest> &Pulls) {
+  std::erase_if(Kept.Pulls, [&](const auto &Entry) {
+    if (Now < Entry.second.Deadline)
+      return false;
+    Kept.Reserved -= Entry.second.Reserved;
+    return true;
+  });
+  const std::vector<ShardHolder> &Holders = State.Others[Tenant];
+  if (Kept.Balance.Value >= Kept.Share.Burst.Value / LowDivisor ||
+      Now < Kept.NextPull || !Kept.Pulls.empty() || Holders.size() < 2)
+    return;
+  Kept.PullInterval =
+      std::clamp(Kept.PullInterval * 2, ShortestPull, LongestPull);
+  Kept.NextPull = Now + Kept.PullInterval;
+  const MicroTokens Room =
+      Kept.Share.Burst - Kept.Balance - Kept.Outstanding - Kept.Inherited;
+  // Half of the room stays for the shard's own accrual.
+  const MicroTokens Each{Room.Value / 2 /
+                         static_cast<std::int64_t>(Holders.size() - 1)};
+  if (Each <= MicroTokens{})
+    return;
+  for (const ShardHolder &Other : Holders) {
+    if (Other.Zone == State.Zone)
+      continue;
+    const std::uint64_t Sequence = State.NextPull++;
+    Kept.Pulls[Sequence] = {Each, Now + PullDeadline};
+    Kept.Reserved += Each;
+    Pulls.push_back({{Tenant, Other.Zone},
+                     Other.Host,
+                     {Tenant, State.Zone},
+                     State.Self,
+                     Sequence,
+                     Each,
+                     Kept.Balance});
+  }
+}
+
+} // namespace
+
+void adoptBundle(HolderState &State, const Bundle &Rules,
+                 const RevisionKey &Key, const Succession &Hosts,
+                 const Bundle *Previous, Instant Now) {
+  if (Key <= State.Held)
+    return;
+  State.Rules = Rules.Rules;
+  const bool First = State.Held.Number.Value == 0;
+  const bool SameHosts = !First && State.Held >= Hosts.HostsSince;
+  // Exactly one change of the host list, and both lists are known here.
+  const bool Successor = !First && !SameHosts && Previous != nullptr &&
+                         Hosts.PreviousHostsSince.Number.Value != 0 &&
+                         State.Held >= Hosts.PreviousHostsSince;
+  std::unordered_map<TenantId, Shard> Shards;
+  State.Others.clear();
+  for (const TenantSpec &Tenant : Rules.Tenants) {
+    std::vector<ShardHolder> Holders = holdersOf(Rules, Tenant.Id);
+    if (holderIn(Holders, State.Zone) != State.Self.Host)
+      continue;
+    const ShardShare Share = shareIn(Rules, Tenant.Id, State.Zone);
+    auto Old = State.Shards.find(Tenant.Id);
+    const bool Known = Old != State.Shards.end() && !Old->second.Retired;
+    // Released to the holder of a host list that is still ahead: kept as
+    // released, whatever the lists on the way say.
+    const bool Ahead = Known && Old->second.Released &&
+                       Old->second.Released->HostsSince > Hosts.HostsSince;
+    if (Ahead) {
+      Shards.emplace(Tenant.Id, std::move(Old->second));
+    } else if (Known && !Old->second.Released && (SameHosts || Successor)) {
+      Shard &Same = Old->second;
+      accrue(Same, Now);
+      // After a change of the zones, other holders may still act on their
+      // larger shares.
+      const bool Fenced = !SameHosts || Same.Raise;
+      Same.Raise.reset();
+      if (Fenced)
+        Same.Raise = Share;
+      if (!SameHosts)
+        Same.PreviousHolder = HostId();
+      applyShare(Same, Fenced ? smaller(Same.Share, Share) : Share);
+      Shards.emplace(Tenant.Id, std::move(Same));
+    } else {
+      Shard Fresh = waitingShard(State, Now);
+      Fresh.Share = Share;
+      if (Successor) {
+        Fresh.PreviousHolder =
+            holderIn(holdersOf(*Previous, Tenant.Id), State.Zone);
+        Fresh.Share = smaller(shareIn(*Previous, Tenant.Id, State.Zone), Share);
+        Fresh.Raise = Share;
+      }
+      Shards.emplace(Tenant.Id, std::move(Fresh));
+    }
+    State.Others.emplace(Tenant.Id, std::move(Holders));
+  }
+  // Shards that moved away stay for their new holder to claim.
+  if (SameHosts || Successor)
+    for (auto &[Tenant, Old] : State.Shards)
+      if (!Shards.contains(Tenant) && (Old.Active || Old.Retired)) {
+        retire(Old, Now);
+        Old.WaitUntil = Now + fenceWait(State.Rules);
+        Shards.emplace(Tenant, std::move(Old));
+      }
+  State.Shards = std::move(Shards);
+  State.Held = Key;
+  State.HostsSince = Hosts.HostsSince;
+}
+
+std::optional<Handover> release(HolderState &State, const Claim &Message,
+                                Instant Now) {
+  auto Found = State.Shards.find(Message.Shard.Tenant);
+  if (Found == State.Shards.end() || Message.Shard.Zone != State.Zone)
+    return std::nullopt;
+  Shard &Kept = Found->second;
+  // Under the same host list only a retired shard has another holder.
+  if (Message.HostsSince < State.HostsSince ||
+      (Message.HostsSince == State.HostsSince && !Kept.Retired))
+    return std::nullopt;
+  if (Kept.Released) {
+    if (Kept.Released->To == Message.Claimant &&
+        Kept.Released->HostsSince == Message.HostsSince)
+      return Kept.Released;
+    return std::nullopt;
+  }
+  if (!Kept.Active)
+    return std::nullopt;
+  accrue(Kept, Now);
+  Handover Carried{Message.Shard,
+                   Message.HostsSince,
+                   Message.Claimant,
+                   Kept.Balance,
+                   Kept.Outstanding + Kept.Inherited,
+                   Duration::zero()};
+  if (!Kept.Leases.empty())
+    Carried.OutstandingLifetime = Kept.Leases.rbegin()->second.Expiry - Now;
+  if (Kept.Inherited > MicroTokens{})
+    Carried.OutstandingLifetime =
+        std::max(Carried.OutstandingLifetime, Kept.InheritedExpiry - Now);
+  Shard Given;
+  Given.Retired = Kept.Retired;
+  Given.WaitUntil = Now + fenceWait(State.Rules);
+  Given.AccruedAt = Now;
+  Given.Released = Carried;
+  Kept = std::move(Given);
+  return Carried;
+}
+
+void adopt(HolderState &State, const Handover &Message, const ViewLease &View,
+           Instant Now) {
+  auto Found = State.Shards.find(Message.Shard.Tenant);
+  if (Found == State.Shards.end() || Message.Shard.Zone != State.Zone ||
+      Message.To != State.Self || Message.HostsSince != State.HostsSince)
+    return;
+  Shard &Kept = Found->second;
+  if (Kept.Active || Kept.Retired || Kept.Released ||
+      Kept.PreviousHolder.empty() || !View.AnchoredAt ||
+      !confirmedSinceStart(State, View, Now))
+    return;
+  activate(Kept, Now);
+  Kept.Inherited = Message.Outstanding;
+  // The carried leases ran on while the message travelled.
+  Kept.InheritedExpiry = Now + lenderLifetime(Message.OutstandingLifetime);
+  Kept.Balance = Message.Balance;
+  applyShare(Kept, Kept.Share);
+}
+
+HolderActions tickHolder(HolderState &State, const ViewLease &View,
+                         Instant Now) {
+  HolderActions Due;
+  const bool Fenced = !fenceEnded(State, View, Now);
+  std::erase_if(State.Shards, [&](const auto &Entry) {
+    return Entry.second.Retired && Now >= Entry.second.WaitUntil;
+  });
+  for (auto &[Tenant, Kept] : State.Shards) {
+    accrue(Kept, Now);
+    if (Kept.Retired || Kept.Released || !confirmedSinceStart(State, View, Now))
+      continue;
+    if (!Fenced && Now >= Kept.WaitUntil) {
+      if (Kept.Raise)
+        applyShare(Kept, *std::exchange(Kept.Raise, std::nullopt));
+      if (!Kept.Active)
+        activate(Kept, Now);
+    }
+    if (Kept.Active) {
+      duePulls(State, Tenant, Kept, Now, Due.Pulls);
+    } else if (!Kept.PreviousHolder.empty() && View.AnchoredAt &&
+               Now >= Kept.NextClaim) {
+      Kept.NextClaim = Now + ClaimInterval;
+      Due.Claims.push_back({{Tenant, State.Zone},
+                            Kept.PreviousHolder,
+                            State.HostsSince,
+                            State.Self});
+    }
+  }
+  return Due;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/quota/Shares.cpp
@@ -0,0 +1,73 @@
+#include "core/quota/Shares.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace pollenwick {
+namespace {
+
+// FNV-1a with a finalizer. Unlike `std::hash` it is the same in every build,
+// which all nodes need to name the same holder.
+constexpr std::uint64_t FnvOffset = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t FnvPrime = 0x100000001b3ULL;
+
+std::uint64_t mix(std::uint64_t Value) {
+  Value ^= Value >> 33U;
+  Value *= 0xff51afd7ed558ccdULL;
+  Value ^= Value >> 33U;
+  Value *= 0xc4ceb9fe1a85ec53ULL;
+  return Value ^ (Value >> 33U);
+}
+
+std::uint64_t hashText(std::string_view Text) {
+  std::uint64_t Hash = FnvOffset;
+  for (const char C : Text)
+    Hash = (Hash ^ static_cast<unsigned char>(C)) * FnvPrime;
+  return mix(Hash);
+}
+
+MicroTokens part(MicroTokens Whole, std::size_t Index, std::size_t Zones) {
+  const auto Count = static_cast<std::int64_t>(Zones);
+  const std::int64_t Extra =
+      static_cast<std::int64_t>(Index) < Whole.Value % Count ? 1 : 0;
+  return MicroTokens{Whole.Value / Count + Extra};
+}
+
+} // namespace
+
+std::vector<ZoneId> zonesOf(const Bundle &Rules) {
+  std::vector<ZoneId> Zones;
+  for (const HostSpec &Host : Rules.Hosts)
+    Zones.push_back(Host.Zone);
+  std::ranges::sort(Zones);
+  const auto Repeated = std::ranges::unique(Zones);
+  Zones.erase(Repeated.begin(), Repeated.end());
+  return Zones;
+}
+
+ShardShare shareOf(const TenantSpec &Tenant, std::size_t Index,
+                   std::size_t Zones) {
+  return {part(Tenant.RatePerSecond, Index, Zones),
+          part(Tenant.Burst, Index, Zones)};
+}
+
+std::vector<ShardHolder> holdersOf(const Bundle &Rules,
+                                   const TenantId &Tenant) {
+  const std::uint64_t TenantHash = hashText(Tenant.Text);
+  std::map<ZoneId, std::pair<std::uint64_t, HostId>> Best;
+  for (const HostSpec &Host : Rules.Hosts) {
+    const std::uint64_t Rank = mix(TenantHash ^ hashText(Host.Id.Text));
+    auto [Entry, Added] = Best.try_emplace(Host.Zone, Rank, Host.Id);
+    // Equal ranks are decided by the host, so that the order of the list does
+    // not matter.
+    if (!Added && std::pair(Rank, Host.Id) > Entry->second)
+      Entry->second = {Rank, Host.Id};
+  }
+  std::vector<ShardHolder> Holders;
+  for (auto &[Zone, Winner] : Best)
+    Holders.push_back({Zone, std::move(Winner.second)});
+  return Holders;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/view/View.cpp
@@ -0,0 +1,221 @@
+#include "core/view/View.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+/// Questions per lease length to the service, a parent or a witness. Several
+/// must fit, so that one lost answer does not end the lease.
+constexpr int QuestionsPerLease = 5;
+/// Part of the lease length after which the witnesses are asked too.
+constexpr int WitnessPart = 2;
+
+bool canWitness(const ViewState &State) {
+  return State.ConfirmedAt && *State.ConfirmedAt >= State.StartedAt;
+}
+
+void learn(ViewState &State, const RevisionKey &Key) {
+  if (Key <= State.NewestKnown)
+    return;
+  State.NewestKnown = Key;
+  State.NewestConfirmedAt.reset();
+}
+
+/// A confirmation counts only while no newer revision is known; otherwise a
+/// stale configuration service would keep an old view alive.
+void confirm(ViewState &State, const RevisionKey &Key, Instant At) {
+  learn(State, Key);
+  if (Key != State.NewestKnown)
+    return;
+  State.NewestConfirmedAt = std::max(State.NewestConfirmedAt.value_or(At), At);
+  if (Key == State.Held)
+    State.ConfirmedAt = std::max(State.ConfirmedAt.value_or(At), At);
+}
+
+std::optional<ViewState::Pending>
+takePending(ViewState &State, std::uint64_t Nonce, ViewSource Source) {
+  auto Found = State.Waiting.find(Nonce);
+  if (Found == State.Waiting.end() || Found->second.Question.Source != Source)
+    return std::nullopt;
+  ViewState::Pending Taken = std::move(Found->second);
+  State.Waiting.erase(Found);
+  return Taken;
+}
+
+/// The time that a majority of the set reaches or passes, if there is one.
+std::optional<Instant> majorityTime(std::vector<Instant> Times,
+                                    std::size_t SetSize, bool Newest) {
+  const std::size_t Majority = SetSize / 2 + 1;
+  if (SetSize == 0 || Times.size() < Majority)
+    return std::nullopt;
+  if (Newest)
+    std::ranges::sort(Times, std::greater<>());
+  else
+    std::ranges::sort(Times);
+  return Times[Majority - 1];
+}
+
+/// Answers of the last lease length that say that nothing newer is known.
+void confirmByWitnesses(ViewState &State, Instant Now) {
+  if (State.Held.Number.Value == 0 || State.Held != State.NewestKnown)
+    return;
+  std::vector<Instant> Asked;
+  for (const HostId &Witness : State.Witnesses) {
+    if (Witness == State.Self) {
+      if (canWitness(State))
+        Asked.push_back(Now);
+    } else if (auto Found = State.Answers.find(Witness);
+               Found != State.Answers.end()) {
+      Asked.push_back(Found->second.SentAt);
+    }
+  }
+  if (auto At = majorityTime(std::move(Asked), State.Witnesses.size(), true))
+    confirm(State, State.Held, *At);
+}
+
+std::optional<Instant> anchoredIn(const ViewState &State,
+                                  const std::vector<HostId> &Witnesses) {
+  std::vector<Instant> Times;
+  for (const HostId &Witness : Witnesses) {
+    if (Witness == State.Self) {
+      if (canWitness(State))
+        Times.push_back(State.HostsHeldAt);
+    } else if (auto Found = State.Answers.find(Witness);
+               Found != State.Answers.end() &&
+               Found->second.Reply.HostsSince == State.HostsSince) {
+      Times.push_back(Found->second.HostsHeldSince);
+    }
+  }
+  return majorityTime(std::move(Times), Witnesses.size(), false);
+}
+
+std::optional<Instant> anchoredAt(const ViewState &State) {
+  auto At = anchoredIn(State, State.Witnesses);
+  if (!At || State.PreviousWitnesses.empty())
+    return At;
+  auto Before = anchoredIn(State, State.PreviousWitnesses);
+  if (!Before)
+    return std::nullopt;
+  return std::max(*At, *Before);
+}
+
+} // namespace
+
+ViewState makeView(HostId Self, Instant Now) {
+  ViewState State;
+  State.Self = std::move(Self);
+  State.StartedAt = Now;
+  return State;
+}
+
+void holdRevision(ViewState &State, const RevisionKey &Key,
+                  const RevisionKey &HostsSince, const Policy &Rules,
+                  Instant Now) {
+  if (Key <= State.Held)
+    return;
+  learn(State, Key);
+  if (State.Held.Number.Value == 0 || HostsSince > State.Held) {
+    State.PreviousWitnesses.clear();
+    if (State.Witnesses != Rules.Witnesses)
+      State.PreviousWitnesses = std::move(State.Witnesses);
+    State.HostsSince = HostsSince;
+    State.HostsHeldAt = Now;
+  }
+  State.Held = Key;
+  State.Witnesses = Rules.Witnesses;
+  State.Fresh = Rules.ViewLease;
+  // A newer revision stands on an older confirmation too: whatever was
+  // published since then had the whole lease length to become known.
+  if (Key == State.NewestKnown && State.NewestConfirmedAt)
+    confirm(State, Key, *State.NewestConfirmedAt);
+}
+
+std::vector<ViewQuestion> dueQuestions(ViewState &State, Instant Now) {
+  std::erase_if(State.Waiting, [&](const auto &Entry) {
+    return Now - Entry.second.SentAt >= State.Fresh;
+  });
+  std::vector<ViewQuestion> Questions;
+  auto Ask = [&](ViewSource Source, const HostId &Target) {
+    if (auto Last = State.LastAsked.find(Target);
+        Last != State.LastAsked.end() &&
+        Now - Last->second < State.Fresh / QuestionsPerLease)
+      return;
+    State.LastAsked[Target] = Now;
+    ViewQuestion Question{Source, Target, State.NextNonce++};
+    State.Waiting[Question.Nonce] = {Question, Now};
+    Questions.push_back(std::move(Question));
+  };
+  if (State.Watcher)
+    Ask(ViewSource::Service, HostId());
+  const bool Old = !State.ConfirmedAt ||
+                   Now - *State.ConfirmedAt >= State.Fresh / WitnessPart;
+  if (Old || (State.NeedsAnchor && !anchoredAt(State))) {
+    for (const auto *Set : {&State.Witnesses, &State.PreviousWitnesses})
+      for (const HostId &Witness : *Set)
+        if (Witness != State.Self)
+          Ask(ViewSource::Witness, Witness);
+  }
+  for (const HostId &Parent : State.Parents)
+    Ask(ViewSource::Parent, Parent);
+  return Questions;
+}
+
+void recordService(ViewState &State, std::uint64_t Nonce,
+                   const RevisionKey &Newest) {
+  if (auto Taken = takePending(State, Nonce, ViewSource::Service))
+    confirm(State, Newest, Taken->SentAt);
+}
+
+void recordConfirmation(ViewState &State, std::uint64_t Nonce,
+                        const ConfirmReply &Reply) {
+  if (auto Taken = takePending(State, Nonce, ViewSource::Parent))
+    confirm(State, Reply.Held,
+            Taken->SentAt - std::max(Reply.Age, Duration::zero()));
+}
+
+void recordWitness(ViewState &State, std::uint64_t Nonce,
+                   const WitnessReply &Reply, Instant Now) {
+  auto Taken = takePending(State, Nonce, ViewSource::Witness);
+  if (!Taken)
+    return;
+  learn(State, Reply.Held);
+  auto &Answer = State.Answers[Taken->Question.Target];
+  // Answers can overtake each other; the question sent last counts.
+  if (Answer.SentAt > Taken->SentAt)
+    return;
+  Answer = {Reply, Taken->SentAt,
+            Now - std::max(Reply.HostsHeldFor, Duration::zero())};
+  confirmByWitnesses(State, Now);
+}
+
+void recordHearsay(ViewState &State, const RevisionKey &Key) {
+  learn(State, Key);
+}
+
+std::optional<ConfirmReply> answerConfirm(const ViewState &State, Instant Now) {
+  if (!State.ConfirmedAt)
+    return std::nullopt;
+  return ConfirmReply{State.Held, Now - *State.ConfirmedAt};
+}
+
+std::optional<WitnessReply> answerWitness(const ViewState &State, Instant Now) {
+  if (!canWitness(State))
+    return std::nullopt;
+  return WitnessReply{std::max(State.Held, State.NewestKnown), State.HostsSince,
+                      Now - State.HostsHeldAt};
+}
+
+ViewLease viewLease(const ViewState &State) {
+  ViewLease Lease;
+  if (!State.ConfirmedAt || State.Held.Number.Value == 0)
+    return Lease;
+  Lease.ConfirmedAt = *State.ConfirmedAt;
+  Lease.Until = *State.ConfirmedAt + State.Fresh;
+  Lease.HostsSince = State.HostsSince;
+  Lease.AnchoredAt = anchoredAt(State);
+  return Lease;
+}
+
+} // namespace pollenwick
--- a/src/core/view/View.h
+++ b/src/core/view/View.h
@@ -30,7 +30,7 @@
 /// Reply of a witness.
 struct WitnessReply {
   RevisionKey Held;
-  Revision HostsSince; ///< First revision with the host list that is held.
+  RevisionKey HostsSince; ///< First revision with the host list that is held.
   Duration HostsHeldFor{};
 };
 
@@ -49,12 +49,16 @@
   HostId Self;
   Instant StartedAt{};
   Duration Fresh = std::chrono::seconds(5);
-  RevisionKey Held;    ///< Number 0: no bundle yet.
-  Revision HostsSince; ///< First revision with the host list that is held.
+  RevisionKey Held;       ///< Number 0: no bundle yet.
+  RevisionKey HostsSince; ///< First revision with the host list that is held.
   Instant HostsHeldAt{};
   std::vector<HostId> Witnesses;
-  std::vector<HostId> Parents;
-  bool Watcher = false; ///< Reads the configuration service itself.
+  /// Of the host list before; a majority of both sets anchors a host list.
+  std::vector<HostId> PreviousWitnesses;
+  std::vector<HostId> Parents; ///< Set by the shell.
+  bool Watcher = false; ///< Reads the configuration service. Set by the shell.
+  /// The node keeps shards and needs to know when its host list is anchored.
+  bool NeedsAnchor = true;
 
   RevisionKey NewestKnown; ///< Held or named by any answer.
   std::optional<Instant> ConfirmedAt;
@@ -72,8 +76,9 @@
 /// Takes over an accepted revision; ignored unless it is newer than the held
 /// one. `HostsSince` is the first revision of the unbroken run of revisions
 /// with the same host list and witnesses that ends with this one.
-void holdRevision(ViewState &State, const RevisionKey &Key, Revision HostsSince,
-                  const Policy &Rules, Instant Now);
+void holdRevision(ViewState &State, const RevisionKey &Key,
+                  const RevisionKey &HostsSince, const Policy &Rules,
+                  Instant Now);
 
 /// Questions that are due. Witnesses are asked when the service and the
 /// parents have not confirmed recently, and while the host list is not
@@ -90,7 +95,8 @@
 /// Answer of a witness.
 void recordWitness(ViewState &State, std::uint64_t Nonce,
                    const WitnessReply &Reply, Instant Now);
-/// A revision named by a heartbeat. It never confirms anything.
+/// A revision named by a heartbeat. It never confirms anything, but ends the
+/// confirmation of older ones. Pass only revisions with a verified pointer.
 void recordHearsay(ViewState &State, const RevisionKey &Key);
 
 /// What this node says to a peer; nothing while it has no confirmation.
--- a/src/core/view/ViewLease.h
+++ b/src/core/view/ViewLease.h
@@ -22,6 +22,9 @@
 struct ViewLease {
   Instant Until{};       ///< The view may be acted on strictly before this.
   Instant ConfirmedAt{}; ///< The held revision was the newest at this time.
+  /// First revision with the host list that is held. Keeps a lease from being
+  /// applied to the ownership of another list.
+  RevisionKey HostsSince;
   /// From this time on a majority of the witnesses knows the host list that
   /// is held, so nobody obtains a lease on an older one.
   std::optional<Instant> AnchoredAt;
