--- /dev/null
+++ b/src/core/routing/Routing.cpp
@@ -0,0 +1,212 @@
+#include "core/routing/Routing.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cmath>
+
+namespace pollenwick {
+
+namespace {
+
+/// Random draws for one usable candidate before all hosts are scanned.
+constexpr int MaxDraws = 8;
+
+double warmth(const HostState &Host, const RoutingTuning &Tuning, Instant Now) {
+  if (Now >= Host.WarmAt)
+    return 1;
+  const double Left = std::chrono::duration<double>(Host.WarmAt - Now) /
+                      std::chrono::duration<double>(Tuning.SlowStart);
+  return Tuning.ColdShare + (1 - Tuning.ColdShare) * (1 - std::min(1.0, Left));
+}
+
+bool wasTried(std::span<const HostIndex> Tried, HostIndex Host) {
+  return std::find(Tried.begin(), Tried.end(), Host) != Tried.end();
+}
+
+/// Which hosts a pass over the candidates accepts, from strict to lenient.
+enum class Pass : std::uint8_t { Healthy, Ejected, Tried };
+
+bool isUsable(const HostTable &Table, HostIndex Host,
+              std::span<const HostIndex> Tried, Pass Accept, Instant Now) {
+  if (isDraining(Table, Host, Now))
+    return false;
+  if (Accept < Pass::Ejected && isEjected(Table, Host, Now))
+    return false;
+  return Accept == Pass::Tried || !wasTried(Tried, Host);
+}
+
+struct Candidate {
+  std::optional<HostIndex> Host;
+  double Load = 0;
+};
+
+/// Better of two random usable hosts. A cold host keeps little load even when
+/// it is idle, because its load is divided by its warmth.
+Candidate twoChoices(const HostTable &Table,
+                     const std::vector<HostIndex> &Hosts,
+                     std::span<const HostIndex> Tried, Pass Accept,
+                     std::mt19937_64 &Random, Instant Now) {
+  Candidate Best;
+  if (Hosts.empty())
+    return Best;
+  auto Consider = [&](HostIndex Host) {
+    if (Best.Host == Host || !isUsable(Table, Host, Tried, Accept, Now))
+      return false;
+    const double Load = loadOf(Table, Host, Now);
+    if (!Best.Host || Load < Best.Load)
+      Best = {Host, Load};
+    return true;
+  };
+  int Found = 0;
+  for (int Draw = 0; Draw < MaxDraws && Found < 2; ++Draw)
+    Found += Consider(Hosts[Random() % Hosts.size()]) ? 1 : 0;
+  if (Found == 0)
+    std::any_of(Hosts.begin(), Hosts.end(), Consider);
+  return Best;
+}
+
+/// Zone-local until imbalanced.
+Candidate chooseZone(const HostTable &Table, const ServiceHosts &Group,
+                     const ChooseRequest &Request, Pass Accept,
+                     std::mt19937_64 &Random, Instant Now) {
+  Candidate Local;
+  if (Request.Zone < Group.ByZone.size())
+    Local = twoChoices(Table, Group.ByZone[Request.Zone], Request.Tried, Accept,
+                       Random, Now);
+  if (Local.Host && Local.Load < Table.Tuning.BusyPerSlot)
+    return Local;
+  const Candidate Any =
+      twoChoices(Table, Group.All, Request.Tried, Accept, Random, Now);
+  if (!Local.Host)
+    return Any;
+  const bool Imbalanced =
+      Any.Host && Local.Load > Any.Load * Table.Tuning.Imbalance;
+  return Imbalanced ? Any : Local;
+}
+
+/// Ejects a failing host, unless too many of the service are ejected already.
+void eject(HostTable &Table, HostIndex Index, Instant Now) {
+  HostState &Host = Table.Hosts[Index];
+  ServiceHosts &Group = Table.Services[Host.Service];
+  std::erase_if(Group.Ejected, [&](HostIndex Other) {
+    return Other == Index || !isEjected(Table, Other, Now);
+  });
+  // Draining hosts do not count: the share is of the hosts that could serve.
+  const auto Serving = static_cast<std::size_t>(
+      std::count_if(Group.All.begin(), Group.All.end(), [&](HostIndex Other) {
+        return !isDraining(Table, Other, Now);
+      }));
+  const auto Allowed = static_cast<std::size_t>(Table.Tuning.EjectedAtMost *
+                                                static_cast<double>(Serving));
+  if (Group.Ejected.size() >= Allowed)
+    return;
+  Group.Ejected.push_back(Index);
+  const Duration Time =
+      Table.Tuning.EjectBase * (1LL << std::min(Host.Ejections, 8U));
+  Host.EjectedUntil = Now + std::min(Time, Table.Tuning.EjectMax);
+  ++Host.Ejections;
+  Host.FailuresInRow = 0;
+}
+
+void onAnswer(HostTable &Table, HostState &Host, const HostReply &Reply,
+              Instant Now) {
+  // The report counts the call that it answers and this node's other calls.
+  const std::uint32_t Mine = Host.Own + 1;
+  Host.Others =
+      static_cast<float>(Reply.InFlight > Mine ? Reply.InFlight - Mine : 0);
+  Host.ReportedAt = Now;
+  Host.FailuresInRow = 0;
+  if (Now > Host.EjectedUntil + Table.Tuning.EjectMax)
+    Host.Ejections = 0;
+}
+
+} // namespace
+
+bool isDraining(const HostTable &Table, HostIndex Host, Instant Now) {
+  return Table.Hosts[Host].DrainingUntil > Now;
+}
+
+bool isEjected(const HostTable &Table, HostIndex Host, Instant Now) {
+  return Table.Hosts[Host].EjectedUntil > Now;
+}
+
+double loadOf(const HostTable &Table, HostIndex Index, Instant Now) {
+  const HostState &Host = Table.Hosts[Index];
+  const RoutingTuning &Tuning = Table.Tuning;
+  const double Age = std::chrono::duration<double>(Now - Host.ReportedAt) /
+                     std::chrono::duration<double>(Tuning.LoadHalfLife);
+  const double Others = Host.Others > 0 ? Host.Others * std::exp2(-Age) : 0;
+  // The call to be placed counts too, so that cold hosts differ when idle.
+  double InFlight = Others + Host.Own + 1;
+  InFlight /= warmth(Host, Tuning, Now);
+  if (Host.LeavingHint)
+    InFlight *= Tuning.LeavingPenalty;
+  return InFlight / Table.Services[Host.Service].Slots;
+}
+
+HostChoice chooseHost(HostTable &Table, const ChooseRequest &Request,
+                      std::mt19937_64 &Random, Instant Now) {
+  assert(Request.Service < Table.Services.size());
+  const ServiceHosts &Group = Table.Services[Request.Service];
+  for (Pass Accept : {Pass::Healthy, Pass::Ejected, Pass::Tried}) {
+    const Candidate Found =
+        chooseZone(Table, Group, Request, Accept, Random, Now);
+    if (!Found.Host)
+      continue;
+    ++Table.Hosts[*Found.Host].Own;
+    return {Found.Host, RefusalReason::None};
+  }
+  return {std::nullopt, Group.All.empty() ? RefusalReason::NoBackendServer
+                                          : RefusalReason::Draining};
+}
+
+void onHostReply(HostTable &Table, HostIndex Index, const HostReply &Reply,
+                 Instant Now) {
+  HostState &Host = Table.Hosts[Index];
+  if (Host.Own > 0)
+    --Host.Own;
+  switch (Reply.Kind) {
+  case HostReplyKind::Answered:
+    onAnswer(Table, Host, Reply, Now);
+    break;
+  case HostReplyKind::Draining:
+    onHostLeaving(Table, Index, Now);
+    break;
+  case HostReplyKind::Failed:
+    if (++Host.FailuresInRow >= Table.Tuning.FailuresToEject &&
+        !isEjected(Table, Index, Now))
+      eject(Table, Index, Now);
+    break;
+  case HostReplyKind::Abandoned:
+    break;
+  }
+}
+
+void onHostLeaving(HostTable &Table, HostIndex Host, Instant Now) {
+  Table.Hosts[Host].DrainingUntil = Now + Table.Tuning.DrainingMark;
+}
+
+void onHostIncarnation(HostTable &Table, HostIndex Index, std::uint64_t Start,
+                       Instant Now) {
+  HostState &Host = Table.Hosts[Index];
+  if (Host.Start == Start)
+    return;
+  const bool First = Host.Start == 0;
+  Host.Start = Start;
+  if (First)
+    return; // The first word about a host says nothing about a restart.
+  Host.DrainingUntil = Instant{};
+  Host.EjectedUntil = Instant{};
+  Host.FailuresInRow = 0;
+  Host.Ejections = 0;
+  Host.Others = 0;
+  Host.LeavingHint = false;
+  Host.WarmAt = Now + Table.Tuning.SlowStart;
+}
+
+void onHostListHint(HostTable &Table, HostIndex Host, bool Leaving) {
+  Table.Hosts[Host].LeavingHint = Leaving;
+}
+
+} // namespace pollenwick
