--- /dev/null
+++ b/apps/pollenwick-node/main.cpp
@@ -0,0 +1,62 @@
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "bundle/Signing.h"
+#include "node/Log.h"
+#include "node/Node.h"
+#include "node/Settings.h"
+
+namespace {
+
+enum ExitCode : int { Stopped = 0, BadSettings = 2, CannotStart = 3 };
+
+int waitForStop(const sigset_t &Signals) {
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  return Signal;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  using namespace pollenwick;
+  gflags::SetVersionString(POLLENWICK_VERSION);
+  gflags::SetUsageMessage(
+      "runs beside one backend server and decides on the calls it receives.\n"
+      "Each flag can also be set in the environment, for example --host_id as "
+      "POLLENWICK_HOST_ID.\nExit codes: 0 stopped, 2 bad settings, 3 cannot "
+      "start.");
+  Settings Options;
+  std::vector<std::string> Errors = readSettings(Argc, Argv, Options);
+  std::ostringstream KeyText;
+  KeyText << std::ifstream(Options.OperatorKeyFile).rdbuf();
+  const auto Operator = parsePublicKey(KeyText.str());
+  if (Errors.empty() && !Operator.ok())
+    Errors.push_back("--operator_key: " +
+                     std::string(Operator.status().message()));
+  if (!Errors.empty()) {
+    for (const std::string &Error : Errors)
+      std::cerr << "pollenwick-node: " << Error << '\n';
+    return BadSettings;
+  }
+  // All threads inherit the mask, so that only this one takes the signals.
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  configureLog(Options.LogFormat == "json", Options.Host.Text);
+  Node Process(Options, *Operator);
+  if (const std::string Error = Process.start(); !Error.empty()) {
+    std::cerr << "pollenwick-node: " << Error << '\n';
+    return CannotStart;
+  }
+  waitForStop(Signals);
+  Process.drainAndStop();
+  return Stopped;
+}
--- /dev/null
+++ b/src/node/ActiveBundle.h
@@ -0,0 +1,63 @@
+#ifndef POLLENWICK_NODE_ACTIVEBUNDLE_H
+#define POLLENWICK_NODE_ACTIVEBUNDLE_H
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "core/admission/ReachTable.h"
+#include "core/calls/RouteLookup.h"
+#include "core/keys/Keys.h"
+#include "core/quota/Holder.h"
+#include "core/view/ViewLease.h"
+#include "peer/PeerDuty.h"
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick {
+
+/// An accepted bundle with the look-up tables made from it. Immutable.
+struct ActiveBundle {
+  std::shared_ptr<const Bundle> Rules;
+  RevisionKey Key;
+  pollenwick::Succession Succession; ///< Of the host list.
+  ReachTable Reach;
+  RouteLookup Routes;
+  KeyIndex Keys;
+  std::unordered_map<HostId, const HostSpec *> Hosts;
+};
+
+using BundlePtr = std::shared_ptr<const ActiveBundle>;
+
+/// `Previous` may be null.
+BundlePtr activate(Bundle Rules, const Digest &Root, const BundlePtr &Previous);
+
+/// Null when the bundle has no such host.
+const HostSpec *findHost(const ActiveBundle &Bundle, const HostId &Host);
+PeerAddress peerAddress(const HostSpec &Host);
+
+/// Holds the bundle in force. Thread-safe.
+class BundleStore {
+public:
+  /// Null before the first bundle.
+  BundlePtr current() const;
+
+  using Listener =
+      std::function<void(const BundlePtr &Old, const BundlePtr &New)>;
+  /// Listeners are added before any duty starts.
+  void subscribe(Listener L) { Listeners.push_back(std::move(L)); }
+
+  /// Called by the configuration duty only. Listeners run in its thread before
+  /// the bundle becomes visible.
+  void replace(BundlePtr New);
+
+private:
+  mutable std::mutex Mutex;
+  BundlePtr Current;
+  std::vector<Listener> Listeners;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/AdmissionService.cpp
@@ -0,0 +1,106 @@
+#include "node/AdmissionService.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "peer/Clock.h"
+
+namespace pollenwick {
+
+TenantIndex tenantIndex(const ReachTable &Reach, const TenantId &Tenant) {
+  const auto It = Reach.TenantByName.find(Tenant);
+  return It == Reach.TenantByName.end() ? 0 : It->second;
+}
+
+NamedThreshold nameThreshold(const ReachTable &Reach,
+                             const ThresholdReport &Report) {
+  return {Reach.Services[Report.Service], Report.Tenant.Value,
+          Report.Common.Value, Report.Age};
+}
+
+void AdmissionService::onBundle(const BundlePtr &New) {
+  std::scoped_lock Lock(Mutex);
+  // Levels are kept when the indexes mean the same in both bundles; otherwise
+  // the ingress learns them again from the next replies.
+  const bool SameIndexes = Bundle &&
+                           Bundle->Reach.Services == New->Reach.Services &&
+                           Bundle->Reach.Tenants == New->Reach.Tenants;
+  Bundle = New;
+  if (!SameIndexes)
+    State = makeIngress(New->Reach);
+}
+
+std::optional<Refusal> AdmissionService::admitRoot(const RouteId &Route,
+                                                   const TenantId &Tenant,
+                                                   std::uint64_t Hash) {
+  std::scoped_lock Lock(Mutex);
+  Refusal Out;
+  if (!Bundle || !Bundle->Reach.RouteByName.contains(Route)) {
+    Out.Reason = RefusalReason::NoBundle;
+    Out.Message = "route left the configuration; send again";
+    return Out;
+  }
+  const ReachTable &Reach = Bundle->Reach;
+  const AdmitResult Result =
+      admit(State, Reach,
+            {Reach.RouteByName.at(Route), tenantIndex(Reach, Tenant), Hash},
+            now());
+  if (Result.Admitted)
+    return std::nullopt;
+  Out.Reason = Result.Reason;
+  Out.RetryAfter = Result.RetryAfter;
+  Out.Message = "service \"" + Reach.Services[Result.Limiting].Text +
+                "\" is overloaded; send again later";
+  return Out;
+}
+
+void AdmissionService::learn(const TenantId &Tenant, const LoadReport &Load) {
+  std::scoped_lock Lock(Mutex);
+  if (!Bundle || !Load.Known)
+    return;
+  const ReachTable &Reach = Bundle->Reach;
+  std::vector<ThresholdReport> Reports;
+  for (const NamedThreshold &Threshold : Load.Thresholds)
+    if (const auto It = Reach.ServiceByName.find(Threshold.Service);
+        It != Reach.ServiceByName.end())
+      Reports.push_back({It->second, Level{Threshold.TenantLevel},
+                         Level{Threshold.CommonLevel}, Threshold.Age});
+  onReply(State, Reach, tenantIndex(Reach, Tenant), Reports, now());
+}
+
+std::vector<NamedThreshold>
+AdmissionService::relay(const RouteId &Route, const TenantId &Tenant) const {
+  std::scoped_lock Lock(Mutex);
+  std::vector<NamedThreshold> Out;
+  if (!Bundle)
+    return Out;
+  const ReachTable &Reach = Bundle->Reach;
+  const auto It = Reach.RouteByName.find(Route);
+  if (It == Reach.RouteByName.end())
+    return Out;
+  std::vector<ThresholdReport> Reports;
+  relayReports(State, Reach, It->second, tenantIndex(Reach, Tenant), now(),
+               Reports);
+  std::ranges::transform(Reports, std::back_inserter(Out),
+                         [&](const ThresholdReport &Report) {
+                           return nameThreshold(Reach, Report);
+                         });
+  return Out;
+}
+
+void AdmissionService::dump(Poco::JSON::Object &Out) const {
+  std::scoped_lock Lock(Mutex);
+  if (!Bundle)
+    return;
+  const ReachTable &Reach = Bundle->Reach;
+  Poco::JSON::Object::Ptr Tenants = new Poco::JSON::Object;
+  for (TenantIndex I = 0; I < State.Use.size(); ++I) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("admitted", State.Use[I].Admitted);
+    One->set("shed", State.Use[I].Shed);
+    Tenants->set(Reach.Tenants[I].Text, One);
+  }
+  Out.set("tenants", Tenants);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/AdmissionService.h
@@ -0,0 +1,44 @@
+#ifndef POLLENWICK_NODE_ADMISSIONSERVICE_H
+#define POLLENWICK_NODE_ADMISSIONSERVICE_H
+
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <Poco/JSON/Object.h>
+
+#include "core/admission/Ingress.h"
+#include "node/ActiveBundle.h"
+#include "peer/Calls.h"
+
+namespace pollenwick {
+
+/// Admission of root requests by the levels learned from replies. Thread-safe.
+class AdmissionService {
+public:
+  void onBundle(const BundlePtr &New);
+
+  /// Empty when admitted; otherwise the refusal, which is always "not run".
+  std::optional<Refusal> admitRoot(const RouteId &Route, const TenantId &Tenant,
+                                   std::uint64_t Hash);
+  void learn(const TenantId &Tenant, const LoadReport &Load);
+  /// Levels of the services below a route, for a reply to the caller's node.
+  std::vector<NamedThreshold> relay(const RouteId &Route,
+                                    const TenantId &Tenant) const;
+  void dump(Poco::JSON::Object &Out) const;
+
+private:
+  mutable std::mutex Mutex;
+  BundlePtr Bundle; ///< The bundle whose indexes `State` uses.
+  IngressState State;
+};
+
+/// Index of a tenant in the table; open routes without a key use the first.
+TenantIndex tenantIndex(const ReachTable &Reach, const TenantId &Tenant);
+
+NamedThreshold nameThreshold(const ReachTable &Reach,
+                             const ThresholdReport &Report);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/Callee.cpp
@@ -0,0 +1,393 @@
+#include "node/Callee.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <memory>
+#include <thread>
+
+#include "peer/Clock.h"
+
+namespace pollenwick {
+namespace {
+
+/// Time between two tries of a suspect to find the server idle.
+constexpr Duration TrialPoll = std::chrono::milliseconds(5);
+
+CallReply fromRefusal(const Refusal &Refused) {
+  return refuse(Refused.Result, Refused.Reason, Refused.Message,
+                Refused.RetryAfter.value_or(Duration::zero()));
+}
+
+CallReply notRun(RefusalReason Reason, std::string Message) {
+  return refuse(Outcome::NotRun, Reason, std::move(Message));
+}
+
+} // namespace
+
+Callee::Callee(const HostId &S, std::size_t MaxWorkers,
+               std::size_t RingCapacity, const Kernel &Registry)
+    : Self(S), Count(Registry.find<Counters>("counters")),
+      View(Registry.find<ViewService>("view")),
+      Bundles(Registry.find<BundleStore>("bundles")),
+      Admission(Registry.find<AdmissionService>("admission")),
+      Running(Registry.find<RunningService>("running")),
+      Crashes(Registry.find<CrashService>("crashes")),
+      Backend(Registry.find<BackendClient>("backend")),
+      Workers(MaxWorkers, RingCapacity) {}
+
+// A new bundle may number services, tenants and routes differently. Waiting
+// calls move to the new state by name; calls in slots are counted anew.
+void Callee::onBundle(const BundlePtr &New) {
+  const HostSpec *Here = findHost(*New, Self);
+  Started Out;
+  {
+    std::scoped_lock Lock(Mutex);
+    const bool SameIndexes = HasState && Here &&
+                             Bundle->Reach.Services == New->Reach.Services &&
+                             Bundle->Reach.Slots == New->Reach.Slots &&
+                             Bundle->Reach.Tenants == New->Reach.Tenants &&
+                             Bundle->Reach.RouteByName ==
+                                 New->Reach.RouteByName &&
+                             Bundle->Reach.Ranks == New->Reach.Ranks;
+    Bundle = New;
+    if (SameIndexes)
+      return;
+    const ReachTable &Reach = New->Reach;
+    const auto Waited = HasState ? std::move(State.Queue.ById)
+                                 : decltype(State.Queue.ById)();
+    HasState = Here && Reach.ServiceByName.contains(Here->Service);
+    if (HasState) {
+      State = makeCallee(Reach, Reach.ServiceByName.at(Here->Service), now());
+      for (const auto &[Id, Route] : InSlots) {
+        const auto It = Reach.RouteByName.find(Route);
+        ++State.InSlots;
+        ++State.Running[It == Reach.RouteByName.end()
+                            ? 0
+                            : Reach.Routes[It->second].Rank];
+      }
+    }
+    for (auto [Id, Call] : Waited) {
+      const Waiter &Entry = Waiting.at(Id);
+      const auto It = Reach.RouteByName.find(Entry.Route);
+      if (HasState && It != Reach.RouteByName.end()) {
+        Call.Route = It->second;
+        Call.Rank = Reach.Routes[It->second].Rank;
+        Call.Tenant = tenantIndex(Reach, Entry.Tenant);
+        pushCall(State.Queue, Call);
+        continue;
+      }
+      Out.Refused.emplace_back(Entry.Callback, RefusalReason::UnknownRoute);
+      Waiting.erase(Id);
+    }
+  }
+  notify(std::move(Out));
+}
+
+std::optional<CallReply>
+Callee::checkBeforeDispatch(const CallRequest &Call,
+                            const ActiveBundle &Active) {
+  const RouteEntry *Route = findRoute(Active.Routes, Call.Route);
+  if (!Route)
+    return notRun(RefusalReason::UnknownRoute,
+                  "route \"" + Call.Route.Text + "\" is not in revision " +
+                      std::to_string(Active.Key.Number.Value));
+  if (now() >= Call.Deadline)
+    return notRun(RefusalReason::DeadlineExceeded,
+                  "deadline passed before the call started");
+  if (!Route->Spec->Open && !View.holdsLease())
+    return notRun(RefusalReason::NoViewLease,
+                  "callee node cannot confirm its configuration");
+  // The internal routes of a sub-call are not for callers, so only the key is
+  // checked for them.
+  RouteSpec Checked = *Route->Spec;
+  if (Call.SubCall)
+    Checked.Internal = false;
+  const std::optional<KeyDigest> Key =
+      Call.HasKey ? std::optional(Call.Key) : std::nullopt;
+  if (Call.SubCall && !Call.HasKey && Call.Tenant.empty())
+    return std::nullopt; // The root was on an open route.
+  if (auto Refused =
+          recheckKey(Active.Keys, Checked, Key, Permission{Call.Tenant}))
+    return fromRefusal(*Refused);
+  return std::nullopt;
+}
+
+void Callee::acquire(const CallRequest &Call, CallId Id,
+                     SlotCallback Callback) {
+  if (Draining)
+    return Callback(notRun(RefusalReason::Draining,
+                           "this backend server is leaving; use another"));
+  Started Out;
+  {
+    std::scoped_lock Lock(Mutex);
+    const auto It = HasState ? Bundle->Reach.RouteByName.find(Call.Route)
+                             : decltype(Bundle->Reach.RouteByName.find(
+                                   Call.Route)){};
+    if (!HasState || It == Bundle->Reach.RouteByName.end() ||
+        Bundle->Reach.Routes[It->second].Service != State.Service) {
+      Out.Refused.emplace_back(std::move(Callback),
+                               RefusalReason::UnknownRoute);
+    } else {
+      const ReachTable &Reach = Bundle->Reach;
+      const Instant Now = now();
+      const OfferedCall Offered{Id,
+                                It->second,
+                                tenantIndex(Reach, Call.Tenant),
+                                Reach.Routes[It->second].Rank,
+                                Call.Hash,
+                                Call.SubCall,
+                                Call.AdmittedAt,
+                                Call.Deadline,
+                                Now};
+      const OfferResult Result = offerCall(State, Reach, Offered, Now);
+      if (Result.Evicted)
+        if (auto Node = Waiting.extract(*Result.Evicted))
+          Out.Refused.emplace_back(std::move(Node.mapped().Callback),
+                                   RefusalReason::Shed);
+      switch (Result.Verdict) {
+      case OfferVerdict::Run:
+        InSlots.emplace(Id, Call.Route);
+        Out.Run.push_back(std::move(Callback));
+        break;
+      case OfferVerdict::Queued:
+        Waiting.emplace(Id,
+                        Waiter{Call.Route, Call.Tenant, std::move(Callback)});
+        break;
+      case OfferVerdict::Refused:
+        Out.Refused.emplace_back(std::move(Callback), Result.Reason);
+        break;
+      }
+    }
+  }
+  notify(std::move(Out));
+}
+
+void Callee::startWaiting(Started &Out) {
+  for (;;) {
+    const TakeResult Taken = takeCall(State, now());
+    for (const CallId &Id : Taken.Expired)
+      if (auto Node = Waiting.extract(Id))
+        Out.Refused.emplace_back(std::move(Node.mapped().Callback),
+                                 RefusalReason::DeadlineExceeded);
+    if (!Taken.Call)
+      return;
+    if (auto Node = Waiting.extract(Taken.Call->Id)) {
+      InSlots.emplace(Node.key(), Node.mapped().Route);
+      Out.Run.push_back(std::move(Node.mapped().Callback));
+    }
+  }
+}
+
+void Callee::notify(Started Calls) {
+  for (auto &[Callback, Reason] : Calls.Refused)
+    Callback(notRun(Reason, Reason == RefusalReason::DeadlineExceeded
+                                ? "the call cannot meet its deadline here"
+                                : "backend server is busy; send again later"));
+  for (SlotCallback &Callback : Calls.Run)
+    Callback(std::nullopt);
+}
+
+void Callee::release(const CallRequest &Call, CallId Id, Duration Held,
+                     Duration Own, bool Completed) {
+  Started Out;
+  {
+    std::scoped_lock Lock(Mutex);
+    InSlots.erase(Id);
+    if (HasState) {
+      const auto It = Bundle->Reach.RouteByName.find(Call.Route);
+      const bool KnownRoute = It != Bundle->Reach.RouteByName.end();
+      const RouteIndex Route = KnownRoute ? It->second : 0;
+      const std::uint32_t Rank =
+          KnownRoute ? Bundle->Reach.Routes[Route].Rank : 0;
+      releaseSlot(State, {Route, Rank, Held, Own, Completed && KnownRoute},
+                  now());
+      startWaiting(Out);
+    }
+  }
+  notify(std::move(Out));
+}
+
+void Callee::tick() {
+  Started Out;
+  {
+    std::scoped_lock Lock(Mutex);
+    if (!HasState)
+      return;
+    refreshThreshold(State, Bundle->Reach, now());
+    startWaiting(Out);
+  }
+  notify(std::move(Out));
+}
+
+std::optional<CallReply> Callee::enterServer(const CallRequest &Call,
+                                             const Fingerprint &Subject) {
+  for (;;) {
+    const StartVerdict Verdict = Crashes.start(Subject);
+    if (std::holds_alternative<StartCall>(Verdict))
+      return std::nullopt;
+    if (const auto *Refused = std::get_if<Refusal>(&Verdict)) {
+      Count.add(Counter::SuspectsRefused);
+      return fromRefusal(*Refused);
+    }
+    if (const auto *Elsewhere = std::get_if<TryAt>(&Verdict)) {
+      CallReply Reply = notRun(RefusalReason::Shed,
+                               "the call runs next on host \"" +
+                                   Elsewhere->Host.Text + "\" only");
+      Reply.TryHost = Elsewhere->Host;
+      return Reply;
+    }
+    if (!std::get<ServerReserved>(Verdict).Suspect)
+      return notRun(RefusalReason::Shed,
+                    "backend server is reserved for one call; use another");
+    if (now() + TrialPoll >= Call.Deadline)
+      return notRun(RefusalReason::DeadlineExceeded,
+                    "backend server did not become idle for this call");
+    std::this_thread::sleep_for(TrialPoll);
+  }
+}
+
+CallReply Callee::runOnServer(const CallRequest &Call, Duration &SubCallTime) {
+  auto Begun = Running.begin(Call);
+  if (auto *Refused = std::get_if<Refusal>(&Begun))
+    return fromRefusal(*Refused);
+  const CallHandle Handle = std::get<CallHandle>(Begun);
+  const Instant Start = now();
+  BackendResult Result = Backend.run(Call, handleText(Handle));
+  Count.add(Counter::LocalRuns);
+  Count.observe(Latency::BackendRun, now() - Start);
+  const FinishedRun Finished = Running.finish(Handle);
+  SubCallTime = Finished.SubCallTime;
+  Result.Reply.UnusedAllowance = Finished.UnusedAllowance;
+  // The call still counts as in flight here, so that a crash makes it and all
+  // others that were running suspects.
+  if (Result.ConnectionLost)
+    Result.Reply.Suspect = Crashes.onConnectionLost(Backend);
+  return std::move(Result.Reply);
+}
+
+CallReply Callee::execute(const CallRequest &Call, CallId Id,
+                          const std::atomic<bool> *Cancelled) {
+  const Instant Start = now();
+  Duration SubCallTime{};
+  CallReply Reply;
+  const BundlePtr Active = Bundles.current();
+  if (Cancelled && Cancelled->load()) {
+    Reply = notRun(RefusalReason::Cancelled, "the caller has given up");
+  } else if (auto Refused = checkBeforeDispatch(Call, *Active)) {
+    Reply = std::move(*Refused);
+  } else {
+    const Fingerprint Subject =
+        fingerprintOf(Call.Route, Call.Tenant, Call.BodyDigest);
+    if (auto Barred = enterServer(Call, Subject)) {
+      Reply = std::move(*Barred);
+    } else {
+      // Waiting for an idle server may have outlasted the view lease.
+      if (auto Late = checkBeforeDispatch(Call, *Bundles.current()))
+        Reply = std::move(*Late);
+      else
+        Reply = runOnServer(Call, SubCallTime);
+      Crashes.finish(Subject, Reply.Result == Outcome::Done);
+    }
+  }
+  if (Reply.Result == Outcome::NotRun)
+    Reply.UnusedAllowance = Call.Allowance;
+  const Duration Held = now() - Start;
+  release(Call, Id, Held, std::max(Held - SubCallTime, Duration::zero()),
+          Reply.Result == Outcome::Done);
+  return withLoad(std::move(Reply), Call);
+}
+
+CallReply Callee::run(const CallRequest &Call) {
+  struct Wait {
+    std::mutex Mutex;
+    std::condition_variable Changed;
+    bool Decided = false;
+    std::optional<CallReply> Refused;
+  };
+  const auto State = std::make_shared<Wait>();
+  const CallId Id = nextId();
+  acquire(Call, Id, [State](std::optional<CallReply> Refused) {
+    std::scoped_lock Lock(State->Mutex);
+    State->Refused = std::move(Refused);
+    State->Decided = true;
+    State->Changed.notify_one();
+  });
+  {
+    std::unique_lock Lock(State->Mutex);
+    State->Changed.wait(Lock, [&] { return State->Decided; });
+  }
+  if (State->Refused) {
+    State->Refused->UnusedAllowance = Call.Allowance;
+    return withLoad(std::move(*State->Refused), Call);
+  }
+  return execute(Call, Id, nullptr);
+}
+
+void Callee::submit(CallRequest Call, CancelFlag Cancelled,
+                    ReplyCallback Answer) {
+  Count.add(Counter::CallsForPeers);
+  const auto Shared = std::make_shared<const CallRequest>(std::move(Call));
+  const CallId Id = nextId();
+  acquire(*Shared, Id,
+          [this, Shared, Id, Cancelled = std::move(Cancelled),
+           Answer = std::move(Answer)](std::optional<CallReply> Refused) {
+            if (Refused) {
+              Refused->UnusedAllowance = Shared->Allowance;
+              return Answer(withLoad(std::move(*Refused), *Shared));
+            }
+            const bool Queued =
+                Workers.submit([this, Shared, Id, Cancelled, Answer] {
+                  Answer(execute(*Shared, Id, Cancelled.get()));
+                });
+            if (Queued)
+              return;
+            release(*Shared, Id, Duration::zero(), Duration::zero(), false);
+            CallReply Full = notRun(RefusalReason::QueueFull,
+                                    "worker ring is full; send again later");
+            Full.UnusedAllowance = Shared->Allowance;
+            Answer(withLoad(std::move(Full), *Shared));
+          });
+}
+
+LoadReport Callee::report(const CallRequest &Call) const {
+  LoadReport Out;
+  std::scoped_lock Lock(Mutex);
+  Out.Draining = Draining;
+  if (!HasState)
+    return Out;
+  const CalleeReport Made =
+      reportFor(State, tenantIndex(Bundle->Reach, Call.Tenant), now());
+  Out.Known = true;
+  Out.InFlight = Made.InFlight;
+  Out.QueueDelay = Made.QueueDelay;
+  Out.Thresholds.push_back(nameThreshold(Bundle->Reach, Made.Threshold));
+  return Out;
+}
+
+CallReply Callee::withLoad(CallReply Reply, const CallRequest &Call) const {
+  Reply.Load = report(Call);
+  const auto Deeper = Admission.relay(Call.Route, Call.Tenant);
+  Reply.Load.Thresholds.insert(Reply.Load.Thresholds.end(), Deeper.begin(),
+                               Deeper.end());
+  return Reply;
+}
+
+bool Callee::isIdle() const {
+  std::scoped_lock Lock(Mutex);
+  return InSlots.empty() && Waiting.empty();
+}
+
+void Callee::dump(Poco::JSON::Object &Out) const {
+  std::scoped_lock Lock(Mutex);
+  Out.set("draining", Draining.load());
+  Out.set("in_slots", InSlots.size());
+  Out.set("waiting", Waiting.size());
+  Out.set("worker_threads", Workers.threads());
+  if (!HasState)
+    return;
+  Out.set("limit", limitOf(State.Limit));
+  Out.set("queue_delay_us", State.QueueDelay);
+  Out.set("common_level", State.Threshold.Common.Value);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/Callee.h
@@ -0,0 +1,102 @@
+#ifndef POLLENWICK_NODE_CALLEE_H
+#define POLLENWICK_NODE_CALLEE_H
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+#include "core/admission/Callee.h"
+#include "node/AdmissionService.h"
+#include "node/BackendClient.h"
+#include "node/Counters.h"
+#include "node/CrashService.h"
+#include "node/Kernel.h"
+#include "node/RunningService.h"
+#include "node/ViewService.h"
+#include "node/WorkerPool.h"
+#include "peer/PeerHandlers.h"
+
+namespace pollenwick {
+
+/// Runs calls on the local backend server: decides on admission, keeps the
+/// queue, repeats the checks immediately before dispatch. Thread-safe.
+class Callee {
+public:
+  Callee(const HostId &Self, std::size_t Workers, std::size_t RingCapacity,
+         const Kernel &Registry);
+
+  void onBundle(const BundlePtr &New);
+
+  /// Runs a call of this node in the calling thread; waits for a slot.
+  CallReply run(const CallRequest &Call);
+
+  /// Runs a call of another node; answers from a worker thread. Never blocks.
+  void submit(CallRequest Call, CancelFlag Cancelled, ReplyCallback Answer);
+
+  /// From now on every call is refused with "not run: draining".
+  void beginDrain() { Draining = true; }
+  bool isDraining() const { return Draining; }
+  bool isIdle() const;
+
+  /// Ends measuring windows and drops waiting calls that are overdue.
+  void tick();
+  void stop() { Workers.stop(); }
+  void dump(Poco::JSON::Object &Out) const;
+
+private:
+  /// Called once per call: without a refusal a slot was taken.
+  using SlotCallback = std::function<void(std::optional<CallReply> Refused)>;
+
+  struct Waiter {
+    RouteId Route;
+    TenantId Tenant;
+    SlotCallback Callback;
+  };
+  struct Started {
+    std::vector<SlotCallback> Run;
+    std::vector<std::pair<SlotCallback, RefusalReason>> Refused;
+  };
+
+  void acquire(const CallRequest &Call, CallId Id, SlotCallback Callback);
+  void release(const CallRequest &Call, CallId Id, Duration Held, Duration Own,
+               bool Completed);
+  void startWaiting(Started &Out);
+  static void notify(Started Calls);
+
+  /// Needs a slot; frees it.
+  CallReply execute(const CallRequest &Call, CallId Id,
+                    const std::atomic<bool> *Cancelled);
+  std::optional<CallReply> checkBeforeDispatch(const CallRequest &Call,
+                                               const ActiveBundle &Bundle);
+  std::optional<CallReply> enterServer(const CallRequest &Call,
+                                       const Fingerprint &Subject);
+  CallReply runOnServer(const CallRequest &Call, Duration &SubCallTime);
+  LoadReport report(const CallRequest &Call) const;
+  CallReply withLoad(CallReply Reply, const CallRequest &Call) const;
+  CallId nextId() { return CallId(++LastId); }
+
+  const HostId Self;
+  Counters &Count;
+  ViewService &View;
+  BundleStore &Bundles;
+  AdmissionService &Admission;
+  RunningService &Running;
+  CrashService &Crashes;
+  BackendClient &Backend;
+  WorkerPool Workers;
+  std::atomic<bool> Draining = false;
+  std::atomic<std::uint64_t> LastId = 0;
+
+  mutable std::mutex Mutex;
+  BundlePtr Bundle; ///< The bundle whose indexes `State` uses.
+  bool HasState = false;
+  CalleeState State;
+  std::unordered_map<CallId, Waiter> Waiting;
+  std::unordered_map<CallId, RouteId> InSlots;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/CallerPort.cpp
@@ -0,0 +1,168 @@
+#include "node/CallerPort.h"
+
+#include <algorithm>
+#include <ostream>
+#include <variant>
+
+#include <Poco/NumberParser.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include "bundle/Digests.h"
+#include "peer/Clock.h"
+
+namespace pollenwick {
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::size_t DefaultMaxBody = 8U << 20;
+
+std::vector<HeaderField> passedHeaders(const HTTPServerRequest &Request) {
+  std::vector<HeaderField> Out;
+  for (const auto &[Name, Value] : Request)
+    if (!isHopHeader(Name))
+      Out.push_back({Name, Value});
+  return Out;
+}
+
+std::optional<KeyDigest> keyOf(const HTTPServerRequest &Request) {
+  const std::string Value = Request.get("Authorization", "");
+  if (!Value.starts_with(BearerPrefix))
+    return std::nullopt;
+  return keyDigest(std::string_view(Value).substr(BearerPrefix.size()));
+}
+
+std::optional<Duration> deadlineOf(const HTTPServerRequest &Request) {
+  Poco::UInt64 Millis = 0;
+  constexpr Poco::UInt64 MaxMillis = 3'600'000;
+  if (!Poco::NumberParser::tryParseUnsigned64(
+          Request.get("Pollenwick-Deadline-Ms", ""), Millis))
+    return std::nullopt;
+  return std::chrono::milliseconds(std::min(Millis, MaxMillis));
+}
+
+CallReply fromRefusal(const Refusal &Refused) {
+  return refuse(Refused.Result, Refused.Reason, Refused.Message,
+                Refused.RetryAfter.value_or(Duration::zero()));
+}
+
+void writeReply(const CallReply &Reply, const std::string &Method,
+                HTTPServerResponse &Response) {
+  Response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(Reply.Status));
+  Response.setReason(
+      HTTPServerResponse::getReasonForStatus(Response.getStatus()));
+  for (const HeaderField &Field : Reply.Headers)
+    Response.add(Field.Name, Field.Value);
+  Response.set("Pollenwick-Outcome", std::string(outcomeText(Reply.Result)));
+  std::string Text;
+  if (Reply.Result != Outcome::Done) {
+    Response.set("Pollenwick-Reason", std::string(reasonText(Reply.Reason)));
+    if (Reply.RetryAfter > Duration::zero())
+      Response.set("Retry-After",
+                   std::to_string(
+                       std::chrono::ceil<std::chrono::seconds>(Reply.RetryAfter)
+                           .count()));
+    Text = Reply.Message + "\n";
+    Response.setContentType("text/plain; charset=utf-8");
+  }
+  const std::string &Body = Reply.Result == Outcome::Done ? Reply.Body : Text;
+  Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+  std::ostream &Out = Response.send();
+  if (Method != "HEAD")
+    Out.write(Body.data(), static_cast<std::streamsize>(Body.size()));
+  Out.flush();
+}
+
+std::size_t maxBody(const HttpCalls &Node) {
+  const BundlePtr Active = Node.Bundles.current();
+  return Active ? Active->Rules->Rules.MaxBodyBytes : DefaultMaxBody;
+}
+
+CallReply badBody(const Refusal &Refused, const HTTPServerRequest &Request,
+                  HTTPServerResponse &Response) {
+  // A body that was not read would be taken for the next request.
+  Response.setKeepAlive(false);
+  CallReply Reply = fromRefusal(Refused);
+  // An earlier use of the ticket may have run.
+  if (Request.has("Pollenwick-Ticket"))
+    Reply.Result = Outcome::Unknown;
+  return Reply;
+}
+
+CallReply runSubCall(const HttpCalls &Node, HTTPServerRequest &Request,
+                     std::string Bytes) {
+  Node.Count.add(Counter::SubCalls);
+  const auto Handle = parseHandle(Request.get("Pollenwick-Call", ""));
+  const BundlePtr Active = Node.Bundles.current();
+  if (!Handle || !Active)
+    return refuse(Outcome::NotRun, RefusalReason::EdgeNotDeclared,
+                  "sub-call without a call handle; copy Pollenwick-Call from "
+                  "the request that is running");
+  const RouteEntry *Route = findRouteOfPath(Active->Routes, Request.getURI());
+  if (!Route)
+    return refuse(Outcome::NotRun, RefusalReason::UnknownRoute,
+                  "no route has this path; check it");
+  auto Begun = Node.Running.beginSub(*Active, *Handle, Route->Spec->Id);
+  if (const auto *Refused = std::get_if<Refusal>(&Begun))
+    return fromRefusal(*Refused);
+  const GrantedSubCall &Sub = std::get<GrantedSubCall>(Begun);
+  const Instant Start = now();
+  CallRequest Call;
+  Call.Route = Route->Spec->Id;
+  Call.Method = Request.getMethod();
+  Call.PathAndQuery = Request.getURI();
+  Call.Headers = passedHeaders(Request);
+  Call.Tenant = Sub.Grant.Tenant;
+  // The class of the root decides for the whole tree.
+  Call.Class = Sub.Grant.Class;
+  Call.Root = Sub.Grant.Root;
+  Call.Hash = Sub.Hash;
+  Call.Deadline = Sub.Grant.Deadline;
+  if (const auto Asked = deadlineOf(Request))
+    Call.Deadline = std::min(Call.Deadline, Start + *Asked);
+  Call.AdmittedAt = Sub.AdmittedAt;
+  Call.Allowance = Sub.Grant.Allowance;
+  Call.Key = Sub.Key;
+  Call.HasKey = Sub.HasKey;
+  Call.DecidedAt = Active->Key.Number;
+  Call.SubCall = true;
+  Call.BodyDigest = sha256(Bytes);
+  Call.Body = std::move(Bytes);
+  CallReply Reply = Node.Calls.forward(std::move(Call), *Active, *Route);
+  Node.Running.finishSub(Sub, Reply, now() - Start);
+  return Reply;
+}
+
+} // namespace
+
+void handleCaller(const HttpCalls &Node, HTTPServerRequest &Request,
+                  HTTPServerResponse &Response) {
+  Body Content(Node.Bodies);
+  const std::string Method = Request.getMethod();
+  if (auto Refused = Content.read(Request, maxBody(Node)))
+    return writeReply(badBody(*Refused, Request, Response), Method, Response);
+  RootArrival Arrival;
+  Arrival.Method = Method;
+  Arrival.PathAndQuery = Request.getURI();
+  Arrival.Headers = passedHeaders(Request);
+  Arrival.Body = std::move(Content.Bytes);
+  Arrival.Key = keyOf(Request);
+  Arrival.Ticket = Request.get("Pollenwick-Ticket", "");
+  Arrival.Deadline = deadlineOf(Request);
+  writeReply(Node.Roots.handle(std::move(Arrival)), Method, Response);
+}
+
+void handleEgress(const HttpCalls &Node, HTTPServerRequest &Request,
+                  HTTPServerResponse &Response) {
+  Body Content(Node.Bodies);
+  const std::string Method = Request.getMethod();
+  if (auto Refused = Content.read(Request, maxBody(Node)))
+    return writeReply(badBody(*Refused, Request, Response), Method, Response);
+  writeReply(runSubCall(Node, Request, std::move(Content.Bytes)), Method,
+             Response);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/CallerPort.h
@@ -0,0 +1,35 @@
+#ifndef POLLENWICK_NODE_CALLERPORT_H
+#define POLLENWICK_NODE_CALLERPORT_H
+
+#include "node/Body.h"
+#include "node/Ingress.h"
+#include "node/RunningService.h"
+
+namespace Poco::Net {
+class HTTPServerRequest;
+class HTTPServerResponse;
+} // namespace Poco::Net
+
+namespace pollenwick {
+
+/// Translates between HTTP and the calls of the node.
+struct HttpCalls {
+  Ingress &Roots;
+  Forwarder &Calls;
+  RunningService &Running;
+  BundleStore &Bundles;
+  Counters &Count;
+  BodyBudget &Bodies;
+};
+
+/// Answers a request on the caller port.
+void handleCaller(const HttpCalls &Node, Poco::Net::HTTPServerRequest &Request,
+                  Poco::Net::HTTPServerResponse &Response);
+
+/// Answers a sub-call of the local backend server on the egress port.
+void handleEgress(const HttpCalls &Node, Poco::Net::HTTPServerRequest &Request,
+                  Poco::Net::HTTPServerResponse &Response);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/Counters.h
@@ -0,0 +1,99 @@
+#ifndef POLLENWICK_NODE_COUNTERS_H
+#define POLLENWICK_NODE_COUNTERS_H
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <Poco/JSON/Object.h>
+
+#include "pollenwick/Ids.h"
+#include "pollenwick/Outcome.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// What a node counts. `Counters.cpp` holds the names and descriptions.
+enum class Counter : std::uint8_t {
+  RootRequests,
+  RootAnswered,
+  SubCalls,
+  CallsForPeers,
+  LocalRuns,
+  Retries,
+  TicketsMinted,
+  TicketReplays,
+  ClaimsForwarded,
+  QuotaBorrows,
+  QuotaCachedSpends,
+  QuotaRecalls,
+  BackendCrashes,
+  SuspectsRefused,
+  BundlesAccepted,
+  BundlesRejected,
+  ConfigReads,
+  ConfigReadErrors,
+  HeartbeatsSent,
+  HeartbeatsReceived,
+  HeartbeatsRejected,
+  PeerRequests,
+  Count,
+};
+
+enum class Latency : std::uint8_t {
+  RootRequest,    ///< Whole root request at its ingress.
+  BackendRun,     ///< Exchange with the local backend server.
+  AddedByIngress, ///< Root request less the exchange with the callee node.
+  Count,
+};
+
+/// Last refusals, newest first, to answer why a call was refused.
+struct RefusalRecord {
+  std::string When; ///< UTC.
+  RefusalReason Reason;
+  Outcome Result;
+  TenantId Tenant;
+  RouteId Route;
+  std::string Message;
+};
+
+/// Counters and histograms of a node. Thread-safe.
+class Counters {
+public:
+  Counters();
+  ~Counters();
+
+  void add(Counter Which, std::uint64_t Amount = 1) {
+    Values[static_cast<std::size_t>(Which)].fetch_add(
+        Amount, std::memory_order_relaxed);
+  }
+  std::uint64_t value(Counter Which) const {
+    return Values[static_cast<std::size_t>(Which)].load(
+        std::memory_order_relaxed);
+  }
+
+  void observe(Latency Which, Duration Took);
+  void refused(RefusalRecord Record);
+
+  /// Text exposition format of counters and histograms.
+  std::string exposition() const;
+  void dump(Poco::JSON::Object &Out) const;
+
+private:
+  struct Histograms;
+  std::array<std::atomic<std::uint64_t>,
+             static_cast<std::size_t>(Counter::Count)>
+      Values{};
+  std::unique_ptr<Histograms> Series;
+  mutable std::mutex Mutex;
+  std::array<std::uint64_t, 32> ByReason{};
+  std::deque<RefusalRecord> Last;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/Forwarder.cpp
@@ -0,0 +1,182 @@
+#include "node/Forwarder.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include <Poco/JSON/Array.h>
+
+#include "peer/Clock.h"
+
+namespace pollenwick {
+namespace {
+
+/// Bounds the hosts that one call tries when they refuse it without running it.
+constexpr std::size_t MaxAttempts = 4;
+
+/// Another host would give the same answer.
+bool isFinal(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::UnknownKey:
+  case RefusalReason::RouteNotAllowed:
+  case RefusalReason::DeadlineExceeded:
+  case RefusalReason::Quarantined:
+  case RefusalReason::BodyTooLarge:
+  case RefusalReason::Cancelled:
+    return true;
+  default:
+    return false;
+  }
+}
+
+HostReplyKind kindOf(const CallReply &Reply) {
+  if (Reply.Reason == RefusalReason::Draining)
+    return HostReplyKind::Draining;
+  if (Reply.Load.Known && Reply.Reason != RefusalReason::BackendServerLost &&
+      Reply.Reason != RefusalReason::NoBackendServer)
+    return HostReplyKind::Answered;
+  return HostReplyKind::Failed;
+}
+
+/// Allowance that came back: without a reply of the callee node it is lost,
+/// unless nothing was sent.
+std::uint32_t unusedAfter(const CallReply &Reply, const CallRequest &Call) {
+  if (Reply.Load.Known)
+    return Reply.UnusedAllowance;
+  return Reply.Result == Outcome::NotRun ? Call.Allowance : 0;
+}
+
+} // namespace
+
+Forwarder::Forwarder(const IncarnationId &S, const ZoneId &Z,
+                     std::uint64_t Seed, const Kernel &Registry)
+    : Self(S), Zone(Z), Count(Registry.find<Counters>("counters")),
+      Admission(Registry.find<AdmissionService>("admission")),
+      Running(Registry.find<RunningService>("running")),
+      Local(Registry.find<Callee>("callee")),
+      Peers(Registry.find<PeerDuty>("peers")), Random(Seed) {}
+
+void Forwarder::onBundle(const BundlePtr &New) {
+  std::scoped_lock Lock(Mutex);
+  Table = makeHostTable(*New->Rules, New->Reach, Bundle ? &Table : nullptr,
+                        now());
+  Bundle = New;
+}
+
+Forwarder::Choice Forwarder::choose(const ServiceId &Service,
+                                    const std::vector<HostId> &Tried) {
+  std::scoped_lock Lock(Mutex);
+  const auto It = Bundle->Reach.ServiceByName.find(Service);
+  if (It == Bundle->Reach.ServiceByName.end())
+    return {{}, RefusalReason::NoBackendServer};
+  std::vector<HostIndex> TriedIndexes;
+  for (const HostId &Host : Tried)
+    if (const auto Found = Table.ByName.find(Host);
+        Found != Table.ByName.end())
+      TriedIndexes.push_back(Found->second);
+  const auto Here = std::ranges::find(Table.Zones, Zone);
+  const auto ZoneIndex =
+      static_cast<std::uint32_t>(Here - Table.Zones.begin());
+  const HostChoice Chosen = chooseHost(
+      Table, {It->second, ZoneIndex, TriedIndexes}, Random, now());
+  if (!Chosen.Host)
+    return {{}, Chosen.Reason};
+  return {Bundle->Rules->Hosts[*Chosen.Host].Id, RefusalReason::None};
+}
+
+CallReply Forwarder::attempt(const HostId &Host, const CallRequest &Call,
+                             const ActiveBundle &Active) {
+  if (Host == Self.Host)
+    return Local.run(Call);
+  const HostSpec *Spec = findHost(Active, Host);
+  if (!Spec)
+    return refuse(Outcome::NotRun, RefusalReason::PeerLost,
+                  "host left the configuration");
+  Count.add(Counter::PeerRequests);
+  return Peers.call(peerAddress(*Spec), Call);
+}
+
+void Forwarder::countReply(const HostId &Host, const CallReply &Reply) {
+  std::scoped_lock Lock(Mutex);
+  if (const auto It = Table.ByName.find(Host); It != Table.ByName.end())
+    onHostReply(Table, It->second, {kindOf(Reply), Reply.Load.InFlight},
+                now());
+}
+
+CallReply Forwarder::forward(CallRequest Call, const ActiveBundle &Active,
+                             const RouteEntry &Route) {
+  const RouteSpec &Spec = *Route.Spec;
+  RetryAllowance Held{Call.Allowance};
+  std::vector<HostId> Tried;
+  HostId Wanted;
+  Running.firstAttempt(Spec.Service, Active.Rules->Rules.RetryRatioPermille);
+  Call.Caller = Self;
+  for (;;) {
+    // A host that a refusal named is not chosen by load, nor counted.
+    const bool Named = !Wanted.empty();
+    Choice Next = Named ? Choice{std::exchange(Wanted, {})}
+                        : choose(Spec.Service, Tried);
+    if (Next.Host.empty()) {
+      CallReply None = refuse(Outcome::NotRun, Next.Reason,
+                              "no backend server of service \"" +
+                                  Spec.Service.Text + "\" takes calls");
+      None.UnusedAllowance = Held.Left;
+      return None;
+    }
+    Call.Id = CallId(++LastId);
+    Call.Allowance = delegate(Held);
+    CallReply Reply = attempt(Next.Host, Call, Active);
+    giveBack(Held, Call.Allowance, unusedAfter(Reply, Call));
+    Admission.learn(Call.Tenant, Reply.Load);
+    if (!Named)
+      countReply(Next.Host, Reply);
+    Tried.push_back(Next.Host);
+    Reply.UnusedAllowance = Held.Left;
+    if (Reply.Result == Outcome::Done || isFinal(Reply.Reason) ||
+        Tried.size() >= MaxAttempts)
+      return Reply;
+    Wanted = Reply.TryHost;
+    const RetryVerdict Verdict = Running.decideRetry(
+        Held, {Reply.Result, Spec.Idempotent, Reply.Suspect, Route.RetryCost,
+               Spec.Service, Call.Deadline});
+    if (Verdict != RetryVerdict::Retry) {
+      Reply.UnusedAllowance = Held.Left;
+      return Reply;
+    }
+    Count.add(Counter::Retries);
+  }
+}
+
+void Forwarder::onLeaving(const HostId &Host) {
+  std::scoped_lock Lock(Mutex);
+  if (const auto It = Table.ByName.find(Host); It != Table.ByName.end())
+    onHostLeaving(Table, It->second, now());
+}
+
+void Forwarder::onIncarnation(const HostId &Host, StartId Start) {
+  std::scoped_lock Lock(Mutex);
+  if (const auto It = Table.ByName.find(Host); It != Table.ByName.end())
+    onHostIncarnation(Table, It->second, Start.Value, now());
+}
+
+void Forwarder::onHostList(const HostId &Host, bool Leaving) {
+  std::scoped_lock Lock(Mutex);
+  if (const auto It = Table.ByName.find(Host); It != Table.ByName.end())
+    onHostListHint(Table, It->second, Leaving);
+}
+
+void Forwarder::dump(Poco::JSON::Object &Out) const {
+  std::scoped_lock Lock(Mutex);
+  Poco::JSON::Array::Ptr Hosts = new Poco::JSON::Array;
+  for (HostIndex I = 0; I < Table.Hosts.size(); ++I) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("host", Bundle->Rules->Hosts[I].Id.Text);
+    One->set("own_in_flight", Table.Hosts[I].Own);
+    One->set("load", loadOf(Table, I, now()));
+    One->set("draining", isDraining(Table, I, now()));
+    One->set("ejected", isEjected(Table, I, now()));
+    Hosts->add(One);
+  }
+  Out.set("hosts", Hosts);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/Forwarder.h
@@ -0,0 +1,65 @@
+#ifndef POLLENWICK_NODE_FORWARDER_H
+#define POLLENWICK_NODE_FORWARDER_H
+
+#include <atomic>
+#include <mutex>
+#include <random>
+
+#include "core/routing/Routing.h"
+#include "node/AdmissionService.h"
+#include "node/Callee.h"
+#include "node/Counters.h"
+#include "node/Kernel.h"
+#include "node/RunningService.h"
+#include "peer/PeerDuty.h"
+
+namespace pollenwick {
+
+/// Sends calls to a backend server of the wanted service and retries them
+/// within their allowance. Thread-safe.
+class Forwarder {
+public:
+  Forwarder(const IncarnationId &Self, const ZoneId &Zone, std::uint64_t Seed,
+            const Kernel &Registry);
+
+  void onBundle(const BundlePtr &New);
+
+  /// Runs the call somewhere; `Call.Id` and `Call.Caller` are set here. The
+  /// reply's unused allowance is what is left of `Call.Allowance`.
+  CallReply forward(CallRequest Call, const ActiveBundle &Bundle,
+                    const RouteEntry &Route);
+
+  void onLeaving(const HostId &Host);
+  void onIncarnation(const HostId &Host, StartId Start);
+  void onHostList(const HostId &Host, bool Leaving);
+  void dump(Poco::JSON::Object &Out) const;
+
+private:
+  struct Choice {
+    HostId Host;
+    RefusalReason Reason = RefusalReason::None;
+  };
+
+  Choice choose(const ServiceId &Service, const std::vector<HostId> &Tried);
+  CallReply attempt(const HostId &Host, const CallRequest &Call,
+                    const ActiveBundle &Bundle);
+  void countReply(const HostId &Host, const CallReply &Reply);
+
+  const IncarnationId Self;
+  const ZoneId Zone;
+  Counters &Count;
+  AdmissionService &Admission;
+  RunningService &Running;
+  Callee &Local;
+  PeerDuty &Peers;
+  std::atomic<std::uint64_t> LastId = 0;
+
+  mutable std::mutex Mutex;
+  BundlePtr Bundle; ///< The bundle whose indexes `Table` uses.
+  HostTable Table;
+  std::mt19937_64 Random;
+};
+
+} // namespace pollenwick
+
+#endif
--- a/src/node/HttpPort.cpp
+++ b/src/node/HttpPort.cpp
@@ -112,8 +112,8 @@
     Params->setTimeout(Poco::Timespan(SocketTimeoutSeconds, 0));
     Params->setSoftwareVersion("pollenwick");
     Server = std::make_unique<Poco::Net::HTTPServer>(
-        new Factory(Handler, Draining, InFlight), *Threads,
-        openSocket(Options), Params);
+        new Factory(Handler, Draining, InFlight), *Threads, openSocket(Options),
+        Params);
     Server->start();
     return "";
   } catch (const Poco::Exception &Error) {
--- /dev/null
+++ b/src/node/Ingress.cpp
@@ -0,0 +1,289 @@
+#include "node/Ingress.h"
+
+#include <algorithm>
+#include <memory>
+#include <stdexcept>
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Timestamp.h>
+#include <openssl/rand.h>
+
+#include "bundle/Digests.h"
+#include "peer/Clock.h"
+
+namespace pollenwick {
+namespace {
+
+constexpr Duration MinDeadline = std::chrono::milliseconds(1);
+/// A caller that asks again for a running ticket is told to wait this long.
+constexpr Duration InProgressRetry = std::chrono::milliseconds(200);
+
+CallReply fromRefusal(const Refusal &Refused) {
+  return refuse(Refused.Result, Refused.Reason, Refused.Message,
+                Refused.RetryAfter.value_or(Duration::zero()));
+}
+
+CallReply fromAnswer(const TicketAnswer &Answer) {
+  CallReply Reply;
+  Reply.Result = Outcome::Done;
+  Reply.Status = static_cast<std::uint16_t>(Answer.Status);
+  Reply.Body = Answer.Body;
+  if (!Answer.ContentType.empty())
+    Reply.Headers.push_back({"Content-Type", Answer.ContentType});
+  return Reply;
+}
+
+TicketResult ticketResultOf(const CallReply &Reply) {
+  TicketResult Out{Reply.Result, Reply.Reason, std::nullopt};
+  if (Reply.Result != Outcome::Done)
+    return Out;
+  const std::string *Type = findHeader(Reply.Headers, "Content-Type");
+  Out.Answer = TicketAnswer{Reply.Status, Type ? *Type : "", Reply.Body};
+  return Out;
+}
+
+std::string utcNow() {
+  return Poco::DateTimeFormatter::format(
+      Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FRAC_FORMAT);
+}
+
+} // namespace
+
+Ingress::Ingress(const IncarnationId &S, std::size_t ClaimWorkers,
+                 std::size_t RingCapacity, const Kernel &Registry)
+    : Self(S), Count(Registry.find<Counters>("counters")),
+      View(Registry.find<ViewService>("view")),
+      Bundles(Registry.find<BundleStore>("bundles")),
+      Admission(Registry.find<AdmissionService>("admission")),
+      Quota(Registry.find<QuotaService>("quota")),
+      Crashes(Registry.find<CrashService>("crashes")),
+      Calls(Registry.find<Forwarder>("forwarder")),
+      Peers(Registry.find<PeerDuty>("peers")),
+      Claims(ClaimWorkers, RingCapacity), Random(S.Start.Value) {
+  Tickets.Self = S;
+  if (RAND_bytes(Tickets.Key.data(), static_cast<int>(Tickets.Key.size())) != 1)
+    throw std::runtime_error("no randomness for the ticket key");
+}
+
+std::optional<CallReply> Ingress::checkArrival(CallRequest &Call,
+                                               const ActiveBundle &Active,
+                                               const RouteEntry &Route) {
+  const RouteSpec &Spec = *Route.Spec;
+  const auto Permitted = resolveKey(
+      Active.Keys, Spec,
+      Call.HasKey ? std::optional(Call.Key) : std::nullopt);
+  if (const auto *Refused = std::get_if<Refusal>(&Permitted))
+    return fromRefusal(*Refused);
+  Call.Tenant = std::get<Permission>(Permitted).Tenant;
+  if (!Spec.Open && !View.holdsLease())
+    return refuse(Outcome::NotRun, RefusalReason::NoViewLease,
+                  "this node cannot confirm its configuration; use another",
+                  std::chrono::seconds(1));
+  if (Crashes.quarantined(
+          fingerprintOf(Call.Route, Call.Tenant, Call.BodyDigest))) {
+    Count.add(Counter::SuspectsRefused);
+    return refuse(Outcome::NotRun, RefusalReason::Quarantined,
+                  "this request crashed backend servers; send another");
+  }
+  return std::nullopt;
+}
+
+CallReply Ingress::handle(RootArrival Arrival) {
+  Count.add(Counter::RootRequests);
+  const Instant Start = now();
+  CallRequest Call;
+  CallReply Reply;
+  const BundlePtr Active = Bundles.current();
+  const RouteEntry *Route =
+      Active ? findRouteOfPath(Active->Routes, Arrival.PathAndQuery) : nullptr;
+  if (!Active) {
+    Reply = refuse(Outcome::NotRun, RefusalReason::NoBundle,
+                   "this node has no configuration yet; use another",
+                   std::chrono::seconds(1));
+  } else if (!Route) {
+    Reply = refuse(Outcome::NotRun, RefusalReason::UnknownRoute,
+                   "no route has this path; check it");
+  } else {
+    const RouteSpec &Spec = *Route->Spec;
+    Call.Route = Spec.Id;
+    Call.Class = Spec.Class;
+    Call.Method = std::move(Arrival.Method);
+    Call.PathAndQuery = std::move(Arrival.PathAndQuery);
+    Call.Headers = std::move(Arrival.Headers);
+    Call.BodyDigest = sha256(Arrival.Body);
+    Call.Body = std::move(Arrival.Body);
+    Call.HasKey = Arrival.Key.has_value();
+    Call.Key = Arrival.Key.value_or(KeyDigest{});
+    Call.AdmittedAt = Start;
+    Call.Deadline =
+        Start + std::clamp(Arrival.Deadline.value_or(Spec.Deadline),
+                           MinDeadline, Spec.Deadline);
+    Call.Allowance = Active->Rules->Rules.RetryAllowance;
+    Call.DecidedAt = Active->Key.Number;
+    {
+      std::scoped_lock Lock(Mutex);
+      Call.Root = RootId(Random());
+      Call.Hash = Random();
+    }
+    Reply = decide(Call, Arrival.Ticket, *Active, *Route);
+  }
+  // Before the ticket was looked up nothing is known about its earlier uses.
+  const bool Claimed = Route && !Route->Spec->Idempotent && !Call.Route.empty();
+  if (!Arrival.Ticket.empty() && !Claimed && Reply.Result == Outcome::NotRun)
+    Reply.Result = Outcome::Unknown;
+  Count.observe(Latency::RootRequest, now() - Start);
+  record(Reply, Call);
+  return Reply;
+}
+
+CallReply Ingress::decide(CallRequest &Call, const std::string &Ticket,
+                          const ActiveBundle &Active, const RouteEntry &Route) {
+  if (auto Refused = checkArrival(Call, Active, Route)) {
+    if (!Ticket.empty())
+      Refused->Result = Outcome::Unknown; // An earlier use may have run.
+    return std::move(*Refused);
+  }
+  if (Route.Spec->Idempotent)
+    return admitAndRun(Call, Active, Route);
+  if (Ticket.empty())
+    return withNewTicket(
+        refuse(Outcome::NotRun, RefusalReason::TicketNeeded,
+               "this route runs at most once; send the request again with the "
+               "ticket in Pollenwick-Ticket"),
+        Call, Active);
+  return runTicketed(Call, Ticket, Active, Route);
+}
+
+CallReply Ingress::withNewTicket(CallReply Reply, const CallRequest &Call,
+                                 const ActiveBundle &Active) {
+  std::scoped_lock Lock(Mutex);
+  const auto Minted = mintTicket(Tickets, Call.Tenant, Call.Route,
+                                 Active.Rules->Rules.TicketLifetime, now());
+  if (const auto *Full = std::get_if<Refusal>(&Minted))
+    return fromRefusal(*Full);
+  Count.add(Counter::TicketsMinted);
+  Reply.Headers.push_back(
+      {"Pollenwick-Ticket", ticketText(std::get<Ticket>(Minted))});
+  return Reply;
+}
+
+CallReply Ingress::runTicketed(const CallRequest &Call,
+                               const std::string &Text,
+                               const ActiveBundle &Active,
+                               const RouteEntry &Route) {
+  ClaimResult Claimed;
+  {
+    std::scoped_lock Lock(Mutex);
+    Claimed = claimTicket(
+        Tickets, {Text, Call.Tenant, Call.Route, Call.BodyDigest}, now());
+  }
+  if (const auto *Elsewhere = std::get_if<ForwardTo>(&Claimed))
+    return forwardClaim(Elsewhere->Issuer, Text, Call, Active);
+  if (const auto *Known = std::get_if<Replay>(&Claimed)) {
+    Count.add(Counter::TicketReplays);
+    return fromAnswer(Known->Answer);
+  }
+  if (std::holds_alternative<InProgress>(Claimed))
+    return refuse(Outcome::Unknown, RefusalReason::TicketUsed,
+                  "the first use of the ticket is still running; ask again",
+                  InProgressRetry);
+  if (const auto *Refused = std::get_if<Refusal>(&Claimed)) {
+    CallReply Reply = fromRefusal(*Refused);
+    return Reply.Result == Outcome::NotRun
+               ? withNewTicket(std::move(Reply), Call, Active)
+               : Reply;
+  }
+  const std::uint64_t Sequence = std::get<Execute>(Claimed).Sequence;
+  CallReply Reply = admitAndRun(Call, Active, Route);
+  {
+    std::scoped_lock Lock(Mutex);
+    finishTicket(Tickets, Sequence, ticketResultOf(Reply));
+  }
+  // A refused use spends its ticket; the caller gets another to try again.
+  return Reply.Result == Outcome::NotRun
+             ? withNewTicket(std::move(Reply), Call, Active)
+             : Reply;
+}
+
+CallReply Ingress::forwardClaim(const HostId &Issuer, const std::string &Ticket,
+                                const CallRequest &Call,
+                                const ActiveBundle &Active) {
+  Count.add(Counter::ClaimsForwarded);
+  const HostSpec *Host = findHost(Active, Issuer);
+  if (!Host || Issuer == Self.Host)
+    return fromRefusal(issuerUnreachable(Issuer));
+  CallReply Reply = Peers.claim(peerAddress(*Host), Ticket, Call);
+  // "Not run" of this attempt says nothing about an earlier one.
+  if (Reply.Reason == RefusalReason::PeerLost ||
+      Reply.Reason == RefusalReason::QueueFull)
+    return fromRefusal(issuerUnreachable(Issuer));
+  return Reply;
+}
+
+CallReply Ingress::claimHere(const std::string &Ticket, CallRequest Call) {
+  const BundlePtr Active = Bundles.current();
+  const RouteEntry *Route =
+      Active ? findRoute(Active->Routes, Call.Route) : nullptr;
+  // The ticket may have been used before, so nothing here says "not run"
+  // without having asked the ticket book.
+  if (!Route || Route->Spec->Idempotent)
+    return refuse(Outcome::Unknown, RefusalReason::UnknownRoute,
+                  "issuer does not know this route; ask again later");
+  if (auto Refused = checkArrival(Call, *Active, *Route)) {
+    Refused->Result = Outcome::Unknown;
+    return std::move(*Refused);
+  }
+  Call.Allowance = Active->Rules->Rules.RetryAllowance;
+  return runTicketed(Call, Ticket, *Active, *Route);
+}
+
+void Ingress::submitClaim(std::string Ticket, CallRequest Call,
+                          CancelFlag Cancelled, ReplyCallback Answer) {
+  const auto Shared = std::make_shared<CallRequest>(std::move(Call));
+  const bool Queued = Claims.submit(
+      [this, Ticket = std::move(Ticket), Shared, Cancelled, Answer] {
+        if (Cancelled->load())
+          return Answer(refuse(Outcome::Unknown, RefusalReason::Cancelled,
+                               "the caller has given up"));
+        CallReply Reply = claimHere(Ticket, std::move(*Shared));
+        Answer(std::move(Reply));
+      });
+  if (!Queued)
+    Answer(refuse(Outcome::Unknown, RefusalReason::QueueFull,
+                  "issuer is busy; ask again later"));
+}
+
+CallReply Ingress::admitAndRun(const CallRequest &Call,
+                               const ActiveBundle &Active,
+                               const RouteEntry &Route) {
+  if (auto Refused = Admission.admitRoot(Call.Route, Call.Tenant, Call.Hash))
+    return fromRefusal(*Refused);
+  if (!Call.Tenant.empty())
+    if (auto Refused = Quota.spendOne(Call.Tenant, Call.Deadline))
+      return fromRefusal(*Refused);
+  return Calls.forward(Call, Active, Route);
+}
+
+void Ingress::record(const CallReply &Reply, const CallRequest &Call) {
+  if (Reply.Result == Outcome::Done) {
+    Count.add(Counter::RootAnswered);
+    return;
+  }
+  Count.refused({utcNow(), Reply.Reason, Reply.Result, Call.Tenant, Call.Route,
+                 Reply.Message});
+}
+
+void Ingress::tick() {
+  std::scoped_lock Lock(Mutex);
+  expireTickets(Tickets, now());
+}
+
+void Ingress::dump(Poco::JSON::Object &Out) const {
+  std::scoped_lock Lock(Mutex);
+  Out.set("tickets_remembered", Tickets.Used.size());
+  Out.set("ticket_answer_bytes", Tickets.AnswerBytes);
+  Out.set("claim_threads", Claims.threads());
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/Ingress.h
@@ -0,0 +1,84 @@
+#ifndef POLLENWICK_NODE_INGRESS_H
+#define POLLENWICK_NODE_INGRESS_H
+
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "core/once/TicketBook.h"
+#include "node/Counters.h"
+#include "node/Forwarder.h"
+#include "node/Kernel.h"
+#include "node/QuotaService.h"
+#include "node/ViewService.h"
+#include "node/WorkerPool.h"
+
+namespace pollenwick {
+
+/// A request as it arrived on the caller port, its key removed from the
+/// headers.
+struct RootArrival {
+  std::string Method;
+  std::string PathAndQuery;
+  std::vector<HeaderField> Headers;
+  std::string Body;
+  std::optional<KeyDigest> Key;
+  std::string Ticket; ///< Empty without one.
+  std::optional<Duration> Deadline;
+};
+
+/// Decides on root requests: key, view lease, ticket, admission, quota, and
+/// then sends them on. Thread-safe.
+class Ingress {
+public:
+  Ingress(const IncarnationId &Self, std::size_t ClaimWorkers,
+          std::size_t RingCapacity, const Kernel &Registry);
+
+  /// Blocks until the answer is there or the deadline has passed.
+  CallReply handle(RootArrival Arrival);
+
+  /// Runs a ticketed call for the node that received it. Never blocks.
+  void submitClaim(std::string Ticket, CallRequest Call, CancelFlag Cancelled,
+                   ReplyCallback Answer);
+
+  void tick();
+  void stop() { Claims.stop(); }
+  void dump(Poco::JSON::Object &Out) const;
+
+private:
+  CallReply decide(CallRequest &Call, const std::string &Ticket,
+                   const ActiveBundle &Active, const RouteEntry &Route);
+  std::optional<CallReply> checkArrival(CallRequest &Call,
+                                        const ActiveBundle &Active,
+                                        const RouteEntry &Route);
+  CallReply runTicketed(const CallRequest &Call, const std::string &Ticket,
+                        const ActiveBundle &Active, const RouteEntry &Route);
+  CallReply claimHere(const std::string &Ticket, CallRequest Call);
+  CallReply forwardClaim(const HostId &Issuer, const std::string &Ticket,
+                         const CallRequest &Call, const ActiveBundle &Active);
+  CallReply admitAndRun(const CallRequest &Call, const ActiveBundle &Active,
+                        const RouteEntry &Route);
+  CallReply withNewTicket(CallReply Reply, const CallRequest &Call,
+                          const ActiveBundle &Active);
+  void record(const CallReply &Reply, const CallRequest &Call);
+
+  const IncarnationId Self;
+  Counters &Count;
+  ViewService &View;
+  BundleStore &Bundles;
+  AdmissionService &Admission;
+  QuotaService &Quota;
+  CrashService &Crashes;
+  Forwarder &Calls;
+  PeerDuty &Peers;
+  WorkerPool Claims;
+
+  mutable std::mutex Mutex;
+  TicketBook Tickets;
+  std::mt19937_64 Random;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,275 @@
+#include "node/Node.h"
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <Poco/JSON/Object.h>
+
+#include "node/AdminPort.h"
+#include "node/CallerPort.h"
+#include "node/ConfigDuty.h"
+#include "node/HttpPort.h"
+#include "node/Log.h"
+#include "node/UpkeepDuty.h"
+#include "peer/Clock.h"
+#include "peer/QuotaWire.h"
+
+namespace pollenwick {
+namespace {
+
+constexpr std::uint32_t EgressThreads = 512;
+constexpr std::uint32_t AdminThreads = 4;
+/// Slots of a backend server are the bound that matters; this one only guards
+/// the number of threads.
+constexpr std::size_t CalleeWorkers = 256;
+constexpr std::size_t ClaimWorkers = 64;
+constexpr std::size_t BackendConnections = 256;
+constexpr std::size_t MaxAnswerBytes = 64U << 20;
+/// Request bodies held at once.
+constexpr std::size_t BodyBytes = 256U << 20;
+/// Longest wait for calls in flight when the process ends. Routes have shorter
+/// deadlines, so this only guards against a stuck backend server.
+constexpr Duration DrainLimit = std::chrono::seconds(60);
+constexpr Duration DrainPoll = std::chrono::milliseconds(10);
+/// Ends measuring windows of 50 ms without much delay.
+constexpr Duration CalleeTick = std::chrono::milliseconds(20);
+constexpr Duration ExpiryTick = std::chrono::seconds(1);
+
+IncarnationId newIncarnation(const HostId &Host) {
+  std::random_device Source;
+  return {Host, StartId((std::uint64_t{Source()} << 32U) | Source())};
+}
+
+} // namespace
+
+struct Node::Parts {
+  Parts(const Settings &O, const PublicKey &Operator);
+
+  PeerHandlers peerHandlers();
+  void subscribe();
+  void addDuties();
+  void openPorts();
+  std::string stateJson() const;
+  void beginDrain();
+  bool isIdle() const;
+
+  const Settings Options;
+  const IncarnationId Self;
+  Kernel Registry;
+  Counters Count;
+  BundleStore Bundles;
+  ViewService View;
+  PeerDuty Peers;
+  AdmissionService Admission;
+  RunningService Running;
+  BackendClient Backend;
+  BodyBudget Bodies;
+  UpkeepDuty Upkeep;
+  // These find the parts above in the registry, in this order.
+  std::optional<CrashService> Crashes;
+  std::optional<QuotaService> Quota;
+  std::optional<Callee> Local;
+  std::optional<Forwarder> Calls;
+  std::optional<Ingress> Roots;
+  std::optional<ConfigDuty> Config;
+  std::optional<HttpPort> CallerPort;
+  std::optional<HttpPort> EgressPort;
+  std::optional<HttpPort> AdminPort;
+};
+
+Node::Parts::Parts(const Settings &O, const PublicKey &Operator)
+    : Options(O), Self(newIncarnation(O.Host)), View(O.Host),
+      Peers(peerHandlers(), O.RingCapacity),
+      Backend(O.Backend, BackendConnections, MaxAnswerBytes),
+      Bodies(BodyBytes) {
+  Registry.add("counters", Count);
+  Registry.add("bundles", Bundles);
+  Registry.add("view", View);
+  Registry.add("peers", Peers);
+  Registry.add("admission", Admission);
+  Registry.add("running", Running);
+  Registry.add("backend", Backend);
+  Registry.add("crashes", Crashes.emplace(Self, Registry));
+  Registry.add("quota", Quota.emplace(Self, O.Zone, Registry));
+  Registry.add("callee", Local.emplace(O.Host, CalleeWorkers, O.RingCapacity,
+                                       Registry));
+  Registry.add("forwarder",
+               Calls.emplace(Self, O.Zone, Self.Start.Value, Registry));
+  Registry.add("ingress", Roots.emplace(Self, ClaimWorkers, O.RingCapacity,
+                                        Registry));
+  Registry.add("config", Config.emplace(O, Operator, Registry));
+  subscribe();
+  addDuties();
+  openPorts();
+}
+
+PeerHandlers Node::Parts::peerHandlers() {
+  PeerHandlers Out;
+  Out.OnCall = [this](CallRequest Call, CancelFlag Cancelled,
+                      ReplyCallback Answer) {
+    Local->submit(std::move(Call), std::move(Cancelled), std::move(Answer));
+  };
+  Out.OnClaim = [this](std::string Ticket, CallRequest Call,
+                       CancelFlag Cancelled, ReplyCallback Answer) {
+    Roots->submitClaim(std::move(Ticket), std::move(Call),
+                       std::move(Cancelled), std::move(Answer));
+  };
+  Out.OnBorrow = [this](auto In, auto Reply) { Quota->onBorrow(In, Reply); };
+  Out.OnSettle = [this](auto In) { Quota->onSettle(In); };
+  Out.OnRecall = [this](auto In, auto Reply) { Quota->onRecall(In, Reply); };
+  Out.OnPull = [this](auto In, auto Reply) { Quota->onPull(In, Reply); };
+  Out.OnRelease = [this](auto In, auto Reply) { Quota->onRelease(In, Reply); };
+  Out.OnConfirm = [this](auto Reply) { View.answerConfirm(Reply); };
+  Out.OnWitness = [this](auto Reply) { View.answerWitness(Reply); };
+  Out.OnSuspect = [this](auto In) { Crashes->hear(readMessages(In)); };
+  Out.OnPointer = [this] { return Config->pointerDocument(); };
+  Out.OnChunk = [this](const Digest &Sum) { return Config->chunk(Sum); };
+  return Out;
+}
+
+void Node::Parts::subscribe() {
+  Bundles.subscribe([this](const BundlePtr &Old, const BundlePtr &New) {
+    Admission.onBundle(New);
+    Local->onBundle(New);
+    Calls->onBundle(New);
+    Quota->onBundle(Old, New);
+    View.hold(*New);
+    const auto &Services = New->Rules->Services;
+    const HostSpec *Here = findHost(*New, Self.Host);
+    const auto It = std::ranges::find_if(Services, [&](const ServiceSpec &S) {
+      return Here && S.Id == Here->Service;
+    });
+    if (It != Services.end())
+      Backend.limitTo(It->Connections, MaxAnswerBytes);
+  });
+}
+
+void Node::Parts::addDuties() {
+  Upkeep.every(CalleeTick, [this] { Local->tick(); });
+  Upkeep.every(ExpiryTick, [this] {
+    Roots->tick();
+    Crashes->tick();
+  });
+  Registry.addDuty(*Quota);
+  Registry.addDuty(*Config);
+  Registry.addDuty(Upkeep);
+}
+
+void Node::Parts::openPorts() {
+  const HttpCalls Http{*Roots, *Calls, Running, Bundles, Count, Bodies};
+  CallerPort.emplace(
+      HttpPortOptions{"caller", Options.Address, Options.CallerPort,
+                      Options.CallerThreads, Options.TlsCertificateFile,
+                      Options.TlsKeyFile},
+      [Http](auto &Request, auto &Response) {
+        handleCaller(Http, Request, Response);
+      });
+  EgressPort.emplace(HttpPortOptions{"egress", "127.0.0.1", Options.EgressPort,
+                                     EgressThreads, "", ""},
+                     [Http](auto &Request, auto &Response) {
+                       handleEgress(Http, Request, Response);
+                     });
+  const AdminCalls Admin{
+      [this] { return stateJson(); }, [this] { return Count.exposition(); },
+      [this] { return View.holdsLease() && !Local->isDraining(); },
+      [this] { beginDrain(); }};
+  AdminPort.emplace(HttpPortOptions{"admin", "127.0.0.1", Options.AdminPort,
+                                    AdminThreads, "", ""},
+                    [Admin](auto &Request, auto &Response) {
+                      handleAdmin(Admin, Request, Response);
+                    });
+}
+
+std::string Node::Parts::stateJson() const {
+  Poco::JSON::Object Out(Poco::JSON_PRESERVE_KEY_ORDER);
+  const auto Add = [&Out](const std::string &Name, const auto &Part) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    Part.dump(*One);
+    Out.set(Name, One);
+  };
+  Out.set("host", Self.Host.Text);
+  Out.set("zone", Options.Zone.Text);
+  Out.set("start", Self.Start.Value);
+  for (const Duty *Part : Registry.duties())
+    Add(std::string(Part->name()), *Part);
+  Add("view", View);
+  Add("admission", Admission);
+  Add("callee", *Local);
+  Add("routing", *Calls);
+  Add("ingress", *Roots);
+  Add("quarantine", *Crashes);
+  Add("counters", Count);
+  Out.set("caller_connections", CallerPort->connections());
+  Out.set("egress_connections", EgressPort->connections());
+  Out.set("running_calls", Running.size());
+  Out.set("body_bytes", Bodies.used());
+  Out.set("peer_exchanges_waiting", Peers.waiting());
+  Out.set("peer_connections_opened", Peers.connectionsOpened());
+  std::ostringstream Text;
+  Out.stringify(Text, 2);
+  return Text.str();
+}
+
+void Node::Parts::beginDrain() {
+  if (Local->isDraining())
+    return;
+  logState("node", "draining");
+  Local->beginDrain();
+  CallerPort->beginDrain();
+}
+
+bool Node::Parts::isIdle() const {
+  return CallerPort->requestsInFlight() == 0 &&
+         EgressPort->requestsInFlight() == 0 && Local->isIdle() &&
+         Running.size() == 0;
+}
+
+Node::Node(const Settings &Options, const PublicKey &Operator)
+    : All(std::make_unique<Parts>(Options, Operator)) {}
+
+Node::~Node() = default;
+
+std::string Node::start() {
+  if (auto Error = All->Peers.start(All->Options.Address, All->Options.PeerPort);
+      !Error.empty())
+    return Error;
+  for (HttpPort *Port :
+       {&*All->AdminPort, &*All->EgressPort, &*All->CallerPort})
+    if (auto Error = Port->start(); !Error.empty())
+      return Error;
+  for (Duty *Part : All->Registry.duties())
+    Part->start();
+  logState("node", "started",
+           {{"start", std::to_string(All->Self.Start.Value)}});
+  return "";
+}
+
+void Node::beginDrain() { All->beginDrain(); }
+
+// Callers on open connections are answered during the grace time and told to
+// close; only then does the port stop accepting. The peer port stays open until
+// the last call has been answered.
+void Node::drainAndStop() {
+  All->beginDrain();
+  std::this_thread::sleep_for(All->Options.DrainGrace);
+  const Instant Limit = now() + DrainLimit;
+  while (!All->isIdle() && now() < Limit)
+    std::this_thread::sleep_for(DrainPoll);
+  All->CallerPort->stop();
+  All->Roots->stop();
+  All->Local->stop();
+  All->EgressPort->stop();
+  const auto &Duties = All->Registry.duties();
+  std::for_each(Duties.rbegin(), Duties.rend(),
+                [](Duty *Part) { Part->stop(); });
+  // Settlements sent by the quota duty and last replies leave first.
+  std::this_thread::sleep_for(DrainPoll);
+  All->Peers.stop();
+  All->AdminPort->stop();
+  logState("node", "stopped");
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/QuotaService.cpp
@@ -0,0 +1,347 @@
+#include "node/QuotaService.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <Poco/JSON/Array.h>
+
+#include "peer/Clock.h"
+#include "peer/QuotaWire.h"
+
+namespace pollenwick {
+namespace {
+
+/// Covers a round trip between regions. A holder that takes longer counts as
+/// unreachable for this request.
+constexpr Duration BorrowTimeout = std::chrono::milliseconds(250);
+constexpr Duration MessageTimeout = std::chrono::milliseconds(500);
+constexpr std::uint32_t MaxBatch = 64;
+
+Refusal overRate(const TenantId &Tenant) {
+  Refusal Out;
+  Out.Reason = RefusalReason::OverRate;
+  Out.RetryAfter = std::chrono::seconds(1);
+  Out.Message = "tenant \"" + Tenant.Text +
+                "\" is over its rate; send fewer requests or raise its rate";
+  return Out;
+}
+
+Refusal noLease() {
+  Refusal Out;
+  Out.Reason = RefusalReason::NoViewLease;
+  Out.RetryAfter = std::chrono::seconds(1);
+  Out.Message = "this node cannot confirm its configuration; try another node";
+  return Out;
+}
+
+} // namespace
+
+QuotaService::QuotaService(const IncarnationId &S, const ZoneId &Zone,
+                           const Kernel &Registry)
+    : Self(S), Count(Registry.find<Counters>("counters")),
+      View(Registry.find<ViewService>("view")),
+      Bundles(Registry.find<BundleStore>("bundles")),
+      Peers(Registry.find<PeerDuty>("peers")),
+      Holder(makeHolder(S, Zone, now())), Table(makeLeaseTable(S, Zone)) {}
+
+void QuotaService::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void QuotaService::stop() {
+  Stopping = true;
+  if (Thread.joinable())
+    Thread.join();
+  // Unspent tokens go back, so that a planned stop costs no tenant anything.
+  std::vector<Settlement> Last;
+  {
+    std::scoped_lock Lock(TableMutex);
+    Last = tickIngress(Table, now(), true);
+  }
+  std::ranges::for_each(Last, [this](const Settlement &M) { send(M); });
+}
+
+void QuotaService::onBundle(const BundlePtr &Old, const BundlePtr &New) {
+  {
+    std::scoped_lock Lock(HolderMutex);
+    adoptBundle(Holder, *New->Rules, New->Key, New->Succession,
+                Old ? Old->Rules.get() : nullptr, now());
+  }
+  std::scoped_lock Lock(TableMutex);
+  adoptBundle(Table, *New->Rules);
+}
+
+std::optional<PeerAddress> QuotaService::addressOf(const HostId &Host) const {
+  const BundlePtr Bundle = Bundles.current();
+  const HostSpec *Spec = Bundle ? findHost(*Bundle, Host) : nullptr;
+  if (!Spec)
+    return std::nullopt;
+  return peerAddress(*Spec);
+}
+
+SpendResult QuotaService::trySpend(const TenantId &Tenant) {
+  const ViewLease Lease = View.lease();
+  std::scoped_lock Lock(TableMutex);
+  return spend(Table, Tenant, Lease, now());
+}
+
+BorrowReply QuotaService::lendHere(const BorrowRequest &Request) {
+  const ViewLease Lease = View.lease();
+  LendResult Result;
+  {
+    std::scoped_lock Lock(HolderMutex);
+    Result = lend(Holder, Request, Lease, now());
+  }
+  std::ranges::for_each(Result.Recalls, [this](const Recall &M) { send(M); });
+  return Result.Reply;
+}
+
+QuotaService::Asked QuotaService::askHolder(const TenantId &Tenant,
+                                            const ShardHolder &Holder,
+                                            MicroTokens Lacking) {
+  BorrowRequest Request;
+  {
+    std::scoped_lock Lock(TableMutex);
+    const std::uint32_t Batch = std::min(Waiting[Tenant], MaxBatch);
+    Request = beginBorrow(Table, Tenant, Holder, Lacking, Batch, now());
+  }
+  Count.add(Counter::QuotaBorrows);
+  BorrowReply Reply;
+  if (Holder.Host == Self.Host) {
+    Reply = lendHere(Request);
+  } else {
+    const auto Address = addressOf(Holder.Host);
+    if (!Address)
+      return {};
+    const PeerError Error = Peers.exchange(
+        *Address, BorrowTimeout, [&](wire::Peer::Client &Peer) {
+          auto Message = Peer.borrowRequest();
+          writeMessage(Message.initRequest(), Request);
+          return Message.send().then([&Reply](auto &&Response) {
+            Reply = readMessage(Response.getReply());
+          });
+        });
+    if (Error != PeerError::None)
+      return {};
+  }
+  std::scoped_lock Lock(TableMutex);
+  acceptLease(Table, Reply, now());
+  return {true, Reply.RecallPending};
+}
+
+std::optional<Refusal> QuotaService::spendOne(const TenantId &Tenant,
+                                              Instant Deadline) {
+  SpendResult Result = trySpend(Tenant);
+  if (Result.Status == SpendStatus::Spent) {
+    Count.add(Counter::QuotaCachedSpends);
+    return std::nullopt;
+  }
+  std::vector<ShardHolder> Ask;
+  {
+    std::scoped_lock Lock(TableMutex);
+    ++Waiting[Tenant];
+    if (auto It = Table.Tenants.find(Tenant); It != Table.Tenants.end())
+      Ask = It->second.Holders;
+  }
+  // A second round asks only the holders that are recalling idle leases.
+  constexpr int Rounds = 2;
+  for (int Round = 0; Round < Rounds && Result.Status == SpendStatus::Ask;
+       ++Round) {
+    std::vector<ShardHolder> Recalling;
+    for (const ShardHolder &Next : Ask) {
+      if (now() >= Deadline)
+        break;
+      const Asked Answer = askHolder(Tenant, Next, Result.Lacking);
+      if (Answer.RecallPending)
+        Recalling.push_back(Next);
+      Result = trySpend(Tenant);
+      if (Result.Status != SpendStatus::Ask)
+        break;
+    }
+    if (Result.Status != SpendStatus::Ask || Recalling.empty())
+      break;
+    std::this_thread::sleep_for(RecallWait);
+    Ask = std::move(Recalling);
+  }
+  std::vector<Settlement> Returned;
+  {
+    std::scoped_lock Lock(TableMutex);
+    --Waiting[Tenant];
+    if (Result.Status != SpendStatus::Spent)
+      Returned = giveBackAll(Table, Tenant, now());
+  }
+  std::ranges::for_each(Returned, [this](const Settlement &M) { send(M); });
+  switch (Result.Status) {
+  case SpendStatus::Spent:
+    return std::nullopt;
+  case SpendStatus::NoViewLease:
+    return noLease();
+  case SpendStatus::Ask:
+  case SpendStatus::UnknownTenant:
+    break;
+  }
+  return overRate(Tenant);
+}
+
+void QuotaService::run() {
+  Instant NextHolderTick = now();
+  while (!Stopping) {
+    std::this_thread::sleep_for(IngressTick);
+    std::vector<Settlement> Settlements;
+    {
+      std::scoped_lock Lock(TableMutex);
+      Settlements = tickIngress(Table, now());
+    }
+    std::ranges::for_each(Settlements,
+                          [this](const Settlement &M) { send(M); });
+    if (now() < NextHolderTick)
+      continue;
+    NextHolderTick = now() + HolderTick;
+    const ViewLease Lease = View.lease();
+    HolderActions Actions;
+    {
+      std::scoped_lock Lock(HolderMutex);
+      Actions = tickHolder(Holder, Lease, now());
+    }
+    std::ranges::for_each(Actions.Pulls,
+                          [this](const PullRequest &M) { send(M); });
+    std::ranges::for_each(Actions.Claims, [this](const Claim &M) { send(M); });
+  }
+}
+
+void QuotaService::send(const Settlement &Message) {
+  if (Message.Holder.Host == Self.Host) {
+    std::scoped_lock Lock(HolderMutex);
+    settle(Holder, Message, now());
+    return;
+  }
+  if (const auto To = addressOf(Message.Holder.Host))
+    Peers.post(*To, MessageTimeout, [Message](wire::Peer::Client &Peer) {
+      auto Request = Peer.settleRequest();
+      writeMessage(Request.initSettlement(), Message);
+      return Request.send().ignoreResult();
+    });
+}
+
+void QuotaService::send(const Recall &Message) {
+  if (Message.Borrower.Host == Self.Host) {
+    std::optional<Settlement> Answer;
+    {
+      std::scoped_lock Lock(TableMutex);
+      Answer = pollenwick::onRecall(Table, Message);
+    }
+    if (Answer)
+      send(*Answer);
+    return;
+  }
+  if (const auto To = addressOf(Message.Borrower.Host))
+    Peers.post(*To, MessageTimeout, [this, Message](wire::Peer::Client &Peer) {
+      auto Request = Peer.recallRequest();
+      writeMessage(Request.initRecall(), Message);
+      return Request.send().then([this](auto &&Response) {
+        if (!Response.getHeld())
+          return;
+        std::scoped_lock Lock(HolderMutex);
+        settle(Holder, readMessage(Response.getSettlement()), now());
+      });
+    });
+}
+
+void QuotaService::send(const PullRequest &Message) {
+  if (Message.Holder == Self.Host) {
+    const ViewLease Lease = View.lease();
+    std::scoped_lock Lock(HolderMutex);
+    const PullReply Reply = givePull(Holder, Message, Lease, now());
+    acceptPull(Holder, Reply, now());
+    return;
+  }
+  if (const auto To = addressOf(Message.Holder))
+    Peers.post(*To, MessageTimeout, [this, Message](wire::Peer::Client &Peer) {
+      auto Request = Peer.pullRequest();
+      writeMessage(Request.initRequest(), Message);
+      return Request.send().then([this](auto &&Response) {
+        std::scoped_lock Lock(HolderMutex);
+        acceptPull(Holder, readMessage(Response.getReply()), now());
+      });
+    });
+}
+
+void QuotaService::send(const Claim &Message) {
+  if (const auto To = addressOf(Message.PreviousHolder))
+    Peers.post(*To, MessageTimeout, [this, Message](wire::Peer::Client &Peer) {
+      auto Request = Peer.releaseRequest();
+      writeMessage(Request.initClaim(), Message);
+      return Request.send().then([this](auto &&Response) {
+        if (!Response.getReleased())
+          return;
+        const ViewLease Lease = View.lease();
+        std::scoped_lock Lock(HolderMutex);
+        adopt(Holder, readMessage(Response.getHandover()), Lease, now());
+      });
+    });
+}
+
+void QuotaService::onBorrow(wire::BorrowRequest::Reader In,
+                            wire::BorrowReply::Builder Out) {
+  writeMessage(Out, lendHere(readMessage(In)));
+}
+
+void QuotaService::onSettle(wire::Settlement::Reader In) {
+  std::scoped_lock Lock(HolderMutex);
+  settle(Holder, readMessage(In), now());
+}
+
+void QuotaService::onRecall(wire::Recall::Reader In,
+                            wire::Peer::RecallResults::Builder Out) {
+  Count.add(Counter::QuotaRecalls);
+  std::scoped_lock Lock(TableMutex);
+  const auto Answer = pollenwick::onRecall(Table, readMessage(In));
+  Out.setHeld(Answer.has_value());
+  if (Answer)
+    writeMessage(Out.initSettlement(), *Answer);
+}
+
+void QuotaService::onPull(wire::PullRequest::Reader In,
+                          wire::PullReply::Builder Out) {
+  const ViewLease Lease = View.lease();
+  std::scoped_lock Lock(HolderMutex);
+  writeMessage(Out, givePull(Holder, readMessage(In), Lease, now()));
+}
+
+void QuotaService::onRelease(wire::ShardClaim::Reader In,
+                             wire::Peer::ReleaseResults::Builder Out) {
+  std::scoped_lock Lock(HolderMutex);
+  const auto Answer = release(Holder, readMessage(In), now());
+  Out.setReleased(Answer.has_value());
+  if (Answer)
+    writeMessage(Out.initHandover(), *Answer);
+}
+
+void QuotaService::dump(Poco::JSON::Object &Out) const {
+  Poco::JSON::Array::Ptr Shards = new Poco::JSON::Array;
+  {
+    std::scoped_lock Lock(HolderMutex);
+    for (const auto &[Tenant, Kept] : Holder.Shards) {
+      Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+      One->set("tenant", Tenant.Text);
+      One->set("active", Kept.Active);
+      One->set("balance_micro", Kept.Balance.Value);
+      One->set("outstanding_micro", Kept.Outstanding.Value);
+      One->set("rate_micro", Kept.Share.RatePerSecond.Value);
+      One->set("burst_micro", Kept.Share.Burst.Value);
+      Shards->add(One);
+    }
+  }
+  Out.set("shards", Shards);
+  Poco::JSON::Array::Ptr Leases = new Poco::JSON::Array;
+  std::scoped_lock Lock(TableMutex);
+  for (const auto &[Tenant, Held] : Table.Tenants) {
+    Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
+    One->set("tenant", Tenant.Text);
+    One->set("leases", Held.Leases.size());
+    Leases->add(One);
+  }
+  Out.set("held", Leases);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/QuotaService.h
@@ -0,0 +1,83 @@
+#ifndef POLLENWICK_NODE_QUOTASERVICE_H
+#define POLLENWICK_NODE_QUOTASERVICE_H
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+
+#include "core/quota/Holder.h"
+#include "core/quota/Ingress.h"
+#include "node/Counters.h"
+#include "node/Kernel.h"
+#include "node/ViewService.h"
+#include "peer/PeerDuty.h"
+#include "pollenwick/Outcome.h"
+
+namespace pollenwick {
+
+/// Quota of a node: leases it spends from and shards it holds. Its thread sends
+/// what is due; the request path spends from any thread.
+class QuotaService final : public Duty {
+public:
+  QuotaService(const IncarnationId &Self, const ZoneId &Zone,
+               const Kernel &Registry);
+
+  std::string_view name() const override { return "quota"; }
+  void start() override;
+  void stop() override;
+  void dump(Poco::JSON::Object &Out) const override;
+
+  /// Spends one token of the tenant, borrowing when none is held. Blocks for
+  /// at most a few round trips to the holders, and not past `Deadline`. Empty
+  /// when spent; otherwise the refusal, which is always "not run".
+  std::optional<Refusal> spendOne(const TenantId &Tenant, Instant Deadline);
+
+  void onBundle(const BundlePtr &Old, const BundlePtr &New);
+
+  // Requests of other nodes; called on the peer duty's thread.
+  void onBorrow(wire::BorrowRequest::Reader In, wire::BorrowReply::Builder Out);
+  void onSettle(wire::Settlement::Reader In);
+  void onRecall(wire::Recall::Reader In,
+                wire::Peer::RecallResults::Builder Out);
+  void onPull(wire::PullRequest::Reader In, wire::PullReply::Builder Out);
+  void onRelease(wire::ShardClaim::Reader In,
+                 wire::Peer::ReleaseResults::Builder Out);
+
+private:
+  struct Asked {
+    bool Answered = false;
+    bool RecallPending = false;
+  };
+
+  void run();
+  SpendResult trySpend(const TenantId &Tenant);
+  Asked askHolder(const TenantId &Tenant, const ShardHolder &Holder,
+                  MicroTokens Lacking);
+  BorrowReply lendHere(const BorrowRequest &Request);
+  void send(const Settlement &Message);
+  void send(const Recall &Message);
+  void send(const PullRequest &Message);
+  void send(const Claim &Message);
+  std::optional<PeerAddress> addressOf(const HostId &Host) const;
+
+  const IncarnationId Self;
+  Counters &Count;
+  ViewService &View;
+  BundleStore &Bundles;
+  PeerDuty &Peers;
+
+  mutable std::mutex HolderMutex;
+  HolderState Holder;
+  mutable std::mutex TableMutex;
+  LeaseTable Table;
+  std::unordered_map<TenantId, std::uint32_t> Waiting; ///< Spenders, by tenant.
+
+  std::atomic<bool> Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/node/RunningService.cpp
@@ -0,0 +1,97 @@
+#include "node/RunningService.h"
+
+#include <openssl/rand.h>
+
+#include "peer/Clock.h"
+
+namespace pollenwick {
+namespace {
+
+CallHandle randomHandle() {
+  CallHandle Handle;
+  // Without randomness handles could be guessed, so the call must not run; the
+  // zero handle is refused by `begin`.
+  if (RAND_bytes(Handle.Bytes.data(), static_cast<int>(Handle.Bytes.size())) !=
+      1)
+    return {};
+  return Handle;
+}
+
+} // namespace
+
+std::variant<CallHandle, Refusal>
+RunningService::begin(const CallRequest &Call) {
+  const CallHandle Handle = randomHandle();
+  if (Handle == CallHandle{}) {
+    Refusal Out;
+    Out.Reason = RefusalReason::QueueFull;
+    Out.Message = "no randomness for a call handle; send again later";
+    return Out;
+  }
+  std::scoped_lock Lock(Mutex);
+  if (auto Refused = beginCall(
+          Running, Handle,
+          {Call.Tenant, Call.Route, Call.Class, Call.Root, Call.Deadline,
+           RetryAllowance{Call.Allowance}}))
+    return *Refused;
+  Origins[Handle] = {Call.Caller,  Call.Hash,      Call.AdmittedAt,
+                     Call.Key,     Call.HasKey,    Duration::zero()};
+  return Handle;
+}
+
+FinishedRun RunningService::finish(const CallHandle &Handle) {
+  std::scoped_lock Lock(Mutex);
+  FinishedRun Out;
+  Out.UnusedAllowance = finishCall(Running, Handle).value_or(0);
+  if (const auto It = Origins.find(Handle); It != Origins.end()) {
+    Out.SubCallTime = It->second.SubCallTime;
+    Origins.erase(It);
+  }
+  return Out;
+}
+
+std::variant<GrantedSubCall, Refusal>
+RunningService::beginSub(const ActiveBundle &Bundle, const CallHandle &Parent,
+                         const RouteId &Route) {
+  std::scoped_lock Lock(Mutex);
+  auto Result =
+      beginSubCall(Running, Bundle.Routes, Ratios, Parent, Route, now());
+  if (auto *Refused = std::get_if<Refusal>(&Result))
+    return *Refused;
+  const Origin &From = Origins.at(Parent);
+  return GrantedSubCall{Parent,
+                        std::get<SubCall>(std::move(Result)),
+                        From.RootCaller,
+                        From.Hash,
+                        From.AdmittedAt,
+                        From.Key,
+                        From.HasKey};
+}
+
+void RunningService::finishSub(const GrantedSubCall &Sub,
+                               const CallReply &Reply, Duration Took) {
+  std::scoped_lock Lock(Mutex);
+  finishSubCall(Running, Sub.Parent, Sub.Grant.Number, Reply.Result,
+                Reply.UnusedAllowance);
+  if (const auto It = Origins.find(Sub.Parent); It != Origins.end())
+    It->second.SubCallTime += Took;
+}
+
+void RunningService::firstAttempt(const ServiceId &Service,
+                                  std::uint32_t Permille) {
+  std::scoped_lock Lock(Mutex);
+  onFirstAttempt(Ratios, Service, Permille, now());
+}
+
+RetryVerdict RunningService::decideRetry(RetryAllowance &Held,
+                                         const FailedAttempt &Attempt) {
+  std::scoped_lock Lock(Mutex);
+  return mayRetry(Held, Ratios, Attempt, now());
+}
+
+std::size_t RunningService::size() const {
+  std::scoped_lock Lock(Mutex);
+  return Running.Calls.size();
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/RunningService.h
@@ -0,0 +1,70 @@
+#ifndef POLLENWICK_NODE_RUNNINGSERVICE_H
+#define POLLENWICK_NODE_RUNNINGSERVICE_H
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+
+#include "absl/container/flat_hash_map.h"
+#include "core/calls/RunningCalls.h"
+#include "core/retry/Retry.h"
+#include "node/ActiveBundle.h"
+#include "peer/Calls.h"
+
+namespace pollenwick {
+
+/// A sub-call that the call graph allows, and the parent's facts it inherits.
+struct GrantedSubCall {
+  CallHandle Parent;
+  SubCall Grant;
+  IncarnationId RootCaller;
+  std::uint64_t Hash = 0;
+  Instant AdmittedAt;
+  KeyDigest Key;
+  bool HasKey = false;
+};
+
+struct FinishedRun {
+  std::uint32_t UnusedAllowance = 0;
+  Duration SubCallTime{}; ///< Time during which sub-calls were running.
+};
+
+/// Calls that run on the local backend server, and the retry ratios of the
+/// node. Thread-safe.
+class RunningService {
+public:
+  std::variant<CallHandle, Refusal> begin(const CallRequest &Call);
+  FinishedRun finish(const CallHandle &Handle);
+
+  std::variant<GrantedSubCall, Refusal>
+  beginSub(const ActiveBundle &Bundle, const CallHandle &Parent,
+           const RouteId &Route);
+  void finishSub(const GrantedSubCall &Sub, const CallReply &Reply,
+                 Duration Took);
+
+  void firstAttempt(const ServiceId &Service, std::uint32_t Permille);
+  RetryVerdict decideRetry(RetryAllowance &Held, const FailedAttempt &Attempt);
+
+  std::size_t size() const;
+
+private:
+  struct Origin {
+    IncarnationId RootCaller;
+    std::uint64_t Hash = 0;
+    Instant AdmittedAt;
+    KeyDigest Key;
+    bool HasKey = false;
+    Duration SubCallTime{};
+  };
+
+  mutable std::mutex Mutex;
+  RunningCalls Running;
+  RetryRatios Ratios;
+  absl::flat_hash_map<CallHandle, Origin> Origins;
+};
+
+} // namespace pollenwick
+
+#endif
--- a/src/peer/Calls.h
+++ b/src/peer/Calls.h
@@ -18,14 +18,22 @@
   std::string Value;
 };
 
+/// Admission level of one service, as it travels between nodes; indexes of
+/// services differ between bundles, so it goes by name.
+struct NamedThreshold {
+  ServiceId Service;
+  std::uint32_t TenantLevel = 0;
+  std::uint32_t CommonLevel = 0;
+  Duration Age{};
+};
+
 /// What a callee node tells about its load with each reply.
 struct LoadReport {
-  std::uint32_t ThresholdRank = UINT32_MAX;
-  std::uint32_t ThresholdHash = 0;
-  Duration QueueDelay{};
-  std::uint32_t InFlight = 0;
-  std::uint32_t Limit = 0; ///< 0: nothing reported.
+  bool Known = false; ///< False: the reply was not made by a callee node.
   bool Draining = false;
+  std::uint32_t InFlight = 0;
+  Duration QueueDelay{};
+  std::vector<NamedThreshold> Thresholds;
 };
 
 /// A call between the node that decided to run it and its callee node.
@@ -38,16 +46,15 @@
   TenantId Tenant; ///< Empty on open routes without a key.
   ClassId Class;
   RootId Root;
-  std::uint32_t Hash = 0; ///< Same for all calls of one root request.
+  std::uint64_t Hash = 0; ///< Same for all calls of one root request.
   Instant Deadline;
   Instant AdmittedAt; ///< When the root request was admitted at its ingress.
   std::uint32_t Allowance = 0;
-  Digest Fingerprint{};
+  Digest BodyDigest{};
   KeyDigest Key;
   Revision DecidedAt;
   bool HasKey = false;
   bool SubCall = false;
-  bool Isolated = false; ///< Run while no other call is in flight.
   std::vector<HeaderField> Headers;
   std::string Body;
 };
@@ -61,6 +68,9 @@
   std::string Body;
   std::uint32_t UnusedAllowance = 0;
   Duration RetryAfter{};
+  bool Suspect = false; ///< The backend server crashed during the call.
+  /// When set, only this host may run the call for now.
+  HostId TryHost;
   LoadReport Load;
 };
 
--- a/src/peer/Peer.capnp
+++ b/src/peer/Peer.capnp
@@ -62,6 +62,7 @@
   load @8 :LoadReport;
   retryAfterMicros @9 :Int64;
   suspect @10 :Bool;         # The backend server crashed during the call.
+  tryHost @11 :Text;         # Only this host may run the call now.
 }
 
 struct Shard { tenant @0 :Text; zone @1 :Text; }
@@ -127,13 +128,13 @@
 struct ShardClaim {
   shard @0 :Shard;
   previousHolder @1 :Text;
-  hostsSince @2 :UInt64;
+  hostsSince @2 :Revision;
   claimant @3 :Incarnation;
 }
 
 struct Handover {
   shard @0 :Shard;
-  hostsSince @1 :UInt64;
+  hostsSince @1 :Revision;
   to @2 :Incarnation;
   balanceMicro @3 :Int64;
   outstandingMicro @4 :Int64;
@@ -151,7 +152,7 @@
 struct WitnessAnswer {
   known @0 :Bool;            # False: restarted and not confirmed since.
   held @1 :Revision;
-  hostsSince @2 :UInt64;
+  hostsSince @2 :Revision;
   hostsHeldMicros @3 :Int64;
 }
 
--- a/src/peer/Peer.capnp.h
+++ b/src/peer/Peer.capnp.h
@@ -165,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb4406ff8fd0e773, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fb4406ff8fd0e773, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -300,7 +300,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8d5e4fbf36d53ba, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b8d5e4fbf36d53ba, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -315,7 +315,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(abb2cec0b44622ff, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(abb2cec0b44622ff, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -360,7 +360,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdc554e1a1e26749, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fdc554e1a1e26749, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1444,6 +1444,9 @@
 
   inline bool getSuspect() const;
 
+  inline bool hasTryHost() const;
+  inline  ::capnp::Text::Reader getTryHost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1521,6 +1524,13 @@
   inline bool getSuspect();
   inline void setSuspect(bool value);
 
+  inline bool hasTryHost();
+  inline  ::capnp::Text::Builder getTryHost();
+  inline void setTryHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTryHost(unsigned int size);
+  inline void adoptTryHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTryHost();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2454,7 +2464,8 @@
   inline bool hasPreviousHolder() const;
   inline  ::capnp::Text::Reader getPreviousHolder() const;
 
-  inline  ::uint64_t getHostsSince() const;
+  inline bool hasHostsSince() const;
+  inline  ::pollenwick::wire::Revision::Reader getHostsSince() const;
 
   inline bool hasClaimant() const;
   inline  ::pollenwick::wire::Incarnation::Reader getClaimant() const;
@@ -2501,8 +2512,12 @@
   inline void adoptPreviousHolder(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPreviousHolder();
 
-  inline  ::uint64_t getHostsSince();
-  inline void setHostsSince( ::uint64_t value);
+  inline bool hasHostsSince();
+  inline  ::pollenwick::wire::Revision::Builder getHostsSince();
+  inline void setHostsSince( ::pollenwick::wire::Revision::Reader value);
+  inline  ::pollenwick::wire::Revision::Builder initHostsSince();
+  inline void adoptHostsSince(::capnp::Orphan< ::pollenwick::wire::Revision>&& value);
+  inline ::capnp::Orphan< ::pollenwick::wire::Revision> disownHostsSince();
 
   inline bool hasClaimant();
   inline  ::pollenwick::wire::Incarnation::Builder getClaimant();
@@ -2530,6 +2545,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenwick::wire::Shard::Pipeline getShard();
+  inline  ::pollenwick::wire::Revision::Pipeline getHostsSince();
   inline  ::pollenwick::wire::Incarnation::Pipeline getClaimant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2559,7 +2575,8 @@
   inline bool hasShard() const;
   inline  ::pollenwick::wire::Shard::Reader getShard() const;
 
-  inline  ::uint64_t getHostsSince() const;
+  inline bool hasHostsSince() const;
+  inline  ::pollenwick::wire::Revision::Reader getHostsSince() const;
 
   inline bool hasTo() const;
   inline  ::pollenwick::wire::Incarnation::Reader getTo() const;
@@ -2605,8 +2622,12 @@
   inline void adoptShard(::capnp::Orphan< ::pollenwick::wire::Shard>&& value);
   inline ::capnp::Orphan< ::pollenwick::wire::Shard> disownShard();
 
-  inline  ::uint64_t getHostsSince();
-  inline void setHostsSince( ::uint64_t value);
+  inline bool hasHostsSince();
+  inline  ::pollenwick::wire::Revision::Builder getHostsSince();
+  inline void setHostsSince( ::pollenwick::wire::Revision::Reader value);
+  inline  ::pollenwick::wire::Revision::Builder initHostsSince();
+  inline void adoptHostsSince(::capnp::Orphan< ::pollenwick::wire::Revision>&& value);
+  inline ::capnp::Orphan< ::pollenwick::wire::Revision> disownHostsSince();
 
   inline bool hasTo();
   inline  ::pollenwick::wire::Incarnation::Builder getTo();
@@ -2643,6 +2664,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenwick::wire::Shard::Pipeline getShard();
+  inline  ::pollenwick::wire::Revision::Pipeline getHostsSince();
   inline  ::pollenwick::wire::Incarnation::Pipeline getTo();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2852,7 +2874,8 @@
   inline bool hasHeld() const;
   inline  ::pollenwick::wire::Revision::Reader getHeld() const;
 
-  inline  ::uint64_t getHostsSince() const;
+  inline bool hasHostsSince() const;
+  inline  ::pollenwick::wire::Revision::Reader getHostsSince() const;
 
   inline  ::int64_t getHostsHeldMicros() const;
 
@@ -2894,8 +2917,12 @@
   inline void adoptHeld(::capnp::Orphan< ::pollenwick::wire::Revision>&& value);
   inline ::capnp::Orphan< ::pollenwick::wire::Revision> disownHeld();
 
-  inline  ::uint64_t getHostsSince();
-  inline void setHostsSince( ::uint64_t value);
+  inline bool hasHostsSince();
+  inline  ::pollenwick::wire::Revision::Builder getHostsSince();
+  inline void setHostsSince( ::pollenwick::wire::Revision::Reader value);
+  inline  ::pollenwick::wire::Revision::Builder initHostsSince();
+  inline void adoptHostsSince(::capnp::Orphan< ::pollenwick::wire::Revision>&& value);
+  inline ::capnp::Orphan< ::pollenwick::wire::Revision> disownHostsSince();
 
   inline  ::int64_t getHostsHeldMicros();
   inline void setHostsHeldMicros( ::int64_t value);
@@ -2919,6 +2946,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pollenwick::wire::Revision::Pipeline getHeld();
+  inline  ::pollenwick::wire::Revision::Pipeline getHostsSince();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6305,6 +6333,40 @@
       ::capnp::bounded<88>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Reply::Reader::hasTryHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Reply::Builder::hasTryHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Reply::Reader::getTryHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Reply::Builder::getTryHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Reply::Builder::setTryHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Reply::Builder::initTryHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Reply::Builder::adoptTryHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Reply::Builder::disownTryHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Shard::Reader::hasTenant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7419,57 +7481,82 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ShardClaim::Reader::getHostsSince() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ShardClaim::Reader::hasHostsSince() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ShardClaim::Builder::getHostsSince() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ShardClaim::Builder::hasHostsSince() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void ShardClaim::Builder::setHostsSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::pollenwick::wire::Revision::Reader ShardClaim::Reader::getHostsSince() const {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::pollenwick::wire::Revision::Builder ShardClaim::Builder::getHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenwick::wire::Revision::Pipeline ShardClaim::Pipeline::getHostsSince() {
+  return  ::pollenwick::wire::Revision::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void ShardClaim::Builder::setHostsSince( ::pollenwick::wire::Revision::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenwick::wire::Revision::Builder ShardClaim::Builder::initHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ShardClaim::Builder::adoptHostsSince(
+    ::capnp::Orphan< ::pollenwick::wire::Revision>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenwick::wire::Revision> ShardClaim::Builder::disownHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ShardClaim::Reader::hasClaimant() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ShardClaim::Builder::hasClaimant() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::pollenwick::wire::Incarnation::Reader ShardClaim::Reader::getClaimant() const {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::pollenwick::wire::Incarnation::Builder ShardClaim::Builder::getClaimant() {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::pollenwick::wire::Incarnation::Pipeline ShardClaim::Pipeline::getClaimant() {
-  return  ::pollenwick::wire::Incarnation::Pipeline(_typeless.getPointerField(2));
+  return  ::pollenwick::wire::Incarnation::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
 inline void ShardClaim::Builder::setClaimant( ::pollenwick::wire::Incarnation::Reader value) {
   ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::pollenwick::wire::Incarnation::Builder ShardClaim::Builder::initClaimant() {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void ShardClaim::Builder::adoptClaimant(
     ::capnp::Orphan< ::pollenwick::wire::Incarnation>&& value) {
   ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> ShardClaim::Builder::disownClaimant() {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Handover::Reader::hasShard() const {
@@ -7511,99 +7598,124 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Handover::Reader::getHostsSince() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Handover::Reader::hasHostsSince() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Handover::Builder::getHostsSince() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Handover::Builder::hasHostsSince() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Handover::Builder::setHostsSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::pollenwick::wire::Revision::Reader Handover::Reader::getHostsSince() const {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::pollenwick::wire::Revision::Builder Handover::Builder::getHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenwick::wire::Revision::Pipeline Handover::Pipeline::getHostsSince() {
+  return  ::pollenwick::wire::Revision::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Handover::Builder::setHostsSince( ::pollenwick::wire::Revision::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenwick::wire::Revision::Builder Handover::Builder::initHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Handover::Builder::adoptHostsSince(
+    ::capnp::Orphan< ::pollenwick::wire::Revision>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenwick::wire::Revision> Handover::Builder::disownHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Handover::Reader::hasTo() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Handover::Builder::hasTo() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::pollenwick::wire::Incarnation::Reader Handover::Reader::getTo() const {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::pollenwick::wire::Incarnation::Builder Handover::Builder::getTo() {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::pollenwick::wire::Incarnation::Pipeline Handover::Pipeline::getTo() {
-  return  ::pollenwick::wire::Incarnation::Pipeline(_typeless.getPointerField(1));
+  return  ::pollenwick::wire::Incarnation::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void Handover::Builder::setTo( ::pollenwick::wire::Incarnation::Reader value) {
   ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::pollenwick::wire::Incarnation::Builder Handover::Builder::initTo() {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Handover::Builder::adoptTo(
     ::capnp::Orphan< ::pollenwick::wire::Incarnation>&& value) {
   ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> Handover::Builder::disownTo() {
   return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline  ::int64_t Handover::Reader::getBalanceMicro() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t Handover::Builder::getBalanceMicro() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Handover::Builder::setBalanceMicro( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int64_t Handover::Reader::getOutstandingMicro() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t Handover::Builder::getOutstandingMicro() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Handover::Builder::setOutstandingMicro( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int64_t Handover::Reader::getOutstandingLifetimeMicros() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t Handover::Builder::getOutstandingLifetimeMicros() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void Handover::Builder::setOutstandingLifetimeMicros( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Revision::Reader::getNumber() const {
@@ -7774,32 +7886,57 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t WitnessAnswer::Reader::getHostsSince() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WitnessAnswer::Reader::hasHostsSince() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t WitnessAnswer::Builder::getHostsSince() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WitnessAnswer::Builder::hasHostsSince() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void WitnessAnswer::Builder::setHostsSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::pollenwick::wire::Revision::Reader WitnessAnswer::Reader::getHostsSince() const {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::pollenwick::wire::Revision::Builder WitnessAnswer::Builder::getHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollenwick::wire::Revision::Pipeline WitnessAnswer::Pipeline::getHostsSince() {
+  return  ::pollenwick::wire::Revision::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void WitnessAnswer::Builder::setHostsSince( ::pollenwick::wire::Revision::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenwick::wire::Revision::Builder WitnessAnswer::Builder::initHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WitnessAnswer::Builder::adoptHostsSince(
+    ::capnp::Orphan< ::pollenwick::wire::Revision>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenwick::wire::Revision> WitnessAnswer::Builder::disownHostsSince() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Revision>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::int64_t WitnessAnswer::Reader::getHostsHeldMicros() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t WitnessAnswer::Builder::getHostsHeldMicros() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void WitnessAnswer::Builder::setHostsHeldMicros( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Suspicion::Reader::hasFingerprint() const {
--- a/src/peer/PeerConnections.cpp
+++ b/src/peer/PeerConnections.cpp
@@ -46,10 +46,14 @@
                      const PeerDuty::Exchange &Exchange) {
   return connect(To).then(
       [this, To, Timeout, &Exchange](SharedConnection Used) {
-        auto TimedOut =
-            Timer.afterDelay(Timeout.count() * kj::MICROSECONDS).then([] {
-              return PeerError::TimedOut;
-            });
+        auto TimedOut = Timer.afterDelay(Timeout.count() * kj::MICROSECONDS)
+                            .then([this, To, Used] {
+                              // A connection through a partition stays open
+                              // without an error; the next exchange opens a new
+                              // one.
+                              forget(To, Used);
+                              return PeerError::TimedOut;
+                            });
         return Exchange(Used->Peer)
             .then([] { return PeerError::None; },
                   [this, To, Used](kj::Exception &&) {
@@ -57,7 +61,7 @@
                     return PeerError::Lost;
                   })
             .exclusiveJoin(kj::mv(TimedOut))
-            .attach(Used);
+            .attach(SharedConnection(Used));
       },
       [](kj::Exception &&) -> kj::Promise<PeerError> {
         return PeerError::NotConnected;
--- a/src/peer/PeerDuty.cpp
+++ b/src/peer/PeerDuty.cpp
@@ -19,6 +19,12 @@
 constexpr Duration ReplySlack = std::chrono::milliseconds(20);
 constexpr Duration MinTimeout = std::chrono::milliseconds(1);
 
+/// Posted exchanges report nothing; their senders repeat them when due.
+class IgnoreErrors final : public kj::TaskSet::ErrorHandler {
+public:
+  void taskFailed(kj::Exception &&) override {}
+};
+
 CallReply errorReply(PeerError Error) {
   switch (Error) {
   case PeerError::None:
@@ -84,6 +90,9 @@
         Server.listen(*Listener).eagerlyEvaluate([](kj::Exception &&) {});
     PeerConnections Outgoing(Network, Io.provider->getTimer(), Opened);
     Connections = &Outgoing;
+    IgnoreErrors Errors;
+    kj::TaskSet Posted(Errors);
+    Tasks = &Posted;
     Executor = kj::getCurrentThreadExecutor().addRef();
     auto Stop = kj::newPromiseAndCrossThreadFulfiller<void>();
     Stopper = kj::mv(Stop.fulfiller);
@@ -117,6 +126,26 @@
   return Result;
 }
 
+void PeerDuty::post(const PeerAddress &To, Duration Timeout, Exchange Run) {
+  if (Waiting.fetch_add(1) >= MaxWaiting) {
+    Waiting.fetch_sub(1);
+    return;
+  }
+  auto Start = [&] {
+    auto Owned = std::make_shared<Exchange>(std::move(Run));
+    Tasks->add(Connections->run(To, Timeout, *Owned)
+                   .ignoreResult()
+                   .attach(kj::defer([this, Owned] { Waiting.fetch_sub(1); })));
+  };
+  if (std::this_thread::get_id() == Thread.get_id())
+    return Start();
+  try {
+    Executor->executeSync(Start);
+  } catch (const kj::Exception &) {
+    Waiting.fetch_sub(1); // The duty has stopped.
+  }
+}
+
 CallReply PeerDuty::call(const PeerAddress &To, const CallRequest &Request) {
   CallReply Reply;
   CallId Id;
@@ -140,9 +169,8 @@
   const PeerError Error =
       exchange(To, timeoutOf(Request), [&](wire::Peer::Client &Peer) {
         auto Message = Peer.claimRequest();
-        auto Claim = Message.initClaim();
-        Claim.setTicket(Ticket);
-        writeCall(Claim.initCall(), Request, now());
+        Message.setTicket(Ticket);
+        writeCall(Message.initCall(), Request, now());
         return Message.send().then([&](auto &&Response) {
           Reply = readReply(Response.getReply(), Id);
         });
--- a/src/peer/PeerDuty.h
+++ b/src/peer/PeerDuty.h
@@ -58,6 +58,10 @@
   PeerError exchange(const PeerAddress &To, Duration Timeout,
                      const Exchange &Run);
 
+  /// Sends without waiting for an answer; dropped when too many exchanges are
+  /// waiting. `Run` owns what it needs. Any thread.
+  void post(const PeerAddress &To, Duration Timeout, Exchange Run);
+
   std::uint32_t waiting() const { return Waiting.load(); }
   std::uint64_t connectionsOpened() const { return Opened.load(); }
 
@@ -72,6 +76,7 @@
   std::thread Thread;
   kj::Own<const kj::Executor> Executor;
   PeerConnections *Connections = nullptr;
+  kj::TaskSet *Tasks = nullptr;
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> Stopper;
 };
 
--- a/src/peer/PeerHandlers.h
+++ b/src/peer/PeerHandlers.h
@@ -26,11 +26,17 @@
       OnClaim;
   std::function<void(wire::BorrowRequest::Reader, wire::BorrowReply::Builder)>
       OnBorrow;
-  /// Receives quota messages and returns those that answer them.
-  std::function<void(wire::Peer::QuotaParams::Reader,
-                     wire::Peer::QuotaResults::Builder)>
-      OnQuota;
+  std::function<void(wire::Settlement::Reader)> OnSettle;
+  std::function<void(wire::Recall::Reader, wire::Peer::RecallResults::Builder)>
+      OnRecall;
+  std::function<void(wire::PullRequest::Reader, wire::PullReply::Builder)>
+      OnPull;
+  std::function<void(wire::ShardClaim::Reader,
+                     wire::Peer::ReleaseResults::Builder)>
+      OnRelease;
   std::function<void(wire::Confirmation::Builder)> OnConfirm;
+  std::function<void(wire::WitnessAnswer::Builder)> OnWitness;
+  std::function<void(capnp::List<wire::Suspicion>::Reader)> OnSuspect;
   std::function<std::string()> OnPointer;
   std::function<std::optional<std::string>(const Digest &)> OnChunk;
 };
--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -8,24 +8,26 @@
 namespace pollenwick {
 namespace {
 
-using Fulfiller = kj::CrossThreadPromiseFulfiller<CallReply>;
+using Fulfiller = kj::CrossThreadPromiseFulfiller<kj::Own<CallReply>>;
 
 /// Promise of a reply that another thread will give, and the callback for it.
 struct PendingReply {
-  kj::Promise<CallReply> Promise;
+  kj::Promise<kj::Own<CallReply>> Promise;
   ReplyCallback Callback;
   CancelFlag Cancelled;
 };
 
 PendingReply makePendingReply() {
-  auto Pair = kj::newPromiseAndCrossThreadFulfiller<CallReply>();
+  auto Pair = kj::newPromiseAndCrossThreadFulfiller<kj::Own<CallReply>>();
   // std::function requires a copyable target, kj::Own cannot be copied.
   auto Shared = std::make_shared<kj::Own<Fulfiller>>(kj::mv(Pair.fulfiller));
   auto Cancelled = std::make_shared<std::atomic<bool>>(false);
   auto Promise =
       Pair.promise.attach(kj::defer([Cancelled] { Cancelled->store(true); }));
   return {kj::mv(Promise),
-          [Shared](CallReply Reply) { (*Shared)->fulfill(kj::mv(Reply)); },
+          [Shared](CallReply Reply) {
+            (*Shared)->fulfill(kj::heap<CallReply>(std::move(Reply)));
+          },
           Cancelled};
 }
 
@@ -39,24 +41,25 @@
   PendingReply Pending = makePendingReply();
   Handlers.OnCall(std::move(Request), Pending.Cancelled,
                   std::move(Pending.Callback));
-  return Pending.Promise.then([Context, Id](CallReply &&Reply) mutable {
-    writeReply(Context.getResults().initReply(), Reply, Id);
-  });
+  return Pending.Promise.then(
+      [Context, Id](kj::Own<CallReply> &&Reply) mutable {
+        writeReply(Context.getResults().initReply(), *Reply, Id);
+      });
 }
 
 kj::Promise<void> PeerServer::claim(ClaimContext Context) {
-  const auto Claim = Context.getParams().getClaim();
-  const std::string Ticket(Claim.getTicket().cStr());
-  CallRequest Request = readCall(Claim.getCall(), now());
+  const std::string Ticket = textOf(Context.getParams().getTicket());
+  CallRequest Request = readCall(Context.getParams().getCall(), now());
   const CallId Id = Request.Id;
   Context.releaseParams();
   Context.allowCancellation();
   PendingReply Pending = makePendingReply();
   Handlers.OnClaim(Ticket, std::move(Request), Pending.Cancelled,
                    std::move(Pending.Callback));
-  return Pending.Promise.then([Context, Id](CallReply &&Reply) mutable {
-    writeReply(Context.getResults().initReply(), Reply, Id);
-  });
+  return Pending.Promise.then(
+      [Context, Id](kj::Own<CallReply> &&Reply) mutable {
+        writeReply(Context.getResults().initReply(), *Reply, Id);
+      });
 }
 
 kj::Promise<void> PeerServer::borrow(BorrowContext Context) {
@@ -65,15 +68,39 @@
   return kj::READY_NOW;
 }
 
-kj::Promise<void> PeerServer::quota(QuotaContext Context) {
-  Handlers.OnQuota(Context.getParams(), Context.getResults());
+kj::Promise<void> PeerServer::settle(SettleContext Context) {
+  Handlers.OnSettle(Context.getParams().getSettlement());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::recall(RecallContext Context) {
+  Handlers.OnRecall(Context.getParams().getRecall(), Context.getResults());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::pull(PullContext Context) {
+  Handlers.OnPull(Context.getParams().getRequest(),
+                  Context.getResults().initReply());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::release(ReleaseContext Context) {
+  Handlers.OnRelease(Context.getParams().getClaim(), Context.getResults());
   return kj::READY_NOW;
 }
 
 kj::Promise<void> PeerServer::confirm(ConfirmContext Context) {
-  auto Results = Context.getResults();
-  Results.setNonce(Context.getParams().getNonce());
-  Handlers.OnConfirm(Results.initConfirmation());
+  Handlers.OnConfirm(Context.getResults().initConfirmation());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::witness(WitnessContext Context) {
+  Handlers.OnWitness(Context.getResults().initAnswer());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::suspect(SuspectContext Context) {
+  Handlers.OnSuspect(Context.getParams().getSuspicions());
   return kj::READY_NOW;
 }
 
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -14,8 +14,13 @@
   kj::Promise<void> call(CallContext Context) override;
   kj::Promise<void> claim(ClaimContext Context) override;
   kj::Promise<void> borrow(BorrowContext Context) override;
-  kj::Promise<void> quota(QuotaContext Context) override;
+  kj::Promise<void> settle(SettleContext Context) override;
+  kj::Promise<void> recall(RecallContext Context) override;
+  kj::Promise<void> pull(PullContext Context) override;
+  kj::Promise<void> release(ReleaseContext Context) override;
   kj::Promise<void> confirm(ConfirmContext Context) override;
+  kj::Promise<void> witness(WitnessContext Context) override;
+  kj::Promise<void> suspect(SuspectContext Context) override;
   kj::Promise<void> pointer(PointerContext Context) override;
   kj::Promise<void> chunk(ChunkContext Context) override;
 
--- a/src/peer/Wire.cpp
+++ b/src/peer/Wire.cpp
@@ -5,8 +5,6 @@
 namespace pollenwick {
 namespace {
 
-std::string text(capnp::Text::Reader In) { return {In.cStr(), In.size()}; }
-
 std::string bytes(capnp::Data::Reader In) {
   return {reinterpret_cast<const char *>(In.begin()), In.size()};
 }
@@ -27,7 +25,7 @@
   std::vector<HeaderField> Out;
   Out.reserve(In.size());
   for (auto Header : In)
-    Out.push_back({text(Header.getName()), text(Header.getValue())});
+    Out.push_back({textOf(Header.getName()), textOf(Header.getValue())});
   return Out;
 }
 
@@ -57,28 +55,38 @@
 
 LoadReport readLoad(wire::LoadReport::Reader In) {
   LoadReport Out;
-  Out.ThresholdRank = In.getThresholdRank();
-  Out.ThresholdHash = In.getThresholdHash();
-  Out.QueueDelay = Duration(In.getQueueDelayMicros());
-  Out.InFlight = In.getInFlight();
-  Out.Limit = In.getLimit();
+  Out.Known = In.getKnown();
   Out.Draining = In.getDraining();
+  Out.InFlight = In.getInFlight();
+  Out.QueueDelay = Duration(In.getQueueDelayMicros());
+  for (auto Report : In.getThresholds())
+    Out.Thresholds.push_back({ServiceId(textOf(Report.getService())),
+                              Report.getTenantLevel(), Report.getCommonLevel(),
+                              Duration(Report.getAgeMicros())});
   return Out;
 }
 
 void writeLoad(wire::LoadReport::Builder Out, const LoadReport &Load) {
-  Out.setThresholdRank(Load.ThresholdRank);
-  Out.setThresholdHash(Load.ThresholdHash);
-  Out.setQueueDelayMicros(Load.QueueDelay.count());
-  Out.setInFlight(Load.InFlight);
-  Out.setLimit(Load.Limit);
+  Out.setKnown(Load.Known);
   Out.setDraining(Load.Draining);
+  Out.setInFlight(Load.InFlight);
+  Out.setQueueDelayMicros(Load.QueueDelay.count());
+  auto List = Out.initThresholds(static_cast<unsigned>(Load.Thresholds.size()));
+  for (unsigned I = 0; I < List.size(); ++I) {
+    const NamedThreshold &Threshold = Load.Thresholds[I];
+    List[I].setService(Threshold.Service.Text);
+    List[I].setTenantLevel(Threshold.TenantLevel);
+    List[I].setCommonLevel(Threshold.CommonLevel);
+    List[I].setAgeMicros(Threshold.Age.count());
+  }
 }
 
 constexpr auto LastReason = RefusalReason::Cancelled;
 
 } // namespace
 
+std::string textOf(capnp::Text::Reader In) { return {In.cStr(), In.size()}; }
+
 Digest readDigest(capnp::Data::Reader In) {
   Digest Out{};
   if (In.size() == Out.size())
@@ -92,7 +100,7 @@
 }
 
 IncarnationId readIncarnation(wire::Incarnation::Reader In) {
-  return {HostId(text(In.getHost())), StartId(In.getStart())};
+  return {HostId(textOf(In.getHost())), StartId(In.getStart())};
 }
 
 void writeCall(wire::Call::Builder Out, const CallRequest &Call, Instant Now) {
@@ -108,12 +116,11 @@
   Out.setRemainingMicros((Call.Deadline - Now).count());
   Out.setAgeMicros((Now - Call.AdmittedAt).count());
   Out.setAllowance(Call.Allowance);
-  Out.setFingerprint(bytesOf(Call.Fingerprint));
+  Out.setBodyDigest(bytesOf(Call.BodyDigest));
   if (Call.HasKey)
     Out.setKey(bytesOf(Call.Key.Bytes));
   Out.setRevision(Call.DecidedAt.Value);
   Out.setSubCall(Call.SubCall);
-  Out.setIsolated(Call.Isolated);
   writeHeaders(Out.initHeaders(static_cast<unsigned>(Call.Headers.size())),
                Call.Headers);
   Out.setBody(dataOf(Call.Body));
@@ -123,22 +130,21 @@
   CallRequest Call;
   Call.Caller = readIncarnation(In.getCaller());
   Call.Id = CallId(In.getId());
-  Call.Route = RouteId(text(In.getRoute()));
-  Call.PathAndQuery = text(In.getPathAndQuery());
-  Call.Method = text(In.getMethod());
-  Call.Tenant = TenantId(text(In.getTenant()));
-  Call.Class = ClassId(text(In.getClass()));
+  Call.Route = RouteId(textOf(In.getRoute()));
+  Call.PathAndQuery = textOf(In.getPathAndQuery());
+  Call.Method = textOf(In.getMethod());
+  Call.Tenant = TenantId(textOf(In.getTenant()));
+  Call.Class = ClassId(textOf(In.getClass()));
   Call.Root = RootId(In.getRootId());
   Call.Hash = In.getRequestHash();
   Call.Deadline = Now + Duration(In.getRemainingMicros());
   Call.AdmittedAt = Now - Duration(In.getAgeMicros());
   Call.Allowance = In.getAllowance();
-  Call.Fingerprint = readDigest(In.getFingerprint());
+  Call.BodyDigest = readDigest(In.getBodyDigest());
   Call.HasKey = In.getKey().size() == Call.Key.Bytes.size();
   Call.Key.Bytes = readDigest(In.getKey());
   Call.DecidedAt = Revision(In.getRevision());
   Call.SubCall = In.getSubCall();
-  Call.Isolated = In.getIsolated();
   Call.Headers = readHeaders(In.getHeaders());
   Call.Body = bytes(In.getBody());
   return Call;
@@ -152,6 +158,8 @@
   Out.setStatus(Reply.Status);
   Out.setUnusedAllowance(Reply.UnusedAllowance);
   Out.setRetryAfterMicros(Reply.RetryAfter.count());
+  Out.setSuspect(Reply.Suspect);
+  Out.setTryHost(Reply.TryHost.Text);
   writeLoad(Out.initLoad(), Reply.Load);
   writeHeaders(Out.initHeaders(static_cast<unsigned>(Reply.Headers.size())),
                Reply.Headers);
@@ -166,10 +174,12 @@
   Reply.Reason = Reason <= static_cast<std::uint8_t>(LastReason)
                      ? static_cast<RefusalReason>(Reason)
                      : RefusalReason::PeerLost;
-  Reply.Message = text(In.getMessage());
+  Reply.Message = textOf(In.getMessage());
   Reply.Status = In.getStatus();
   Reply.UnusedAllowance = In.getUnusedAllowance();
   Reply.RetryAfter = Duration(In.getRetryAfterMicros());
+  Reply.Suspect = In.getSuspect();
+  Reply.TryHost = HostId(textOf(In.getTryHost()));
   Reply.Load = readLoad(In.getLoad());
   Reply.Headers = readHeaders(In.getHeaders());
   Reply.Body = bytes(In.getBody());
