Add tickets that run a call at most once

The ticket names the incarnation that issued it and only that incarnation gives Execute, so a second process never has to know what the first one ran. A refusal is "not run" only when the ticket can neither have run nor run later: it ended "not run", or it expired unused within the grace in which used tickets are still remembered. Malformed, foreign or badly signed tickets are "unknown", because a damaged copy may stand for a ticket that was used.

Ruled out: forgetting the oldest used ticket at the limit (it could run again); "not run" for a ticket refused at the limit (it stays usable).

--- /dev/null
+++ b/src/core/once/TicketBook.cpp
@@ -0,0 +1,196 @@
+#include "core/once/TicketBook.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+// Expired tickets make room continuously, so a short wait is enough.
+constexpr Duration FullRetryAfter = std::chrono::seconds(1);
+
+Refusal refuse(Outcome Result, RefusalReason Reason, std::string Message) {
+  return {Result, Reason, std::nullopt, std::move(Message)};
+}
+
+std::uint32_t slotOf(TicketBook &Book, const TenantId &Tenant) {
+  const auto It =
+      std::ranges::find(Book.Tenants, Tenant, &TicketBook::TenantUse::Tenant);
+  const auto Slot = static_cast<std::uint32_t>(It - Book.Tenants.begin());
+  if (It == Book.Tenants.end())
+    Book.Tenants.push_back({Tenant, 0});
+  return Slot;
+}
+
+bool isFull(const TicketBook &Book, const TenantId &Tenant) {
+  if (Book.Used.size() >= Book.Limits.MaxTickets)
+    return true;
+  const auto It =
+      std::ranges::find(Book.Tenants, Tenant, &TicketBook::TenantUse::Tenant);
+  return It != Book.Tenants.end() &&
+         It->Tickets >= Book.Limits.MaxTicketsPerTenant;
+}
+
+std::size_t bytesOf(const TicketAnswer &Answer) {
+  return sizeof(TicketAnswer) + Answer.ContentType.size() + Answer.Body.size();
+}
+
+ClaimResult judgeUsed(const UsedTicket &Used, const TicketClaim &Claim) {
+  // The first body may have run. A caller that takes "not run" for its request
+  // would ask for a new ticket and run it twice.
+  if (Used.Body != Claim.Body)
+    return refuse(Outcome::Unknown, RefusalReason::TicketUsed,
+                  "ticket was used with another body; resend the first body "
+                  "to learn its result");
+  if (Used.Running)
+    return InProgress{};
+  if (Used.Answer)
+    return Replay{*Used.Answer};
+  switch (Used.Result) {
+  case Outcome::Done:
+    return refuse(Outcome::Unknown, RefusalReason::TicketUsed,
+                  "ticket was used and its answer is not kept; read the state "
+                  "from the service");
+  case Outcome::NotRun:
+    return refuse(Outcome::NotRun, Used.Reason,
+                  "ticket was used and the call did not run; ask for a new "
+                  "ticket");
+  case Outcome::Unknown:
+    break;
+  }
+  return refuse(Outcome::Unknown, Used.Reason,
+                "ticket was used and the result of the call is unknown; read "
+                "the state from the service");
+}
+
+Refusal judgeExpired(const TicketBook &Book, const Ticket &Presented,
+                     Instant Now) {
+  if (Now < Presented.Expiry + Book.Limits.Grace)
+    return refuse(Outcome::NotRun, RefusalReason::TicketInvalid,
+                  "ticket expired unused; ask for a new ticket");
+  return refuse(Outcome::Unknown, RefusalReason::TicketInvalid,
+                "ticket expired too long ago to tell whether it was used; read "
+                "the state from the service");
+}
+
+} // namespace
+
+std::variant<Ticket, Refusal> mintTicket(TicketBook &Book,
+                                         const TenantId &Tenant,
+                                         const RouteId &Route,
+                                         Duration Lifetime, Instant Now) {
+  if (isFull(Book, Tenant)) {
+    Refusal Full =
+        refuse(Outcome::NotRun, RefusalReason::QueueFull,
+               "no ticket for tenant " + Tenant.Text +
+                   ": the limit of remembered tickets is reached; retry later");
+    Full.RetryAfter = FullRetryAfter;
+    return Full;
+  }
+  Ticket Minted{Book.Self, ++Book.LastSequence, Tenant,
+                Route,     Now + Lifetime,      {}};
+  Minted.Code = ticketMac(Book.Key, Minted);
+  return Minted;
+}
+
+ClaimResult claimTicket(TicketBook &Book, const TicketClaim &Claim,
+                        Instant Now) {
+  const std::optional<Ticket> Presented = parseTicket(Claim.TicketHeader);
+  // A damaged ticket may stand for one that was used, so every refusal of a
+  // ticket that is not verified is "unknown".
+  if (!Presented)
+    return refuse(
+        Outcome::Unknown, RefusalReason::TicketInvalid,
+        "Pollenwick-Ticket is malformed; resend the ticket as issued");
+  if (Presented->Tenant != Claim.Tenant || Presented->Route != Claim.Route)
+    return refuse(Outcome::Unknown, RefusalReason::TicketInvalid,
+                  "ticket is for tenant " + Presented->Tenant.Text +
+                      " and route " + Presented->Route.Text +
+                      "; use it with these only");
+  if (Presented->Issuer.Host != Book.Self.Host)
+    return ForwardTo{Presented->Issuer.Host};
+  if (Presented->Issuer.Start != Book.Self.Start)
+    return refuse(Outcome::Unknown, RefusalReason::IssuerGone,
+                  "the process that issued the ticket is gone; read the state "
+                  "from the service");
+  if (!macMatches(Book.Key, *Presented))
+    return refuse(Outcome::Unknown, RefusalReason::TicketInvalid,
+                  "ticket fails its check; resend the ticket as issued");
+  const auto Used = Book.Used.find(Presented->Sequence);
+  if (Used != Book.Used.end())
+    return judgeUsed(Used->second, Claim);
+  if (Now >= Presented->Expiry)
+    return judgeExpired(Book, *Presented, Now);
+  if (isFull(Book, Claim.Tenant)) {
+    // The ticket stays usable, hence not "not run".
+    Refusal Full = refuse(Outcome::Unknown, RefusalReason::QueueFull,
+                          "the limit of remembered tickets is reached; resend "
+                          "the same ticket later");
+    Full.RetryAfter = FullRetryAfter;
+    return Full;
+  }
+  UsedTicket First;
+  First.Body = Claim.Body;
+  First.TenantSlot = slotOf(Book, Claim.Tenant);
+  ++Book.Tenants[First.TenantSlot].Tickets;
+  Book.Used.emplace(Presented->Sequence, std::move(First));
+  Book.ForgetQueue.push(
+      {Presented->Expiry + Book.Limits.Grace, Presented->Sequence});
+  return Execute{Presented->Sequence};
+}
+
+void finishTicket(TicketBook &Book, std::uint64_t Sequence,
+                  TicketResult Result) {
+  assert(Result.Result == Outcome::Done || !Result.Answer);
+  const auto It = Book.Used.find(Sequence);
+  if (It == Book.Used.end())
+    return;
+  UsedTicket &Used = It->second;
+  if (!Used.Running && Used.Result != Outcome::Unknown)
+    return;
+  Used.Running = false;
+  Used.Result = Result.Result;
+  Used.Reason = Result.Reason;
+  if (!Result.Answer)
+    return;
+  const std::size_t Bytes = bytesOf(*Result.Answer);
+  if (Result.Answer->Body.size() > Book.Limits.MaxAnswerBytes ||
+      Book.AnswerBytes + Bytes > Book.Limits.MaxAnswerTotal)
+    return;
+  Book.AnswerBytes += Bytes;
+  Used.Answer = std::make_unique<TicketAnswer>(*std::move(Result.Answer));
+}
+
+Refusal issuerUnreachable(const HostId &Issuer) {
+  return refuse(Outcome::Unknown, RefusalReason::IssuerGone,
+                "host " + Issuer.Text +
+                    ", which issued the ticket, does not answer; resend the "
+                    "same ticket later");
+}
+
+std::size_t expireTickets(TicketBook &Book, Instant Now) {
+  std::size_t Forgotten = 0;
+  while (!Book.ForgetQueue.empty() && Book.ForgetQueue.top().first <= Now) {
+    const auto It = Book.Used.find(Book.ForgetQueue.top().second);
+    Book.ForgetQueue.pop();
+    assert(It != Book.Used.end());
+    if (It->second.Answer)
+      Book.AnswerBytes -= bytesOf(*It->second.Answer);
+    --Book.Tenants[It->second.TenantSlot].Tickets;
+    Book.Used.erase(It);
+    ++Forgotten;
+  }
+  return Forgotten;
+}
+
+std::size_t memoryOf(const TicketBook &Book) {
+  using Slot = std::pair<const std::uint64_t, UsedTicket>;
+  // One control byte per slot; the forget queue doubles its storage.
+  return Book.Used.capacity() * (sizeof(Slot) + 1) +
+         2 * Book.ForgetQueue.size() * sizeof(TicketBook::Forget) +
+         Book.Tenants.capacity() * sizeof(TicketBook::TenantUse) +
+         Book.AnswerBytes;
+}
+
+} // namespace pollenwick
--- a/src/core/once/TicketBook.h
+++ b/src/core/once/TicketBook.h
@@ -3,9 +3,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <queue>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -16,10 +19,10 @@
 namespace pollenwick {
 
 struct TicketLimits {
-  std::size_t MaxTickets = 65'536;          ///< Remembered tickets.
-  std::size_t MaxTicketsPerTenant = 32'768; ///< Of them, for one tenant.
-  std::size_t MaxAnswerBytes = 4'096;       ///< Largest answer kept.
-  std::size_t MaxAnswerTotal = 8U << 20;    ///< Bytes of all answers kept.
+  std::size_t MaxTickets = 16'384;         ///< Remembered tickets.
+  std::size_t MaxTicketsPerTenant = 8'192; ///< Of them, for one tenant.
+  std::size_t MaxAnswerBytes = 4'096;      ///< Largest answer kept.
+  std::size_t MaxAnswerTotal = 4U << 20;   ///< Bytes of all answers kept.
   /// How long a used ticket is remembered after it expired. Within this time
   /// an expired ticket that is not remembered certainly has not run.
   Duration Grace = std::chrono::seconds(30);
@@ -46,7 +49,7 @@
   Outcome Result = Outcome::Unknown;
   RefusalReason Reason = RefusalReason::None;
   bool Running = true;
-  std::int32_t AnswerSlot = -1; ///< Into `TicketBook::Answers`; -1: not kept.
+  std::unique_ptr<TicketAnswer> Answer; ///< Null: not kept.
 };
 
 /// The tickets that one incarnation issued and saw used. Guarded by one mutex.
@@ -60,17 +63,12 @@
     TenantId Tenant;
     std::size_t Tickets = 0;
   };
-  struct Forget {
-    Instant At;
-    std::uint64_t Sequence = 0;
-    friend auto operator<=>(const Forget &, const Forget &) = default;
-  };
+  /// When to forget which sequence.
+  using Forget = std::pair<Instant, std::uint64_t>;
 
   absl::flat_hash_map<std::uint64_t, UsedTicket> Used; ///< By sequence.
   std::priority_queue<Forget, std::vector<Forget>, std::greater<>> ForgetQueue;
   std::vector<TenantUse> Tenants;
-  std::vector<std::optional<TicketAnswer>> Answers;
-  std::vector<std::int32_t> FreeAnswers;
   std::size_t AnswerBytes = 0;
 };
 
