Add records of running calls and correlation of answers

A retry of a route costs as much allowance as the largest number of executions of any one service that the route declares. With a cost of one per retry, a retried call whose subtree calls a service five times would exceed the declared count plus the allowance by four.

--- /dev/null
+++ b/src/core/calls/OutgoingCalls.cpp
@@ -0,0 +1,59 @@
+#include "core/calls/OutgoingCalls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+// Sorted by id, so that the result does not depend on the order of the table.
+template <typename Predicate>
+std::vector<OutgoingCall> closeIf(OutgoingCalls &Calls, Predicate Matches) {
+  std::vector<std::uint64_t> Ids;
+  for (const auto &[Id, Call] : Calls.Open)
+    if (Matches(Call))
+      Ids.push_back(Id);
+  std::ranges::sort(Ids);
+  std::vector<OutgoingCall> Closed;
+  Closed.reserve(Ids.size());
+  for (const std::uint64_t Id : Ids)
+    Closed.push_back(std::move(Calls.Open.extract(Id).mapped()));
+  return Closed;
+}
+
+} // namespace
+
+std::optional<CallId> openOutgoing(OutgoingCalls &Calls,
+                                   const OutgoingCall &Call) {
+  if (Calls.Open.size() >= Calls.MaxCalls)
+    return std::nullopt;
+  const CallId Id(++Calls.LastCall);
+  Calls.Open.emplace(Id.Value, Call);
+  return Id;
+}
+
+std::optional<OutgoingCall> closeOutgoing(OutgoingCalls &Calls,
+                                          const IncarnationId &AnswerTo,
+                                          CallId Id, const HostId &From) {
+  if (AnswerTo != Calls.Self)
+    return std::nullopt;
+  const auto It = Calls.Open.find(Id.Value);
+  if (It == Calls.Open.end() || It->second.Peer != From)
+    return std::nullopt;
+  OutgoingCall Closed = std::move(It->second);
+  Calls.Open.erase(It);
+  return Closed;
+}
+
+std::vector<OutgoingCall> closeOutgoingTo(OutgoingCalls &Calls,
+                                          const HostId &Lost) {
+  return closeIf(Calls,
+                 [&](const OutgoingCall &Call) { return Call.Peer == Lost; });
+}
+
+std::vector<OutgoingCall> closeOverdue(OutgoingCalls &Calls, Instant Now) {
+  return closeIf(
+      Calls, [&](const OutgoingCall &Call) { return Call.Deadline <= Now; });
+}
+
+} // namespace pollenwick
--- a/src/core/calls/OutgoingCalls.h
+++ b/src/core/calls/OutgoingCalls.h
@@ -29,7 +29,8 @@
 };
 
 /// Nothing at the limit.
-std::optional<CallId> openOutgoing(OutgoingCalls &Calls, OutgoingCall Call);
+std::optional<CallId> openOutgoing(OutgoingCalls &Calls,
+                                   const OutgoingCall &Call);
 
 /// Closes the attempt and returns it. Nothing for an answer to another
 /// incarnation, from another host, to a closed id or to an unknown id; such an
--- /dev/null
+++ b/src/core/calls/RouteIndex.cpp
@@ -0,0 +1,88 @@
+#include "core/calls/RouteIndex.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+constexpr std::uint32_t MaxCost = std::numeric_limits<std::uint32_t>::max();
+
+std::uint32_t saturate(std::uint64_t Value) {
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(Value, MaxCost));
+}
+
+using Executions = absl::flat_hash_map<std::string_view, std::uint32_t>;
+
+/// Counts the executions of each service that one call of a route declares.
+struct CostWalk {
+  const RouteIndex &Index;
+  absl::flat_hash_map<std::string_view, Executions> Known;
+  absl::flat_hash_map<std::string_view, bool> Entered;
+
+  // Recursion is bounded by the depth of the call graph, which a checked
+  // bundle keeps acyclic; a cycle costs the maximum, so it is never retried.
+  // NOLINTNEXTLINE(misc-no-recursion)
+  Executions count(const RouteSpec &Route) {
+    if (const auto It = Known.find(Route.Id.Text); It != Known.end())
+      return It->second;
+    Executions Total;
+    if (std::exchange(Entered[Route.Id.Text], true)) {
+      Total[Route.Service.Text] = MaxCost;
+      return Total;
+    }
+    Total[Route.Service.Text] = 1;
+    for (const EdgeSpec &Edge : Route.Calls) {
+      const RouteEntry *Callee = findRoute(Index, Edge.Route);
+      if (Callee == nullptr)
+        continue;
+      for (const auto &[Service, Calls] : count(*Callee->Spec)) {
+        std::uint32_t &Sum = Total[Service];
+        Sum = saturate(Sum + std::uint64_t{Calls} * Edge.Count);
+      }
+    }
+    return Known[Route.Id.Text] = std::move(Total);
+  }
+};
+
+} // namespace
+
+RouteIndex indexRoutes(std::shared_ptr<const Bundle> Rules) {
+  RouteIndex Index;
+  Index.Rules = std::move(Rules);
+  for (const RouteSpec &Route : Index.Rules->Routes)
+    Index.Routes.try_emplace(Route.Id.Text, RouteEntry{&Route, 1});
+  CostWalk Walk{Index, {}, {}};
+  absl::flat_hash_map<std::string_view, std::uint32_t> Costs;
+  for (const RouteSpec &Route : Index.Rules->Routes) {
+    std::uint32_t Cost = 1;
+    for (const auto &[Service, Calls] : Walk.count(Route))
+      Cost = std::max(Cost, Calls);
+    Costs[Route.Id.Text] = Cost;
+  }
+  for (auto &[Id, Entry] : Index.Routes)
+    Entry.RetryCost = Costs[Id];
+  return Index;
+}
+
+const RouteEntry *findRoute(const RouteIndex &Index, const RouteId &Route) {
+  const auto It = Index.Routes.find(Route.Text);
+  return It == Index.Routes.end() ? nullptr : &It->second;
+}
+
+const RouteEntry *findRouteOfPath(const RouteIndex &Index,
+                                  std::string_view Path) {
+  if (!Path.starts_with('/'))
+    return nullptr;
+  Path.remove_prefix(1);
+  Path = Path.substr(0, Path.find_first_of("?#"));
+  const std::size_t Service = Path.find('/');
+  if (Service == std::string_view::npos)
+    return nullptr;
+  const auto It =
+      Index.Routes.find(Path.substr(0, Path.find('/', Service + 1)));
+  return It == Index.Routes.end() ? nullptr : &It->second;
+}
+
+} // namespace pollenwick
--- a/src/core/calls/RunningCalls.h
+++ b/src/core/calls/RunningCalls.h
@@ -21,7 +21,8 @@
 /// cryptographic generator; never reused.
 struct CallHandle {
   std::array<std::uint8_t, 16> Bytes{};
-  friend auto operator<=>(const CallHandle &, const CallHandle &) = default;
+  friend bool operator==(const CallHandle &, const CallHandle &) = default;
+  // NOLINTNEXTLINE(readability-identifier-naming): name fixed by Abseil.
   template <typename H> friend H AbslHashValue(H State, const CallHandle &C) {
     return H::combine(std::move(State), C.Bytes);
   }
