--- /dev/null
+++ b/src/core/keys/Keys.cpp
@@ -0,0 +1,77 @@
+#include "core/keys/Keys.h"
+
+#include <algorithm>
+#include <cstring>
+#include <string>
+#include <utility>
+
+namespace pollenwick {
+namespace {
+
+Refusal refuse(RefusalReason Reason, std::string Message) {
+  return {Outcome::NotRun, Reason, std::nullopt, std::move(Message)};
+}
+
+} // namespace
+
+std::size_t KeyDigestHash::operator()(const KeyDigest &Key) const noexcept {
+  std::size_t Hash = 0;
+  std::memcpy(&Hash, Key.Bytes.data(), sizeof(Hash));
+  return Hash;
+}
+
+KeyIndex indexKeys(std::shared_ptr<const Bundle> Rules) {
+  KeyIndex Index;
+  Index.Rules = std::move(Rules);
+  absl::flat_hash_map<std::string_view, std::uint32_t> Positions;
+  for (const TenantSpec &Tenant : Index.Rules->Tenants)
+    Positions.try_emplace(Tenant.Id.Text, Positions.size());
+  Index.Tenants.reserve(Index.Rules->Keys.size());
+  for (const KeySpec &Key : Index.Rules->Keys)
+    if (const auto It = Positions.find(Key.Tenant.Text); It != Positions.end())
+      Index.Tenants.try_emplace(Key.Key, It->second);
+  return Index;
+}
+
+std::variant<Permission, Refusal>
+resolveKey(const KeyIndex &Index, const RouteSpec &Route,
+           const std::optional<KeyDigest> &Key) {
+  if (Route.Internal)
+    return refuse(RefusalReason::RouteNotAllowed,
+                  "route " + Route.Id.Text + " takes no calls from callers");
+  const auto It = Key ? Index.Tenants.find(*Key) : Index.Tenants.end();
+  if (It == Index.Tenants.end()) {
+    if (Route.Open)
+      return Permission{};
+    return refuse(RefusalReason::UnknownKey,
+                  Key ? "the key is unknown or revoked; use a valid key"
+                      : "Authorization is missing; send a bearer key");
+  }
+  const TenantId &Tenant = Index.Rules->Tenants[It->second].Id;
+  if (!Route.Open && !Route.Tenants.empty() &&
+      std::ranges::find(Route.Tenants, Tenant) == Route.Tenants.end())
+    return refuse(RefusalReason::RouteNotAllowed,
+                  "route " + Route.Id.Text + " is not allowed for tenant " +
+                      Tenant.Text);
+  return Permission{Tenant};
+}
+
+std::optional<Refusal> recheckKey(const KeyIndex &Index, const RouteSpec &Route,
+                                  const std::optional<KeyDigest> &Key,
+                                  const Permission &Granted) {
+  auto Again = resolveKey(Index, Route, Key);
+  if (auto *Refused = std::get_if<Refusal>(&Again))
+    return std::move(*Refused);
+  if (std::get<Permission>(Again) == Granted || Route.Open)
+    return std::nullopt;
+  return refuse(RefusalReason::UnknownKey,
+                "the key no longer belongs to tenant " + Granted.Tenant.Text +
+                    "; send the request again");
+}
+
+std::size_t memoryOf(const KeyIndex &Index) {
+  using Slot = std::pair<const KeyDigest, std::uint32_t>;
+  return Index.Tenants.capacity() * (sizeof(Slot) + 1);
+}
+
+} // namespace pollenwick
