Add quarantine of requests that crash backend servers

A call in flight at a crash is tried alone at the node that saw the crash, so trials of one subject are serialized without coordination. The trial waits until all servers of the service know of the suspicion and run no copy. Two crashes without a completion in between refuse the subject.

Ruled out: quarantine on the first crash (refuses all bystanders), trial at any idle server (two nodes may try at once, a third crash), an expiry that travels as remaining time (each new node would extend it; the age of the crash travels instead).

--- a/src/core/quarantine/Quarantine.h
+++ b/src/core/quarantine/Quarantine.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -19,7 +19,11 @@
 /// First 16 bytes of SHA-256 over route, tenant and digest of the body.
 struct Fingerprint {
   std::array<std::uint8_t, 16> Bytes{};
-  friend auto operator<=>(const Fingerprint &, const Fingerprint &) = default;
+  friend bool operator==(const Fingerprint &, const Fingerprint &) = default;
+  friend bool operator<(const Fingerprint &A, const Fingerprint &B) {
+    return A.Bytes < B.Bytes;
+  }
+  // NOLINTNEXTLINE(readability-identifier-naming): name fixed by Abseil.
   template <typename H> friend H AbslHashValue(H State, const Fingerprint &F) {
     return H::combine(std::move(State), F.Bytes);
   }
@@ -33,37 +37,43 @@
   HostId Host;
   StartId Start;            ///< Incarnation of the node that saw the crash.
   std::uint32_t Number = 0; ///< Within that incarnation, from 1.
-  friend auto operator<=>(const CrashId &, const CrashId &) = default;
+  friend bool operator==(const CrashId &, const CrashId &) = default;
+  friend bool operator<(const CrashId &A, const CrashId &B) {
+    return std::tie(A.Host.Text, A.Start.Value, A.Number) <
+           std::tie(B.Host.Text, B.Start.Value, B.Number);
+  }
 };
 
 /// Presence of a fingerprint at a crash, as nodes tell each other.
 struct Suspicion {
   Fingerprint Subject;
   CrashId Crash;
-  bool Alone = false;   ///< No other call was in flight.
   bool Cleared = false; ///< The subject has completed normally since.
-  Duration Remaining{}; ///< Until it is forgotten.
+  Duration Age{};       ///< Time since the crash; clocks are not comparable.
 };
 
 struct QuarantineLimits {
+  /// How long a suspect runs only as a trial.
   Duration SuspectTime = std::chrono::seconds(60);
+  /// No trial starts this close to the end of `SuspectTime`, so that it ends
+  /// before other nodes run the subject again. At least the longest deadline.
+  Duration TrialMargin = std::chrono::seconds(10);
+  /// How long a crash counts, and how long two of them refuse the subject.
   Duration QuarantineTime = std::chrono::minutes(10);
   /// A call that completed here within this time before a crash is no suspect.
   Duration CompletedTime = std::chrono::seconds(10);
+  /// Longest time for which new calls wait for a trial to get an idle server.
+  Duration ReserveTime = std::chrono::milliseconds(200);
   std::size_t MaxSubjects = 2'048;  ///< Fingerprints under suspicion.
   std::size_t MaxCompleted = 2'048; ///< Slots for recent completions.
 };
 
-/// Crashes at which one fingerprint was present. Two are enough to decide.
-struct SuspectRecord {
-  struct Presence {
-    CrashId Crash;
-    bool Alone = false;
-    bool Cleared = false;
-  };
-  std::vector<Presence> Crashes;
-  Instant Expiry;
-  bool Spread = false; ///< All servers of the service know the suspicion.
+/// A crash at which a fingerprint was in flight.
+struct Presence {
+  CrashId Crash;
+  Instant At;
+  bool Cleared = false;
+  bool Spread = false; ///< All servers of the service know of it.
 };
 
 /// Owned by one node; guarded by one mutex.
@@ -72,11 +82,10 @@
   QuarantineLimits Limits;
   std::uint32_t LastCrash = 0;
   absl::flat_hash_map<Fingerprint, std::uint32_t> InFlight; ///< Local server.
-  std::uint32_t InFlightTotal = 0;
   std::optional<Fingerprint> Trial;   ///< Suspect that runs alone.
   std::optional<Fingerprint> Waiting; ///< Suspect that waits for idleness.
-  Instant WaitingUntil;
-  absl::flat_hash_map<Fingerprint, SuspectRecord> Subjects;
+  Instant WaitingUntil;               ///< Limit of the reservation.
+  absl::flat_hash_map<Fingerprint, std::vector<Presence>> Subjects;
   struct Completion {
     Fingerprint Subject;
     Instant At;
@@ -115,8 +124,20 @@
 /// calls are held back until `onSpread` or a short time limit.
 std::vector<Suspicion> onServerCrash(Quarantine &State, Instant Now);
 
-/// All servers of the service have acknowledged the suspicions of a crash.
-/// Until then no suspect of that crash runs.
+/// Answer to suspicions that another server's node sent.
+struct Acknowledgement {
+  std::vector<Suspicion> Known; ///< All this node knows of the same subjects.
+  bool InFlight = false; ///< One of them still runs here; ask again later.
+};
+
+/// Takes over suspicions and answers them. Calls of a subject that start here
+/// afterwards know of the suspicion.
+Acknowledgement acknowledge(Quarantine &State,
+                            const std::vector<Suspicion> &Heard, Instant Now);
+
+/// All servers of the service have acknowledged the suspicions of a crash with
+/// none in flight, and their answers are merged. Until then no suspect of that
+/// crash is tried.
 void onSpread(Quarantine &State, const CrashId &Crash);
 
 /// Whether the fingerprint is refused everywhere.
