Suppress two false findings of clang-tidy 14 on operator<=>

clang-tidy 14 reports modernize-use-nullptr and identifier naming inside the code that the compiler makes for a defaulted operator<=>, as soon as a file compares such ids. Turning the checks off for the whole tree was ruled out; the suppression stands at the five declarations only.

--- a/include/pollenwick/Ids.h
+++ b/include/pollenwick/Ids.h
@@ -11,6 +11,9 @@
 
 namespace pollenwick {
 
+// clang-tidy 14 reports its own synthesized code for a defaulted operator<=>,
+// hence the suppressions below.
+
 /// Text identifier that cannot be mixed with identifiers of another kind.
 template <typename Tag> struct TextId {
   std::string Text;
@@ -19,6 +22,7 @@
   explicit TextId(std::string Value) : Text(std::move(Value)) {}
 
   bool empty() const { return Text.empty(); }
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const TextId &, const TextId &) = default;
   friend std::ostream &operator<<(std::ostream &Out, const TextId &Id) {
     return Out << Id.Text;
@@ -32,6 +36,7 @@
   NumberId() = default;
   constexpr explicit NumberId(std::uint64_t V) : Value(V) {}
 
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const NumberId &, const NumberId &) = default;
   friend std::ostream &operator<<(std::ostream &Out, const NumberId &Id) {
     return Out << Id.Value;
@@ -62,6 +67,7 @@
 /// Digest of a caller's key. The key itself is never stored.
 struct KeyDigest {
   Digest Bytes{};
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const KeyDigest &, const KeyDigest &) = default;
 };
 
@@ -69,6 +75,7 @@
 struct IncarnationId {
   HostId Host;
   StartId Start;
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const IncarnationId &,
                           const IncarnationId &) = default;
 };
--- a/include/pollenwick/Tokens.h
+++ b/include/pollenwick/Tokens.h
@@ -11,6 +11,7 @@
 struct MicroTokens {
   std::int64_t Value = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const MicroTokens &, const MicroTokens &) = default;
   MicroTokens &operator+=(MicroTokens Other) {
     Value += Other.Value;
