--- a/src/bundle/Check.cpp
+++ b/src/bundle/Check.cpp
@@ -1,1 +1,350 @@
 #include "bundle/Check.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <map>
+#include <set>
+#include <unordered_set>
+
+#include "absl/strings/str_cat.h"
+#include "bundle/Digests.h"
+#include "bundle/Graph.h"
+#include "bundle/Published.h"
+
+namespace pollenwick {
+namespace {
+
+constexpr std::size_t MaxProblems = 1'000;
+constexpr std::size_t MaxIdBytes = 64;
+
+bool nameIsPlain(std::string_view Name, bool SlashAllowed) {
+  return !Name.empty() && Name.size() <= MaxIdBytes &&
+         std::all_of(Name.begin(), Name.end(), [&](char C) {
+           return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') ||
+                  C == '-' || C == '_' || C == '.' ||
+                  (SlashAllowed && C == '/');
+         });
+}
+
+std::string quoted(std::string_view Name) {
+  std::string Result = "\"";
+  for (const char C : Name.substr(0, MaxIdBytes + 1))
+    Result.push_back(C >= ' ' && C < 127 ? C : '?');
+  return Result + (Name.size() > MaxIdBytes + 1 ? "...\"" : "\"");
+}
+
+class Checker {
+public:
+  explicit Checker(const Bundle &Bundle) : Source(Bundle), Graph(Bundle) {}
+
+  std::vector<Problem> run(std::optional<Revision> Current) {
+    checkRevision(Current);
+    checkNames();
+    checkHosts();
+    checkTenants();
+    checkKeys();
+    checkRoutes();
+    checkGraph();
+    checkPolicy();
+    checkSizes();
+    return std::move(Problems);
+  }
+
+private:
+  template <typename... Parts> void add(ProblemKind Kind, Parts &&...Texts) {
+    if (Problems.size() < MaxProblems)
+      Problems.push_back({Kind, absl::StrCat(Texts...)});
+    else if (Problems.size() == MaxProblems)
+      Problems.push_back({ProblemKind::Truncated,
+                          absl::StrCat("more than ", MaxProblems,
+                                       " problems; correct these first")});
+  }
+
+  template <typename Spec>
+  auto names(const char *Kind, const std::vector<Spec> &List, bool SlashAllowed,
+             ProblemKind Twice) {
+    std::unordered_set<decltype(Spec::Id)> Known;
+    for (const Spec &Item : List) {
+      if (!nameIsPlain(Item.Id.Text, SlashAllowed))
+        add(ProblemKind::BadName, Kind, " ", quoted(Item.Id.Text),
+            ": use 1 to 64 of a-z, 0-9, '-', '_' and '.'");
+      if (!Known.insert(Item.Id).second)
+        add(Twice, Kind, " ", quoted(Item.Id.Text),
+            " is listed twice; remove or rename one of the entries");
+    }
+    return Known;
+  }
+
+  template <typename Set, typename Id>
+  void expectKnown(const Set &Known, const Id &Name, const char *Kind,
+                   const std::string &User) {
+    if (!Known.contains(Name))
+      add(ProblemKind::UnknownName, User, " names the unknown ", Kind, " ",
+          quoted(Name.Text), "; add it or correct the name");
+  }
+
+  void checkRevision(std::optional<Revision> Current) {
+    if (Source.Number.Value == 0)
+      add(ProblemKind::BadValue, "revision 0 means \"no bundle\"; start at 1");
+    if (Current && Source.Number <= *Current)
+      add(ProblemKind::RevisionNotIncreasing, "revision ", Source.Number.Value,
+          " does not follow the current revision ", Current->Value, "; use ",
+          Current->Value + 1, " or higher");
+  }
+
+  void checkNames() {
+    Services = names("service", Source.Services, false, ProblemKind::Duplicate);
+    Hosts = names("host", Source.Hosts, false, ProblemKind::HostTwice);
+    Tenants = names("tenant", Source.Tenants, false, ProblemKind::Duplicate);
+    Classes = names("class", Source.Classes, false, ProblemKind::Duplicate);
+    Routes = names("route", Source.Routes, true, ProblemKind::Duplicate);
+    std::map<std::uint32_t, ClassId> Ranks;
+    for (const ClassSpec &Class : Source.Classes)
+      if (const auto [Other, Fresh] = Ranks.emplace(Class.Rank, Class.Id);
+          !Fresh && Other->second != Class.Id)
+        add(ProblemKind::Duplicate, "classes ", quoted(Other->second.Text),
+            " and ", quoted(Class.Id.Text), " both have rank ", Class.Rank,
+            "; give each class its own rank, 0 is shed last");
+  }
+
+  void checkHosts() {
+    std::map<std::pair<std::string, std::uint16_t>, HostId> Taken;
+    for (const HostSpec &Host : Source.Hosts) {
+      const std::string User = "host " + quoted(Host.Id.Text);
+      expectKnown(Services, Host.Service, "service", User);
+      if (!nameIsPlain(Host.Zone.Text, false))
+        add(ProblemKind::BadName, User, " is in zone ", quoted(Host.Zone.Text),
+            ": use 1 to 64 of a-z, 0-9, '-', '_' and '.'");
+      std::array<unsigned char, 16> Raw{};
+      if (inet_pton(AF_INET, Host.Address.c_str(), Raw.data()) != 1 &&
+          inet_pton(AF_INET6, Host.Address.c_str(), Raw.data()) != 1)
+        add(ProblemKind::BadValue, User, " has the address ",
+            quoted(Host.Address), "; give a numeric IP address");
+      // The membership port is a UDP port, but shares the number space so that
+      // one number never means two things in logs.
+      for (const std::uint16_t Port :
+           {Host.CallerPort, Host.PeerPort, Host.MembershipPort})
+        if (const auto [Other, Fresh] =
+                Taken.emplace(std::pair(Host.Address, Port), Host.Id);
+            !Fresh)
+          add(ProblemKind::AddressTwice, User, " uses ", quoted(Host.Address),
+              " port ", Port, ", which host ", quoted(Other->second.Text),
+              " uses as well; give each port of an address one use");
+    }
+    std::unordered_set<ServiceId> Served;
+    for (const HostSpec &Host : Source.Hosts)
+      Served.insert(Host.Service);
+    for (const ServiceSpec &Service : Source.Services)
+      if (!Served.contains(Service.Id))
+        add(ProblemKind::BadValue, "service ", quoted(Service.Id.Text),
+            " has no host; add one or remove the service");
+  }
+
+  void checkTenants() {
+    const auto Zones = static_cast<std::int64_t>(zonesOf(Source).size());
+    for (const TenantSpec &Tenant : Source.Tenants) {
+      // A shard lends whole tokens, so that a share below one token would
+      // never admit anything.
+      if (Tenant.Burst.Value < Zones * OneToken.Value)
+        add(ProblemKind::NotSplittable, "tenant ", quoted(Tenant.Id.Text),
+            " has a burst of ", Tenant.Burst.Value, " micro-tokens, less than ",
+            "one token for each of ", Zones, " zones; give at least ", Zones);
+      if (Tenant.RatePerSecond.Value < std::max<std::int64_t>(Zones, 1))
+        add(ProblemKind::NotSplittable, "tenant ", quoted(Tenant.Id.Text),
+            " has a rate of ", Tenant.RatePerSecond.Value,
+            " micro-tokens per second, which cannot be split over ", Zones,
+            " zones; raise the rate");
+      if (Tenant.Weight < 1 || Tenant.Weight > 1000)
+        add(ProblemKind::BadValue, "tenant ", quoted(Tenant.Id.Text),
+            " has the weight ", Tenant.Weight, "; use 1 to 1000");
+    }
+  }
+
+  void checkKeys() {
+    std::map<KeyDigest, TenantId> Known;
+    for (const KeySpec &Key : Source.Keys) {
+      const std::string Text = digestText(Key.Key.Bytes);
+      expectKnown(Tenants, Key.Tenant, "tenant", "key " + Text);
+      if (const auto [Other, Fresh] = Known.emplace(Key.Key, Key.Tenant);
+          !Fresh)
+        add(ProblemKind::KeyUsedTwice, "key digest ", Text,
+            " is used for tenant ", quoted(Other->second.Text),
+            " and for tenant ", quoted(Key.Tenant.Text),
+            "; make a new key with `pollenwick-bundle keygen`");
+    }
+  }
+
+  void checkRoutes() {
+    for (const RouteSpec &Route : Source.Routes) {
+      const std::string User = "route " + quoted(Route.Id.Text);
+      expectKnown(Services, Route.Service, "service", User);
+      const std::string &Id = Route.Id.Text;
+      const std::size_t Slash = Id.find('/');
+      if (Slash == std::string::npos || Slash + 1 == Id.size() ||
+          Id.find('/', Slash + 1) != std::string::npos ||
+          Id.substr(0, Slash) != Route.Service.Text)
+        add(ProblemKind::RouteOutsideService, User,
+            " is not named SERVICE/ROUTE with its service ",
+            quoted(Route.Service.Text), "; rename the route");
+      if (Route.Class.empty())
+        add(ProblemKind::RouteWithoutClass, User,
+            " has no class; name one of the classes");
+      else
+        expectKnown(Classes, Route.Class, "class", User);
+      for (const TenantId &Tenant : Route.Tenants)
+        expectKnown(Tenants, Tenant, "tenant", User);
+      std::unordered_set<RouteId> Callees;
+      for (const EdgeSpec &Edge : Route.Calls) {
+        expectKnown(Routes, Edge.Route, "route", User);
+        if (!Callees.insert(Edge.Route).second)
+          add(ProblemKind::Duplicate, User, " lists the call to ",
+              quoted(Edge.Route.Text), " twice; add the counts up");
+        if (Edge.Count < 1)
+          add(ProblemKind::BadValue, User, " calls ", quoted(Edge.Route.Text),
+              " 0 times; remove the edge or give a count");
+      }
+      if (Route.Open && Route.Internal)
+        add(ProblemKind::Contradiction, User,
+            " is both open and internal; keep one of the two");
+      if (Route.Open && !Route.Tenants.empty())
+        add(ProblemKind::Contradiction, User,
+            " is open and lists tenants; remove the list or `open`");
+      if (Route.Deadline <= Duration::zero())
+        add(ProblemKind::BadValue, User, " has a deadline of ",
+            Route.Deadline.count(), " us; give at least 1 ms");
+    }
+  }
+
+  void checkGraph() {
+    if (const std::vector<std::size_t> Cycle = Graph.cycle(); !Cycle.empty()) {
+      std::string Path;
+      for (std::size_t I = 0; I < Cycle.size() && I < 40; ++I)
+        absl::StrAppend(&Path, I ? " -> " : "", Graph.route(Cycle[I]).Id.Text);
+      add(ProblemKind::Cycle, "call graph has the cycle ", Path,
+          "; remove one of its calls");
+      return;
+    }
+    const std::vector<std::uint32_t> Depths = Graph.depths();
+    for (std::size_t I = 0; I < Graph.size(); ++I)
+      if (Depths[I] > MaxCallDepth)
+        add(ProblemKind::TooDeep, "route ", quoted(Graph.route(I).Id.Text),
+            " starts a chain of ", Depths[I], " calls, the limit is ",
+            MaxCallDepth, "; shorten the chain");
+    // Looking at direct calls is enough: the rule then holds along each path.
+    for (std::size_t I = 0; I < Graph.size(); ++I)
+      for (const std::size_t To : Graph.calls(I)) {
+        const RouteSpec &Caller = Graph.route(I);
+        const RouteSpec &Callee = Graph.route(To);
+        if (Caller.Idempotent && !Callee.Idempotent)
+          add(ProblemKind::IdempotentReachesNonIdempotent, "route ",
+              quoted(Caller.Id.Text), " is idempotent but calls ",
+              quoted(Callee.Id.Text),
+              ", which is not; set \"idempotent\": false on the caller");
+        if (Caller.Open && !Callee.Open && !Callee.Internal)
+          add(ProblemKind::OpenReachesClosed, "route ", quoted(Caller.Id.Text),
+              " is open but calls ", quoted(Callee.Id.Text),
+              ", which runs for tenants only; close the caller or mark the "
+              "callee open or internal");
+      }
+  }
+
+  void checkPolicy() {
+    std::set<HostId> Witnesses;
+    for (const HostId &Host : Source.Rules.Witnesses) {
+      expectKnown(Hosts, Host, "host", "policy.witnesses");
+      if (!Witnesses.insert(Host).second)
+        add(ProblemKind::Witnesses, "witness ", quoted(Host.Text),
+            " is listed twice; name ", WitnessCount, " different hosts");
+    }
+    const std::size_t Wanted = std::min(WitnessCount, Source.Hosts.size());
+    if (Source.Rules.Witnesses.size() != Wanted)
+      add(ProblemKind::Witnesses, "policy.witnesses names ",
+          Source.Rules.Witnesses.size(), " hosts; name ", Wanted,
+          ", spread over the zones");
+    if (Source.Rules.QuotaLease >= Source.Rules.ViewLease)
+      add(ProblemKind::BadValue, "policy.quota_lease_ms (",
+          Source.Rules.QuotaLease.count() / 1000,
+          ") is not below policy.view_lease_ms (",
+          Source.Rules.ViewLease.count() / 1000, "); shorten the quota lease");
+  }
+
+  void checkSizes() {
+    if (const auto Published = encodeBundle(Source); !Published.ok())
+      add(ProblemKind::ChunkTooLarge, Published.status().message());
+  }
+
+  const Bundle &Source;
+  CallGraph Graph;
+  std::vector<Problem> Problems;
+  std::unordered_set<ServiceId> Services;
+  std::unordered_set<HostId> Hosts;
+  std::unordered_set<TenantId> Tenants;
+  std::unordered_set<ClassId> Classes;
+  std::unordered_set<RouteId> Routes;
+};
+
+} // namespace
+
+std::vector<Problem> checkBundle(const Bundle &Source,
+                                 std::optional<Revision> Current) {
+  return Checker(Source).run(Current);
+}
+
+std::string_view problemText(ProblemKind Kind) {
+  switch (Kind) {
+  case ProblemKind::BadName:
+    return "bad-name";
+  case ProblemKind::Duplicate:
+    return "duplicate";
+  case ProblemKind::UnknownName:
+    return "unknown-name";
+  case ProblemKind::RouteWithoutClass:
+    return "route-without-class";
+  case ProblemKind::RouteOutsideService:
+    return "route-outside-service";
+  case ProblemKind::NotSplittable:
+    return "not-splittable";
+  case ProblemKind::Cycle:
+    return "cycle";
+  case ProblemKind::TooDeep:
+    return "too-deep";
+  case ProblemKind::IdempotentReachesNonIdempotent:
+    return "idempotent-reaches-non-idempotent";
+  case ProblemKind::OpenReachesClosed:
+    return "open-reaches-closed";
+  case ProblemKind::Contradiction:
+    return "contradiction";
+  case ProblemKind::KeyUsedTwice:
+    return "key-used-twice";
+  case ProblemKind::HostTwice:
+    return "host-twice";
+  case ProblemKind::AddressTwice:
+    return "address-twice";
+  case ProblemKind::Witnesses:
+    return "witnesses";
+  case ProblemKind::ChunkTooLarge:
+    return "chunk-too-large";
+  case ProblemKind::RevisionNotIncreasing:
+    return "revision-not-increasing";
+  case ProblemKind::BadValue:
+    return "bad-value";
+  case ProblemKind::Truncated:
+    return "truncated";
+  }
+  return "unknown";
+}
+
+std::vector<ZoneId> zonesOf(const Bundle &Source) {
+  std::set<ZoneId> Zones;
+  for (const HostSpec &Host : Source.Hosts)
+    Zones.insert(Host.Zone);
+  return {Zones.begin(), Zones.end()};
+}
+
+MicroTokens zoneShare(MicroTokens Total, std::size_t Index, std::size_t Count) {
+  const auto Zones = static_cast<std::int64_t>(Count);
+  const bool Extra = static_cast<std::int64_t>(Index) < Total.Value % Zones;
+  return MicroTokens{Total.Value / Zones + (Extra ? 1 : 0)};
+}
+
+} // namespace pollenwick
--- a/src/bundle/Json.cpp
+++ b/src/bundle/Json.cpp
@@ -149,7 +149,7 @@
 }
 
 std::string ObjectReader::text(const std::string &Name,
-                               std::optional<std::string> Default) {
+                               const std::optional<std::string> &Default) {
   const Poco::Dynamic::Var Value = take(Name, !Default);
   if (!has(Name))
     return Default.value_or("");
@@ -247,7 +247,7 @@
                       "; give a list of objects"));
     return;
   }
-  const auto List = Value.extract<Poco::JSON::Array::Ptr>();
+  const auto &List = Value.extract<Poco::JSON::Array::Ptr>();
   for (std::size_t I = 0; I < List->size() && Status.ok(); ++I) {
     const std::string Path = absl::StrCat(pathOf(Name), "[", I, "]");
     const Poco::JSON::Object::Ptr Item = List->getObject(I);
--- a/src/bundle/Json.h
+++ b/src/bundle/Json.h
@@ -34,7 +34,7 @@
 
   bool has(const std::string &Name) const;
   std::string text(const std::string &Name,
-                   std::optional<std::string> Default = std::nullopt);
+                   const std::optional<std::string> &Default = std::nullopt);
   std::uint64_t number(const std::string &Name, std::uint64_t Min,
                        std::uint64_t Max,
                        std::optional<std::uint64_t> Default = std::nullopt);
--- a/src/bundle/Signing.cpp
+++ b/src/bundle/Signing.cpp
@@ -43,7 +43,7 @@
 }
 
 template <typename Key>
-absl::StatusOr<Key> parseKey(std::string_view Text, std::string_view Kind) {
+absl::StatusOr<Key> parseKey(std::string_view Text, const char *Kind) {
   const absl::string_view Trimmed =
       absl::StripAsciiWhitespace(absl::string_view(Text.data(), Text.size()));
   Key Result;
