--- a/tools/loadgen/Plan.cpp
+++ b/tools/loadgen/Plan.cpp
@@ -10,7 +10,7 @@
 constexpr double MicrosPerSecond = 1e6;
 
 JsonArray::Ptr needArray(const JsonObject::Ptr &From, const std::string &Name) {
-  const JsonArray::Ptr Found = From->getArray(Name);
+  JsonArray::Ptr Found = From->getArray(Name);
   if (!Found || Found->empty())
     throw Poco::DataFormatException("plan: array `" + Name +
                                     "` is missing or empty");
--- a/tools/loadgen/main.cpp
+++ b/tools/loadgen/main.cpp
@@ -99,6 +99,7 @@
   JobQueue Jobs(Planned, Clock::now() + StartDelay);
   Report Results(FLAGS_outcomes);
   std::vector<std::thread> Threads;
+  Threads.reserve(static_cast<std::size_t>(FLAGS_connections));
   for (int Index = 0; Index < FLAGS_connections; ++Index)
     Threads.emplace_back([&, Index] {
       Caller(Settings, static_cast<std::size_t>(Index), Jobs, Results).run();
--- a/tools/standin-backend/Backend.cpp
+++ b/tools/standin-backend/Backend.cpp
@@ -237,7 +237,7 @@
     for (int Count = 0; Count < Edge.Count; ++Count) {
       if (Clock::now() >= Work.Deadline || callerGone(Request))
         return "cancelled or past its deadline";
-      const std::string Failure = subCall(Edge.Route, Work, Request);
+      std::string Failure = subCall(Edge.Route, Work, Request);
       if (!Failure.empty())
         return Failure;
     }
