--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -42,7 +42,7 @@
 };
 
 /// All leases of one node. Owned by one duty thread or guarded by one mutex.
-struct IngressState {
+struct LeaseTable {
   IncarnationId Self;
   ZoneId Zone;
   std::unordered_map<TenantId, TenantLeases> Tenants;
@@ -63,38 +63,38 @@
   std::span<const ShardHolder> Holders;
 };
 
-IngressState makeIngress(IncarnationId Self, ZoneId Zone);
+LeaseTable makeLeaseTable(IncarnationId Self, ZoneId Zone);
 
 /// Takes over tenants and holders of an accepted bundle. Leases are kept; they
 /// end by themselves.
-void adoptBundle(IngressState &State, const Bundle &Rules);
+void adoptBundle(LeaseTable &State, const Bundle &Rules);
 
 /// Spends one token from the leases that are held. Does not allocate. The
 /// admission counts at `Now`; read the clock immediately before the call.
-SpendResult spend(IngressState &State, const TenantId &Tenant,
+SpendResult spend(LeaseTable &State, const TenantId &Tenant,
                   const ViewLease &View, Instant Now);
 
 /// Request to one holder. `Batch` is the number of tokens that would be of use
 /// now, counting other waiting requests.
-BorrowRequest beginBorrow(IngressState &State, const TenantId &Tenant,
+BorrowRequest beginBorrow(LeaseTable &State, const TenantId &Tenant,
                           const ShardHolder &Holder, MicroTokens Needed,
                           std::uint32_t Batch, Instant Now);
 
 /// Stores a lease. Returns false if the reply was not expected or came after
 /// the end of the lease.
-bool acceptLease(IngressState &State, const BorrowReply &Reply, Instant Now);
+bool acceptLease(LeaseTable &State, const BorrowReply &Reply, Instant Now);
 
 /// Returns the unspent part of a recalled lease.
-std::optional<Settlement> onRecall(IngressState &State, const Recall &Message);
+std::optional<Settlement> onRecall(LeaseTable &State, const Recall &Message);
 
 /// Returns everything unspent of a tenant, for example the parts of a token
 /// that did not add up to a whole one before a refusal.
-std::vector<Settlement> giveBackAll(IngressState &State, const TenantId &Tenant,
+std::vector<Settlement> giveBackAll(LeaseTable &State, const TenantId &Tenant,
                                     Instant Now);
 
 /// Settlements and returns of idle leases that are due. Call it every
 /// `IngressTick`, and with `All` when the process ends.
-std::vector<Settlement> tickIngress(IngressState &State, Instant Now,
+std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now,
                                     bool All = false);
 
 inline constexpr Duration IngressTick = std::chrono::milliseconds(2);
