--- a/src/node/ActiveBundle.cpp
+++ b/src/node/ActiveBundle.cpp
@@ -6,11 +6,10 @@
 namespace {
 
 bool sameHosts(const Bundle &A, const Bundle &B) {
-  return std::ranges::equal(
-             A.Hosts, B.Hosts,
-             [](const HostSpec &X, const HostSpec &Y) {
-               return X.Id == Y.Id && X.Zone == Y.Zone;
-             }) &&
+  return std::ranges::equal(A.Hosts, B.Hosts,
+                            [](const HostSpec &X, const HostSpec &Y) {
+                              return X.Id == Y.Id && X.Zone == Y.Zone;
+                            }) &&
          A.Rules.Witnesses == B.Rules.Witnesses;
 }
 
--- a/src/node/AdmissionService.cpp
+++ b/src/node/AdmissionService.cpp
@@ -41,10 +41,9 @@
     return Out;
   }
   const ReachTable &Reach = Bundle->Reach;
-  const AdmitResult Result =
-      admit(State, Reach,
-            {Reach.RouteByName.at(Route), tenantIndex(Reach, Tenant), Hash},
-            now());
+  const AdmitResult Result = admit(
+      State, Reach,
+      {Reach.RouteByName.at(Route), tenantIndex(Reach, Tenant), Hash}, now());
   if (Result.Admitted)
     return std::nullopt;
   Out.Reason = Result.Reason;
--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -60,6 +60,8 @@
     }
   }
 
+  void attach(const Poco::Net::StreamSocket &Socket) { attachSocket(Socket); }
+
   Instant LastUsed;
 
 private:
@@ -208,7 +210,7 @@
       Socket.connect(Poco::Net::SocketAddress(Server.Address, Server.Port),
                      timespan(std::min(ConnectTimeout, Remaining)));
       Socket.setNoDelay(true);
-      Session->attachSocket(Socket);
+      Session->attach(Socket);
     }
     Connected = true;
     Session->setTimeout(timespan(Remaining));
--- a/src/node/Callee.cpp
+++ b/src/node/Callee.cpp
@@ -42,19 +42,18 @@
   Started Out;
   {
     std::scoped_lock Lock(Mutex);
-    const bool SameIndexes = HasState && Here &&
-                             Bundle->Reach.Services == New->Reach.Services &&
-                             Bundle->Reach.Slots == New->Reach.Slots &&
-                             Bundle->Reach.Tenants == New->Reach.Tenants &&
-                             Bundle->Reach.RouteByName ==
-                                 New->Reach.RouteByName &&
-                             Bundle->Reach.Ranks == New->Reach.Ranks;
+    const bool SameIndexes =
+        HasState && Here && Bundle->Reach.Services == New->Reach.Services &&
+        Bundle->Reach.Slots == New->Reach.Slots &&
+        Bundle->Reach.Tenants == New->Reach.Tenants &&
+        Bundle->Reach.RouteByName == New->Reach.RouteByName &&
+        Bundle->Reach.Ranks == New->Reach.Ranks;
     Bundle = New;
     if (SameIndexes)
       return;
     const ReachTable &Reach = New->Reach;
-    const auto Waited = HasState ? std::move(State.Queue.ById)
-                                 : decltype(State.Queue.ById)();
+    const auto Waited =
+        HasState ? std::move(State.Queue.ById) : decltype(State.Queue.ById)();
     HasState = Here && Reach.ServiceByName.contains(Here->Service);
     if (HasState) {
       State = makeCallee(Reach, Reach.ServiceByName.at(Here->Service), now());
@@ -120,9 +119,9 @@
   Started Out;
   {
     std::scoped_lock Lock(Mutex);
-    const auto It = HasState ? Bundle->Reach.RouteByName.find(Call.Route)
-                             : decltype(Bundle->Reach.RouteByName.find(
-                                   Call.Route)){};
+    const auto It =
+        HasState ? Bundle->Reach.RouteByName.find(Call.Route)
+                 : decltype(Bundle->Reach.RouteByName.find(Call.Route)){};
     if (!HasState || It == Bundle->Reach.RouteByName.end() ||
         Bundle->Reach.Routes[It->second].Service != State.Service) {
       Out.Refused.emplace_back(std::move(Callback),
@@ -230,9 +229,9 @@
       return fromRefusal(*Refused);
     }
     if (const auto *Elsewhere = std::get_if<TryAt>(&Verdict)) {
-      CallReply Reply = notRun(RefusalReason::Shed,
-                               "the call runs next on host \"" +
-                                   Elsewhere->Host.Text + "\" only");
+      CallReply Reply =
+          notRun(RefusalReason::Shed, "the call runs next on host \"" +
+                                          Elsewhere->Host.Text + "\" only");
       Reply.TryHost = Elsewhere->Host;
       return Reply;
     }
--- a/src/node/CallerPort.cpp
+++ b/src/node/CallerPort.cpp
@@ -4,9 +4,9 @@
 #include <ostream>
 #include <variant>
 
-#include <Poco/NumberParser.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/NumberParser.h>
 
 #include "bundle/Digests.h"
 #include "peer/Clock.h"
--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "bundle/Digests.h"
 #include "node/ConfigClient.h"
 #include "node/Log.h"
 #include "peer/Clock.h"
@@ -53,8 +54,8 @@
 void ConfigDuty::run() {
   Instant NextSeeds{};
   while (!Stopping) {
-    const auto Due = View.with(
-        [](ViewState &State) { return dueQuestions(State, now()); });
+    const auto Due =
+        View.with([](ViewState &State) { return dueQuestions(State, now()); });
     for (const ViewQuestion &Question : Due)
       ask(Question);
     std::vector<PeerAddress> Ahead;
--- a/src/node/CrashService.cpp
+++ b/src/node/CrashService.cpp
@@ -1,8 +1,6 @@
 #include "node/CrashService.h"
 
-#include <atomic>
-#include <condition_variable>
-#include <memory>
+#include <algorithm>
 
 #include "peer/Clock.h"
 #include "peer/QuotaWire.h"
@@ -14,13 +12,6 @@
 /// Connections lost within this time of a detected crash belong to it.
 constexpr Duration SameCrash = std::chrono::milliseconds(200);
 
-/// Counts the acknowledgements of a crash report.
-struct Acknowledgements {
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  std::size_t Missing = 0;
-};
-
 } // namespace
 
 CrashService::CrashService(const IncarnationId &S, const Kernel &Registry)
@@ -63,41 +54,82 @@
     News = onServerCrash(State, now());
   }
   Count.add(Counter::BackendCrashes);
-  if (!News.empty() && spread(News)) {
-    std::scoped_lock Lock(Mutex);
-    onSpread(State, News.front().Crash);
+  if (!News.empty()) {
+    const auto Sent = makeReport(std::move(News));
+    sendReport(Sent);
+    std::unique_lock Lock(Mutex);
+    if (Sent->Missing.empty())
+      onSpread(State, Sent->News.front().Crash);
+    else
+      Reports.push_back(Sent);
+    Sent->Changed.wait_for(Lock, SpreadTimeout,
+                           [&] { return Sent->Missing.empty(); });
   }
   LastCrash = now();
   return true;
 }
 
-bool CrashService::spread(const std::vector<Suspicion> &News) {
+std::shared_ptr<CrashService::Report>
+CrashService::makeReport(std::vector<Suspicion> News) const {
+  auto Out = std::make_shared<Report>();
+  Out->News = std::move(News);
+  Out->Since = now();
   const BundlePtr Bundle = Bundles.current();
   const HostSpec *Here = Bundle ? findHost(*Bundle, Self.Host) : nullptr;
   if (!Here)
-    return false;
-  std::vector<PeerAddress> Others;
+    return Out;
   for (const HostSpec &Host : Bundle->Rules->Hosts)
     if (Host.Service == Here->Service && Host.Id != Self.Host)
-      Others.push_back(peerAddress(Host));
-  auto Acks = std::make_shared<Acknowledgements>();
-  Acks->Missing = Others.size();
-  auto Shared = std::make_shared<const std::vector<Suspicion>>(News);
-  for (const PeerAddress &To : Others)
-    Peers.post(To, SpreadTimeout, [Acks, Shared](wire::Peer::Client &Peer) {
-      auto Request = Peer.suspectRequest();
-      writeMessages(
-          Request.initSuspicions(static_cast<unsigned>(Shared->size())),
-          *Shared);
-      return Request.send().then([Acks](auto &&) {
-        std::scoped_lock Lock(Acks->Mutex);
-        --Acks->Missing;
-        Acks->Changed.notify_all();
-      });
-    });
-  std::unique_lock Lock(Acks->Mutex);
-  return Acks->Changed.wait_for(Lock, SpreadTimeout,
-                                [&] { return Acks->Missing == 0; });
+      Out->Missing.insert(Host.Id);
+  return Out;
+}
+
+void CrashService::sendReport(const std::shared_ptr<Report> &Sent) {
+  const BundlePtr Bundle = Bundles.current();
+  std::set<HostId> Missing;
+  {
+    std::scoped_lock Lock(Mutex);
+    Missing = Sent->Missing;
+  }
+  for (const HostId &Host : Missing) {
+    const HostSpec *Spec = findHost(*Bundle, Host);
+    if (!Spec) { // Left the configuration.
+      onAcknowledged(*Sent, Host, {});
+      continue;
+    }
+    Peers.post(
+        peerAddress(*Spec), SpreadTimeout,
+        [this, Sent, Host](wire::Peer::Client &Peer) {
+          auto Request = Peer.suspectRequest();
+          writeMessages(
+              Request.initSuspicions(static_cast<unsigned>(Sent->News.size())),
+              Sent->News);
+          return Request.send().then([this, Sent, Host](auto &&Reply) {
+            if (!Reply.getInFlight())
+              onAcknowledged(*Sent, Host, readMessages(Reply.getKnown()));
+          });
+        });
+  }
+}
+
+void CrashService::onAcknowledged(Report &Sent, const HostId &From,
+                                  const std::vector<Suspicion> &Known) {
+  std::scoped_lock Lock(Mutex);
+  merge(State, Known, now());
+  Sent.Missing.erase(From);
+  if (!Sent.Missing.empty())
+    return;
+  onSpread(State, Sent.News.front().Crash);
+  Sent.Changed.notify_all();
+}
+
+void CrashService::onSuspect(capnp::List<wire::Suspicion>::Reader In,
+                             wire::Peer::SuspectResults::Builder Out) {
+  std::scoped_lock Lock(Mutex);
+  const Acknowledgement Answer = acknowledge(State, readMessages(In), now());
+  Out.setInFlight(Answer.InFlight);
+  writeMessages(Out.initKnown(static_cast<unsigned>(Answer.Known.size())),
+                Answer.Known);
 }
 
 void CrashService::hear(const std::vector<Suspicion> &Heard) {
@@ -111,15 +143,25 @@
 }
 
 void CrashService::tick() {
-  std::scoped_lock Lock(Mutex);
-  expire(State, now());
+  std::vector<std::shared_ptr<Report>> Repeat;
+  {
+    std::scoped_lock Lock(Mutex);
+    expire(State, now());
+    std::erase_if(Reports, [&](const auto &Sent) {
+      return Sent->Missing.empty() ||
+             now() - Sent->Since > State.Limits.SuspectTime;
+    });
+    Repeat = Reports;
+  }
+  std::ranges::for_each(Repeat, [this](const auto &Sent) { sendReport(Sent); });
 }
 
 void CrashService::dump(Poco::JSON::Object &Out) const {
   std::scoped_lock Lock(Mutex);
   Out.set("subjects", State.Subjects.size());
-  Out.set("in_flight", State.InFlightTotal);
+  Out.set("in_flight", State.InFlight.size());
   Out.set("crashes_seen_here", State.LastCrash);
+  Out.set("reports_unacknowledged", Reports.size());
 }
 
 } // namespace pollenwick
--- a/src/node/CrashService.h
+++ b/src/node/CrashService.h
@@ -1,16 +1,19 @@
 #ifndef POLLENWICK_NODE_CRASHSERVICE_H
 #define POLLENWICK_NODE_CRASHSERVICE_H
 
+#include <condition_variable>
+#include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 #include <Poco/JSON/Object.h>
 
 #include "core/quarantine/Quarantine.h"
+#include "node/ActiveBundle.h"
 #include "node/BackendClient.h"
 #include "node/Counters.h"
 #include "node/Kernel.h"
-#include "node/ActiveBundle.h"
 #include "peer/PeerDuty.h"
 
 namespace pollenwick {
@@ -33,12 +36,26 @@
   bool onConnectionLost(BackendClient &Backend);
 
   void hear(const std::vector<Suspicion> &Heard);
+  /// Answers the report of another server of the service.
+  void onSuspect(capnp::List<wire::Suspicion>::Reader In,
+                 wire::Peer::SuspectResults::Builder Out);
   std::vector<Suspicion> gossip(std::size_t Limit) const;
   void tick();
   void dump(Poco::JSON::Object &Out) const;
 
 private:
-  bool spread(const std::vector<Suspicion> &News);
+  /// A crash report and the servers that have not acknowledged it yet.
+  struct Report {
+    std::vector<Suspicion> News;
+    std::set<HostId> Missing;
+    Instant Since;
+    std::condition_variable Changed;
+  };
+
+  std::shared_ptr<Report> makeReport(std::vector<Suspicion> News) const;
+  void sendReport(const std::shared_ptr<Report> &Sent);
+  void onAcknowledged(Report &Sent, const HostId &From,
+                      const std::vector<Suspicion> &Known);
 
   const IncarnationId Self;
   Counters &Count;
@@ -46,6 +63,7 @@
   PeerDuty &Peers;
   mutable std::mutex Mutex;
   Quarantine State;
+  std::vector<std::shared_ptr<Report>> Reports; ///< Not acknowledged by all.
   std::mutex DetectMutex; ///< One crash is handled by one thread.
   Instant LastCrash{};
 };
--- a/src/node/Forwarder.cpp
+++ b/src/node/Forwarder.cpp
@@ -57,8 +57,8 @@
 
 void Forwarder::onBundle(const BundlePtr &New) {
   std::scoped_lock Lock(Mutex);
-  Table = makeHostTable(*New->Rules, New->Reach, Bundle ? &Table : nullptr,
-                        now());
+  Table =
+      makeHostTable(*New->Rules, New->Reach, Bundle ? &Table : nullptr, now());
   Bundle = New;
 }
 
@@ -70,14 +70,12 @@
     return {{}, RefusalReason::NoBackendServer};
   std::vector<HostIndex> TriedIndexes;
   for (const HostId &Host : Tried)
-    if (const auto Found = Table.ByName.find(Host);
-        Found != Table.ByName.end())
+    if (const auto Found = Table.ByName.find(Host); Found != Table.ByName.end())
       TriedIndexes.push_back(Found->second);
   const auto Here = std::ranges::find(Table.Zones, Zone);
-  const auto ZoneIndex =
-      static_cast<std::uint32_t>(Here - Table.Zones.begin());
-  const HostChoice Chosen = chooseHost(
-      Table, {It->second, ZoneIndex, TriedIndexes}, Random, now());
+  const auto ZoneIndex = static_cast<std::uint32_t>(Here - Table.Zones.begin());
+  const HostChoice Chosen =
+      chooseHost(Table, {It->second, ZoneIndex, TriedIndexes}, Random, now());
   if (!Chosen.Host)
     return {{}, Chosen.Reason};
   return {Bundle->Rules->Hosts[*Chosen.Host].Id, RefusalReason::None};
@@ -98,8 +96,7 @@
 void Forwarder::countReply(const HostId &Host, const CallReply &Reply) {
   std::scoped_lock Lock(Mutex);
   if (const auto It = Table.ByName.find(Host); It != Table.ByName.end())
-    onHostReply(Table, It->second, {kindOf(Reply), Reply.Load.InFlight},
-                now());
+    onHostReply(Table, It->second, {kindOf(Reply), Reply.Load.InFlight}, now());
 }
 
 CallReply Forwarder::forward(CallRequest Call, const ActiveBundle &Active,
@@ -113,8 +110,8 @@
   for (;;) {
     // A host that a refusal named is not chosen by load, nor counted.
     const bool Named = !Wanted.empty();
-    Choice Next = Named ? Choice{std::exchange(Wanted, {})}
-                        : choose(Spec.Service, Tried);
+    Choice Next =
+        Named ? Choice{std::exchange(Wanted, {})} : choose(Spec.Service, Tried);
     if (Next.Host.empty()) {
       CallReply None = refuse(Outcome::NotRun, Next.Reason,
                               "no backend server of service \"" +
--- a/src/node/Ingress.cpp
+++ b/src/node/Ingress.cpp
@@ -71,8 +71,7 @@
                                                const RouteEntry &Route) {
   const RouteSpec &Spec = *Route.Spec;
   const auto Permitted = resolveKey(
-      Active.Keys, Spec,
-      Call.HasKey ? std::optional(Call.Key) : std::nullopt);
+      Active.Keys, Spec, Call.HasKey ? std::optional(Call.Key) : std::nullopt);
   if (const auto *Refused = std::get_if<Refusal>(&Permitted))
     return fromRefusal(*Refused);
   Call.Tenant = std::get<Permission>(Permitted).Tenant;
@@ -116,9 +115,8 @@
     Call.HasKey = Arrival.Key.has_value();
     Call.Key = Arrival.Key.value_or(KeyDigest{});
     Call.AdmittedAt = Start;
-    Call.Deadline =
-        Start + std::clamp(Arrival.Deadline.value_or(Spec.Deadline),
-                           MinDeadline, Spec.Deadline);
+    Call.Deadline = Start + std::clamp(Arrival.Deadline.value_or(Spec.Deadline),
+                                       MinDeadline, Spec.Deadline);
     Call.Allowance = Active->Rules->Rules.RetryAllowance;
     Call.DecidedAt = Active->Key.Number;
     {
@@ -168,8 +166,7 @@
   return Reply;
 }
 
-CallReply Ingress::runTicketed(const CallRequest &Call,
-                               const std::string &Text,
+CallReply Ingress::runTicketed(const CallRequest &Call, const std::string &Text,
                                const ActiveBundle &Active,
                                const RouteEntry &Route) {
   ClaimResult Claimed;
--- a/src/node/Log.cpp
+++ b/src/node/Log.cpp
@@ -27,8 +27,7 @@
     Line.stringify(Out);
     return Out.str();
   }
-  Out << "host=" << HostName << " part=" << Part << " event=\"" << Event
-      << '"';
+  Out << "host=" << HostName << " part=" << Part << " event=\"" << Event << '"';
   for (const LogField &Field : Fields)
     Out << ' ' << Field.Name << "=\"" << Field.Value << '"';
   return Out.str();
@@ -39,8 +38,8 @@
 void configureLog(bool Json, const std::string &Host) {
   UseJson = Json;
   HostName = Host;
-  const log4cxx::LayoutPtr Layout(new log4cxx::PatternLayout(
-      Json ? "%m%n" : "%d{ISO8601} %-5p %m%n"));
+  const log4cxx::LayoutPtr Layout(
+      new log4cxx::PatternLayout(Json ? "%m%n" : "%d{ISO8601} %-5p %m%n"));
   const log4cxx::AppenderPtr Appender(new log4cxx::ConsoleAppender(
       Layout, log4cxx::ConsoleAppender::getSystemErr()));
   log4cxx::Logger::getRootLogger()->addAppender(Appender);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -94,12 +94,12 @@
   Registry.add("backend", Backend);
   Registry.add("crashes", Crashes.emplace(Self, Registry));
   Registry.add("quota", Quota.emplace(Self, O.Zone, Registry));
-  Registry.add("callee", Local.emplace(O.Host, CalleeWorkers, O.RingCapacity,
-                                       Registry));
+  Registry.add("callee",
+               Local.emplace(O.Host, CalleeWorkers, O.RingCapacity, Registry));
   Registry.add("forwarder",
                Calls.emplace(Self, O.Zone, Self.Start.Value, Registry));
-  Registry.add("ingress", Roots.emplace(Self, ClaimWorkers, O.RingCapacity,
-                                        Registry));
+  Registry.add("ingress",
+               Roots.emplace(Self, ClaimWorkers, O.RingCapacity, Registry));
   Registry.add("config", Config.emplace(O, Operator, Registry));
   subscribe();
   addDuties();
@@ -114,8 +114,8 @@
   };
   Out.OnClaim = [this](std::string Ticket, CallRequest Call,
                        CancelFlag Cancelled, ReplyCallback Answer) {
-    Roots->submitClaim(std::move(Ticket), std::move(Call),
-                       std::move(Cancelled), std::move(Answer));
+    Roots->submitClaim(std::move(Ticket), std::move(Call), std::move(Cancelled),
+                       std::move(Answer));
   };
   Out.OnBorrow = [this](auto In, auto Reply) { Quota->onBorrow(In, Reply); };
   Out.OnSettle = [this](auto In) { Quota->onSettle(In); };
@@ -124,7 +124,9 @@
   Out.OnRelease = [this](auto In, auto Reply) { Quota->onRelease(In, Reply); };
   Out.OnConfirm = [this](auto Reply) { View.answerConfirm(Reply); };
   Out.OnWitness = [this](auto Reply) { View.answerWitness(Reply); };
-  Out.OnSuspect = [this](auto In) { Crashes->hear(readMessages(In)); };
+  Out.OnSuspect = [this](auto In, auto Reply) {
+    Crashes->onSuspect(In, Reply);
+  };
   Out.OnPointer = [this] { return Config->pointerDocument(); };
   Out.OnChunk = [this](const Digest &Sum) { return Config->chunk(Sum); };
   return Out;
@@ -160,13 +162,13 @@
 
 void Node::Parts::openPorts() {
   const HttpCalls Http{*Roots, *Calls, Running, Bundles, Count, Bodies};
-  CallerPort.emplace(
-      HttpPortOptions{"caller", Options.Address, Options.CallerPort,
-                      Options.CallerThreads, Options.TlsCertificateFile,
-                      Options.TlsKeyFile},
-      [Http](auto &Request, auto &Response) {
-        handleCaller(Http, Request, Response);
-      });
+  CallerPort.emplace(HttpPortOptions{"caller", Options.Address,
+                                     Options.CallerPort, Options.CallerThreads,
+                                     Options.TlsCertificateFile,
+                                     Options.TlsKeyFile},
+                     [Http](auto &Request, auto &Response) {
+                       handleCaller(Http, Request, Response);
+                     });
   EgressPort.emplace(HttpPortOptions{"egress", "127.0.0.1", Options.EgressPort,
                                      EgressThreads, "", ""},
                      [Http](auto &Request, auto &Response) {
@@ -233,7 +235,8 @@
 Node::~Node() = default;
 
 std::string Node::start() {
-  if (auto Error = All->Peers.start(All->Options.Address, All->Options.PeerPort);
+  if (auto Error =
+          All->Peers.start(All->Options.Address, All->Options.PeerPort);
       !Error.empty())
     return Error;
   for (HttpPort *Port :
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -113,8 +113,8 @@
     const auto Address = addressOf(Holder.Host);
     if (!Address)
       return {};
-    const PeerError Error = Peers.exchange(
-        *Address, BorrowTimeout, [&](wire::Peer::Client &Peer) {
+    const PeerError Error =
+        Peers.exchange(*Address, BorrowTimeout, [&](wire::Peer::Client &Peer) {
           auto Message = Peer.borrowRequest();
           writeMessage(Message.initRequest(), Request);
           return Message.send().then([&Reply](auto &&Response) {
--- a/src/node/RunningService.cpp
+++ b/src/node/RunningService.cpp
@@ -29,13 +29,12 @@
     return Out;
   }
   std::scoped_lock Lock(Mutex);
-  if (auto Refused = beginCall(
-          Running, Handle,
-          {Call.Tenant, Call.Route, Call.Class, Call.Root, Call.Deadline,
-           RetryAllowance{Call.Allowance}}))
+  if (auto Refused = beginCall(Running, Handle,
+                               {Call.Tenant, Call.Route, Call.Class, Call.Root,
+                                Call.Deadline, RetryAllowance{Call.Allowance}}))
     return *Refused;
-  Origins[Handle] = {Call.Caller,  Call.Hash,      Call.AdmittedAt,
-                     Call.Key,     Call.HasKey,    Duration::zero()};
+  Origins[Handle] = {Call.Caller, Call.Hash,   Call.AdmittedAt,
+                     Call.Key,    Call.HasKey, Duration::zero()};
   return Handle;
 }
 
@@ -59,12 +58,9 @@
   if (auto *Refused = std::get_if<Refusal>(&Result))
     return *Refused;
   const Origin &From = Origins.at(Parent);
-  return GrantedSubCall{Parent,
-                        std::get<SubCall>(std::move(Result)),
-                        From.RootCaller,
-                        From.Hash,
-                        From.AdmittedAt,
-                        From.Key,
+  return GrantedSubCall{Parent,          std::get<SubCall>(std::move(Result)),
+                        From.RootCaller, From.Hash,
+                        From.AdmittedAt, From.Key,
                         From.HasKey};
 }
 
--- a/src/node/RunningService.h
+++ b/src/node/RunningService.h
@@ -38,9 +38,9 @@
   std::variant<CallHandle, Refusal> begin(const CallRequest &Call);
   FinishedRun finish(const CallHandle &Handle);
 
-  std::variant<GrantedSubCall, Refusal>
-  beginSub(const ActiveBundle &Bundle, const CallHandle &Parent,
-           const RouteId &Route);
+  std::variant<GrantedSubCall, Refusal> beginSub(const ActiveBundle &Bundle,
+                                                 const CallHandle &Parent,
+                                                 const RouteId &Route);
   void finishSub(const GrantedSubCall &Sub, const CallReply &Reply,
                  Duration Took);
 
--- a/src/peer/Peer.capnp
+++ b/src/peer/Peer.capnp
@@ -79,7 +79,7 @@
 struct BorrowReply {
   shard @0 :Shard;
   holder @1 :Incarnation;
-  borrower @2 :Text;
+  borrower @2 :Incarnation;
   sequence @3 :UInt64;
   lease @4 :UInt64;
   tokensMicro @5 :Int64;
@@ -161,9 +161,8 @@
   host @1 :Text;
   start @2 :UInt64;
   number @3 :UInt32;
-  alone @4 :Bool;
-  cleared @5 :Bool;
-  remainingMicros @6 :Int64;
+  cleared @4 :Bool;
+  ageMicros @5 :Int64;
 }
 
 interface Peer {
@@ -178,7 +177,8 @@
   witness @8 () -> (answer :WitnessAnswer);
   pointer @9 () -> (document :Data);
   chunk @10 (digest :Data) -> (found :Bool, content :Data);
-  suspect @11 (suspicions :List(Suspicion)) -> ();
+  suspect @11 (suspicions :List(Suspicion))
+      -> (known :List(Suspicion), inFlight :Bool);
 }
 
 struct HostSample {
--- a/src/peer/Peer.capnp.h
+++ b/src/peer/Peer.capnp.h
@@ -776,7 +776,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f30bdcede42cba57, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f30bdcede42cba57, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1791,7 +1791,7 @@
   inline  ::pollenwick::wire::Incarnation::Reader getHolder() const;
 
   inline bool hasBorrower() const;
-  inline  ::capnp::Text::Reader getBorrower() const;
+  inline  ::pollenwick::wire::Incarnation::Reader getBorrower() const;
 
   inline  ::uint64_t getSequence() const;
 
@@ -1846,11 +1846,11 @@
   inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> disownHolder();
 
   inline bool hasBorrower();
-  inline  ::capnp::Text::Builder getBorrower();
-  inline void setBorrower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
-  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
+  inline  ::pollenwick::wire::Incarnation::Builder getBorrower();
+  inline void setBorrower( ::pollenwick::wire::Incarnation::Reader value);
+  inline  ::pollenwick::wire::Incarnation::Builder initBorrower();
+  inline void adoptBorrower(::capnp::Orphan< ::pollenwick::wire::Incarnation>&& value);
+  inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> disownBorrower();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
@@ -1887,6 +1887,7 @@
 
   inline  ::pollenwick::wire::Shard::Pipeline getShard();
   inline  ::pollenwick::wire::Incarnation::Pipeline getHolder();
+  inline  ::pollenwick::wire::Incarnation::Pipeline getBorrower();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2982,11 +2983,9 @@
 
   inline  ::uint32_t getNumber() const;
 
-  inline bool getAlone() const;
-
   inline bool getCleared() const;
 
-  inline  ::int64_t getRemainingMicros() const;
+  inline  ::int64_t getAgeMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3036,14 +3035,11 @@
   inline  ::uint32_t getNumber();
   inline void setNumber( ::uint32_t value);
 
-  inline bool getAlone();
-  inline void setAlone(bool value);
-
   inline bool getCleared();
   inline void setCleared(bool value);
 
-  inline  ::int64_t getRemainingMicros();
-  inline void setRemainingMicros( ::int64_t value);
+  inline  ::int64_t getAgeMicros();
+  inline void setAgeMicros( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5070,6 +5066,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+
+  inline bool getInFlight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5098,6 +5099,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasKnown();
+  inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>> disownKnown();
+
+  inline bool getInFlight();
+  inline void setInFlight(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6675,29 +6686,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BorrowReply::Reader::getBorrower() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::pollenwick::wire::Incarnation::Reader BorrowReply::Reader::getBorrower() const {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BorrowReply::Builder::getBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::pollenwick::wire::Incarnation::Builder BorrowReply::Builder::getBorrower() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void BorrowReply::Builder::setBorrower( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::pollenwick::wire::Incarnation::Pipeline BorrowReply::Pipeline::getBorrower() {
+  return  ::pollenwick::wire::Incarnation::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void BorrowReply::Builder::setBorrower( ::pollenwick::wire::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BorrowReply::Builder::initBorrower(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::pollenwick::wire::Incarnation::Builder BorrowReply::Builder::initBorrower() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void BorrowReply::Builder::adoptBorrower(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::pollenwick::wire::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BorrowReply::Builder::disownBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> BorrowReply::Builder::disownBorrower() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -8035,44 +8051,30 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Suspicion::Reader::getAlone() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-
-inline bool Suspicion::Builder::getAlone() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-inline void Suspicion::Builder::setAlone(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Suspicion::Reader::getCleared() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
 inline bool Suspicion::Builder::getCleared() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 inline void Suspicion::Builder::setCleared(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Suspicion::Reader::getRemainingMicros() const {
+inline  ::int64_t Suspicion::Reader::getAgeMicros() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Suspicion::Builder::getRemainingMicros() {
+inline  ::int64_t Suspicion::Builder::getAgeMicros() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Suspicion::Builder::setRemainingMicros( ::int64_t value) {
+inline void Suspicion::Builder::setAgeMicros( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
@@ -8898,6 +8900,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SuspectResults::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SuspectResults::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader Peer::SuspectResults::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Peer::SuspectResults::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SuspectResults::Builder::setKnown( ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Peer::SuspectResults::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SuspectResults::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>> Peer::SuspectResults::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SuspectResults::Reader::getInFlight() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::SuspectResults::Builder::getInFlight() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SuspectResults::Builder::setInFlight(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostSample::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peer/PeerHandlers.h
+++ b/src/peer/PeerHandlers.h
@@ -36,7 +36,9 @@
       OnRelease;
   std::function<void(wire::Confirmation::Builder)> OnConfirm;
   std::function<void(wire::WitnessAnswer::Builder)> OnWitness;
-  std::function<void(capnp::List<wire::Suspicion>::Reader)> OnSuspect;
+  std::function<void(capnp::List<wire::Suspicion>::Reader,
+                     wire::Peer::SuspectResults::Builder)>
+      OnSuspect;
   std::function<std::string()> OnPointer;
   std::function<std::optional<std::string>(const Digest &)> OnChunk;
 };
--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -100,7 +100,7 @@
 }
 
 kj::Promise<void> PeerServer::suspect(SuspectContext Context) {
-  Handlers.OnSuspect(Context.getParams().getSuspicions());
+  Handlers.OnSuspect(Context.getParams().getSuspicions(), Context.getResults());
   return kj::READY_NOW;
 }
 
--- a/src/peer/QuotaWire.cpp
+++ b/src/peer/QuotaWire.cpp
@@ -36,7 +36,7 @@
 void writeMessage(wire::BorrowReply::Builder Out, const BorrowReply &In) {
   writeShard(Out.initShard(), In.Shard);
   writeIncarnation(Out.initHolder(), In.Holder);
-  Out.setBorrower(In.Borrower.Text);
+  writeIncarnation(Out.initBorrower(), In.Borrower);
   Out.setSequence(In.Sequence);
   Out.setLease(In.Lease.Value);
   Out.setTokensMicro(In.Tokens.Value);
@@ -46,7 +46,7 @@
 
 BorrowReply readMessage(wire::BorrowReply::Reader In) {
   return {readShard(In.getShard()),         readIncarnation(In.getHolder()),
-          HostId(textOf(In.getBorrower())), In.getSequence(),
+          readIncarnation(In.getBorrower()), In.getSequence(),
           LeaseId(In.getLease()),           MicroTokens{In.getTokensMicro()},
           Duration(In.getLifetimeMicros()), In.getRecallPending()};
 }
@@ -168,9 +168,8 @@
     Out[I].setHost(Entry.Crash.Host.Text);
     Out[I].setStart(Entry.Crash.Start.Value);
     Out[I].setNumber(Entry.Crash.Number);
-    Out[I].setAlone(Entry.Alone);
     Out[I].setCleared(Entry.Cleared);
-    Out[I].setRemainingMicros(Entry.Remaining.count());
+    Out[I].setAgeMicros(Entry.Age.count());
   }
 }
 
@@ -184,9 +183,8 @@
     std::ranges::copy(Bytes, Read.Subject.Bytes.begin());
     Read.Crash = {HostId(textOf(Entry.getHost())), StartId(Entry.getStart()),
                   Entry.getNumber()};
-    Read.Alone = Entry.getAlone();
     Read.Cleared = Entry.getCleared();
-    Read.Remaining = Duration(Entry.getRemainingMicros());
+    Read.Age = Duration(Entry.getAgeMicros());
     Out.push_back(Read);
   }
   return Out;
