Test that a ticket runs at most once over a fleet with faults

Three nodes under one virtual clock; every message, kill, partition, drain, pause between check and dispatch, duplicate and resend is a step drawn as data. Calls are not duplicated by the simulated network, because a call travels on one TCP connection.

--- /dev/null
+++ b/tests/once/TicketBookTest.cpp
@@ -0,0 +1,184 @@
+#include <catch2/catch.hpp>
+
+#include "TicketFleet.h"
+
+using namespace pollenwick;
+
+namespace {
+
+constexpr std::size_t Steps = 600;
+
+/// Numbers of tickets that broke G9 and G8 over many seeded schedules.
+struct Violations {
+  unsigned RanTwice = 0;
+  unsigned FalseNotRun = 0;
+  unsigned Executions = 0;
+  unsigned SaidNotRun = 0;
+};
+
+Violations measure(bool SameIncarnation, bool TimeoutIsNotRun) {
+  Violations Total;
+  for (std::uint32_t Seed = 0; Seed < 200; ++Seed) {
+    Choices Draw = seededChoices(20261204 + Seed, Steps);
+    TicketFleet Fleet(Draw);
+    Fleet.SameIncarnation = SameIncarnation;
+    Fleet.TimeoutIsNotRun = TimeoutIsNotRun;
+    for (unsigned N = 0; N < TicketFleet::Nodes; ++N)
+      Fleet.start(N);
+    Fleet.runAll();
+    for (const auto &[Ticket, Seen] : Fleet.Ledgers) {
+      Total.RanTwice += Seen.Executions > 1 ? 1 : 0;
+      Total.FalseNotRun += Seen.Executions > 0 && Seen.SaidNotRun > 0 ? 1 : 0;
+      Total.Executions += Seen.Executions;
+      Total.SaidNotRun += Seen.SaidNotRun;
+    }
+  }
+  return Total;
+}
+
+RefusalReason reasonOf(const ClaimResult &Result) {
+  const auto *Refused = std::get_if<Refusal>(&Result);
+  return Refused != nullptr ? Refused->Reason : RefusalReason::None;
+}
+Outcome outcomeOf(const ClaimResult &Result) {
+  return std::get<Refusal>(Result).Result;
+}
+
+} // namespace
+
+TEST_CASE("A ticket runs at most once over a fleet with faults", "[once]") {
+  SECTION("for every schedule of kills, partitions, drains and resends") {
+    CHECK(rc::check([] {
+      Choices Draw = drawChoices(Steps);
+      TicketFleet Fleet(Draw);
+      Fleet.runAll();
+      for (const auto &[Ticket, Seen] : Fleet.Ledgers) {
+        RC_ASSERT(Seen.Executions <= 1U);
+        RC_ASSERT(Seen.Executions == 0U || Seen.SaidNotRun == 0U);
+      }
+      for (const TicketFleet::Node &N : Fleet.Fleet)
+        RC_ASSERT(N.Book.Used.size() <= N.Book.Limits.MaxTickets);
+    }));
+  }
+  SECTION("where a naive variant runs it twice or denies that it ran") {
+    const Violations Ours = measure(false, false);
+    CHECK(Ours.RanTwice == 0);
+    CHECK(Ours.FalseNotRun == 0);
+    CHECK(Ours.Executions > 0);
+    CHECK(Ours.SaidNotRun > 0);
+    const Violations NoIncarnation = measure(true, false);
+    CHECK(NoIncarnation.RanTwice > 0);
+    const Violations EagerNotRun = measure(false, true);
+    CHECK(EagerNotRun.FalseNotRun > 0);
+    WARN("tickets run twice / falsely not run, of executions: incarnation in "
+         "ticket "
+         << Ours.RanTwice << "/" << Ours.FalseNotRun << " of "
+         << Ours.Executions << ", without " << NoIncarnation.RanTwice << "/"
+         << NoIncarnation.FalseNotRun << " of " << NoIncarnation.Executions
+         << ", timeout as not run " << EagerNotRun.RanTwice << "/"
+         << EagerNotRun.FalseNotRun << " of " << EagerNotRun.Executions);
+  }
+}
+
+TEST_CASE("The issuer judges a ticket", "[once]") {
+  TicketBook Book;
+  Book.Self = {HostId("host0"), StartId(7)};
+  Book.Key[5] = 9;
+  Instant Now(std::chrono::seconds(10));
+  const Duration Lifetime = std::chrono::seconds(60);
+  const Ticket Minted =
+      std::get<Ticket>(mintTicket(Book, Payer, Deposit, Lifetime, Now));
+  const std::string Text = ticketText(Minted);
+  const TicketClaim Claim{Text, Payer, Deposit, {}};
+
+  SECTION("executes the first use and replays its answer") {
+    const auto First = claimTicket(Book, Claim, Now);
+    REQUIRE(std::holds_alternative<Execute>(First));
+    CHECK(std::holds_alternative<InProgress>(claimTicket(Book, Claim, Now)));
+    finishTicket(Book, std::get<Execute>(First).Sequence,
+                 {Outcome::Done, {}, TicketAnswer{201, "text/plain", "ok"}});
+    const auto Again = claimTicket(Book, Claim, Now);
+    REQUIRE(std::holds_alternative<Replay>(Again));
+    CHECK(std::get<Replay>(Again).Answer.Body == "ok");
+    // Guards against an answer that changes after it was given.
+    finishTicket(Book, 1, {Outcome::NotRun, RefusalReason::Shed, {}});
+    CHECK(std::holds_alternative<Replay>(claimTicket(Book, Claim, Now)));
+
+    SECTION("but refuses another body as unknown") {
+      TicketClaim Other = Claim;
+      Other.Body[3] = 1;
+      const auto Refused = claimTicket(Book, Other, Now);
+      CHECK(reasonOf(Refused) == RefusalReason::TicketUsed);
+      CHECK(outcomeOf(Refused) == Outcome::Unknown);
+    }
+    SECTION("and remembers it until expiry and grace have passed") {
+      Now += Lifetime + Book.Limits.Grace - Duration(1);
+      expireTickets(Book, Now);
+      CHECK(std::holds_alternative<Replay>(claimTicket(Book, Claim, Now)));
+      CHECK(expireTickets(Book, Now + Duration(1)) == 1);
+      CHECK(outcomeOf(claimTicket(Book, Claim, Now + Duration(1))) ==
+            Outcome::Unknown);
+      CHECK(Book.AnswerBytes == 0);
+    }
+  }
+  SECTION("spends a ticket whose call did not run") {
+    // Guards against "not run" for a call that a delayed copy runs later.
+    claimTicket(Book, Claim, Now);
+    finishTicket(Book, 1, {Outcome::NotRun, RefusalReason::Shed, {}});
+    const auto Again = claimTicket(Book, Claim, Now);
+    CHECK(outcomeOf(Again) == Outcome::NotRun);
+    CHECK(reasonOf(Again) == RefusalReason::Shed);
+  }
+  SECTION("says not run of an unused ticket only within the grace") {
+    CHECK(outcomeOf(claimTicket(Book, Claim, Now + Lifetime)) ==
+          Outcome::NotRun);
+    CHECK(outcomeOf(
+              claimTicket(Book, Claim, Now + Lifetime + Book.Limits.Grace)) ==
+          Outcome::Unknown);
+  }
+  SECTION("refuses other tenants, routes and damaged tickets as unknown") {
+    CHECK(outcomeOf(claimTicket(Book, {Text, TenantId("x"), Deposit, {}},
+                                Now)) == Outcome::Unknown);
+    CHECK(outcomeOf(claimTicket(Book, {Text, Payer, RouteId("a/b"), {}},
+                                Now)) == Outcome::Unknown);
+    CHECK(rc::check([&] {
+      std::string Damaged = Text;
+      const auto At = *rc::gen::inRange<std::size_t>(0, Text.size());
+      Damaged[At] = *rc::gen::arbitrary<char>();
+      const auto Parsed = parseTicket(Damaged);
+      const bool Changed = !Parsed || ticketText(*Parsed) != Text;
+      RC_PRE(Changed);
+      const auto Result = claimTicket(Book, {Damaged, Payer, Deposit, {}}, Now);
+      RC_ASSERT(!std::holds_alternative<Execute>(Result));
+      if (std::holds_alternative<Refusal>(Result))
+        RC_ASSERT(outcomeOf(Result) == Outcome::Unknown);
+    }));
+  }
+  SECTION("refuses new tickets at the limits and forgets none") {
+    Book.Limits.MaxTicketsPerTenant = 1;
+    claimTicket(Book, Claim, Now);
+    CHECK(std::holds_alternative<Refusal>(
+        mintTicket(Book, Payer, Deposit, Lifetime, Now)));
+    const auto Other =
+        mintTicket(Book, TenantId("other"), Deposit, Lifetime, Now);
+    REQUIRE(std::holds_alternative<Ticket>(Other));
+    Book.Limits.MaxTickets = 1;
+    const std::string OtherText = ticketText(std::get<Ticket>(Other));
+    const auto Full =
+        claimTicket(Book, {OtherText, TenantId("other"), Deposit, {}}, Now);
+    CHECK(reasonOf(Full) == RefusalReason::QueueFull);
+    CHECK(outcomeOf(Full) == Outcome::Unknown);
+    CHECK(std::holds_alternative<InProgress>(claimTicket(Book, Claim, Now)));
+  }
+  SECTION("leaves tickets of other hosts and processes alone") {
+    TicketBook Elsewhere;
+    Elsewhere.Self = {HostId("host1"), StartId(8)};
+    const auto Result = claimTicket(Elsewhere, Claim, Now);
+    REQUIRE(std::holds_alternative<ForwardTo>(Result));
+    CHECK(std::get<ForwardTo>(Result).Issuer == HostId("host0"));
+    Elsewhere.Self = {HostId("host0"), StartId(8)};
+    CHECK(reasonOf(claimTicket(Elsewhere, Claim, Now)) ==
+          RefusalReason::IssuerGone);
+    CHECK(issuerUnreachable(HostId("host0")).Result == Outcome::Unknown);
+  }
+}
--- /dev/null
+++ b/tests/once/TicketFleet.h
@@ -0,0 +1,247 @@
+#ifndef POLLENWICK_TESTS_ONCE_TICKETFLEET_H
+#define POLLENWICK_TESTS_ONCE_TICKETFLEET_H
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "../Choices.h"
+#include "core/calls/OutgoingCalls.h"
+#include "core/once/TicketBook.h"
+
+namespace pollenwick {
+
+inline const TenantId Payer("payer");
+inline const RouteId Deposit("cobros/deposit");
+
+/// Three nodes that serve one non-idempotent route, under one virtual clock.
+/// Every message is a separate step, so that a kill, a pause or a partition
+/// falls between any two of them.
+struct TicketFleet {
+  static constexpr unsigned Nodes = 3;
+
+  /// Naive variants, for comparison.
+  bool SameIncarnation = false; ///< A restarted node keeps start id and key.
+  bool TimeoutIsNotRun = false; ///< Says "not run" when no answer came.
+
+  struct Node {
+    TicketBook Book;
+    OutgoingCalls Calls;
+    bool Draining = false;
+  };
+  enum class Kind : std::uint8_t { Request, Forward, Checked, Call, Answer };
+  struct Message {
+    Kind What = Kind::Request;
+    unsigned From = 0;
+    unsigned To = 0;
+    std::string Ticket;
+    Digest Body{};
+    IncarnationId Issuer;
+    CallId Id;
+    std::uint64_t Sequence = 0;
+    Outcome Result = Outcome::Unknown;
+  };
+  /// What happened to one ticket over the whole run.
+  struct Ledger {
+    unsigned Executions = 0;
+    unsigned SaidNotRun = 0;
+    unsigned Replays = 0;
+  };
+
+  Choices &Draw;
+  Instant Now{std::chrono::seconds(100)};
+  std::array<Node, Nodes> Fleet;
+  std::uint64_t Starts = 0;
+  std::vector<Message> Wire;
+  std::vector<std::string> Tickets;
+  std::map<std::string, Ledger> Ledgers;
+  std::array<bool, Nodes * Nodes> Cut{};
+
+  explicit TicketFleet(Choices &Source) : Draw(Source) {
+    for (unsigned N = 0; N < Nodes; ++N)
+      start(N);
+  }
+
+  static HostId host(unsigned N) { return HostId("host" + std::to_string(N)); }
+
+  void start(unsigned N) {
+    const std::uint64_t Start = SameIncarnation ? 1 : ++Starts;
+    const std::uint64_t Last = Fleet[N].Book.LastSequence;
+    Fleet[N] = {};
+    Fleet[N].Book.Self = {host(N), StartId(Start)};
+    Fleet[N].Book.Key[0] = static_cast<std::uint8_t>(Start);
+    Fleet[N].Book.Limits.MaxTickets = 3;
+    Fleet[N].Book.Limits.Grace = std::chrono::seconds(2);
+    Fleet[N].Calls.Self = Fleet[N].Book.Self;
+    if (SameIncarnation)
+      Fleet[N].Book.LastSequence = Last;
+  }
+
+  void kill(unsigned N) {
+    // Calls that were checked but not yet sent die with the process; what is on
+    // the wire does not.
+    std::erase_if(Wire, [&](const Message &M) {
+      return M.What == Kind::Checked && M.From == N;
+    });
+    start(N);
+  }
+
+  void mint() {
+    Node &At = Fleet[Draw.pick(Nodes)];
+    const auto Minted =
+        mintTicket(At.Book, Payer, Deposit, std::chrono::seconds(4), Now);
+    if (const auto *T = std::get_if<Ticket>(&Minted))
+      Tickets.push_back(ticketText(*T));
+  }
+
+  void send() {
+    if (Tickets.empty())
+      return mint();
+    Message M;
+    M.To = Draw.pick(Nodes);
+    M.From = M.To;
+    M.Ticket = Tickets[Draw.pick(Tickets.size())];
+    M.Body[0] = Draw.chance(10) ? 1 : 0;
+    Wire.push_back(M);
+  }
+
+  void say(const std::string &Ticket, Outcome Result) {
+    Ledgers[Ticket].SaidNotRun += Result == Outcome::NotRun ? 1 : 0;
+  }
+
+  void dispatch(unsigned N, const Message &Claimed, std::uint64_t Sequence) {
+    Message M = Claimed;
+    M.What = Kind::Checked;
+    M.From = N;
+    M.To = Draw.pick(Nodes);
+    M.Issuer = Fleet[N].Book.Self;
+    M.Sequence = Sequence;
+    const auto Id = openOutgoing(
+        Fleet[N].Calls, {host(M.To), Sequence, Now + std::chrono::seconds(1)});
+    M.Id = *Id;
+    Wire.push_back(M);
+  }
+
+  void claim(const Message &M) {
+    const auto Result =
+        claimTicket(Fleet[M.To].Book, {M.Ticket, Payer, Deposit, M.Body}, Now);
+    if (const auto *Run = std::get_if<Execute>(&Result))
+      dispatch(M.To, M, Run->Sequence);
+    else if (const auto *Refused = std::get_if<Refusal>(&Result))
+      say(M.Ticket, Refused->Result);
+    else if (std::holds_alternative<Replay>(Result))
+      ++Ledgers[M.Ticket].Replays;
+    else if (const auto *Other = std::get_if<ForwardTo>(&Result)) {
+      Message Next = M;
+      Next.What = Kind::Forward;
+      Next.From = M.To;
+      Next.To = Other->Issuer.Text.back() - '0';
+      Wire.push_back(Next);
+    }
+  }
+
+  void run(const Message &M) {
+    Message Back = M;
+    Back.What = Kind::Answer;
+    std::swap(Back.From, Back.To);
+    Back.Result = Fleet[M.To].Draining ? Outcome::NotRun : Outcome::Done;
+    Ledgers[M.Ticket].Executions += Back.Result == Outcome::Done ? 1 : 0;
+    Wire.push_back(Back);
+  }
+
+  void finish(unsigned N, const Message &M, TicketResult Result) {
+    say(M.Ticket, Result.Result);
+    finishTicket(Fleet[N].Book, M.Sequence, std::move(Result));
+  }
+
+  void receiveAnswer(const Message &M) {
+    if (!closeOutgoing(Fleet[M.To].Calls, M.Issuer, M.Id, host(M.From)))
+      return;
+    if (M.Result == Outcome::NotRun && Draw.chance(50))
+      return dispatch(M.To, M, M.Sequence); // Routes it elsewhere.
+    TicketResult Result{M.Result, RefusalReason::Draining, {}};
+    if (M.Result == Outcome::Done && Draw.chance(70))
+      Result.Answer = TicketAnswer{200, "text/plain", "paid"};
+    finish(M.To, M, std::move(Result));
+  }
+
+  void deliver(std::size_t Position) {
+    Message M = Wire[Position];
+    Wire.erase(Wire.begin() + static_cast<std::ptrdiff_t>(Position));
+    if (M.What != Kind::Checked && Cut[M.From * Nodes + M.To])
+      return; // Lost.
+    switch (M.What) {
+    case Kind::Request:
+    case Kind::Forward:
+      return claim(M);
+    case Kind::Checked:
+      M.What = Kind::Call;
+      Wire.push_back(M);
+      return;
+    case Kind::Call:
+      return run(M);
+    case Kind::Answer:
+      return receiveAnswer(M);
+    }
+  }
+
+  void passTime() {
+    Now += std::chrono::milliseconds(250 * (1 + Draw.pick(12)));
+    for (Node &N : Fleet) {
+      for (const OutgoingCall &Late : closeOverdue(N.Calls, Now)) {
+        finishTicket(N.Book, Late.Waiter,
+                     {TimeoutIsNotRun ? Outcome::NotRun : Outcome::Unknown,
+                      RefusalReason::DeadlineExceeded,
+                      {}});
+      }
+      expireTickets(N.Book, Now);
+    }
+  }
+
+  void step() {
+    const unsigned Which = Draw.pick(100);
+    if (Which < 8)
+      mint();
+    else if (Which < 30)
+      send();
+    else if (Which < 36)
+      passTime();
+    else if (Which < 40)
+      kill(Draw.pick(Nodes));
+    else if (Which < 43)
+      Fleet[Draw.pick(Nodes)].Draining ^= true;
+    else if (Which < 46)
+      Cut[Draw.pick(Nodes * Nodes)] ^= true;
+    else if (!Wire.empty()) {
+      const std::size_t At = Draw.pick(Wire.size());
+      if (Which < 50 && Wire[At].What != Kind::Checked)
+        Wire.erase(Wire.begin() + static_cast<std::ptrdiff_t>(At));
+      else if (Which < 56 && Wire[At].What != Kind::Checked &&
+               Wire[At].What != Kind::Call)
+        Wire.push_back(Wire[At]); // A call travels on one TCP connection.
+      else
+        deliver(At);
+    }
+  }
+
+  /// Runs the whole schedule, then resends every ticket and delivers the rest.
+  void runAll() {
+    while (!Draw.done())
+      step();
+    Cut = {};
+    for (Node &N : Fleet)
+      N.Draining = false;
+    for (int Round = 0; Round < 3; ++Round) {
+      for (const std::string &Ticket : Tickets)
+        Wire.push_back({Kind::Request, 0, 0, Ticket, {}, {}, {}, 0, {}});
+      while (!Wire.empty())
+        deliver(0);
+      passTime();
+    }
+  }
+};
+
+} // namespace pollenwick
+
+#endif
