Add the configuration and membership decisions

Configuration: the order of revisions is (number, root) at every node, a node never goes back in it, and forks are reported. A pointer with an unknown parent waits until its chain of ancestors is fetched. Only watchers, nodes without a parent and nodes without a bundle read the service, so that its reads do not grow with the fleet. A chain that nobody can give is given up after 10 s and counted: a restarted node would accept the pointer at once, so that waiting on would only keep an old revision in force. Membership: two ring neighbours monitor each host and two random targets carry news, so that the targets per second do not grow with the fleet. Gossip of all heartbeats was ruled out: at 24 entries per datagram and 4 datagrams a second a full round over 3,000 hosts takes 31 s.

--- /dev/null
+++ b/src/core/config/Config.cpp
@@ -0,0 +1,377 @@
+#include "core/config/Config.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenwick {
+namespace {
+
+constexpr Digest NoDigest{};
+
+Version versionOf(const Pointer &Head) { return {Head.Number, Head.Root}; }
+
+void reportFork(ConfigState &State, const ConfigSettings &Settings, Version A,
+                Version B) {
+  const Fork Found{std::min(A, B), std::max(A, B)};
+  if (std::find(State.Forks.begin(), State.Forks.end(), Found) !=
+      State.Forks.end())
+    return;
+  ++State.ForksSeen;
+  if (State.Forks.size() >= Settings.MaxForks)
+    State.Forks.erase(State.Forks.begin());
+  State.Forks.push_back(Found);
+}
+
+// Two children of one parent and two revisions of one number are both signs
+// of operators who raced. The first revision has no parent to share.
+void detectForks(ConfigState &State, const ConfigSettings &Settings,
+                 const Pointer &Head) {
+  for (const auto &[Root, Line] : State.Known)
+    if (Root != Head.Root &&
+        (Line.Number == Head.Number ||
+         (Line.Parent == Head.Parent && Head.Parent != NoDigest)))
+      reportFork(State, Settings, {Line.Number, Root}, versionOf(Head));
+}
+
+void remember(ConfigState &State, const ConfigSettings &Settings,
+              const Digest &Root, const Lineage &Line) {
+  State.Known.emplace(Root, Line);
+  if (State.Known.size() <= Settings.MaxHistory)
+    return;
+  State.Known.erase(std::min_element(State.Known.begin(), State.Known.end(),
+                                     [](const auto &A, const auto &B) {
+                                       return A.second.Number < B.second.Number;
+                                     }));
+}
+
+bool chunksComplete(const ConfigState &State, const Pointer &Head) {
+  return std::all_of(
+      Head.Chunks.begin(), Head.Chunks.end(),
+      [&](const ChunkRef &Ref) { return State.Held.contains(Ref.Sum); });
+}
+
+OfferVerdict promote(ConfigState &State) {
+  if (!State.Pending || !chunksComplete(State, *State.Pending))
+    return OfferVerdict::WaitingForChunks;
+  State.InForce = std::move(State.Pending);
+  State.Pending.reset();
+  State.PendingFrom.reset();
+  return OfferVerdict::InForce;
+}
+
+OfferVerdict accept(ConfigState &State, const ConfigSettings &Settings,
+                    const Pointer &Head, const std::optional<HostId> &From) {
+  remember(State, Settings, Head.Root, {Head.Number, Head.Parent});
+  State.Pending = Head;
+  State.PendingFrom = From;
+  if (State.Unconnected &&
+      versionOf(State.Unconnected->Head) <= versionOf(Head))
+    State.Unconnected.reset();
+  return promote(State);
+}
+
+void noteAnswer(ConfigState &State, const std::optional<HostId> &From) {
+  if (!From)
+    State.ServiceAnswered = true;
+  else if (!State.Serving)
+    State.PeersAnswered.insert(*From);
+}
+
+OfferVerdict acceptCandidate(ConfigState &State,
+                             const ConfigSettings &Settings) {
+  Candidate Done = std::move(*State.Unconnected);
+  State.Unconnected.reset();
+  for (const auto &[Root, Line] : Done.Chain) {
+    Pointer Ancestor;
+    Ancestor.Number = Line.Number;
+    Ancestor.Parent = Line.Parent;
+    Ancestor.Root = Root;
+    detectForks(State, Settings, Ancestor);
+    remember(State, Settings, Root, Line);
+  }
+  if (versionOf(Done.Head) <= newestKnown(State)) {
+    remember(State, Settings, Done.Head.Root,
+             {Done.Head.Number, Done.Head.Parent});
+    return OfferVerdict::Older;
+  }
+  return accept(State, Settings, Done.Head, Done.OfferedBy);
+}
+
+// The chain is complete when it meets a known revision, the first revision, or
+// the number below which this node remembers nothing. The last case is a fork
+// that is older than the node's history; all nodes must still agree on the
+// highest version, so it is accepted.
+bool isConnected(const ConfigState &State, const Candidate &Open) {
+  const auto Lowest = std::min_element(
+      State.Known.begin(), State.Known.end(), [](const auto &A, const auto &B) {
+        return A.second.Number < B.second.Number;
+      });
+  return Open.Next == NoDigest || State.Known.contains(Open.Next) ||
+         Lowest == State.Known.end() ||
+         Open.LowestNumber <= Lowest->second.Number;
+}
+
+void beginCandidate(ConfigState &State, const Pointer &Head,
+                    const std::optional<HostId> &From, Instant Now) {
+  Candidate Next;
+  Next.Head = Head;
+  Next.OfferedBy = From;
+  Next.Next = Head.Parent;
+  Next.LowestNumber = Head.Number;
+  Next.LastProgress = Now;
+  // Keeps what was walked when the newer pointer follows the older candidate.
+  if (State.Unconnected && State.Unconnected->Head.Root == Head.Parent) {
+    const Candidate &Old = *State.Unconnected;
+    Next.Chain = Old.Chain;
+    Next.Chain.emplace(Old.Head.Root,
+                       Lineage{Old.Head.Number, Old.Head.Parent});
+    Next.Next = Old.Next;
+    Next.LowestNumber = Old.LowestNumber;
+    Next.LastProgress = Old.LastProgress;
+  }
+  State.Unconnected = std::move(Next);
+}
+
+/// Takes the next source for a digest; false while an attempt is under way.
+bool beginAttempt(ConfigState &State, const ConfigSettings &Settings,
+                  const Digest &Wanted, Instant Now, std::uint32_t &Round) {
+  Attempt &Progress = State.Attempts[Wanted];
+  if (Now < Progress.RetryAt)
+    return false;
+  Round = Progress.Count++;
+  Progress.RetryAt = Now + Settings.FetchTimeout;
+  return true;
+}
+
+/// Sources of a digest: who offered it, the parents, and for watchers, for
+/// nodes without a parent and for nodes without a bundle the service. Others
+/// would make the reads of the service grow with the fleet.
+std::optional<HostId> sourceOf(const ConfigState &State,
+                               const std::optional<HostId> &OfferedBy,
+                               const PullSources &Sources,
+                               std::uint32_t Round) {
+  std::vector<std::optional<HostId>> Order;
+  const bool MayRead =
+      Sources.Watcher || Sources.Parents.empty() || !State.InForce;
+  if (OfferedBy || MayRead)
+    Order.push_back(OfferedBy);
+  for (const HostId &Parent : Sources.Parents)
+    if (std::find(Order.begin(), Order.end(), Parent) == Order.end())
+      Order.emplace_back(Parent);
+  if (MayRead && OfferedBy)
+    Order.emplace_back(std::nullopt);
+  return Order[Round % Order.size()];
+}
+
+} // namespace
+
+ConfigState beginConfig(const ConfigSettings &Settings, std::uint64_t Salt,
+                        Instant Now) {
+  ConfigState State;
+  State.Began = Now;
+  // The cube root lets a few nodes of any fleet read early and the rest late:
+  // by half of the span, one node in eight has read, and the others have
+  // usually learned the pointer from a peer.
+  constexpr std::uint64_t Steps = 1U << 20U;
+  const double Drawn = static_cast<double>(Salt % Steps) / Steps;
+  const auto Spread = static_cast<double>(Settings.StartSpread.count());
+  State.StartRead =
+      Now + Duration(static_cast<Duration::rep>(Spread * std::cbrt(Drawn)));
+  // Pulls are spread over the interval, so that parents are asked evenly.
+  const auto Interval = static_cast<std::uint64_t>(
+      std::max<Duration::rep>(Settings.StartPullInterval.count(), 1));
+  State.NextPull =
+      Now + Duration(static_cast<Duration::rep>((Salt >> 20U) % Interval));
+  State.NextServiceRead = State.NextPull;
+  return State;
+}
+
+OfferVerdict offerPointer(ConfigState &State, const ConfigSettings &Settings,
+                          const Pointer &Head, bool SignatureValid,
+                          const std::optional<HostId> &From, Instant Now) {
+  if (!SignatureValid)
+    return OfferVerdict::SignatureInvalid;
+  noteAnswer(State, From);
+  const Version Offered = versionOf(Head);
+  if (State.Known.contains(Head.Root))
+    return OfferVerdict::Known;
+  const bool First = State.Known.empty();
+  detectForks(State, Settings, Head);
+  if (!First && Offered < newestKnown(State)) {
+    if (State.Known.contains(Head.Parent))
+      remember(State, Settings, Head.Root, {Head.Number, Head.Parent});
+    return OfferVerdict::Older;
+  }
+  // A starting node has no history; the signature is what it can check.
+  if (First)
+    return accept(State, Settings, Head, From);
+  if (Head.Parent == NoDigest) {
+    reportFork(State, Settings, newestKnown(State), Offered);
+    return accept(State, Settings, Head, From);
+  }
+  if (const auto Parent = State.Known.find(Head.Parent);
+      Parent != State.Known.end()) {
+    if (Parent->second.Number >= Head.Number)
+      return OfferVerdict::Inconsistent;
+    return accept(State, Settings, Head, From);
+  }
+  if (State.Unconnected && Offered <= versionOf(State.Unconnected->Head))
+    return OfferVerdict::WaitingForAncestors;
+  beginCandidate(State, Head, From, Now);
+  return OfferVerdict::WaitingForAncestors;
+}
+
+OfferVerdict offerAncestor(ConfigState &State, const ConfigSettings &Settings,
+                           const Pointer &Head, bool SignatureValid,
+                           Instant Now) {
+  if (!SignatureValid)
+    return OfferVerdict::SignatureInvalid;
+  if (!State.Unconnected || State.Unconnected->Next != Head.Root)
+    return OfferVerdict::Unwanted;
+  Candidate &Open = *State.Unconnected;
+  if (Head.Number >= Open.LowestNumber) {
+    State.Unconnected.reset();
+    return OfferVerdict::Inconsistent;
+  }
+  State.Attempts.erase(Head.Root);
+  Open.Chain.emplace(Head.Root, Lineage{Head.Number, Head.Parent});
+  Open.LowestNumber = Head.Number;
+  Open.Next = Head.Parent;
+  Open.LastProgress = Now;
+  if (isConnected(State, Open))
+    return acceptCandidate(State, Settings);
+  if (Open.Chain.size() >= Settings.MaxHistory) {
+    ++State.ChainsGivenUp;
+    return acceptCandidate(State, Settings);
+  }
+  return OfferVerdict::WaitingForAncestors;
+}
+
+OfferVerdict offerChunk(ConfigState &State, const Digest &Sum) {
+  const auto Lists = [&](const std::optional<Pointer> &Head) {
+    return Head &&
+           std::any_of(Head->Chunks.begin(), Head->Chunks.end(),
+                       [&](const ChunkRef &Ref) { return Ref.Sum == Sum; });
+  };
+  State.Attempts.erase(Sum);
+  if (!Lists(State.Pending))
+    return OfferVerdict::Unwanted;
+  if (!State.Held.insert(Sum).second)
+    return OfferVerdict::Known;
+  return promote(State);
+}
+
+void rejectInForce(ConfigState &State, const std::optional<Pointer> &Before) {
+  ++State.Unusable;
+  State.InForce = Before;
+}
+
+void onEmptyAnswer(ConfigState &State, const std::optional<HostId> &From) {
+  noteAnswer(State, From);
+}
+
+void onServiceConfirmed(ConfigState &State) { State.ServiceAnswered = true; }
+
+void onFetchFailed(ConfigState &State, const ConfigSettings &Settings,
+                   const Fetch &Failed, Instant Now) {
+  if (Failed.What == Fetch::Kind::Newest)
+    return; // The next round asks again.
+  if (const auto Found = State.Attempts.find(Failed.Wanted);
+      Found != State.Attempts.end())
+    Found->second.RetryAt =
+        std::min(Found->second.RetryAt, Now + Settings.FetchRetry);
+}
+
+std::vector<Fetch> dueFetches(ConfigState &State,
+                              const ConfigSettings &Settings,
+                              const PullSources &Sources, Instant Now) {
+  std::vector<Fetch> Due;
+  if (Now >= State.NextPull && !Sources.Parents.empty()) {
+    State.NextPull = Now + (State.Known.empty() ? Settings.StartPullInterval
+                                                : Settings.PullInterval);
+    Due.push_back({Fetch::Kind::Newest, {}, Sources.Parents.front()});
+    // One further parent in turn covers a first parent that is cut off while
+    // it still answers.
+    if (const std::size_t Others = Sources.Parents.size() - 1; Others > 0)
+      Due.push_back({Fetch::Kind::Newest,
+                     {},
+                     Sources.Parents[1 + State.PullRound++ % Others]});
+  }
+  const bool Alone = State.Known.empty() && Now >= State.StartRead;
+  if ((Sources.Watcher || Alone) && Now >= State.NextServiceRead) {
+    // A node that is no watcher asks again at the slower pace of its start.
+    State.NextServiceRead =
+        Now +
+        (Sources.Watcher ? Settings.ServiceReadInterval : Settings.StartSpread);
+    Due.push_back({Fetch::Kind::Newest, {}, std::nullopt});
+  }
+  std::uint32_t Round = 0;
+  if (State.Unconnected) {
+    if (Now - State.Unconnected->LastProgress >= Settings.ChainWait) {
+      // A restart would accept this pointer at once, so waiting on would only
+      // keep the node on an old revision.
+      ++State.ChainsGivenUp;
+      acceptCandidate(State, Settings);
+    } else if (const Digest Next = State.Unconnected->Next;
+               beginAttempt(State, Settings, Next, Now, Round)) {
+      Due.push_back(
+          {Fetch::Kind::Ancestor, Next,
+           sourceOf(State, State.Unconnected->OfferedBy, Sources, Round)});
+    }
+  }
+  if (State.Pending) {
+    std::size_t Started = 0;
+    for (const ChunkRef &Ref : State.Pending->Chunks)
+      if (!State.Held.contains(Ref.Sum) &&
+          Started++ < Settings.MaxChunksInFlight &&
+          beginAttempt(State, Settings, Ref.Sum, Now, Round))
+        Due.push_back({Fetch::Kind::Chunk, Ref.Sum,
+                       sourceOf(State, State.PendingFrom, Sources, Round)});
+  }
+  return Due;
+}
+
+Version acceptedRevision(const ConfigState &State) {
+  return State.InForce ? versionOf(*State.InForce) : Version{};
+}
+
+Version newestKnown(const ConfigState &State) {
+  return State.Pending ? versionOf(*State.Pending) : acceptedRevision(State);
+}
+
+bool mayServe(ConfigState &State, const ConfigSettings &Settings,
+              const std::vector<HostId> &Witnesses, Instant Now) {
+  if (State.Serving)
+    return true;
+  if (!State.InForce || State.Pending || State.Unconnected)
+    return false;
+  const auto Heard = static_cast<std::size_t>(std::count_if(
+      Witnesses.begin(), Witnesses.end(),
+      [&](const HostId &Host) { return State.PeersAnswered.contains(Host); }));
+  const bool Complete = Heard > Witnesses.size() / 2 && State.ServiceAnswered;
+  if (!Complete && Now - State.Began < Settings.StartWait)
+    return false;
+  State.Serving = true;
+  State.PeersAnswered.clear();
+  return true;
+}
+
+std::vector<Digest> dropUnusedChunks(ConfigState &State) {
+  std::set<Digest> Needed;
+  for (const std::optional<Pointer> *Head : {&State.InForce, &State.Pending})
+    if (*Head)
+      for (const ChunkRef &Ref : (*Head)->Chunks)
+        Needed.insert(Ref.Sum);
+  std::vector<Digest> Dropped;
+  std::set_difference(State.Held.begin(), State.Held.end(), Needed.begin(),
+                      Needed.end(), std::back_inserter(Dropped));
+  for (const Digest &Sum : Dropped)
+    State.Held.erase(Sum);
+  std::erase_if(State.Attempts, [&](const auto &Item) {
+    return !Needed.contains(Item.first) &&
+           !(State.Unconnected && State.Unconnected->Next == Item.first);
+  });
+  return Dropped;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/config/Config.h
@@ -0,0 +1,176 @@
+#ifndef POLLENWICK_CORE_CONFIG_CONFIG_H
+#define POLLENWICK_CORE_CONFIG_CONFIG_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "pollenwick/Ids.h"
+#include "pollenwick/Pointer.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// Total order of revisions, the same at every node.
+struct Version {
+  Revision Number;
+  Digest Root{};
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
+  friend auto operator<=>(const Version &, const Version &) = default;
+};
+
+struct ConfigSettings {
+  Duration PullInterval = std::chrono::seconds(1);
+  Duration ServiceReadInterval = std::chrono::seconds(1); ///< Watchers only.
+  Duration FetchTimeout = std::chrono::milliseconds(800);
+  Duration FetchRetry = std::chrono::milliseconds(100);
+  /// A starting node that has heard of no bundle reads the service after a
+  /// delay drawn from this span, so that a fleet that starts at once spreads
+  /// its reads.
+  Duration StartSpread = std::chrono::seconds(4);
+  Duration StartPullInterval = std::chrono::milliseconds(250);
+  /// After this time a starting node serves with the answers it has.
+  Duration StartWait = std::chrono::seconds(5);
+  /// After this time without a fetched ancestor the chain is given up.
+  Duration ChainWait = std::chrono::seconds(10);
+  std::size_t MaxHistory = 512; ///< Known ancestors, also the longest chain.
+  std::size_t MaxForks = 16;
+  std::size_t MaxChunksInFlight = 16;
+};
+
+/// A revision whose signature was checked and whose ancestry is known.
+struct Lineage {
+  Revision Number;
+  Digest Parent{};
+};
+
+/// Two revisions that claim the same number or follow the same parent.
+struct Fork {
+  Version Lower;
+  Version Higher;
+  friend bool operator==(const Fork &, const Fork &) = default;
+};
+
+struct Fetch {
+  enum class Kind : std::uint8_t {
+    Newest,   ///< The pointer in force at a peer, or published at the service.
+    Ancestor, ///< A pointer by its root.
+    Chunk,    ///< A chunk by its digest.
+  };
+  Kind What = Kind::Newest;
+  Digest Wanted{};
+  std::optional<HostId> Peer; ///< Empty: the configuration service.
+  friend bool operator==(const Fetch &, const Fetch &) = default;
+};
+
+/// Progress of fetching one digest.
+struct Attempt {
+  std::uint32_t Count = 0;
+  Instant RetryAt;
+};
+
+/// A newer pointer whose ancestors are being fetched.
+struct Candidate {
+  Pointer Head;
+  std::optional<HostId> OfferedBy;
+  std::map<Digest, Lineage> Chain;
+  Digest Next{};         ///< Root of the ancestor that is fetched next.
+  Revision LowestNumber; ///< Numbers fall along the chain.
+  Instant LastProgress;
+};
+
+/// Owned by the configuration duty. Bounded by the settings.
+struct ConfigState {
+  std::optional<Pointer> InForce; ///< Newest whose chunks are all here.
+  std::optional<Pointer> Pending; ///< Accepted, newer, chunks are missing.
+  std::optional<HostId> PendingFrom;
+  std::optional<Candidate> Unconnected;
+  std::map<Digest, Lineage> Known;
+  std::set<Digest> Held; ///< Chunks that the shell keeps.
+  std::map<Digest, Attempt> Attempts;
+  std::vector<Fork> Forks;
+  std::uint64_t ForksSeen = 0;
+  std::uint64_t ChainsGivenUp = 0; ///< Accepted without a fetched ancestry.
+  std::uint64_t Unusable = 0;      ///< Revisions that did not assemble.
+  Instant Began;
+  Instant StartRead; ///< When a starting node reads the service itself.
+  Instant NextPull;
+  Instant NextServiceRead;
+  std::uint32_t PullRound = 0;
+  bool ServiceAnswered = false;
+  std::set<HostId> PeersAnswered; ///< Until the node serves.
+  bool Serving = false;
+};
+
+/// Where a node looks, as `src/core/membership` decides.
+struct PullSources {
+  bool Watcher = false;
+  std::vector<HostId> Parents; ///< In order of preference.
+};
+
+enum class OfferVerdict : std::uint8_t {
+  InForce,             ///< Accepted, all chunks are here.
+  WaitingForChunks,    ///< Accepted, `dueFetches` names the chunks.
+  WaitingForAncestors, ///< The parent is unknown, its chain is fetched.
+  Known,
+  Older, ///< Lower in the order; a revision never reverts.
+  SignatureInvalid,
+  Inconsistent, ///< Numbers do not fall along the chain of parents.
+  Unwanted,     ///< Nothing asked for it.
+};
+
+/// `Salt` is a random number of the process; it spreads reads at start.
+ConfigState beginConfig(const ConfigSettings &Settings, std::uint64_t Salt,
+                        Instant Now);
+
+/// Offers the newest pointer of a peer or, if `From` is empty, of the service.
+/// `SignatureValid` is the result of `verifyPointer`.
+OfferVerdict offerPointer(ConfigState &State, const ConfigSettings &Settings,
+                          const Pointer &Head, bool SignatureValid,
+                          const std::optional<HostId> &From, Instant Now);
+/// Offers an ancestor that `dueFetches` asked for.
+OfferVerdict offerAncestor(ConfigState &State, const ConfigSettings &Settings,
+                           const Pointer &Head, bool SignatureValid,
+                           Instant Now);
+/// Offers a chunk whose digest was checked by the shell.
+OfferVerdict offerChunk(ConfigState &State, const Digest &Sum);
+
+/// The shell could not assemble the revision in force; the one before stays.
+/// Every node reaches the same verdict, as it depends on the content only.
+void rejectInForce(ConfigState &State, const std::optional<Pointer> &Before);
+
+/// A source answered without content ("no bundle yet"); counts at start.
+void onEmptyAnswer(ConfigState &State, const std::optional<HostId> &From);
+/// A peer's confirmation by the service is young enough for a view lease; at
+/// start it counts like an answer of the service.
+void onServiceConfirmed(ConfigState &State);
+/// A fetch failed; the next source is tried after `FetchRetry`.
+void onFetchFailed(ConfigState &State, const ConfigSettings &Settings,
+                   const Fetch &Failed, Instant Now);
+
+/// What to fetch now. Each call for the same instant gives new fetches only.
+std::vector<Fetch> dueFetches(ConfigState &State,
+                              const ConfigSettings &Settings,
+                              const PullSources &Sources, Instant Now);
+
+/// Version in force; zero if none.
+Version acceptedRevision(const ConfigState &State);
+/// Newest accepted version, in force or waiting for chunks; zero if none.
+Version newestKnown(const ConfigState &State);
+
+/// True once a starting node may serve: it has a revision in force, knows no
+/// newer one, and has heard the service and a majority of `Witnesses`, or has
+/// waited `StartWait`. Stays true.
+bool mayServe(ConfigState &State, const ConfigSettings &Settings,
+              const std::vector<HostId> &Witnesses, Instant Now);
+
+/// Forgets chunks that no accepted revision needs and returns their digests.
+std::vector<Digest> dropUnusedChunks(ConfigState &State);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/membership/Membership.cpp
@@ -0,0 +1,415 @@
+#include "core/membership/Membership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace pollenwick {
+namespace {
+
+constexpr std::size_t WatchersPerZone = 2;
+constexpr std::size_t MaxParents = 4;
+
+std::uint64_t mix(std::uint64_t Value) {
+  // Finalizer of splitmix64.
+  Value ^= Value >> 30U;
+  Value *= 0xbf58476d1ce4e5b9U;
+  Value ^= Value >> 27U;
+  Value *= 0x94d049bb133111ebU;
+  return Value ^ (Value >> 31U);
+}
+
+std::uint64_t drawRandom(MembershipState &State) {
+  State.Random += 0x9e3779b97f4a7c15U;
+  return mix(State.Random);
+}
+
+// An epidemic over n hosts needs about log2(n) rounds; three times as many
+// make it unlikely that a host is left out.
+std::uint32_t newsRounds(const MembershipState &State) {
+  return 3 * static_cast<std::uint32_t>(std::bit_width(State.Members.size()));
+}
+
+void spread(MembershipState &State, std::size_t At) {
+  if (State.Members[At].NewsLeft == 0)
+    State.News.push_back(At);
+  State.Members[At].NewsLeft = newsRounds(State);
+}
+
+void setStatus(MembershipState &State, std::size_t At, Liveness Status,
+               Instant Now) {
+  Member &Item = State.Members[At];
+  if (Item.Info.Status == Status)
+    return;
+  Item.Info.Status = Status;
+  Item.StatusSince = Now;
+  spread(State, At);
+}
+
+// The own host answers a suspicion, and an echo of an earlier incarnation
+// with a higher sequence, by spreading a sequence above it.
+void refute(MembershipState &State, const HostNews &News) {
+  HostNews &Own = State.Members[State.Self].Info;
+  const bool Overtaken =
+      News.Sequence > Own.Sequence ||
+      (News.Sequence == Own.Sequence && News.Start != Own.Start);
+  if (!Overtaken && News.Status <= Liveness::Alive)
+    return;
+  Own.Sequence = std::max(Own.Sequence, News.Sequence + 1);
+  spread(State, State.Self);
+}
+
+void mergeNews(MembershipState &State, const HostNews &News, bool Direct,
+               Instant Now) {
+  const auto Found = State.Index.find(News.Host);
+  if (Found == State.Index.end())
+    return;
+  if (Found->second == State.Self) {
+    refute(State, News);
+    return;
+  }
+  Member &Item = State.Members[Found->second];
+  // A sequence alone is no news; only a change of state is passed on.
+  const bool Newer =
+      News.Sequence > Item.Info.Sequence ||
+      (News.Sequence == Item.Info.Sequence && News.Status > Item.Info.Status);
+  // A process that started with its clock set back would be ignored for good;
+  // a host that is taken for dead and speaks for itself is another process.
+  const bool Returned = Direct && Item.Info.Status == Liveness::Dead &&
+                        News.Start != Item.Info.Start;
+  if (!Newer && !Returned)
+    return;
+  const bool SameStart = News.Start == Item.Info.Start;
+  const bool Leaving = News.Leaving || (SameStart && Item.Info.Leaving);
+  const bool Changed = Leaving != Item.Info.Leaving || !SameStart ||
+                       News.Status != Item.Info.Status;
+  if (News.Status != Item.Info.Status)
+    Item.StatusSince = Now;
+  // A refuted suspicion gives the host another full timeout.
+  if (Item.Info.Status >= Liveness::Suspected && News.Status == Liveness::Alive)
+    Item.HeardAt = Now;
+  Item.Info = News;
+  Item.Info.Leaving = Leaving;
+  if (Changed)
+    spread(State, Found->second);
+}
+
+// Walks the ring from the own host in one direction over usable hosts.
+std::vector<std::size_t> neighbours(const MembershipState &State, bool Forward,
+                                    std::size_t Wanted) {
+  const std::size_t Size = State.Ring.size();
+  const auto Own = static_cast<std::size_t>(
+      std::find(State.Ring.begin(), State.Ring.end(), State.Self) -
+      State.Ring.begin());
+  std::vector<std::size_t> Found;
+  for (std::size_t Step = 1; Step < Size && Found.size() < Wanted; ++Step) {
+    const std::size_t At =
+        State.Ring[(Own + (Forward ? Step : Size - Step)) % Size];
+    if (State.Members[At].Info.Status != Liveness::Dead)
+      Found.push_back(At);
+  }
+  return Found;
+}
+
+// The own host monitors its two predecessors, which send it their heartbeats.
+void checkMonitored(MembershipState &State, const MembershipSettings &Settings,
+                    Instant Now) {
+  const std::vector<std::size_t> Wanted =
+      neighbours(State, false, State.Monitored.size());
+  std::array<std::optional<std::size_t>, 2> Next;
+  std::array<Instant, 2> Since{Now, Now};
+  for (std::size_t I = 0; I < Wanted.size(); ++I) {
+    Next[I] = Wanted[I];
+    for (std::size_t Old = 0; Old < State.Monitored.size(); ++Old)
+      if (State.Monitored[Old] == Wanted[I])
+        Since[I] = State.MonitoredSince[Old];
+  }
+  State.Monitored = Next;
+  State.MonitoredSince = Since;
+  for (std::size_t I = 0; I < Wanted.size(); ++I) {
+    const Member &Item = State.Members[Wanted[I]];
+    if (Item.Info.Status != Liveness::Suspected &&
+        Now - std::max(Item.HeardAt, Since[I]) >= Settings.SuspectAfter)
+      setStatus(State, Wanted[I], Liveness::Suspected, Now);
+  }
+}
+
+void expireSuspicions(MembershipState &State,
+                      const MembershipSettings &Settings, Instant Now) {
+  for (std::size_t I = 0; I < State.Members.size(); ++I)
+    if (State.Members[I].Info.Status == Liveness::Suspected &&
+        Now - State.Members[I].StatusSince >= Settings.DeadAfter)
+      setStatus(State, I, Liveness::Dead, Now);
+}
+
+// News that was passed on least often goes first.
+std::vector<HostNews> takeNews(MembershipState &State, std::size_t Wanted) {
+  std::stable_sort(
+      State.News.begin(), State.News.end(), [&](std::size_t A, std::size_t B) {
+        return State.Members[A].NewsLeft > State.Members[B].NewsLeft;
+      });
+  std::vector<HostNews> Taken;
+  for (const std::size_t At : State.News) {
+    if (Taken.size() >= Wanted)
+      break;
+    Taken.push_back(State.Members[At].Info);
+    --State.Members[At].NewsLeft;
+  }
+  std::erase_if(State.News, [&](std::size_t At) {
+    return State.Members[At].NewsLeft == 0;
+  });
+  return Taken;
+}
+
+void rankMembers(MembershipState &State) {
+  State.Ring.clear();
+  State.ZoneRanks.clear();
+  for (std::size_t I = 0; I < State.Members.size(); ++I) {
+    State.Ring.push_back(I);
+    State.ZoneRanks[State.Members[I].Zone].push_back(I);
+  }
+  const auto SortBy = [&](std::vector<std::size_t> &List,
+                          std::string_view Purpose) {
+    std::sort(List.begin(), List.end(), [&](std::size_t A, std::size_t B) {
+      const HostId &First = State.Members[A].Info.Host;
+      const HostId &Second = State.Members[B].Info.Host;
+      return std::pair(rendezvousWeight(Purpose, Second), Second) <
+             std::pair(rendezvousWeight(Purpose, First), First);
+    });
+  };
+  SortBy(State.Ring, "ring");
+  for (auto &[Zone, List] : State.ZoneRanks)
+    SortBy(List, Zone.Text);
+}
+
+// Usable hosts of a zone by rank; the own host always counts, or else a node
+// that is leaving would have no place in the tree.
+std::vector<std::size_t> usableByRank(const MembershipState &State,
+                                      const ZoneId &Zone) {
+  std::vector<std::size_t> Usable;
+  if (const auto Found = State.ZoneRanks.find(Zone);
+      Found != State.ZoneRanks.end())
+    std::copy_if(Found->second.begin(), Found->second.end(),
+                 std::back_inserter(Usable), [&](std::size_t At) {
+                   return At == State.Self || isUsable(State.Members[At]);
+                 });
+  return Usable;
+}
+
+// Zones in an order of the own host's, so that the watchers of one zone do not
+// all ask the same one.
+std::vector<HostId> otherWatchers(const MembershipState &State) {
+  const Member &Own = State.Members[State.Self];
+  std::vector<ZoneId> Zones;
+  for (const auto &[Zone, Members] : State.ZoneRanks)
+    if (Zone != Own.Zone)
+      Zones.push_back(Zone);
+  std::sort(Zones.begin(), Zones.end(), [&](const ZoneId &A, const ZoneId &B) {
+    return std::pair(rendezvousWeight(A.Text, Own.Info.Host), A) <
+           std::pair(rendezvousWeight(B.Text, Own.Info.Host), B);
+  });
+  std::vector<HostId> Found;
+  for (const ZoneId &Zone : Zones)
+    for (const HostId &Host : watchers(State, Zone))
+      if (Found.size() < MaxParents)
+        Found.push_back(Host);
+  return Found;
+}
+
+} // namespace
+
+std::uint64_t rendezvousWeight(std::string_view Purpose, const HostId &Host) {
+  // FNV-1a, as std::hash may differ between builds.
+  std::uint64_t Hash = 0xcbf29ce484222325U;
+  const auto Add = [&](std::string_view Text) {
+    for (const char C : Text)
+      Hash = (Hash ^ static_cast<unsigned char>(C)) * 0x100000001b3U;
+    Hash = (Hash ^ 0xffU) * 0x100000001b3U;
+  };
+  Add(Purpose);
+  Add(Host.Text);
+  return mix(Hash);
+}
+
+MembershipState beginMembership(const HostAndZone &Self, StartId Start,
+                                std::uint64_t FirstSequence, std::uint64_t Seed,
+                                Instant Now) {
+  MembershipState State;
+  Member Own;
+  Own.Info = {Self.Host, Start, FirstSequence, Liveness::Alive, false};
+  Own.Zone = Self.Zone;
+  Own.StatusSince = Own.HeardAt = Now;
+  State.Members.push_back(Own);
+  State.Index.emplace(Self.Host, 0);
+  State.Random = Seed;
+  // Spreads the beats of nodes that start together over the first second.
+  State.NextBeat =
+      Now +
+      Duration(static_cast<Duration::rep>(drawRandom(State) % 1'000'000U));
+  rankMembers(State);
+  spread(State, 0);
+  return State;
+}
+
+void setHosts(MembershipState &State, const std::vector<HostAndZone> &Hosts,
+              Instant Now) {
+  std::vector<Member> Members{State.Members[State.Self]};
+  for (const HostAndZone &Host : Hosts) {
+    if (Host.Host == Members[0].Info.Host) {
+      Members[0].Zone = Host.Zone;
+      continue;
+    }
+    if (const auto Old = State.Index.find(Host.Host);
+        Old != State.Index.end()) {
+      Members.push_back(State.Members[Old->second]);
+      Members.back().Zone = Host.Zone;
+      continue;
+    }
+    Member Item;
+    Item.Info = {Host.Host, {}, 0, Liveness::Unknown, false};
+    Item.Zone = Host.Zone;
+    Item.StatusSince = Item.HeardAt = Now;
+    Members.push_back(std::move(Item));
+  }
+  State.Members = std::move(Members);
+  State.Self = 0;
+  State.Index.clear();
+  State.News.clear();
+  for (std::size_t I = 0; I < State.Members.size(); ++I) {
+    State.Index.emplace(State.Members[I].Info.Host, I);
+    if (State.Members[I].NewsLeft > 0)
+      State.News.push_back(I);
+  }
+  State.Monitored = {};
+  rankMembers(State);
+}
+
+void onHeartbeat(MembershipState &State, const MembershipSettings &,
+                 const Heartbeat &Beat, Instant Now) {
+  for (const HostNews &News : Beat.News)
+    mergeNews(State, News, false, Now);
+  const auto Found = State.Index.find(Beat.Self.Host);
+  if (Found == State.Index.end() || Found->second == State.Self)
+    return;
+  mergeNews(State, Beat.Self, true, Now);
+  Member &Sender = State.Members[Found->second];
+  // A delayed datagram is older than what is known and proves nothing.
+  if (Sender.Info.Sequence != Beat.Self.Sequence ||
+      Sender.Info.Start != Beat.Self.Start)
+    return;
+  Sender.HeardAt = Now;
+  Sender.Number = Beat.Number;
+  Sender.Root = Beat.Root;
+}
+
+void onHostList(MembershipState &State, const std::vector<ListedHost> &List) {
+  for (Member &Item : State.Members)
+    Item.Listed = false;
+  for (const ListedHost &Entry : List) {
+    const auto Found = State.Index.find(Entry.Host);
+    if (Found == State.Index.end())
+      continue;
+    Member &Item = State.Members[Found->second];
+    Item.Listed = true;
+    // The flag belongs to the incarnation that was known when it was first
+    // seen: a successor that beats is not leaving because of an old entry.
+    if (Entry.Leaving && !Item.ListedLeaving)
+      Item.ListedLeavingStart = Item.Info.Start;
+    Item.ListedLeaving = Entry.Leaving;
+  }
+}
+
+std::optional<Beats> dueHeartbeats(MembershipState &State,
+                                   const MembershipSettings &Settings,
+                                   Revision Number, const Digest &Root,
+                                   Instant Now) {
+  if (Now < State.NextBeat)
+    return std::nullopt;
+  // A paused process must not suspect everybody: what it missed was not sent
+  // late, it was not read. The monitoring starts again.
+  if (Now - State.NextBeat >= Settings.SuspectAfter)
+    State.Monitored = {};
+  State.NextBeat = Now + Settings.BeatInterval;
+  checkMonitored(State, Settings, Now);
+  expireSuspicions(State, Settings, Now);
+  Member &Own = State.Members[State.Self];
+  ++Own.Info.Sequence;
+  Own.HeardAt = Now;
+  Beats Due;
+  Due.Message.Self = Own.Info;
+  Due.Message.Number = Number;
+  Due.Message.Root = Root;
+  Due.Message.News = takeNews(State, Settings.NewsPerBeat);
+  std::vector<std::size_t> Targets = neighbours(State, true, 2);
+  // Random targets include dead hosts, so that two halves of a partition find
+  // each other again.
+  for (std::size_t I = 0; I < Settings.RandomTargets; ++I)
+    Targets.push_back(drawRandom(State) % State.Members.size());
+  for (const std::size_t At : Targets) {
+    const HostId &Host = State.Members[At].Info.Host;
+    if (At != State.Self && std::find(Due.Targets.begin(), Due.Targets.end(),
+                                      Host) == Due.Targets.end())
+      Due.Targets.push_back(Host);
+  }
+  return Due;
+}
+
+void beginLeaving(MembershipState &State, const MembershipSettings &) {
+  Member &Own = State.Members[State.Self];
+  Own.Info.Leaving = true;
+  ++Own.Info.Sequence;
+  spread(State, State.Self);
+}
+
+const Member *memberOf(const MembershipState &State, const HostId &Host) {
+  const auto Found = State.Index.find(Host);
+  return Found == State.Index.end() ? nullptr : &State.Members[Found->second];
+}
+
+bool isUsable(const Member &Item) {
+  const bool LeavingByList =
+      Item.ListedLeaving && Item.ListedLeavingStart == Item.Info.Start;
+  // A host that was never heard of counts as alive while the list has it.
+  const bool Gone = Item.Info.Status == Liveness::Unknown && !Item.Listed;
+  return Item.Info.Status != Liveness::Dead && !Item.Info.Leaving &&
+         !LeavingByList && !Gone;
+}
+
+std::vector<HostId> watchers(const MembershipState &State, const ZoneId &Zone) {
+  std::vector<HostId> Found;
+  if (const auto Ranks = State.ZoneRanks.find(Zone);
+      Ranks != State.ZoneRanks.end())
+    for (const std::size_t At : Ranks->second)
+      if (Found.size() < WatchersPerZone && isUsable(State.Members[At]))
+        Found.push_back(State.Members[At].Info.Host);
+  return Found;
+}
+
+bool isWatcher(const MembershipState &State) {
+  const Member &Own = State.Members[State.Self];
+  const std::vector<HostId> Found = watchers(State, Own.Zone);
+  return std::find(Found.begin(), Found.end(), Own.Info.Host) != Found.end();
+}
+
+std::vector<HostId> pullParents(const MembershipState &State,
+                                const MembershipSettings &Settings) {
+  const std::vector<std::size_t> Ranked =
+      usableByRank(State, State.Members[State.Self].Zone);
+  const auto Own = static_cast<std::size_t>(
+      std::find(Ranked.begin(), Ranked.end(), State.Self) - Ranked.begin());
+  if (Own < WatchersPerZone)
+    return otherWatchers(State);
+  const std::size_t Parent = (Own - WatchersPerZone) / Settings.FanOut;
+  // The parent's neighbour at the same level, then the watchers.
+  std::vector<std::size_t> Order{Parent};
+  for (const std::size_t Next : {Parent ^ 1U, std::size_t{0}, std::size_t{1}})
+    if (Next < Own &&
+        std::find(Order.begin(), Order.end(), Next) == Order.end())
+      Order.push_back(Next);
+  std::vector<HostId> Parents;
+  Parents.reserve(Order.size());
+  for (const std::size_t At : Order)
+    Parents.push_back(State.Members[Ranked[At]].Info.Host);
+  return Parents;
+}
+
+} // namespace pollenwick
