--- a/src/bundle/Check.cpp
+++ b/src/bundle/Check.cpp
@@ -14,7 +14,8 @@
 namespace pollenwick {
 namespace {
 
-constexpr std::size_t MaxProblems = 1'000;
+// Bounds the report without letting one kind of problem hide another.
+constexpr std::size_t MaxPerKind = 100;
 constexpr std::size_t MaxIdBytes = 64;
 
 bool nameIsPlain(std::string_view Name, bool SlashAllowed) {
@@ -52,12 +53,15 @@
 
 private:
   template <typename... Parts> void add(ProblemKind Kind, Parts &&...Texts) {
-    if (Problems.size() < MaxProblems)
+    const std::size_t Count = ++Counts[Kind];
+    if (Count <= MaxPerKind)
       Problems.push_back({Kind, absl::StrCat(Texts...)});
-    else if (Problems.size() == MaxProblems)
-      Problems.push_back({ProblemKind::Truncated,
-                          absl::StrCat("more than ", MaxProblems,
-                                       " problems; correct these first")});
+    else if (Count == MaxPerKind + 1)
+      Problems.push_back(
+          {ProblemKind::Truncated,
+           absl::StrCat("more than ", MaxPerKind, " problems of the kind ",
+                        std::string(problemText(Kind)),
+                        "; correct the listed ones first")});
   }
 
   template <typename Spec>
@@ -276,6 +280,7 @@
   const Bundle &Source;
   CallGraph Graph;
   std::vector<Problem> Problems;
+  std::map<ProblemKind, std::size_t> Counts;
   std::unordered_set<ServiceId> Services;
   std::unordered_set<HostId> Hosts;
   std::unordered_set<TenantId> Tenants;
--- a/src/bundle/Check.h
+++ b/src/bundle/Check.h
@@ -30,7 +30,7 @@
   ChunkTooLarge,
   RevisionNotIncreasing,
   BadValue,
-  Truncated, ///< Further problems were left out.
+  Truncated, ///< Further problems of a kind were left out.
 };
 
 struct Problem {
@@ -45,8 +45,8 @@
 /// Hosts whose majority keeps the view lease when the service is down.
 inline constexpr std::size_t WitnessCount = 5;
 
-/// Everything that is wrong with a bundle, up to 1,000 problems. `Current` is
-/// the revision that the bundle is to follow.
+/// Everything that is wrong with a bundle, up to 100 problems of each kind.
+/// `Current` is the revision that the bundle is to follow.
 std::vector<Problem>
 checkBundle(const Bundle &Source,
             std::optional<Revision> Current = std::nullopt);
--- /dev/null
+++ b/tests/bundle/CheckTest.cpp
@@ -0,0 +1,195 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "SampleBundle.h"
+#include "bundle/Check.h"
+#include "bundle/Graph.h"
+
+using namespace pollenwick;
+
+namespace {
+
+bool reports(const Bundle &Source, ProblemKind Kind, const std::string &Value,
+             std::optional<Revision> Current = std::nullopt) {
+  const std::vector<Problem> Problems = checkBundle(Source, Current);
+  return std::any_of(Problems.begin(), Problems.end(), [&](const Problem &P) {
+    return P.Kind == Kind && P.Message.find(Value) != std::string::npos;
+  });
+}
+
+// A chain of routes shop/r0 -> shop/r1 -> ... of the given length.
+Bundle withChain(std::size_t Length) {
+  Bundle Source = sampleBundle();
+  for (std::size_t I = 0; I < Length; ++I) {
+    RouteSpec Route = Source.Routes[0];
+    Route.Id = RouteId("shop/r" + std::to_string(I));
+    if (I + 1 < Length)
+      Route.Calls = {{RouteId("shop/r" + std::to_string(I + 1)), 1}};
+    Source.Routes.push_back(Route);
+  }
+  return Source;
+}
+
+} // namespace
+
+TEST_CASE("A bundle is checked before it is signed", "[check]") {
+  Bundle Source = sampleBundle();
+
+  SECTION("a sound bundle has no problem") {
+    // Guards against checks that refuse valid bundles.
+    const std::vector<Problem> Problems = checkBundle(Source, Revision(6));
+    INFO((Problems.empty() ? "" : Problems[0].Message));
+    CHECK(Problems.empty());
+  }
+
+  SECTION("all problems are reported at once") {
+    // Guards against a check that stops at the first problem.
+    Source.Routes[0].Class = ClassId();
+    Source.Hosts[1].Service = ServiceId("baank");
+    Source.Keys.push_back(Source.Keys[0]);
+    CHECK(reports(Source, ProblemKind::RouteWithoutClass, "shop/lookup"));
+    CHECK(reports(Source, ProblemKind::UnknownName, "baank"));
+    CHECK(reports(Source, ProblemKind::KeyUsedTwice,
+                  digestText(Source.Keys[0].Key.Bytes)));
+  }
+
+  SECTION("names that nothing defines are found wherever they are used") {
+    // Guards against references that a node could not resolve.
+    Source.Routes[0].Service = ServiceId("shopp");
+    Source.Routes[0].Class = ClassId("lookups");
+    Source.Routes[0].Tenants = {TenantId("frist")};
+    Source.Routes[1].Calls = {{RouteId("shop/look"), 1}};
+    Source.Keys[0].Tenant = TenantId("third");
+    Source.Rules.Witnesses[0] = HostId("shop-99");
+    for (const char *Value :
+         {"shopp", "lookups", "frist", "shop/look", "third", "shop-99"})
+      CHECK(reports(Source, ProblemKind::UnknownName, Value));
+  }
+
+  SECTION("names must be plain, and routes are named after their service") {
+    // Guards against names that break paths, logs or chunk names.
+    Source.Tenants[0].Id = TenantId("First Tenant");
+    Source.Hosts[0].Zone = ZoneId("zone/0");
+    CHECK(reports(Source, ProblemKind::BadName, "First Tenant"));
+    CHECK(reports(Source, ProblemKind::BadName, "zone/0"));
+    Source.Routes[0].Id = RouteId("bank/lookup");
+    CHECK(reports(Source, ProblemKind::RouteOutsideService, "bank/lookup"));
+    Source.Routes[0].Id = RouteId("shop/a/b");
+    CHECK(reports(Source, ProblemKind::RouteOutsideService, "shop/a/b"));
+  }
+
+  SECTION("nothing is listed twice") {
+    // Guards against entries of which the last one would silently win.
+    Source.Hosts.push_back(Source.Hosts[2]);
+    Source.Hosts[1].PeerPort = Source.Hosts[0].CallerPort;
+    Source.Classes[1].Rank = 0;
+    Source.Tenants.push_back(Source.Tenants[0]);
+    Source.Routes[1].Calls.push_back(Source.Routes[1].Calls[0]);
+    Source.Rules.Witnesses[1] = Source.Rules.Witnesses[0];
+    CHECK(reports(Source, ProblemKind::HostTwice, "shop-2"));
+    CHECK(reports(Source, ProblemKind::AddressTwice, "port 20001"));
+    CHECK(reports(Source, ProblemKind::Duplicate, "rank 0"));
+    CHECK(reports(Source, ProblemKind::Duplicate, "first"));
+    CHECK(reports(Source, ProblemKind::Duplicate, "shop/lookup"));
+    CHECK(reports(Source, ProblemKind::Witnesses, "shop-0"));
+  }
+
+  SECTION("rate and burst reach every zone") {
+    // Guards against a shard that could never lend one whole token.
+    Source.Tenants[0].Burst = MicroTokens{2'999'999};
+    Source.Tenants[1].RatePerSecond = MicroTokens{2};
+    CHECK(reports(Source, ProblemKind::NotSplittable, "2999999"));
+    CHECK(reports(Source, ProblemKind::NotSplittable, "rate of 2 "));
+    Source.Tenants[0].Burst = MicroTokens{3'000'000};
+    Source.Tenants[1].RatePerSecond = MicroTokens{3};
+    CHECK_FALSE(reports(Source, ProblemKind::NotSplittable, ""));
+  }
+
+  SECTION("the call graph is a bounded acyclic graph") {
+    // Guards against calls that never end or outrun their deadline.
+    CHECK(checkBundle(withChain(MaxCallDepth)).empty());
+    CHECK(
+        reports(withChain(MaxCallDepth + 1), ProblemKind::TooDeep, "shop/r0"));
+    Bundle Loop = withChain(4);
+    Loop.Routes[4].Calls.push_back({RouteId("shop/r0"), 1});
+    CHECK(reports(Loop, ProblemKind::Cycle, "shop/r"));
+    Source.Routes[0].Calls = {{Source.Routes[0].Id, 1}};
+    CHECK(reports(Source, ProblemKind::Cycle, "shop/lookup -> shop/lookup"));
+  }
+
+  SECTION("a route that reaches a non-idempotent one is non-idempotent") {
+    // Guards against a retry of the caller that repeats a deposit.
+    Source.Routes[0].Calls = {{RouteId("bank/order"), 1}};
+    Source.Routes[1].Calls.clear();
+    CHECK(reports(Source, ProblemKind::IdempotentReachesNonIdempotent,
+                  "bank/order"));
+  }
+
+  SECTION("open routes stay open all the way") {
+    // Guards against a closed route that runs without a tenant's key.
+    Source.Routes[1].Open = true;
+    CHECK(reports(Source, ProblemKind::OpenReachesClosed, "shop/lookup"));
+    Source.Routes[0].Open = true;
+    CHECK(reports(Source, ProblemKind::Contradiction, "lists tenants"));
+    Source.Routes[0].Internal = true;
+    CHECK(reports(Source, ProblemKind::Contradiction, "open and internal"));
+  }
+
+  SECTION("the revision must increase") {
+    // Guards against a rollback.
+    CHECK(reports(Source, ProblemKind::RevisionNotIncreasing, "revision 7",
+                  Revision(7)));
+    Source.Number = Revision(0);
+    CHECK(reports(Source, ProblemKind::BadValue, "revision 0"));
+  }
+
+  SECTION("values that a node could not use are found") {
+    Source.Hosts[0].Address = "shop.example";
+    Source.Rules.QuotaLease = Source.Rules.ViewLease;
+    Source.Rules.Witnesses.pop_back();
+    Source.Services.push_back({ServiceId("empty"), 1, 1});
+    CHECK(reports(Source, ProblemKind::BadValue, "shop.example"));
+    CHECK(reports(Source, ProblemKind::BadValue, "quota_lease_ms"));
+    CHECK(reports(Source, ProblemKind::Witnesses, "4 hosts"));
+    CHECK(reports(Source, ProblemKind::BadValue, "empty"));
+  }
+
+  SECTION("a chunk over a megabyte is reported") {
+    // Guards against a value that the configuration service refuses.
+    for (int I = 0; I < 8000; ++I) {
+      HostSpec Host = Source.Hosts[0];
+      Host.Id = HostId("shop-filler-" + std::to_string(I));
+      Source.Hosts.push_back(Host);
+    }
+    CHECK(reports(Source, ProblemKind::ChunkTooLarge, "hosts/zone-0"));
+    // The 24,000 port conflicts are cut off instead of filling the memory, and
+    // they hide no problem of another kind.
+    CHECK(reports(Source, ProblemKind::Truncated, "address-twice"));
+    CHECK(checkBundle(Source).size() < 200);
+  }
+}
+
+TEST_CASE("The shares of the zones sum exactly to the whole", "[check]") {
+  // Guards against rounding that adds or loses quota (G6).
+  for (const std::int64_t Total : {0L, 1L, 2L, 1'000'000L, 99'999'999L})
+    for (const std::size_t Count : {1U, 2U, 3U, 9U}) {
+      MicroTokens Sum;
+      for (std::size_t I = 0; I < Count; ++I)
+        Sum += zoneShare(MicroTokens{Total}, I, Count);
+      CHECK(Sum.Value == Total);
+    }
+}
+
+TEST_CASE("Declared calls are counted along every path", "[check]") {
+  // Guards against a retry bound that forgets edge counts, and against
+  // exponential time on a graph with many paths.
+  CHECK(CallGraph(sampleBundle()).declaredCalls(1) == 3);
+  Bundle Wide = withChain(29);
+  for (RouteSpec &Route : Wide.Routes)
+    for (EdgeSpec &Edge : Route.Calls)
+      Edge.Count = 1000;
+  const CallGraph Graph(Wide);
+  CHECK(Graph.declaredCalls(*Graph.find(RouteId("shop/r0"))) ==
+        1'000'000'000'000);
+}
--- /dev/null
+++ b/tests/bundle/FuzzTest.cpp
@@ -0,0 +1,126 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "SampleBundle.h"
+#include "bundle/Check.h"
+#include "bundle/Published.h"
+#include "bundle/Source.h"
+
+using namespace pollenwick;
+
+namespace {
+
+constexpr std::uint32_t Seed = 20261204;
+
+// Any answer is fine, but no exception, and an error has a message.
+void feed(const std::string &Text) {
+  const absl::StatusOr<Bundle> Source = parseBundle(Text);
+  if (Source.ok())
+    checkBundle(*Source);
+  else if (Source.status().message().size() < 10)
+    FAIL("error without a clear message");
+  if (const auto Head = parsePointer(Text);
+      !Head.ok() && Head.status().message().size() < 10)
+    FAIL("error without a clear message");
+  Pointer Head;
+  const Digest Sum = sha256(Text);
+  Head.Chunks = {{"any", Sum, static_cast<std::uint32_t>(Text.size())}};
+  (void)assembleBundle(Head, {{Sum, Text}});
+}
+
+std::string messageOf(const std::string &Text) {
+  return std::string(parseBundle(Text).status().message());
+}
+
+} // namespace
+
+TEST_CASE("No input makes the parsers throw, hang or grow", "[fuzz]") {
+  std::mt19937 Random(Seed);
+  const std::string Source = bundleText(sampleBundle());
+  const std::string Head = encodePointer(encodeBundle(sampleBundle())->Head);
+
+  SECTION("truncated documents") {
+    for (std::size_t Size = 0; Size < Source.size(); Size += 7)
+      feed(Source.substr(0, Size));
+    for (std::size_t Size = 0; Size < Head.size(); ++Size)
+      feed(Head.substr(0, Size));
+    CHECK(messageOf(Source.substr(0, Source.size() / 2)).find("cut short") !=
+          std::string::npos);
+  }
+
+  SECTION("random bytes, alone and inside a document") {
+    for (int Round = 0; Round < 500; ++Round) {
+      std::string Noise(Random() % 200, '\0');
+      for (char &C : Noise)
+        C = static_cast<char>(Random());
+      feed(Noise);
+      std::string Mixed = Round % 2 == 0 ? Source : Head;
+      for (int Count = 0; Count < 3; ++Count)
+        Mixed[Random() % Mixed.size()] = static_cast<char>(Random());
+      feed(Mixed);
+    }
+  }
+
+  SECTION("tokens of the grammar in any order") {
+    const std::vector<std::string> Tokens{
+        "{",    "}",       "[",   "]",     ",",          ":",
+        "null", "true",    "-1",  "1e999", "\"id\"",     "\"hosts\"",
+        "\"",   "\\u0000", "0.5", "\"a\"", "\"routes\"", "\"calls\"",
+        "\xff", "1",       "\n"};
+    for (int Round = 0; Round < 1000; ++Round) {
+      std::string Text = "{\"revision\":1,";
+      for (int Count = 0; Count < 20; ++Count)
+        Text += Tokens[Random() % Tokens.size()];
+      feed(Text);
+    }
+  }
+
+  SECTION("deep nesting is refused before it is parsed") {
+    // Guards against a stack overflow in the recursive parser.
+    for (const std::size_t Depth : {9U, 100U, 1'000'000U}) {
+      const std::string Open(Depth, '[');
+      feed("{\"hosts\":" + Open);
+      feed("{\"hosts\":" + Open + std::string(Depth, ']') + "}");
+      CHECK(messageOf("{\"hosts\":" + Open).find("nesting") !=
+            std::string::npos);
+    }
+  }
+
+  SECTION("huge numbers and wrong types are named with their path") {
+    for (const std::string Value :
+         {"99999999999999999999999999", "-1", "1e999", "1.5", "\"7\"", "null",
+          "true", "[]", "{}", "18446744073709551615", "1e308"}) {
+      feed("{\"revision\":" + Value + "}");
+      CHECK_FALSE(parseBundle("{\"revision\":" + Value + "}").ok());
+      const std::string Tenant =
+          R"({"revision":1,"tenants":[{"id":"a","burst":1,"rate":)" + Value +
+          "}]}";
+      feed(Tenant);
+      if (Value != "1.5")
+        CHECK(parseBundle(Tenant).status().ok() == false);
+    }
+    CHECK(messageOf("{\"revision\":0}").find("revision is 0") !=
+          std::string::npos);
+    CHECK(messageOf(R"({"revision":1,"hosts":[7]})").find("hosts[0] is 7") !=
+          std::string::npos);
+  }
+
+  SECTION("too many values are refused before they are parsed") {
+    // Guards against a small document that needs much memory.
+    std::string Text = "{\"hosts\":[";
+    for (int I = 0; I < 500'000; ++I)
+      Text += "1,";
+    CHECK(messageOf(Text).find("more than") != std::string::npos);
+    feed(Text);
+    feed(std::string(MaxSourceBytes + 1, ' '));
+  }
+
+  SECTION("unknown and repeated fields are refused") {
+    // Guards against a misspelt rule that silently keeps its default.
+    CHECK(messageOf(R"({"revision":1,"host":[]})").find("host is no known") !=
+          std::string::npos);
+    CHECK(messageOf(R"({"revision":1,"revision":2})").find("twice") !=
+          std::string::npos);
+  }
+}
