loadgen: use the ticket that a refusal carries

Resending the spent ticket would only repeat the refusal. Answers 409 ticket-used are retried, because the first use may still be running.

--- a/tools/loadgen/Caller.cpp
+++ b/tools/loadgen/Caller.cpp
@@ -1,6 +1,7 @@
 #include "Caller.h"
 
 #include <algorithm>
+#include <array>
 
 namespace pollenwick::tools {
 namespace {
@@ -14,8 +15,9 @@
 constexpr std::chrono::seconds MaxLate{3};
 
 bool retryUseful(const Ending &End) {
-  return End.Status == 0 || End.Status == 429 || End.Status == 428 ||
-         End.Status == 502 || End.Status == 503 || End.Status == 504;
+  static constexpr std::array Statuses{0, 409, 428, 429, 502, 503, 504};
+  return std::ranges::find(Statuses, End.Status) != Statuses.end() &&
+         End.Reason != "issuer-gone";
 }
 
 } // namespace
@@ -126,8 +128,9 @@
   }
   if (End.Outcome == "unknown")
     Now.MayHaveRun = true;
-  if (End.Outcome == "not-run" && End.Status == StatusTicketNeeded)
-    Now.Ticket.clear();
+  // A refused use spends its ticket; the refusal may carry another one.
+  if (End.Outcome == "not-run")
+    Now.Ticket = Got.Ticket;
   End.Answered =
       End.Outcome == "done" && End.Status == StatusOk && Got.BodyRight;
   End.Wrong = End.Status == StatusOk && !Got.BodyRight;
