--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -115,10 +115,13 @@
         self.key = "dev-" + self.bundle["tenants"][0]["id"]
         self.random = random.Random(SEED)
 
+    def run(self, result=None):
+        self.result = result if result is not None else self.defaultTestResult()
+        return super().run(self.result)
+
     def _stop(self):
-        outcome = getattr(self, "_outcome", None)
-        failed = outcome is not None and not getattr(outcome, "success", True)
-        self.deployment.keep_logs = failed
+        failures = self.result.failures + self.result.errors
+        self.deployment.keep_logs = any(test is self for test, _ in failures)
         self.deployment.stop()
 
     def records(self):
