--- a/tools/loadgen/Caller.cpp
+++ b/tools/loadgen/Caller.cpp
@@ -1,6 +1,7 @@
 #include "Caller.h"
 
 #include <algorithm>
+#include <array>
 
 namespace pollenwick::tools {
 namespace {
@@ -9,10 +10,14 @@
 constexpr int StatusTicketNeeded = 428;
 // After its own target refused connections, a caller tries it again this late.
 constexpr std::chrono::seconds HomeRetry{2};
+// A request that found no free connection for so long is skipped: the run ends
+// soon after its plan even when nothing is answered.
+constexpr std::chrono::seconds MaxLate{3};
 
 bool retryUseful(const Ending &End) {
-  return End.Status == 0 || End.Status == 429 || End.Status == 428 ||
-         End.Status == 502 || End.Status == 503 || End.Status == 504;
+  static constexpr std::array Statuses{0, 409, 428, 429, 502, 503, 504};
+  return std::ranges::find(Statuses, End.Status) != Statuses.end() &&
+         End.Reason != "issuer-gone";
 }
 
 } // namespace
@@ -29,9 +34,18 @@
 
 void Caller::attempt(Job Now) {
   const std::string Id = Settings.IdPrefix + std::to_string(Now.Origin.Number);
-  if (Now.Attempts == 0)
-    Results.addStartDelay(std::chrono::duration_cast<std::chrono::microseconds>(
-        Clock::now() - Now.Due));
+  const Clock::duration Late = Clock::now() - Now.Due;
+  if (Now.Attempts == 0) {
+    Results.addStartDelay(
+        std::chrono::duration_cast<std::chrono::microseconds>(Late));
+    if (Late > MaxLate) {
+      Ending Skipped;
+      Skipped.Outcome = "not-run";
+      Skipped.Reason = "generator-late";
+      Results.add(Now, Id, Skipped);
+      return Jobs.finish();
+    }
+  }
   Ending End = judge(Now, sendWithTicket(Now, Id));
   const bool Again = !End.Answered && !End.Wrong && End.Outcome != "done" &&
                      retryUseful(End) &&
@@ -114,8 +128,9 @@
   }
   if (End.Outcome == "unknown")
     Now.MayHaveRun = true;
-  if (End.Outcome == "not-run" && End.Status == StatusTicketNeeded)
-    Now.Ticket.clear();
+  // A refused use spends its ticket; the refusal may carry another one.
+  if (End.Outcome == "not-run")
+    Now.Ticket = Got.Ticket;
   End.Answered =
       End.Outcome == "done" && End.Status == StatusOk && Got.BodyRight;
   End.Wrong = End.Status == StatusOk && !Got.BodyRight;
