--- a/src/core/quota/Holder.cpp
+++ b/src/core/quota/Holder.cpp
@@ -73,11 +73,12 @@
 
 /// Amount to lend: batches only while the shard is more than half full.
 MicroTokens lendable(const Shard &Kept, const BorrowRequest &Request) {
-  const MicroTokens Needed =
-      std::min(std::max(Request.Needed, MicroTokens{}), Kept.Balance);
+  // Parts of a token would get stuck at many ingresses at once.
+  if (Kept.Balance < Request.Needed || Request.Needed <= MicroTokens{})
+    return {};
   const std::int64_t Low = Kept.Share.Burst.Value / LowDivisor;
   const MicroTokens Spare{(Kept.Balance.Value - Low) / BatchDivisor};
-  return std::max(Needed, std::min(Request.Wanted, Spare));
+  return std::max(Request.Needed, std::min(Request.Wanted, Spare));
 }
 
 std::vector<Recall> recallIdle(Shard &Kept, const BorrowRequest &Request,
@@ -152,9 +153,18 @@
                                  Reply.Tokens,     MicroTokens{},
                                  Now + Lifetime,   false};
   }
-  if (Reply.Tokens < Request.Needed)
-    Result.Recalls = recallIdle(*Kept, Request, State.Self, Lifetime, Now,
-                                Reply.RecallPending);
+  if (Reply.Tokens >= Request.Needed)
+    return Result;
+  Result.Recalls =
+      recallIdle(*Kept, Request, State.Self, Lifetime, Now, Reply.AskAgain);
+  if (Request.Gather) {
+    Result.Pulls =
+        pullFromOthers(State, Request.Shard.Tenant, *Kept, true, Now);
+    Reply.AskAgain =
+        Reply.AskAgain || std::ranges::any_of(Kept->Pulls, [&](auto &Entry) {
+          return Now - Entry.second.SentAt < AskAgainWait;
+        });
+  }
   return Result;
 }
 
@@ -193,6 +203,11 @@
   if (Kept == nullptr || !mayGrant(State, *Kept, View, Now))
     return Reply;
   accrue(*Kept, Now);
+  if (Request.All) {
+    Reply.Tokens = std::clamp(Request.Wanted, MicroTokens{}, Kept->Balance);
+    Kept->Balance -= Reply.Tokens;
+    return Reply;
+  }
   // Below the low mark nothing is about to be lost to the cap.
   if (Kept->Balance.Value <= Kept->Share.Burst.Value / LowDivisor ||
       Kept->Balance <= Request.Balance)
@@ -216,7 +231,7 @@
   const PendingPull Pull = Found->second;
   Kept->Pulls.erase(Found);
   Kept->Reserved -= Pull.Reserved;
-  if (Now >= Pull.Deadline || Reply.Tokens <= MicroTokens{})
+  if (Now - Pull.SentAt >= PullDeadline || Reply.Tokens <= MicroTokens{})
     return;
   Kept->Balance += std::min(Reply.Tokens, Pull.Reserved);
   Kept->PullInterval = Duration::zero();
--- a/src/core/quota/Holder.h
+++ b/src/core/quota/Holder.h
@@ -22,10 +22,14 @@
   bool Recalled = false;
 };
 
+/// Room is set aside for this long for tokens on their way.
+inline constexpr Duration PullDeadline = std::chrono::milliseconds(250);
+
 /// Room set aside for tokens that were asked from another shard.
 struct PendingPull {
+  ZoneId From;
   MicroTokens Reserved;
-  Instant Deadline{};
+  Instant SentAt{};
 };
 
 /// One shard at its holder. Invariant: Balance + Outstanding + Inherited +
@@ -85,6 +89,7 @@
 struct LendResult {
   BorrowReply Reply;
   std::vector<Recall> Recalls;
+  std::vector<PullRequest> Pulls;
 };
 
 /// Messages that are due.
@@ -130,6 +135,12 @@
 HolderActions tickHolder(HolderState &State, const ViewLease &View,
                          Instant Now);
 
+/// Sets room aside in a shard for tokens of the other zones and returns the
+/// requests, except to zones that have not answered yet.
+std::vector<PullRequest> pullFromOthers(HolderState &State,
+                                        const TenantId &Tenant, Shard &Kept,
+                                        bool All, Instant Now);
+
 inline constexpr Duration HolderTick = std::chrono::milliseconds(5);
 
 } // namespace pollenwick
--- a/src/core/quota/Ingress.cpp
+++ b/src/core/quota/Ingress.cpp
@@ -63,6 +63,8 @@
         Found != State.Tenants.end())
       Held = std::move(Found->second);
     Held.Holders = holdersOf(Rules, Tenant.Id);
+    Held.Collectors = Held.Holders;
+    std::ranges::sort(Held.Collectors, {}, &ShardHolder::Host);
     std::ranges::stable_partition(Held.Holders, [&](const ShardHolder &H) {
       return H.Zone == State.Zone;
     });
@@ -77,7 +79,7 @@
   if (Found == State.Tenants.end())
     return {};
   if (!View.validAt(Now))
-    return {SpendStatus::NoViewLease, {}, {}};
+    return {SpendStatus::NoViewLease, {}};
   TenantLeases &Held = Found->second;
   dropExpired(Held, Now);
   MicroTokens Sum;
@@ -85,7 +87,7 @@
   while (Enough < Held.Live && Sum < OneToken)
     Sum += Held.Leases[Enough++].Left;
   if (Sum < OneToken)
-    return {SpendStatus::Ask, OneToken - Sum, Held.Holders};
+    return {SpendStatus::Ask, OneToken - Sum};
   MicroTokens Due = OneToken;
   while (Enough-- > 0) {
     HeldLease &Lease = Held.Leases[Enough];
@@ -97,9 +99,11 @@
     if (Lease.Left == MicroTokens{})
       putAside(Held, Enough);
   }
-  return {SpendStatus::Spent, {}, {}};
+  return {SpendStatus::Spent, {}};
 }
 
+namespace {
+
 BorrowRequest beginBorrow(IngressState &State, const TenantId &Tenant,
                           const ShardHolder &Holder, MicroTokens Needed,
                           std::uint32_t Batch, Instant Now) {
@@ -117,6 +121,57 @@
   return Request;
 }
 
+} // namespace
+
+BorrowStep nextStep(IngressState &State, BorrowSearch &Search,
+                    MicroTokens Lacking, std::uint32_t Batch, Instant Now) {
+  using Stage = BorrowSearch::Stage;
+  BorrowStep Step;
+  auto Found = State.Tenants.find(Search.Tenant);
+  if (Found == State.Tenants.end())
+    return Step;
+  const TenantLeases &Held = Found->second;
+  auto Ask = [&](const ShardHolder &Holder, bool Gather) {
+    Step.What = BorrowStep::Kind::Ask;
+    Step.Request =
+        beginBorrow(State, Search.Tenant, Holder, Lacking, Batch, Now);
+    Step.Request.Gather = Gather;
+    Search.Unanswered = false;
+    return Step;
+  };
+  auto Wait = [&] {
+    Step.What = BorrowStep::Kind::Wait;
+    Step.Wait = AskAgainWait;
+    Search.AskAgain = false;
+    return Step;
+  };
+  if (Search.At == Stage::Round) {
+    if (Search.Asked < Held.Holders.size())
+      return Ask(Held.Holders[Search.Asked++], false);
+    Search.At = Stage::Gather;
+    Search.Unanswered = true;
+    // Recalled leases first reach their holders, then they are collected.
+    if (Search.AskAgain)
+      return Wait();
+  }
+  if (Search.At == Stage::Gather) {
+    if (Search.Unanswered && Search.Collector < Held.Collectors.size())
+      return Ask(Held.Collectors[Search.Collector++], true);
+    Search.At = Stage::Last;
+    if (Search.AskAgain)
+      return Wait();
+    return Step;
+  }
+  if (std::exchange(Search.Asking, true) || Search.Collector == 0)
+    return Step;
+  return Ask(Held.Collectors[Search.Collector - 1], false);
+}
+
+void noteReply(BorrowSearch &Search, const BorrowReply *Reply) {
+  Search.Unanswered = Reply == nullptr;
+  Search.AskAgain = Search.AskAgain || (Reply != nullptr && Reply->AskAgain);
+}
+
 bool acceptLease(IngressState &State, const BorrowReply &Reply, Instant Now) {
   auto Found = State.Tenants.find(Reply.Shard.Tenant);
   if (Found == State.Tenants.end() || Reply.Borrower != State.Self)
@@ -191,14 +246,6 @@
 
 } // namespace
 
-std::vector<Settlement> giveBackAll(IngressState &State, const TenantId &Tenant,
-                                    Instant Now) {
-  std::vector<Settlement> Messages;
-  if (auto Found = State.Tenants.find(Tenant); Found != State.Tenants.end())
-    settleTenant(State, Tenant, Found->second, Now, Now, Messages);
-  return Messages;
-}
-
 std::vector<Settlement> tickIngress(IngressState &State, Instant Now,
                                     bool All) {
   std::vector<Settlement> Messages;
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -36,8 +35,11 @@
 /// Leases of one tenant at one ingress.
 struct TenantLeases {
   std::vector<ShardHolder> Holders; ///< To ask, the own zone's first.
-  std::vector<HeldLease> Leases;    ///< First the ones with tokens.
-  std::size_t Live = 0;             ///< How many have tokens.
+  /// Holders that collect fractions of a token, in the same order on every
+  /// node; a later one is asked only if the ones before do not answer.
+  std::vector<ShardHolder> Collectors;
+  std::vector<HeldLease> Leases; ///< First the ones with tokens.
+  std::size_t Live = 0;          ///< How many have tokens.
   std::vector<PendingBorrow> Pending;
 };
 
@@ -59,8 +61,27 @@
 struct SpendResult {
   SpendStatus Status = SpendStatus::UnknownTenant;
   MicroTokens Lacking; ///< What is missing for one admission.
-  /// Holders to ask in this order. Valid until the next `adoptBundle`.
-  std::span<const ShardHolder> Holders;
+};
+
+/// Progress of one request that waits for a token.
+struct BorrowSearch {
+  enum class Stage : std::uint8_t { Round, Gather, Last };
+  TenantId Tenant;
+  Stage At = Stage::Round;
+  std::size_t Asked = 0;     ///< Holders asked in the round.
+  std::size_t Collector = 0; ///< Collectors asked.
+  bool AskAgain = false;     ///< Some answer promised more.
+  bool Unanswered = false;   ///< The last question timed out.
+  bool Asking = false;       ///< The collector was asked once more.
+};
+
+/// What a waiting request does next: send `Request` and wait for the reply, or
+/// wait for `Wait`, and then try to spend again; or be refused.
+struct BorrowStep {
+  enum class Kind : std::uint8_t { Ask, Wait, Refuse };
+  Kind What = Kind::Refuse;
+  BorrowRequest Request;
+  Duration Wait{};
 };
 
 IngressState makeIngress(IncarnationId Self, ZoneId Zone);
@@ -74,11 +95,14 @@
 SpendResult spend(IngressState &State, const TenantId &Tenant,
                   const ViewLease &View, Instant Now);
 
-/// Request to one holder. `Batch` is the number of tokens that would be of use
-/// now, counting other waiting requests.
-BorrowRequest beginBorrow(IngressState &State, const TenantId &Tenant,
-                          const ShardHolder &Holder, MicroTokens Needed,
-                          std::uint32_t Batch, Instant Now);
+/// Next step of a request for which `spend` answered `Ask`: the holder of the
+/// own zone, the other holders, then a collector. `Lacking` is from `spend`;
+/// `Batch` is the number of tokens that would be of use now.
+BorrowStep nextStep(IngressState &State, BorrowSearch &Search,
+                    MicroTokens Lacking, std::uint32_t Batch, Instant Now);
+/// Notes the answer to the last question, or that it timed out (null). The
+/// lease itself goes to `acceptLease`.
+void noteReply(BorrowSearch &Search, const BorrowReply *Reply);
 
 /// Stores a lease. Returns false if the reply was not expected or came after
 /// the end of the lease.
@@ -87,11 +111,6 @@
 /// Returns the unspent part of a recalled lease.
 std::optional<Settlement> onRecall(IngressState &State, const Recall &Message);
 
-/// Returns everything unspent of a tenant, for example the parts of a token
-/// that did not add up to a whole one before a refusal.
-std::vector<Settlement> giveBackAll(IngressState &State, const TenantId &Tenant,
-                                    Instant Now);
-
 /// Settlements and returns of idle leases that are due. Call it every
 /// `IngressTick`, and with `All` when the process ends.
 std::vector<Settlement> tickIngress(IngressState &State, Instant Now,
--- a/src/core/quota/Messages.h
+++ b/src/core/quota/Messages.h
@@ -33,6 +33,8 @@
   std::uint64_t Sequence = 0;
   MicroTokens Needed; ///< What the waiting request lacks.
   MicroTokens Wanted; ///< Accepted as a batch; at least `Needed`.
+  /// No holder has a whole token: collect the fractions of all shards here.
+  bool Gather = false;
 };
 
 /// Holder to ingress. Always an answer, also when nothing was lent.
@@ -42,16 +44,15 @@
   IncarnationId Borrower;
   std::uint64_t Sequence = 0; ///< Of the request.
   LeaseId Lease;
-  MicroTokens Tokens; ///< May be less than needed; zero: nothing lent.
+  MicroTokens Tokens; ///< Zero: nothing lent.
   Duration Lifetime{};
-  /// Idle leases are being recalled: worth asking once more after
-  /// `RecallWait`.
-  bool RecallPending = false;
+  /// Leases are being recalled or fractions collected: worth asking once more
+  /// after `AskAgainWait`.
+  bool AskAgain = false;
 };
 
-/// Time after which an ingress asks a holder again that recalls leases. Covers
-/// two one-way trips between zones.
-inline constexpr Duration RecallWait = std::chrono::milliseconds(4);
+/// Covers two one-way trips between zones.
+inline constexpr Duration AskAgainWait = std::chrono::milliseconds(4);
 
 /// Ingress to holder: spent and returned counts.
 struct Settlement {
@@ -80,6 +81,7 @@
   std::uint64_t Sequence = 0;
   MicroTokens Wanted;
   MicroTokens Balance; ///< Of the puller.
+  bool All = false;    ///< Give whatever is there, also from a low shard.
 };
 
 struct PullReply {
--- a/src/core/quota/Ownership.cpp
+++ b/src/core/quota/Ownership.cpp
@@ -1,6 +1,7 @@
 #include "core/quota/Holder.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pollenwick {
@@ -10,8 +11,6 @@
 /// the others have nothing to give.
 constexpr Duration ShortestPull = std::chrono::milliseconds(20);
 constexpr Duration LongestPull = std::chrono::milliseconds(320);
-/// Room is set aside for this long for tokens on their way.
-constexpr Duration PullDeadline = std::chrono::milliseconds(250);
 /// Time between two claims of a shard.
 constexpr Duration ClaimInterval = std::chrono::milliseconds(50);
 /// A shard pulls while it has less than this part of its burst.
@@ -90,39 +89,19 @@
 void duePulls(HolderState &State, const TenantId &Tenant, Shard &Kept,
               Instant Now, std::vector<PullRequest> &Pulls) {
   std::erase_if(Kept.Pulls, [&](const auto &Entry) {
-    if (Now < Entry.second.Deadline)
+    if (Now - Entry.second.SentAt < PullDeadline)
       return false;
     Kept.Reserved -= Entry.second.Reserved;
     return true;
   });
-  const std::vector<ShardHolder> &Holders = State.Others[Tenant];
   if (Kept.Balance.Value >= Kept.Share.Burst.Value / LowDivisor ||
-      Now < Kept.NextPull || !Kept.Pulls.empty() || Holders.size() < 2)
+      Now < Kept.NextPull)
     return;
   Kept.PullInterval =
       std::clamp(Kept.PullInterval * 2, ShortestPull, LongestPull);
   Kept.NextPull = Now + Kept.PullInterval;
-  const MicroTokens Room =
-      Kept.Share.Burst - Kept.Balance - Kept.Outstanding - Kept.Inherited;
-  // Half of the room stays for the shard's own accrual.
-  const MicroTokens Each{Room.Value / 2 /
-                         static_cast<std::int64_t>(Holders.size() - 1)};
-  if (Each <= MicroTokens{})
-    return;
-  for (const ShardHolder &Other : Holders) {
-    if (Other.Zone == State.Zone)
-      continue;
-    const std::uint64_t Sequence = State.NextPull++;
-    Kept.Pulls[Sequence] = {Each, Now + PullDeadline};
-    Kept.Reserved += Each;
-    Pulls.push_back({{Tenant, Other.Zone},
-                     Other.Host,
-                     {Tenant, State.Zone},
-                     State.Self,
-                     Sequence,
-                     Each,
-                     Kept.Balance});
-  }
+  std::ranges::move(pullFromOthers(State, Tenant, Kept, false, Now),
+                    std::back_inserter(Pulls));
 }
 
 } // namespace
@@ -282,4 +261,37 @@
   return Due;
 }
 
+std::vector<PullRequest> pullFromOthers(HolderState &State,
+                                        const TenantId &Tenant, Shard &Kept,
+                                        bool All, Instant Now) {
+  std::vector<PullRequest> Requests;
+  const std::vector<ShardHolder> &Holders = State.Others[Tenant];
+  const MicroTokens Room = Kept.Share.Burst - Kept.Balance - Kept.Outstanding -
+                           Kept.Inherited - Kept.Reserved;
+  // Half of the room stays for the shard's own accrual.
+  const MicroTokens Each{Room.Value / 2 /
+                         std::max<std::int64_t>(std::ssize(Holders) - 1, 1)};
+  if (Each <= MicroTokens{})
+    return Requests;
+  for (const ShardHolder &Other : Holders) {
+    if (Other.Zone == State.Zone ||
+        std::ranges::any_of(Kept.Pulls, [&](const auto &Entry) {
+          return Entry.second.From == Other.Zone;
+        }))
+      continue;
+    const std::uint64_t Sequence = State.NextPull++;
+    Kept.Pulls[Sequence] = {Other.Zone, Each, Now};
+    Kept.Reserved += Each;
+    Requests.push_back({{Tenant, Other.Zone},
+                        Other.Host,
+                        {Tenant, State.Zone},
+                        State.Self,
+                        Sequence,
+                        Each,
+                        Kept.Balance,
+                        All});
+  }
+  return Requests;
+}
+
 } // namespace pollenwick
--- a/src/core/quota/Shares.cpp
+++ b/src/core/quota/Shares.cpp
@@ -48,6 +48,13 @@
 
 ShardShare shareOf(const TenantSpec &Tenant, std::size_t Index,
                    std::size_t Zones) {
+  // A shard with a burst below one token could never lend. A small burst goes
+  // to as many zones as it has tokens.
+  const auto Tokens = static_cast<std::size_t>(
+      std::max<std::int64_t>(Tenant.Burst.Value / OneToken.Value, 1));
+  Zones = std::min(Zones, Tokens);
+  if (Index >= Zones)
+    return {};
   return {part(Tenant.RatePerSecond, Index, Zones),
           part(Tenant.Burst, Index, Zones)};
 }
--- a/src/core/quota/Shares.h
+++ b/src/core/quota/Shares.h
@@ -31,7 +31,8 @@
 /// Zones that have hosts, in order.
 std::vector<ZoneId> zonesOf(const Bundle &Rules);
 
-/// Share of the zone with this index. The shares of all zones sum exactly to
+/// Share of the zone with this index. A burst of fewer tokens than zones leaves
+/// some zones without a share. The shares of all zones sum exactly to
 /// the tenant's rate and burst.
 ShardShare shareOf(const TenantSpec &Tenant, std::size_t Index,
                    std::size_t Zones);
--- /dev/null
+++ b/tests/quota/QuotaBoundTest.cpp
@@ -0,0 +1,136 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "tests/support/Fleet.h"
+
+using namespace pollenwick;
+using namespace pollenwick::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Shards start empty. Without time to fill them, a violation of up to one
+/// burst would not show.
+constexpr milliseconds WarmUp(1000);
+constexpr milliseconds RunTime(5000);
+
+/// Short leases, so that a run covers several of them.
+Policy shortLeases() {
+  Policy Rules;
+  Rules.ViewLease = milliseconds(500);
+  Rules.QuotaLease = milliseconds(150);
+  return Rules;
+}
+
+Fault drawFault() {
+  Fault F;
+  F.Kind = static_cast<FaultKind>(*rc::gen::inRange(0, FaultKinds));
+  F.At = milliseconds(*rc::gen::inRange(0, 4500));
+  F.For = milliseconds(*rc::gen::inRange(1, 2000));
+  F.Target = *rc::gen::inRange<std::uint32_t>(0, 128);
+  F.Amount = *rc::gen::inRange<std::uint32_t>(1, 60);
+  return F;
+}
+
+/// Drives random load: bursts that empty the buckets, pauses that fill them.
+void drive(Fleet &F, std::uint32_t Load, std::uint32_t PauseMs) {
+  for (Duration At = WarmUp; At < RunTime;) {
+    const std::uint32_t Favoured = F.draw(F.Options.Hosts);
+    const std::uint32_t Skew = F.draw(100);
+    const std::uint32_t Burst = F.draw(120) + 1;
+    for (std::uint32_t I = 0; I < Burst; ++I) {
+      F.request(F.draw(100) < Skew ? Favoured : F.draw(F.Options.Hosts),
+                Instant{} + At);
+      At += std::chrono::microseconds(F.draw(10'000 / Load + 1));
+    }
+    At += milliseconds(F.draw(PauseMs));
+  }
+  F.run(Instant{} + RunTime);
+}
+
+struct Tally {
+  std::uint64_t Admissions = 0;
+  std::uint64_t Excess = 0;
+};
+
+Tally runWith(std::vector<Fault> Faults, std::uint32_t Seed, std::uint32_t Load,
+              std::uint32_t PauseMs = 400, Naive Wrong = {}) {
+  FleetOptions Options;
+  Options.Rules = shortLeases();
+  Options.Seed = Seed;
+  Options.Faults = std::move(Faults);
+  Options.Wrong = Wrong;
+  Fleet F(std::move(Options));
+  drive(F, Load, PauseMs);
+  return {F.Admissions, F.Excess};
+}
+
+/// Runs with load without long pauses that break the bound, of ten with fixed
+/// seeds.
+int violations(Naive Wrong, const std::vector<Fault> &Faults) {
+  constexpr std::uint32_t Runs = 10;
+  int Broken = 0;
+  for (std::uint32_t Seed = 1; Seed <= Runs; ++Seed)
+    Broken += runWith(Faults, Seed, 10, 30, Wrong).Excess > 0 ? 1 : 0;
+  return Broken;
+}
+
+} // namespace
+
+TEST_CASE("No tenant gets more than rate and burst over the fleet") {
+  SECTION("without a fault there is load, and all of it is within the bound") {
+    const Tally F = runWith({}, 7, 4);
+    REQUIRE(F.Excess == 0);
+    REQUIRE(F.Admissions > 300);
+  }
+  // Guards against tokens created by any message, process or view fault.
+  SECTION("whatever one to three faults happen at any moment") {
+    rc::check("admissions <= burst + rate x length in every window", [] {
+      const auto Faults = *rc::gen::scale(
+          1, rc::gen::resize(3, rc::gen::container<std::vector<Fault>>(
+                                    rc::gen::exec(drawFault))));
+      const auto Seed = *rc::gen::inRange<std::uint32_t>(1, 1000);
+      const auto Load = *rc::gen::inRange<std::uint32_t>(1, 12);
+      // Tokens of a stale service are the documented gap of the view lease.
+      RC_LOG() << "seed " << Seed << " load " << Load;
+      const Tally F = runWith(Faults, Seed, Load);
+      RC_ASSERT(F.Excess == 0U);
+    });
+  }
+}
+
+TEST_CASE("Faulty rules break the bound, so the check can see it") {
+  SECTION("crediting expired leases back") {
+    // Lost settlements: the tokens were spent and are credited again.
+    const Fault Loss{FaultKind::Drop, WarmUp, RunTime, 0, 30};
+    REQUIRE(violations({.CreditExpired = true}, {Loss}) > 0);
+    REQUIRE(violations({}, {Loss}) == 0);
+  }
+  SECTION("no fence wait after a change of the holder") {
+    // The old holders cannot be reached and serve their own side.
+    std::vector<Fault> Faults;
+    for (std::uint32_t Host = 0; Host < 6; ++Host) {
+      Faults.push_back({FaultKind::TwoWay, milliseconds(1500),
+                        milliseconds(3000), 0b000111, 0});
+      Faults.push_back({FaultKind::HostChange, milliseconds(1510),
+                        milliseconds(1), Host, 0});
+    }
+    REQUIRE(violations({.NoFence = true}, Faults) > 0);
+    REQUIRE(violations({}, Faults) == 0);
+  }
+  SECTION("a borrower's lease that runs from its arrival") {
+    const Fault Late{FaultKind::Delay, WarmUp, RunTime, 0, 30};
+    REQUIRE(violations({.ExpiryFromReply = true}, {Late}) > 0);
+    REQUIRE(violations({}, {Late}) == 0);
+  }
+  SECTION("acting without a view lease") {
+    std::vector<Fault> Faults;
+    for (std::uint32_t Host = 0; Host < 3; ++Host) {
+      Faults.push_back({FaultKind::TwoWay, milliseconds(1500),
+                        milliseconds(3000), 0b000111, 0});
+      Faults.push_back({FaultKind::HostChange, milliseconds(1510),
+                        milliseconds(1), Host, 0});
+    }
+    REQUIRE(violations({.NoViewLease = true}, Faults) > 0);
+  }
+}
--- /dev/null
+++ b/tests/support/Fleet.h
@@ -0,0 +1,472 @@
+#ifndef POLLENWICK_TESTS_SUPPORT_FLEET_H
+#define POLLENWICK_TESTS_SUPPORT_FLEET_H
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "core/quota/Holder.h"
+#include "core/quota/Ingress.h"
+#include "core/view/View.h"
+#include "tests/support/Faults.h"
+
+namespace pollenwick::test {
+
+/// Faulty rules that the properties must catch.
+struct Naive {
+  bool CreditExpired = false;   ///< Expired leases go back to the balance.
+  bool NoFence = false;         ///< A new holder starts at once.
+  bool ExpiryFromReply = false; ///< A lease runs from its arrival.
+  bool NoViewLease = false;     ///< The view is acted on without a lease.
+};
+
+struct FleetOptions {
+  std::uint32_t Hosts = 6;
+  std::int64_t Rate = 200; ///< Tokens per second.
+  std::int64_t Burst = 40;
+  Policy Rules;
+  std::uint32_t Seed = 1;
+  std::vector<Fault> Faults;
+  Naive Wrong;
+  Duration Tick = HolderTick;
+  Duration ZoneDelay = std::chrono::milliseconds(1); ///< One way.
+  Duration LocalDelay = std::chrono::microseconds(200);
+};
+
+/// Cores of several nodes under one virtual clock.
+class Fleet {
+public:
+  struct Node {
+    HostId Id;
+    ZoneId Zone;
+    bool Up = true;
+    Instant PausedUntil{};
+    std::uint64_t Start = 1;
+    std::size_t Revision = 0; ///< Index into the published bundles.
+    ViewState View;
+    HolderState Holder;
+    IngressState Ingress;
+  };
+  struct Published {
+    Bundle Rules;
+    RevisionKey Key;
+    Succession Hosts;
+    Instant At{};
+  };
+
+  enum class Answer : std::uint8_t { None, Admitted, Refused };
+  struct Arrival {
+    Instant At{};
+    std::uint32_t Node = 0;
+    Answer Result = Answer::None;
+  };
+
+  explicit Fleet(FleetOptions Given)
+      : Options(std::move(Given)), Random(Options.Seed), Bound(freshBucket()) {
+    Chain.push_back({makeFleetBundle(Options.Hosts, Options.Rate, Options.Burst,
+                                     Options.Rules),
+                     {Revision(1), {}},
+                     {{Revision(1), {}}, {}},
+                     Now});
+    Tenant = Chain[0].Rules.Tenants[0].Id;
+    for (const HostSpec &Host : Chain[0].Rules.Hosts)
+      Nodes.push_back({Host.Id, Host.Zone, true, {}, 0, 0, {}, {}, {}});
+    for (std::uint32_t I = 0; I < Options.Hosts; ++I)
+      startNode(I);
+    for (const Fault &F : Options.Faults)
+      plan(F);
+  }
+
+  Instant now() const { return Now; }
+  /// Runs everything that is due up to `Until`.
+  void run(Instant Until) {
+    while (!Events.empty() && Events.top().At <= Until) {
+      Event Next = Events.top();
+      Events.pop();
+      Now = std::max(Now, Next.At);
+      if (Next.Node >= 0) {
+        Node &Target = Nodes[static_cast<std::size_t>(Next.Node)];
+        if (!Target.Up || Target.Start != Next.Start)
+          continue;
+        if (Now < Target.PausedUntil) {
+          Next.At = Target.PausedUntil;
+          Events.push(Next);
+          continue;
+        }
+      }
+      Next.Action();
+    }
+    Now = std::max(Now, Until);
+  }
+
+  /// A caller's request that arrives at a node.
+  void request(std::uint32_t Index, Instant At) {
+    at(At, -1, [this, Index] {
+      if (!Nodes[Index].Up) {
+        ++Unserved; // No process listens; the caller goes elsewhere.
+        return;
+      }
+      const std::size_t Call = Calls.size();
+      Calls.push_back({Now, Index, Answer::None});
+      at(Now, static_cast<int>(Index), [this, Index, Call] {
+        BorrowSearch Search;
+        Search.Tenant = Tenant;
+        attempt(Index, Call, Search);
+      });
+    });
+  }
+
+  /// Hook of the baselines: decides instead of the escrow.
+  std::function<void(std::uint32_t, std::size_t)> Decide;
+  void admit(std::size_t Call) {
+    Calls[Call].Result = Answer::Admitted;
+    ++Admissions;
+    if (!Bound.admit(Now))
+      ++Excess;
+  }
+  void refuse(std::size_t Call, bool NoLease) {
+    Calls[Call].Result = Answer::Refused;
+    if (OnRefusal)
+      OnRefusal();
+    ++Refusals;
+    LeaseRefusals += NoLease ? 1 : 0;
+  }
+  /// Refusals of requests that arrived in the given time although one exact
+  /// bucket for the whole fleet, with the same admissions and asked in order
+  /// of arrival, had a token.
+  std::uint64_t wrongful(Duration From, Duration Until) const {
+    ExactBucket Whole = freshBucket();
+    std::uint64_t Count = 0;
+    for (const Arrival &Call : Calls) {
+      const Duration At = Call.At - Instant{};
+      if (Call.Result == Answer::Admitted)
+        Whole.admit(Call.At);
+      else if (Call.Result == Answer::Refused && Whole.hasToken(Call.At) &&
+               From <= At && At < Until)
+        ++Count;
+    }
+    return Count;
+  }
+  /// Sends a message that `Action` receives, under the faults of the moment.
+  void send(std::uint32_t From, std::uint32_t To,
+            std::function<void()> Action) {
+    if (From == To) {
+      at(Now, static_cast<int>(To), std::move(Action));
+      return;
+    }
+    const Duration Elapsed = Now - Instant{};
+    const bool Service = From >= Nodes.size() || To >= Nodes.size();
+    Duration Delay = !Service && Nodes[From].Zone == Nodes[To].Zone
+                         ? Options.LocalDelay
+                         : Options.ZoneDelay;
+    int Copies = 1;
+    for (const Fault &F : Options.Faults) {
+      if (!F.activeAt(Elapsed))
+        continue;
+      const bool FromIn = ((F.Target >> From) & 1U) != 0;
+      const bool ToIn = ((F.Target >> To) & 1U) != 0;
+      if ((F.Kind == FaultKind::TwoWay && FromIn != ToIn) ||
+          (F.Kind == FaultKind::OneWay && FromIn && !ToIn) ||
+          (F.Kind == FaultKind::Drop && draw(100) < F.Amount))
+        return;
+      if (F.Kind == FaultKind::Delay)
+        Delay += std::chrono::microseconds(draw(F.Amount * 10'000 + 1));
+      if (F.Kind == FaultKind::Duplicate && draw(100) < F.Amount)
+        ++Copies;
+    }
+    const int Target =
+        Service && To >= Nodes.size() ? -1 : static_cast<int>(To);
+    for (int I = 0; I < Copies; ++I) {
+      at(Now + Delay, Target, Action);
+      Delay += std::chrono::microseconds(draw(700'000));
+    }
+    ++Messages;
+  }
+  std::uint32_t draw(std::uint32_t Limit) {
+    return static_cast<std::uint32_t>(Random() % Limit);
+  }
+  std::uint32_t indexOf(const HostId &Host) const {
+    return static_cast<std::uint32_t>(
+        std::ranges::find(Nodes, Host, &Node::Id) - Nodes.begin());
+  }
+
+  FleetOptions Options;
+  std::vector<Node> Nodes;
+  std::vector<Published> Chain; ///< Bundles, in order of publication.
+  TenantId Tenant;
+  std::vector<Arrival> Calls; ///< In order of arrival.
+  std::function<void()> OnRefusal;
+  std::uint64_t Admissions = 0, Refusals = 0, LeaseRefusals = 0, Unserved = 0;
+  std::uint64_t Excess = 0; ///< Admissions over the bound.
+  std::uint64_t Messages = 0;
+
+  ViewLease lease(const Node &N) const {
+    ViewLease Lease = viewLease(N.View);
+    if (Options.Wrong.NoViewLease)
+      Lease.Until = Now + Options.Rules.ViewLease;
+    if (Options.Wrong.NoFence)
+      Lease.AnchoredAt = Now - std::chrono::hours(1);
+    return Lease;
+  }
+
+private:
+  ExactBucket freshBucket() const {
+    return {MicroTokens{Options.Rate * OneToken.Value},
+            MicroTokens{Options.Burst * OneToken.Value}};
+  }
+
+  struct Event {
+    Instant At{};
+    std::uint64_t Order = 0;
+    int Node = -1; ///< -1: not bound to a process.
+    std::uint64_t Start = 0;
+    std::function<void()> Action;
+    friend bool operator<(const Event &A, const Event &B) {
+      return std::pair(A.At, A.Order) > std::pair(B.At, B.Order);
+    }
+  };
+  void at(Instant When, int Target, std::function<void()> Action) {
+    const std::uint64_t Start =
+        Target < 0 ? 0 : Nodes[static_cast<std::size_t>(Target)].Start;
+    Events.push({When, NextOrder++, Target, Start, std::move(Action)});
+  }
+
+  void startNode(std::uint32_t I) {
+    Node &N = Nodes[I];
+    N.Up = true;
+    ++N.Start;
+    N.View = makeView(N.Id, Now);
+    N.Holder = makeHolder({N.Id, StartId(N.Start)}, N.Zone, Now);
+    N.Ingress = makeIngress({N.Id, StartId(N.Start)}, N.Zone);
+    // A starting node may find a peer with an old bundle first.
+    const Node &Peer = Nodes[(I + 1) % Nodes.size()];
+    N.Revision = Peer.Revision;
+    hold(N, Peer.Revision, nullptr);
+    at(Now, static_cast<int>(I), [this, I] { tick(I, 0); });
+  }
+
+  void hold(Node &N, std::size_t Next, const Published *Before) {
+    const Published &P = Chain[Next];
+    holdRevision(N.View, P.Key, P.Hosts.HostsSince, P.Rules.Rules, Now);
+    adoptBundle(N.Holder, P.Rules, P.Key, P.Hosts,
+                Before == nullptr ? nullptr : &Before->Rules, Now);
+    adoptBundle(N.Ingress, P.Rules);
+    N.Revision = Next;
+    const std::uint32_t Own = indexOf(N.Id);
+    N.View.Watcher = Own < 3;
+    N.View.Parents.clear();
+    if (!N.View.Watcher)
+      N.View.Parents = {Nodes[Own % 3].Id, Nodes[(Own + 1) % 3].Id};
+  }
+  /// Takes a revision whose bundle came with a message.
+  void learn(Node &N, const RevisionKey &Key) {
+    const auto Next = static_cast<std::size_t>(Key.Number.Value - 1);
+    if (Next > N.Revision)
+      hold(N, Next, &Chain[N.Revision]);
+  }
+
+  void tick(std::uint32_t I, std::uint32_t Count) {
+    Node &N = Nodes[I];
+    for (const ViewQuestion &Question : dueQuestions(N.View, Now))
+      ask(I, Question);
+    creditExpired(N);
+    HolderActions Due = tickHolder(N.Holder, lease(N), Now);
+    for (PullRequest &Pull : Due.Pulls)
+      sendPull(I, std::move(Pull));
+    for (Claim &C : Due.Claims) {
+      const std::uint32_t To = indexOf(C.PreviousHolder);
+      send(I, To, [this, I, To, C] {
+        if (auto H = release(Nodes[To].Holder, C, Now))
+          send(To, I, [this, I, H] {
+            adopt(Nodes[I].Holder, *H, lease(Nodes[I]), Now);
+          });
+      });
+    }
+    sendSettlements(I, tickIngress(N.Ingress, Now));
+    at(Now + Options.Tick, static_cast<int>(I),
+       [this, I, Count] { tick(I, Count + 1); });
+  }
+
+  void sendPull(std::uint32_t I, PullRequest Pull) {
+    const std::uint32_t To = indexOf(Pull.Holder);
+    send(I, To, [this, I, To, Pull] {
+      PullReply Reply = givePull(Nodes[To].Holder, Pull, lease(Nodes[To]), Now);
+      send(To, I,
+           [this, I, Reply] { acceptPull(Nodes[I].Holder, Reply, Now); });
+    });
+  }
+
+  void sendSettlements(std::uint32_t I, std::vector<Settlement> Due) {
+    for (Settlement &S : Due) {
+      const std::uint32_t To = indexOf(S.Holder.Host);
+      send(I, To, [this, To, S] {
+        creditExpired(Nodes[To]);
+        settle(Nodes[To].Holder, S, Now);
+      });
+    }
+  }
+
+  void ask(std::uint32_t I, const ViewQuestion &Q) {
+    const auto Service = static_cast<std::uint32_t>(Nodes.size());
+    if (Q.Source == ViewSource::Service) {
+      send(I, Service, [this, I, Q, Service] {
+        if (active(FaultKind::ServiceOutage))
+          return;
+        const RevisionKey Key =
+            active(FaultKind::ServiceStale) ? Chain[0].Key : Chain.back().Key;
+        send(Service, I, [this, I, Q, Key] {
+          learn(Nodes[I], Key);
+          recordService(Nodes[I].View, Q.Nonce, Key);
+        });
+      });
+      return;
+    }
+    const std::uint32_t To = indexOf(Q.Target);
+    send(I, To, [this, I, To, Q] {
+      if (Q.Source == ViewSource::Witness) {
+        if (auto Reply = answerWitness(Nodes[To].View, Now))
+          send(To, I, [this, I, Q, Reply] {
+            learn(Nodes[I], Reply->Held);
+            recordWitness(Nodes[I].View, Q.Nonce, *Reply, Now);
+          });
+      } else if (auto Reply = answerConfirm(Nodes[To].View, Now)) {
+        send(To, I, [this, I, Q, Reply] {
+          learn(Nodes[I], Reply->Held);
+          recordConfirmation(Nodes[I].View, Q.Nonce, *Reply);
+        });
+      }
+    });
+  }
+
+  void attempt(std::uint32_t I, std::size_t Call, BorrowSearch Search) {
+    if (Decide) {
+      Decide(I, Call);
+      return;
+    }
+    Node &N = Nodes[I];
+    const SpendResult Result = spend(N.Ingress, Tenant, lease(N), Now);
+    if (Result.Status == SpendStatus::Spent) {
+      admit(Call);
+      return;
+    }
+    if (Result.Status != SpendStatus::Ask) {
+      refuse(Call, true);
+      return;
+    }
+    const BorrowStep Step =
+        nextStep(N.Ingress, Search, Result.Lacking, BatchTokens, Now);
+    if (Step.What == BorrowStep::Kind::Refuse)
+      refuse(Call, false);
+    else if (Step.What == BorrowStep::Kind::Wait)
+      at(Now + Step.Wait, static_cast<int>(I),
+         [this, I, Call, Search] { attempt(I, Call, Search); });
+    else
+      borrow(I, Call, Search, Step.Request);
+  }
+
+  void borrow(std::uint32_t I, std::size_t Call, const BorrowSearch &Search,
+              const BorrowRequest &Request) {
+    const std::uint32_t To = indexOf(Request.Holder);
+    auto Pending = std::make_shared<bool>(true);
+    auto Resume = [this, I, Call, Pending, Search](const BorrowReply *Reply) {
+      if (!std::exchange(*Pending, false))
+        return;
+      BorrowSearch Next = Search;
+      noteReply(Next, Reply);
+      attempt(I, Call, Next);
+    };
+    send(I, To, [this, I, To, Request, Resume] {
+      creditExpired(Nodes[To]);
+      LendResult Lent = lend(Nodes[To].Holder, Request, lease(Nodes[To]), Now);
+      for (const Recall &R : Lent.Recalls) {
+        const std::uint32_t Whom = indexOf(R.Borrower.Host);
+        send(To, Whom, [this, Whom, R] {
+          if (auto S = onRecall(Nodes[Whom].Ingress, R))
+            sendSettlements(Whom, {*S});
+        });
+      }
+      for (const PullRequest &Pull : Lent.Pulls)
+        sendPull(To, Pull);
+      send(To, I, [this, I, Reply = Lent.Reply, Resume] {
+        const bool Taken = acceptLease(Nodes[I].Ingress, Reply, Now);
+        auto &Held = Nodes[I].Ingress.Tenants[Tenant];
+        if (Taken && Options.Wrong.ExpiryFromReply)
+          Held.Leases[Held.Live - 1].Expiry = Now + Reply.Lifetime;
+        Resume(&Reply);
+      });
+    });
+    at(Now + BorrowTimeout, static_cast<int>(I), [Resume] { Resume(nullptr); });
+  }
+
+  void creditExpired(Node &N) {
+    if (!Options.Wrong.CreditExpired)
+      return;
+    for (auto &[Id, Kept] : N.Holder.Shards)
+      while (!Kept.Leases.empty() &&
+             Kept.Leases.begin()->second.Expiry <= Now) {
+        const LentLease &Lease = Kept.Leases.begin()->second;
+        Kept.Balance += Lease.Tokens - Lease.Spent;
+        Kept.Outstanding -= Lease.Tokens - Lease.Spent;
+        Kept.Leases.erase(Kept.Leases.begin());
+      }
+  }
+
+  bool active(FaultKind Kind) const {
+    return std::ranges::any_of(Options.Faults, [&](const Fault &F) {
+      return F.Kind == Kind && F.activeAt(Now - Instant{});
+    });
+  }
+
+  void plan(const Fault &F) {
+    const auto I = static_cast<std::uint32_t>(F.Target % Nodes.size());
+    at(Instant{} + F.At, -1, [this, F, I] {
+      Node &N = Nodes[I];
+      if (F.Kind == FaultKind::Pause)
+        N.PausedUntil = std::max(N.PausedUntil, Now + F.For);
+      if (F.Kind == FaultKind::Kill && N.Up) {
+        N.Up = false;
+        at(Now + F.For, -1, [this, I] { startNode(I); });
+      }
+      if ((F.Kind == FaultKind::HostChange || F.Kind == FaultKind::Publish) &&
+          !active(FaultKind::ServiceOutage))
+        publish(F.Kind == FaultKind::HostChange, Nodes[I]);
+    });
+  }
+
+  void publish(bool ChangeHosts, const Node &N) {
+    Published Next = Chain.back();
+    Next.At = Now;
+    Next.Rules.Number = Revision(Chain.size() + 1);
+    Next.Key.Number = Next.Rules.Number;
+    if (ChangeHosts) {
+      Next.Hosts = {Next.Key, Next.Hosts.HostsSince};
+      auto Found = std::ranges::find(Next.Rules.Hosts, N.Id, &HostSpec::Id);
+      if (Found != Next.Rules.Hosts.end()) {
+        Next.Rules.Hosts.erase(Found);
+      } else {
+        HostSpec Host;
+        Host.Id = N.Id;
+        Host.Zone = N.Zone;
+        Next.Rules.Hosts.push_back(Host);
+      }
+    }
+    Chain.push_back(std::move(Next));
+  }
+
+  static constexpr std::uint32_t BatchTokens = 4;
+  static constexpr Duration BorrowTimeout = std::chrono::milliseconds(20);
+
+  Instant Now{};
+  std::mt19937 Random;
+  ExactBucket Bound;
+  std::priority_queue<Event> Events;
+  std::uint64_t NextOrder = 0;
+};
+
+} // namespace pollenwick::test
+
+#endif
