--- /dev/null
+++ b/bench/model/Deployment.h
@@ -0,0 +1,30 @@
+#ifndef POLLENWICK_BENCH_MODEL_DEPLOYMENT_H
+#define POLLENWICK_BENCH_MODEL_DEPLOYMENT_H
+
+#include <string>
+#include <vector>
+
+#include "core/admission/ReachTable.h"
+#include "pollenwick/Bundle.h"
+
+namespace pollenwick::model {
+
+/// A deployment of the design page with assumed service times and traffic.
+struct Deployment {
+  std::string Name;
+  Bundle Rules;
+  ReachTable Reach;
+  std::vector<double> Share;       ///< Of root traffic, by route; sums to 1.
+  std::vector<Duration> OwnTime;   ///< Mean, by route.
+  std::vector<double> TenantShare; ///< Of root traffic, by tenant; sums to 1.
+  Duration BetweenZones{};         ///< One way.
+  Duration FromClient{};           ///< One way.
+  ServiceIndex Deep = 0;           ///< Service that the scenarios slow down.
+};
+
+Deployment lantern();
+Deployment pier();
+
+} // namespace pollenwick::model
+
+#endif
--- a/src/core/routing/HostTable.cpp
+++ b/src/core/routing/HostTable.cpp
@@ -8,11 +8,10 @@
 
 std::uint32_t zoneIndex(HostTable &Table, const ZoneId &Zone) {
   const auto Found = std::find(Table.Zones.begin(), Table.Zones.end(), Zone);
+  const auto Index = static_cast<std::uint32_t>(Found - Table.Zones.begin());
   if (Found == Table.Zones.end())
     Table.Zones.push_back(Zone);
-  return static_cast<std::uint32_t>(Found == Table.Zones.end()
-                                        ? Table.Zones.size() - 1
-                                        : Found - Table.Zones.begin());
+  return Index;
 }
 
 HostState startState(const HostSpec &Spec, const HostTable *Old, Instant Now,
