core/admission: steer the budget by the backlog of calls

Cause: levels were derived from noisy per-window counts and a fast multiplicative trim, and the loop oscillated. Ruled out: routing imbalance (queues of one service were alike). The budget is now the capacity plus what brings the backlog to its target within 500 ms; counts beyond 3 standard deviations are followed fast, others slowly.

--- a/src/core/admission/Callee.cpp
+++ b/src/core/admission/Callee.cpp
@@ -82,8 +82,9 @@
 
 /// A new root that the ingress admitted under an older level.
 bool beyondLevel(const CalleeState &State, const OfferedCall &Call) {
-  const Duration Delay{static_cast<std::int64_t>(State.QueueDelay)};
-  if (Call.WorkDone || Delay <= State.Tuning.Threshold.TargetDelay)
+  const double Target =
+      State.Tuning.Threshold.TargetQueue * limitOf(State.Limit);
+  if (Call.WorkDone || static_cast<double>(State.Queue.ById.size()) <= Target)
     return false;
   if (Call.Rank == 0 && worseClassesActive(State))
     return false;
@@ -180,11 +181,11 @@
       State.QueueDelay += Window;
   }
   WindowMeasure Measure;
-  const std::uint32_t Limit = limitOf(State.Limit);
+  Measure.Limit = limitOf(State.Limit);
   if (State.HeldTime > 0)
-    Measure.CapacityPerSecond = Limit / State.HeldTime * 1e6;
-  Measure.Utilization = State.SlotTime / Window / Limit;
-  Measure.QueueDelay = Duration{static_cast<std::int64_t>(State.QueueDelay)};
+    Measure.CapacityPerSecond = Measure.Limit / State.HeldTime * 1e6;
+  const double Free = Measure.Limit - State.SlotTime / Window;
+  Measure.Backlog = static_cast<double>(State.Queue.ById.size()) - Free;
   Measure.WorseClassesActive = worseClassesActive(State);
   updateThreshold(State.Threshold, Reach, Measure, Now);
   State.SlotTime = 0;
--- a/src/core/admission/OfferedLoad.cpp
+++ b/src/core/admission/OfferedLoad.cpp
@@ -1,6 +1,8 @@
 #include "core/admission/OfferedLoad.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace pollenwick {
@@ -14,32 +16,65 @@
 /// learn it one reply later and average it.
 constexpr double AppliedWeight = 0.5;
 
-/// Bounds and steps of the correction of the capacity estimate.
-constexpr double MinTrim = 0.5;
-constexpr double MaxTrim = 1.5;
-constexpr double TrimDown = 0.1;
-constexpr double TrimUp = 1.03;
-constexpr double FullUtilization = 0.97;
+/// Standard deviations of a Poisson count beyond which it is no chance.
+constexpr double Surprise = 3;
 
-/// A server that is less busy than this is not overloaded, whatever the
-/// estimates say.
-constexpr double OverloadUtilization = 0.8;
+/// Bounds of the budget against the capacity estimate, for one window.
+constexpr double MinBudget = 0.3;
+constexpr double MaxBudget = 1.5;
+
+/// Slow correction of the capacity estimate: bounds, and gain per window for a
+/// queue that is off by one call per slot.
+constexpr double MinTrim = 0.7;
+constexpr double MaxTrim = 1.4;
+constexpr double TrimGain = 0.01;
 
 LoadCell &cellAt(ThresholdState &State, std::uint32_t Rank,
                  TenantIndex Tenant) {
   return State.Cells[std::size_t{Rank} * State.Tenants + Tenant];
 }
 
-void estimateOffered(ThresholdState &State, double Seconds) {
-  for (LoadCell &Cell : State.Cells) {
-    if (Cell.Applied > VisibleShare) {
-      const double Estimate = Cell.Received / Seconds / Cell.Applied;
-      Cell.Offered += State.Tuning.Smoothing * (Estimate - Cell.Offered);
+double weightOf(const ThresholdTuning &Tuning, double Received, double Expected,
+                double Smooth) {
+  const double Spread = Surprise * std::sqrt(Expected + 1);
+  return std::abs(Received - Expected) > Spread ? Tuning.SurpriseSmoothing
+                                                : Smooth;
+}
+
+/// Infers the load of one class before shedding: each call counts by the
+/// inverse of the share that let it through. The class follows a change fast;
+/// the tenants' parts of it are averaged longer, because a window holds only a
+/// few calls of a small tenant.
+void estimateClass(ThresholdState &State, std::uint32_t Rank, double Seconds) {
+  const ThresholdTuning &Tuning = State.Tuning;
+  double Received = 0;
+  double Expected = 0;
+  double Estimate = 0;
+  double Sum = 0;
+  for (TenantIndex Tenant = 0; Tenant < State.Tenants; ++Tenant) {
+    LoadCell &Cell = cellAt(State, Rank, Tenant);
+    if (Cell.Applied <= VisibleShare) {
+      Cell.Offered *= Tuning.Forget;
+      Estimate += Cell.Offered;
     } else {
-      Cell.Offered *= State.Tuning.Forget;
+      const double Seen = Cell.Received / Seconds / Cell.Applied;
+      const double Usual = Cell.Offered * Cell.Applied * Seconds;
+      Cell.Offered +=
+          weightOf(Tuning, Cell.Received, Usual, Tuning.TenantSmoothing) *
+          (Seen - Cell.Offered);
+      Received += Cell.Received;
+      Expected += Usual;
+      Estimate += Seen;
     }
+    Sum += Cell.Offered;
     Cell.Received = 0;
   }
+  double &Total = State.ClassOffered[Rank];
+  Total += weightOf(Tuning, Received, Expected, Tuning.ClassSmoothing) *
+           (Estimate - Total);
+  if (Sum > 0)
+    for (TenantIndex Tenant = 0; Tenant < State.Tenants; ++Tenant)
+      cellAt(State, Rank, Tenant).Offered *= Total / Sum;
 }
 
 bool cutsAny(const ThresholdState &State) {
@@ -47,19 +82,25 @@
                      [](const LoadCell &Cell) { return Cell.Share < 1; });
 }
 
-/// The estimate of the capacity is open loop; the queue delay closes it.
-void correctCapacity(ThresholdState &State, const WindowMeasure &Measure) {
-  const double Excess =
-      static_cast<double>(
-          (Measure.QueueDelay - State.Tuning.TargetDelay).count()) /
-      static_cast<double>(State.Tuning.TargetDelay.count());
-  if (Excess > 0)
-    State.Trim *= 1 - TrimDown * std::min(1.0, Excess);
-  else if (Measure.Utilization < FullUtilization)
-    State.Trim *= TrimUp;
-  State.Trim = std::clamp(State.Trim, MinTrim, MaxTrim);
-  if (!cutsAny(State) && Excess <= 0)
+/// Calls/s that may be admitted: the capacity, and what brings the queue to
+/// its target within the horizon. Unbounded while there is no overload.
+double budgetOf(ThresholdState &State, const WindowMeasure &Measure) {
+  const double Target = State.Tuning.TargetQueue * Measure.Limit;
+  State.Overloaded =
+      Measure.CapacityPerSecond > 0 &&
+      (Measure.Backlog >= Target || (State.Overloaded && cutsAny(State)));
+  if (!State.Overloaded) {
     State.Trim = 1;
+    return std::numeric_limits<double>::infinity();
+  }
+  const double Missing = Target - Measure.Backlog;
+  State.Trim = std::clamp(State.Trim + TrimGain * Missing / Measure.Limit,
+                          MinTrim, MaxTrim);
+  const double Capacity = Measure.CapacityPerSecond * State.Trim;
+  const double Horizon =
+      std::chrono::duration<double>(State.Tuning.Horizon).count();
+  return std::clamp(Capacity + Missing / Horizon, MinBudget * Capacity,
+                    MaxBudget * Capacity);
 }
 
 /// Rate per unit of weight at which `Budget` is used up by tenants that offer
@@ -138,6 +179,7 @@
   State.Tuning = Tuning;
   State.Tenants = static_cast<std::uint32_t>(Reach.Tenants.size());
   State.Cells.resize(std::size_t{Reach.Ranks} * State.Tenants);
+  State.ClassOffered.resize(Reach.Ranks);
   State.Levels.assign(State.Tenants, admitAll(Reach.Ranks));
   State.Common = admitAll(Reach.Ranks);
   State.ComputedAt = Now;
@@ -160,13 +202,9 @@
   if (Seconds <= 0 || State.Tenants == 0)
     return;
   State.ComputedAt = Now;
-  estimateOffered(State, Seconds);
-  correctCapacity(State, Measure);
-  const bool Busy = Measure.Utilization > OverloadUtilization ||
-                    Measure.QueueDelay > State.Tuning.TargetDelay;
-  double Budget = Measure.CapacityPerSecond * State.Trim;
-  if (!Busy || Measure.CapacityPerSecond <= 0)
-    Budget = std::numeric_limits<double>::infinity();
+  for (std::uint32_t Rank = 0; Rank < Reach.Ranks; ++Rank)
+    estimateClass(State, Rank, Seconds);
+  double Budget = budgetOf(State, Measure);
   bool Open = true;
   for (std::uint32_t Rank = 0; Rank < Reach.Ranks; ++Rank) {
     // The best class is cut only when no call of another class is left here.
--- a/src/core/admission/OfferedLoad.h
+++ b/src/core/admission/OfferedLoad.h
@@ -12,12 +12,18 @@
 
 struct ThresholdTuning {
   Duration Window = std::chrono::milliseconds(50);
-  /// Queue delay that the capacity estimate is steered to.
-  Duration TargetDelay = std::chrono::milliseconds(5);
-  double Smoothing = 0.3;  ///< Weight of one window in the offered load.
-  double GrowFactor = 2.0; ///< Largest growth of a share per window.
-  double GrowStep = 0.05;  ///< Smallest growth of a share per window.
-  double Forget = 0.93;    ///< Per window, for load that is not visible.
+  /// Waiting calls per slot that the budget is steered to while overloaded:
+  /// enough that no slot idles between two windows.
+  double TargetQueue = 0.5;
+  /// Time in which the budget removes a deviation of the queue. Longer than
+  /// the delay between a level and its effect, or the loop oscillates.
+  Duration Horizon = std::chrono::milliseconds(500);
+  double ClassSmoothing = 0.1;    ///< Weight of one window in a class's load.
+  double TenantSmoothing = 0.03;  ///< The same for a tenant's part of it.
+  double SurpriseSmoothing = 0.5; ///< For a count beyond chance.
+  double GrowFactor = 1.5;        ///< Largest growth of a share per window.
+  double GrowStep = 0.05;         ///< Growth of a share that was near zero.
+  double Forget = 0.97;           ///< Per window, for load that is not visible.
 };
 
 /// Load of one class and tenant at a callee node.
@@ -32,18 +38,20 @@
 struct ThresholdState {
   ThresholdTuning Tuning;
   std::uint32_t Tenants = 0;
-  std::vector<LoadCell> Cells; ///< By rank, then tenant.
-  std::vector<Level> Levels;   ///< By tenant.
+  std::vector<LoadCell> Cells;      ///< By rank, then tenant.
+  std::vector<double> ClassOffered; ///< Calls/s by rank.
+  std::vector<Level> Levels;        ///< By tenant.
   Level Common = AdmitAll;
-  double Trim = 1; ///< Correction of the capacity estimate by queue delay.
+  bool Overloaded = false;
+  double Trim = 1; ///< Slow correction of the capacity estimate.
   Instant ComputedAt{};
 };
 
-/// What the callee node measured since the last window.
+/// What the callee node measured in the last window.
 struct WindowMeasure {
   double CapacityPerSecond = 0; ///< Limit over the mean time a slot is held.
-  double Utilization = 0;       ///< Mean calls in slots over the limit, 0 to 1.
-  Duration QueueDelay{};
+  double Limit = 1;
+  double Backlog = 0;              ///< Waiting calls minus free slots.
   bool WorseClassesActive = false; ///< Calls below rank 0 run or wait here.
 };
 
