core/admission: follow a slow server's held time, try limits rarely

Cause: the capacity estimate averaged 200 calls, which a server at a tenth of its speed ends in 10 s, and limit trials idled its slots for seconds on 60 noisy samples. A window now weighs at least 5%, trials average 150 calls and are skipped if that takes over 2 s. Ruled out: shedding at the ingress (queues at the deep service were never empty).

Not fixed: recovery after it (not within 4 s).

--- a/src/core/admission/Callee.cpp
+++ b/src/core/admission/Callee.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-/// Weights of one sample in the running means. The time a slot is held decides
-/// the capacity estimate and must not follow single calls.
-constexpr std::uint32_t HeldSamplesMax = 200;
+/// The mean time a slot is held decides the capacity estimate. It must not
+/// follow single calls, but a slow server that ends few calls must be noticed:
+/// a window counts by its calls, and at least by this weight.
+constexpr double HeldSamplesFull = 200;
+constexpr double HeldMinWeight = 0.05;
+
+/// Weights of one sample in the running means.
 constexpr double OwnTimeWeight = 0.05;
 constexpr double DelayWeight = 0.05;
 
@@ -25,6 +29,17 @@
   return std::max(MinQueue, static_cast<std::size_t>(Bound));
 }
 
+void learnHeldTime(CalleeState &State) {
+  if (State.HeldSamples == 0)
+    return;
+  const double Mean = State.HeldSum / State.HeldSamples;
+  const double Weight =
+      std::clamp(State.HeldSamples / HeldSamplesFull, HeldMinWeight, 1.0);
+  State.HeldTime += (State.HeldTime > 0 ? Weight : 1) * (Mean - State.HeldTime);
+  State.HeldSum = 0;
+  State.HeldSamples = 0;
+}
+
 bool worseClassesRun(const CalleeState &State) {
   return std::any_of(State.Running.begin() + 1, State.Running.end(),
                      [](std::uint32_t Count) { return Count > 0; });
@@ -151,9 +166,8 @@
   addSlotTime(State, Now);
   --State.InSlots;
   --State.Running[Call.Rank];
-  State.HeldSamples = std::min(State.HeldSamples + 1, HeldSamplesMax);
-  State.HeldTime += (static_cast<double>(Call.Held.count()) - State.HeldTime) /
-                    State.HeldSamples;
+  State.HeldSum += static_cast<double>(Call.Held.count());
+  ++State.HeldSamples;
   if (!Call.Completed)
     return;
   double &Own = State.OwnTime[Call.Route];
@@ -180,6 +194,7 @@
     else
       State.QueueDelay += Window;
   }
+  learnHeldTime(State);
   WindowMeasure Measure;
   Measure.Limit = limitOf(State.Limit);
   if (State.HeldTime > 0)
--- a/src/core/admission/Callee.h
+++ b/src/core/admission/Callee.h
@@ -32,7 +32,8 @@
   std::uint32_t InSlots = 0;
   std::vector<double> OwnTime;    ///< Mean own time by route, us.
   double HeldTime = 0;            ///< Mean time a slot is held, us.
-  std::uint32_t HeldSamples = 0;  ///< Averaged so far; stops at a fixed number.
+  double HeldSum = 0;             ///< Of calls that ended in the window, us.
+  std::uint32_t HeldSamples = 0;  ///< Calls that ended in the window.
   double QueueDelay = 0;          ///< Mean wait of calls that got a slot, us.
   std::uint32_t DelaySamples = 0; ///< In the window.
   double SlotTime = 0;            ///< Slot-microseconds used in the window.
--- a/src/core/admission/Limit.cpp
+++ b/src/core/admission/Limit.cpp
@@ -21,29 +21,58 @@
   State.WindowStart = Now;
 }
 
+void dropCollected(ConcurrencyLimit &State) {
+  State.CollectedSlowness = 0;
+  State.Collected = 0;
+}
+
+/// Adds a window; returns true when enough are collected.
+bool collect(ConcurrencyLimit &State, double Slowness) {
+  if (State.Collected == 0)
+    State.CollectedSince = State.WindowStart;
+  State.CollectedSlowness += Slowness;
+  return ++State.Collected >= State.Tuning.TrialWindows;
+}
+
+void changeLimit(ConcurrencyLimit &State, double Limit) {
+  State.Limit = Limit;
+  State.Settling = limitOf(State);
+  dropCollected(State);
+}
+
 /// Latency that falls with the limit proves that calls contend in the server,
 /// so the smaller limit loses no throughput. Latency that stays is the
 /// server's own: a smaller limit would only idle slots.
 void judgeTrial(ConcurrencyLimit &State, double Slowness) {
   const double LimitDrop = std::log(State.BeforeTrial / State.Limit);
   const double LatencyDrop = std::log(State.SlownessBeforeTrial / Slowness);
-  if (LimitDrop <= 0 || LatencyDrop < State.Tuning.Elasticity * LimitDrop) {
-    State.Limit = State.BeforeTrial;
+  if (LatencyDrop < State.Tuning.Elasticity * LimitDrop) {
+    changeLimit(State, State.BeforeTrial);
     State.Accepted = std::max(1.0, Slowness);
-    State.Settling = true;
   }
+  dropCollected(State);
   State.BeforeTrial = 0;
 }
 
-void endWindow(ConcurrencyLimit &State) {
+void considerTrial(ConcurrencyLimit &State, double Slowness, Instant Now) {
+  if (!collect(State, Slowness))
+    return;
+  const bool EnoughCalls = Now - State.CollectedSince <= State.Tuning.MaxTrial;
+  const double Mean = State.CollectedSlowness / State.Collected;
+  dropCollected(State);
+  if (!EnoughCalls || State.Limit <= 1)
+    return;
+  State.BeforeTrial = State.Limit;
+  State.SlownessBeforeTrial = Mean;
+  changeLimit(State, std::max(1.0, State.Limit * State.Tuning.TrialStep));
+}
+
+void endWindow(ConcurrencyLimit &State, Instant Now) {
   const LimitTuning &Tuning = State.Tuning;
   const double Slowness = State.SlownessSum / State.Samples;
-  if (State.Settling) {
-    State.Settling = false;
-    return;
-  }
   if (State.BeforeTrial > 0) {
-    judgeTrial(State, Slowness);
+    if (collect(State, Slowness))
+      judgeTrial(State, State.CollectedSlowness / State.Collected);
     return;
   }
   if (Slowness < FasterRatio)
@@ -51,17 +80,16 @@
       Baseline.Mean *= Slowness;
   if (Slowness < State.Accepted)
     State.Accepted = std::max(1.0, Slowness);
-  if (State.SaturatedSamples * 2 < State.Samples)
-    return;
   const double Relative = Slowness / State.Accepted;
-  if (Relative > Tuning.SlowRatio && State.Limit > 1) {
-    State.BeforeTrial = State.Limit;
-    State.SlownessBeforeTrial = Slowness;
-    State.Limit = std::max(1.0, State.Limit * Tuning.TrialStep);
-    State.Settling = true;
-  } else if (Relative <= Tuning.GrowRatio && State.Limit < State.Cap) {
-    State.Limit = std::min(
-        State.Cap, std::max(State.Limit + 1, State.Limit * Tuning.GrowStep));
+  if (State.SaturatedSamples * 2 < State.Samples)
+    dropCollected(State);
+  else if (Relative > Tuning.SlowRatio)
+    considerTrial(State, Slowness, Now);
+  else {
+    dropCollected(State);
+    if (Relative <= Tuning.GrowRatio)
+      State.Limit = std::min(
+          State.Cap, std::max(State.Limit + 1, State.Limit * Tuning.GrowStep));
   }
 }
 
@@ -91,13 +119,18 @@
     Baseline.Mean += (Time - Baseline.Mean) / Baseline.Samples;
     return;
   }
+  if (State.Settling > 0) {
+    --State.Settling;
+    State.WindowStart = Now;
+    return;
+  }
   State.SlownessSum += Time / Baseline.Mean;
   ++State.Samples;
   State.SaturatedSamples += Saturated ? 1 : 0;
   if (State.Samples < State.Tuning.MinSamples ||
       Now - State.WindowStart < State.Tuning.MinWindow)
     return;
-  endWindow(State);
+  endWindow(State, Now);
   startWindow(State, Now);
 }
 
--- a/src/core/admission/Limit.h
+++ b/src/core/admission/Limit.h
@@ -10,11 +10,17 @@
 namespace pollenwick {
 
 struct LimitTuning {
-  std::uint32_t MinSamples = 60; ///< Finished calls per measuring window.
+  std::uint32_t MinSamples = 50; ///< Finished calls per measuring window.
   Duration MinWindow = std::chrono::milliseconds(100);
+  /// Windows averaged before and in a trial: 150 calls tell a fall of the
+  /// latency by a tenth from chance.
+  std::uint32_t TrialWindows = 3;
+  /// A server that needs longer for the windows of a trial ends too few calls
+  /// for one; the trial would idle its slots for that time.
+  Duration MaxTrial = std::chrono::seconds(2);
   double SlowRatio = 1.5;  ///< Slowness that starts a trial.
-  double TrialStep = 0.7;  ///< Limit of a trial against the limit before.
-  double Elasticity = 0.5; ///< Latency per concurrency that proves contention.
+  double TrialStep = 0.8;  ///< Limit of a trial against the limit before.
+  double Elasticity = 0.6; ///< Latency per concurrency that proves contention.
   double GrowRatio = 1.2;  ///< Slowness up to which the limit grows.
   double GrowStep = 1.25;
 };
@@ -31,11 +37,16 @@
   double Limit = 1;
   double Cap = 1;                       ///< Slots of the service.
   std::vector<RouteBaseline> Baselines; ///< By route.
+  // The running window.
   double SlownessSum = 0;
   std::uint32_t Samples = 0;
   std::uint32_t SaturatedSamples = 0; ///< Finished while the limit was used.
+  std::uint32_t Settling = 0; ///< Samples left that began under another limit.
   Instant WindowStart{};
-  bool Settling = false;  ///< The window still holds calls of the old limit.
+  // Windows collected before or in a trial.
+  double CollectedSlowness = 0;
+  std::uint32_t Collected = 0;
+  Instant CollectedSince{};
   double BeforeTrial = 0; ///< Limit before the running trial; 0 if none.
   double SlownessBeforeTrial = 0;
   double Accepted = 1; ///< Slowness found not to come from concurrency.
