core/admission: lower the load estimate while slots are free

Cause: after a surge the few calls let through showed its end late, so shares near zero stayed there. Ruled out: ingress relaxation (replies kept arriving) and the queue (empty within 0.5 s).

--- a/src/core/admission/OfferedLoad.cpp
+++ b/src/core/admission/OfferedLoad.cpp
@@ -19,6 +19,11 @@
 /// Standard deviations of a Poisson count beyond which it is no chance.
 constexpr double Surprise = 3;
 
+/// Free part of the slots that is no sign of an overestimate, and the part of
+/// the estimate that a window with only free slots removes.
+constexpr double UnderuseTolerance = 0.05;
+constexpr double UnderuseGain = 0.5;
+
 /// Bounds of the budget against the capacity estimate, for one window.
 constexpr double MinBudget = 0.3;
 constexpr double MaxBudget = 1.5;
@@ -77,6 +82,25 @@
       cellAt(State, Rank, Tenant).Offered *= Total / Sum;
 }
 
+/// Free slots while a class is cut prove that its load is overestimated: the
+/// few calls that a small share lets through show the end of a surge late.
+void forgetUnderuse(ThresholdState &State, const WindowMeasure &Measure) {
+  const double Free = -Measure.Backlog / Measure.Limit;
+  if (Free <= UnderuseTolerance)
+    return;
+  const double Keep = 1 - UnderuseGain * std::min(1.0, Free);
+  for (std::uint32_t Rank = 0; Rank < State.ClassOffered.size(); ++Rank) {
+    const auto First = State.Cells.begin() + Rank * State.Tenants;
+    const auto Last = First + State.Tenants;
+    if (std::none_of(First, Last,
+                     [](const LoadCell &Cell) { return Cell.Share < 1; }))
+      continue;
+    State.ClassOffered[Rank] *= Keep;
+    std::for_each(First, Last,
+                  [Keep](LoadCell &Cell) { Cell.Offered *= Keep; });
+  }
+}
+
 bool cutsAny(const ThresholdState &State) {
   return std::any_of(State.Cells.begin(), State.Cells.end(),
                      [](const LoadCell &Cell) { return Cell.Share < 1; });
@@ -204,6 +228,8 @@
   State.ComputedAt = Now;
   for (std::uint32_t Rank = 0; Rank < Reach.Ranks; ++Rank)
     estimateClass(State, Rank, Seconds);
+  if (State.Overloaded)
+    forgetUnderuse(State, Measure);
   double Budget = budgetOf(State, Measure);
   bool Open = true;
   for (std::uint32_t Rank = 0; Rank < Reach.Ranks; ++Rank) {
