--- a/src/core/admission/Callee.cpp
+++ b/src/core/admission/Callee.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-/// Weights of one sample in the running means. The time a slot is held decides
-/// the capacity estimate and must not follow single calls.
-constexpr std::uint32_t HeldSamplesMax = 200;
+/// The mean time a slot is held decides the capacity estimate. It must not
+/// follow single calls, but a slow server that ends few calls must be noticed:
+/// a window counts by its calls, and at least by this weight.
+constexpr double HeldSamplesFull = 200;
+constexpr double HeldMinWeight = 0.05;
+
+/// Weights of one sample in the running means.
 constexpr double OwnTimeWeight = 0.05;
 constexpr double DelayWeight = 0.05;
 
@@ -25,6 +29,17 @@
   return std::max(MinQueue, static_cast<std::size_t>(Bound));
 }
 
+void learnHeldTime(CalleeState &State) {
+  if (State.HeldSamples == 0)
+    return;
+  const double Mean = State.HeldSum / State.HeldSamples;
+  const double Weight =
+      std::clamp(State.HeldSamples / HeldSamplesFull, HeldMinWeight, 1.0);
+  State.HeldTime += (State.HeldTime > 0 ? Weight : 1) * (Mean - State.HeldTime);
+  State.HeldSum = 0;
+  State.HeldSamples = 0;
+}
+
 bool worseClassesRun(const CalleeState &State) {
   return std::any_of(State.Running.begin() + 1, State.Running.end(),
                      [](std::uint32_t Count) { return Count > 0; });
@@ -82,8 +97,9 @@
 
 /// A new root that the ingress admitted under an older level.
 bool beyondLevel(const CalleeState &State, const OfferedCall &Call) {
-  const Duration Delay{static_cast<std::int64_t>(State.QueueDelay)};
-  if (Call.WorkDone || Delay <= State.Tuning.Threshold.TargetDelay)
+  const double Target =
+      State.Tuning.Threshold.TargetQueue * limitOf(State.Limit);
+  if (Call.WorkDone || static_cast<double>(State.Queue.ById.size()) <= Target)
     return false;
   if (Call.Rank == 0 && worseClassesActive(State))
     return false;
@@ -150,9 +166,8 @@
   addSlotTime(State, Now);
   --State.InSlots;
   --State.Running[Call.Rank];
-  State.HeldSamples = std::min(State.HeldSamples + 1, HeldSamplesMax);
-  State.HeldTime += (static_cast<double>(Call.Held.count()) - State.HeldTime) /
-                    State.HeldSamples;
+  State.HeldSum += static_cast<double>(Call.Held.count());
+  ++State.HeldSamples;
   if (!Call.Completed)
     return;
   double &Own = State.OwnTime[Call.Route];
@@ -179,12 +194,13 @@
     else
       State.QueueDelay += Window;
   }
+  learnHeldTime(State);
   WindowMeasure Measure;
-  const std::uint32_t Limit = limitOf(State.Limit);
+  Measure.Limit = limitOf(State.Limit);
   if (State.HeldTime > 0)
-    Measure.CapacityPerSecond = Limit / State.HeldTime * 1e6;
-  Measure.Utilization = State.SlotTime / Window / Limit;
-  Measure.QueueDelay = Duration{static_cast<std::int64_t>(State.QueueDelay)};
+    Measure.CapacityPerSecond = Measure.Limit / State.HeldTime * 1e6;
+  const double Free = Measure.Limit - State.SlotTime / Window;
+  Measure.Backlog = static_cast<double>(State.Queue.ById.size()) - Free;
   Measure.WorseClassesActive = worseClassesActive(State);
   updateThreshold(State.Threshold, Reach, Measure, Now);
   State.SlotTime = 0;
