--- a/bench/model/Optimum.cpp
+++ b/bench/model/Optimum.cpp
@@ -18,7 +18,7 @@
   Optimum Result;
 };
 
-bool isFrozen(const Filling &Fill, RouteLookup Route, TenantIndex Tenant) {
+bool isFrozen(const Filling &Fill, RouteIndex Route, TenantIndex Tenant) {
   if (Fill.Result.Served[Route][Tenant] >= Fill.Demand[Route][Tenant] - Tiny)
     return true;
   for (ServiceIndex S = 0; S < Fill.Free.size(); ++S)
@@ -29,9 +29,9 @@
 
 /// Speed at which a cell fills: a tenant's speed is its weight, divided among
 /// its routes in proportion to what they ask for.
-double speedOf(const Filling &Fill, RouteLookup Route, TenantIndex Tenant) {
+double speedOf(const Filling &Fill, RouteIndex Route, TenantIndex Tenant) {
   double Asked = 0;
-  for (RouteLookup R = 0; R < Fill.Demand.size(); ++R)
+  for (RouteIndex R = 0; R < Fill.Demand.size(); ++R)
     if (Fill.Fleet.Reach.Routes[R].Rank == Fill.Fleet.Reach.Routes[Route].Rank)
       Asked += Fill.Demand[R][Tenant];
   return Asked > 0 ? Fill.Fleet.Reach.Weights[Tenant] *
@@ -45,7 +45,7 @@
   Matrix Speed(Fill.Demand.size());
   std::vector<double> Use(Fill.Free.size());
   double Step = std::numeric_limits<double>::infinity();
-  for (RouteLookup R = 0; R < Fill.Demand.size(); ++R) {
+  for (RouteIndex R = 0; R < Fill.Demand.size(); ++R) {
     Speed[R].resize(Fill.Demand[R].size());
     if (Fill.Fleet.Reach.Routes[R].Rank != Rank)
       continue;
@@ -64,7 +64,7 @@
   for (ServiceIndex S = 0; S < Use.size(); ++S)
     if (Use[S] > 0)
       Step = std::min(Step, Fill.Free[S] / Use[S]);
-  for (RouteLookup R = 0; R < Speed.size(); ++R)
+  for (RouteIndex R = 0; R < Speed.size(); ++R)
     for (TenantIndex T = 0; T < Speed[R].size(); ++T)
       Fill.Result.Served[R][T] += Step * Speed[R][T];
   for (ServiceIndex S = 0; S < Use.size(); ++S) {
@@ -93,7 +93,7 @@
   double Least = std::numeric_limits<double>::infinity();
   for (ServiceIndex S = 0; S < Slots.size(); ++S) {
     double PerRequest = 0;
-    for (RouteLookup R = 0; R < Held.size(); ++R)
+    for (RouteIndex R = 0; R < Held.size(); ++R)
       PerRequest += Fleet.Share[R] * Held[R][S];
     if (PerRequest > 0)
       Least = std::min(Least, Slots[S] / PerRequest);
--- a/bench/model/Scenario.cpp
+++ b/bench/model/Scenario.cpp
@@ -65,7 +65,7 @@
                 std::numeric_limits<double>::infinity()};
   auto Use = [&](const Matrix &Rates, auto Weight) {
     double Sum = 0;
-    for (RouteLookup R = 0; R < Rates.size(); ++R)
+    for (RouteIndex R = 0; R < Rates.size(); ++R)
       for (TenantIndex T = 0; T < Rates[R].size(); ++T)
         Sum += Rates[R][T] * Weight(R, T);
     return Sum;
@@ -75,17 +75,17 @@
     if (!Best.Saturated[S])
       continue;
     AnyFull = true;
-    auto Held = [&](RouteLookup R, TenantIndex) {
+    auto Held = [&](RouteIndex R, TenantIndex) {
       return Overloaded.Held[R][S];
     };
     Result.Goodput =
         std::min(Result.Goodput, Use(Done, Held) / Use(Best.Served, Held));
   }
-  auto One = [](RouteLookup, TenantIndex) { return 1.0; };
+  auto One = [](RouteIndex, TenantIndex) { return 1.0; };
   if (!AnyFull)
     Result.Goodput = Use(Done, One) / Use(Best.Served, One);
   for (TenantIndex Tenant = 0; Tenant < Fleet.Reach.Tenants.size(); ++Tenant) {
-    auto Mine = [&](RouteLookup, TenantIndex T) {
+    auto Mine = [&](RouteIndex, TenantIndex T) {
       return T == Tenant ? 1.0 : 0.0;
     };
     Result.WorstTenant =
@@ -143,7 +143,7 @@
   Run.run();
   Calibration Result;
   Result.Held = Run.counters().HeldSeconds;
-  for (RouteLookup Route = 0; Route < Result.Held.size(); ++Route)
+  for (RouteIndex Route = 0; Route < Result.Held.size(); ++Route)
     for (double &Held : Result.Held[Route])
       Held /= std::max<double>(
           1, static_cast<double>(Run.counters().Answered[Route]));
--- a/bench/model/Simulation.cpp
+++ b/bench/model/Simulation.cpp
@@ -82,10 +82,10 @@
                                                         : Fleet.BetweenZones;
 }
 
-RouteLookup Simulation::drawRoute() {
+RouteIndex Simulation::drawRoute() {
   double Left = uniform();
-  RouteLookup Last = 0;
-  for (RouteLookup Route = 0; Route < Fleet.Share.size(); ++Route) {
+  RouteIndex Last = 0;
+  for (RouteIndex Route = 0; Route < Fleet.Share.size(); ++Route) {
     if (Fleet.Share[Route] <= 0)
       continue;
     Last = Route;
--- a/bench/model/Simulation.h
+++ b/bench/model/Simulation.h
@@ -45,7 +45,7 @@
 struct UserRecord {
   Instant ArrivedAt{};
   TenantIndex Tenant = 0;
-  RouteLookup Route = 0;
+  RouteIndex Route = 0;
   std::uint32_t Attempts = 0;
   bool FirstTry = false; ///< The first attempt succeeded.
   std::optional<Instant> DoneAt;
@@ -122,7 +122,7 @@
   double exponential(double Mean);
   const Phase *phase() const;
   Duration between(HostIndex From, HostIndex To) const;
-  RouteLookup drawRoute();
+  RouteIndex drawRoute();
 
   void arrive(TenantIndex Tenant);
   void attempt(std::size_t User);
--- a/bench/model/SimulationState.h
+++ b/bench/model/SimulationState.h
@@ -8,7 +8,7 @@
 /// One attempt of a caller.
 struct RootState {
   std::size_t User = 0;
-  RouteLookup Route = 0;
+  RouteIndex Route = 0;
   TenantIndex Tenant = 0;
   std::uint32_t Rank = 0;
   std::uint64_t Hash = 0;
@@ -28,7 +28,7 @@
   CallId Id;
   RootPtr Root;
   CallPtr Parent;
-  RouteLookup Route = 0;
+  RouteIndex Route = 0;
   HostIndex From = 0;
   HostIndex Host = 0;
   std::vector<HostIndex> Tried;
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -96,37 +96,57 @@
   return Result.Reply;
 }
 
-QuotaService::Asked QuotaService::askHolder(const TenantId &Tenant,
-                                            const ShardHolder &Holder,
-                                            MicroTokens Lacking) {
-  BorrowRequest Request;
-  {
-    std::scoped_lock Lock(TableMutex);
-    const std::uint32_t Batch = std::min(Waiting[Tenant], MaxBatch);
-    Request = beginBorrow(Table, Tenant, Holder, Lacking, Batch, now());
-  }
+std::optional<BorrowReply> QuotaService::ask(const BorrowRequest &Request) {
   Count.add(Counter::QuotaBorrows);
+  if (Request.Holder == Self.Host)
+    return lendHere(Request);
+  const auto Address = addressOf(Request.Holder);
+  if (!Address)
+    return std::nullopt;
   BorrowReply Reply;
-  if (Holder.Host == Self.Host) {
-    Reply = lendHere(Request);
-  } else {
-    const auto Address = addressOf(Holder.Host);
-    if (!Address)
-      return {};
-    const PeerError Error =
-        Peers.exchange(*Address, BorrowTimeout, [&](wire::Peer::Client &Peer) {
-          auto Message = Peer.borrowRequest();
-          writeMessage(Message.initRequest(), Request);
-          return Message.send().then([&Reply](auto &&Response) {
-            Reply = readMessage(Response.getReply());
-          });
+  const PeerError Error =
+      Peers.exchange(*Address, BorrowTimeout, [&](wire::Peer::Client &Peer) {
+        auto Message = Peer.borrowRequest();
+        writeMessage(Message.initRequest(), Request);
+        return Message.send().then([&Reply](auto &&Response) {
+          Reply = readMessage(Response.getReply());
         });
-    if (Error != PeerError::None)
-      return {};
+      });
+  if (Error != PeerError::None)
+    return std::nullopt;
+  return Reply;
+}
+
+SpendResult QuotaService::borrowAndSpend(const TenantId &Tenant,
+                                         SpendResult Result, Instant Deadline) {
+  BorrowSearch Search;
+  Search.Tenant = Tenant;
+  while (Result.Status == SpendStatus::Ask && now() < Deadline) {
+    BorrowStep Step;
+    {
+      std::scoped_lock Lock(TableMutex);
+      Step = nextStep(Table, Search, Result.Lacking,
+                      std::min(Waiting[Tenant], MaxBatch), now());
+    }
+    switch (Step.What) {
+    case BorrowStep::Kind::Refuse:
+      return Result;
+    case BorrowStep::Kind::Wait:
+      std::this_thread::sleep_for(Step.Wait);
+      break;
+    case BorrowStep::Kind::Ask: {
+      const auto Reply = ask(Step.Request);
+      noteReply(Search, Reply ? &*Reply : nullptr);
+      if (Reply) {
+        std::scoped_lock Lock(TableMutex);
+        acceptLease(Table, *Reply, now());
+      }
+      break;
+    }
+    }
+    Result = trySpend(Tenant);
   }
-  std::scoped_lock Lock(TableMutex);
-  acceptLease(Table, Reply, now());
-  return {true, Reply.RecallPending};
+  return Result;
 }
 
 std::optional<Refusal> QuotaService::spendOne(const TenantId &Tenant,
@@ -136,41 +156,15 @@
     Count.add(Counter::QuotaCachedSpends);
     return std::nullopt;
   }
-  std::vector<ShardHolder> Ask;
   {
     std::scoped_lock Lock(TableMutex);
     ++Waiting[Tenant];
-    if (auto It = Table.Tenants.find(Tenant); It != Table.Tenants.end())
-      Ask = It->second.Holders;
-  }
-  // A second round asks only the holders that are recalling idle leases.
-  constexpr int Rounds = 2;
-  for (int Round = 0; Round < Rounds && Result.Status == SpendStatus::Ask;
-       ++Round) {
-    std::vector<ShardHolder> Recalling;
-    for (const ShardHolder &Next : Ask) {
-      if (now() >= Deadline)
-        break;
-      const Asked Answer = askHolder(Tenant, Next, Result.Lacking);
-      if (Answer.RecallPending)
-        Recalling.push_back(Next);
-      Result = trySpend(Tenant);
-      if (Result.Status != SpendStatus::Ask)
-        break;
-    }
-    if (Result.Status != SpendStatus::Ask || Recalling.empty())
-      break;
-    std::this_thread::sleep_for(RecallWait);
-    Ask = std::move(Recalling);
   }
-  std::vector<Settlement> Returned;
+  Result = borrowAndSpend(Tenant, Result, Deadline);
   {
     std::scoped_lock Lock(TableMutex);
     --Waiting[Tenant];
-    if (Result.Status != SpendStatus::Spent)
-      Returned = giveBackAll(Table, Tenant, now());
   }
-  std::ranges::for_each(Returned, [this](const Settlement &M) { send(M); });
   switch (Result.Status) {
   case SpendStatus::Spent:
     return std::nullopt;
--- a/src/node/QuotaService.h
+++ b/src/node/QuotaService.h
@@ -46,15 +46,11 @@
                  wire::Peer::ReleaseResults::Builder Out);
 
 private:
-  struct Asked {
-    bool Answered = false;
-    bool RecallPending = false;
-  };
-
   void run();
   SpendResult trySpend(const TenantId &Tenant);
-  Asked askHolder(const TenantId &Tenant, const ShardHolder &Holder,
-                  MicroTokens Lacking);
+  SpendResult borrowAndSpend(const TenantId &Tenant, SpendResult First,
+                             Instant Deadline);
+  std::optional<BorrowReply> ask(const BorrowRequest &Request);
   BorrowReply lendHere(const BorrowRequest &Request);
   void send(const Settlement &Message);
   void send(const Recall &Message);
--- a/src/peer/Peer.capnp
+++ b/src/peer/Peer.capnp
@@ -84,7 +84,7 @@
   lease @4 :UInt64;
   tokensMicro @5 :Int64;
   lifetimeMicros @6 :Int64;
-  recallPending @7 :Bool;
+  askAgain @7 :Bool;
 }
 
 struct LeaseReport {
--- a/src/peer/Peer.capnp.c++
+++ b/src/peer/Peer.capnp.c++
@@ -1155,7 +1155,7 @@
       7,   0,   0,   0,   0,   1,   0,   0,
       0,   0,   1,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    253,   0,   0,   0, 114,   0,   0,   0,
+    253,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     252,   0,   0,   0,   3,   0,   1,   0,
       8,   1,   0,   0,   2,   0,   1,   0,
@@ -1219,8 +1219,8 @@
       5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    114, 101,  99,  97, 108, 108,  80, 101,
-    110, 100, 105, 110, 103,   0,   0,   0,
+     97, 115, 107,  65, 103,  97, 105, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1235,7 +1235,7 @@
   &s_8aa72649af9b8dcb,
   &s_ad00f97b7e3710a3,
 };
-static const uint16_t m_afdfa195ad34bc4c[] = {2, 1, 4, 6, 7, 3, 0, 5};
+static const uint16_t m_afdfa195ad34bc4c[] = {7, 2, 1, 4, 6, 3, 0, 5};
 static const uint16_t i_afdfa195ad34bc4c[] = {0, 1, 2, 3, 4, 5, 6, 7};
 const ::capnp::_::RawSchema s_afdfa195ad34bc4c = {
   0xafdfa195ad34bc4c, b_afdfa195ad34bc4c.words, 142, d_afdfa195ad34bc4c, m_afdfa195ad34bc4c,
--- a/src/peer/Peer.capnp.h
+++ b/src/peer/Peer.capnp.h
@@ -1801,7 +1801,7 @@
 
   inline  ::int64_t getLifetimeMicros() const;
 
-  inline bool getRecallPending() const;
+  inline bool getAskAgain() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1864,8 +1864,8 @@
   inline  ::int64_t getLifetimeMicros();
   inline void setLifetimeMicros( ::int64_t value);
 
-  inline bool getRecallPending();
-  inline void setRecallPending(bool value);
+  inline bool getAskAgain();
+  inline void setAskAgain(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6773,16 +6773,16 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BorrowReply::Reader::getRecallPending() const {
+inline bool BorrowReply::Reader::getAskAgain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
 
-inline bool BorrowReply::Builder::getRecallPending() {
+inline bool BorrowReply::Builder::getAskAgain() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
-inline void BorrowReply::Builder::setRecallPending(bool value) {
+inline void BorrowReply::Builder::setAskAgain(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
--- a/src/peer/QuotaWire.cpp
+++ b/src/peer/QuotaWire.cpp
@@ -41,14 +41,14 @@
   Out.setLease(In.Lease.Value);
   Out.setTokensMicro(In.Tokens.Value);
   Out.setLifetimeMicros(In.Lifetime.count());
-  Out.setRecallPending(In.RecallPending);
+  Out.setAskAgain(In.AskAgain);
 }
 
 BorrowReply readMessage(wire::BorrowReply::Reader In) {
   return {readShard(In.getShard()),         readIncarnation(In.getHolder()),
           readIncarnation(In.getBorrower()), In.getSequence(),
           LeaseId(In.getLease()),           MicroTokens{In.getTokensMicro()},
-          Duration(In.getLifetimeMicros()), In.getRecallPending()};
+          Duration(In.getLifetimeMicros()), In.getAskAgain()};
 }
 
 void writeMessage(wire::Settlement::Builder Out, const Settlement &In) {
