Read the configuration service from the start

Cause: a node without a bundle asked nobody, since the view's watcher flag was false until membership sets it, so ./demo ended with nodes that were not ready. Change: a node is a watcher until a bundle tells its place in the zone.

--- a/src/node/ViewService.cpp
+++ b/src/node/ViewService.cpp
@@ -5,7 +5,9 @@
 
 namespace pollenwick {
 
-ViewService::ViewService(const HostId &Self) : State(makeView(Self, now())) {}
+ViewService::ViewService(const HostId &Self) : State(makeView(Self, now())) {
+  State.Watcher = true; // Until a bundle tells the place in the zone.
+}
 
 ViewLease ViewService::lease() const {
   std::scoped_lock Lock(Mutex);
