--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -15,21 +15,38 @@
 
 constexpr Duration LoopInterval = std::chrono::milliseconds(20);
 constexpr Duration QuestionTimeout = std::chrono::milliseconds(500);
-constexpr Duration FetchTimeout = std::chrono::seconds(2);
 constexpr Duration SeedInterval = std::chrono::milliseconds(500);
 
 std::string bytesOfData(capnp::Data::Reader In) {
   return {reinterpret_cast<const char *>(In.begin()), In.size()};
 }
 
+std::string valueName(const Fetch &What) {
+  switch (What.What) {
+  case Fetch::Kind::Newest:
+    return std::string(PointerValueName);
+  case Fetch::Kind::Ancestor:
+    return ancestorValueName(What.Wanted);
+  case Fetch::Kind::Chunk:
+    return chunkValueName(What.Wanted);
+  }
+  return "";
+}
+
 } // namespace
 
-ConfigDuty::ConfigDuty(const Settings &S, PublicKey O, const Kernel &Registry)
-    : Options(S), Operator(O), Count(Registry.find<Counters>("counters")),
+ConfigDuty::ConfigDuty(const Settings &S, const IncarnationId &I, PublicKey O,
+                       const Kernel &Registry)
+    : Options(S), Self(I), Operator(O),
+      Count(Registry.find<Counters>("counters")),
       View(Registry.find<ViewService>("view")),
       Bundles(Registry.find<BundleStore>("bundles")),
       Peers(Registry.find<PeerDuty>("peers")),
-      Service(std::make_unique<ConfigClient>(S.ConfigService)) {}
+      Service(std::make_unique<ConfigClient>(S.ConfigService)),
+      State(beginConfig(Tuning, I.Start.Value, now())) {
+  // Without a bundle no other node is known but the seeds.
+  Sources.Watcher = true;
+}
 
 ConfigDuty::~ConfigDuty() = default;
 
@@ -43,6 +60,24 @@
     Thread.join();
 }
 
+void ConfigDuty::setPlace(bool Watcher, std::vector<HostId> Parents) {
+  View.with([&](ViewState &V) {
+    V.Watcher = Watcher;
+    V.Parents = Parents;
+  });
+  std::scoped_lock Lock(Mutex);
+  Sources.Watcher = Watcher;
+  Sources.Parents = std::move(Parents);
+}
+
+void ConfigDuty::noteHeard(const Version &Announced, const HostId &From) {
+  View.with([&](ViewState &V) {
+    recordHearsay(V, {Announced.Number, Announced.Root});
+  });
+  std::scoped_lock Lock(Mutex);
+  noteVersion(State, Announced, From);
+}
+
 std::optional<PeerAddress> ConfigDuty::addressOf(const HostId &Host) const {
   const BundlePtr Bundle = Bundles.current();
   const HostSpec *Spec = Bundle ? findHost(*Bundle, Host) : nullptr;
@@ -54,21 +89,29 @@
 void ConfigDuty::run() {
   Instant NextSeeds{};
   while (!Stopping) {
-    const auto Due =
-        View.with([](ViewState &State) { return dueQuestions(State, now()); });
-    for (const ViewQuestion &Question : Due)
+    const auto Questions =
+        View.with([](ViewState &V) { return dueQuestions(V, now()); });
+    for (const ViewQuestion &Question : Questions)
       ask(Question);
-    std::vector<PeerAddress> Ahead;
+    std::vector<Fetch> Due;
     {
       std::scoped_lock Lock(Mutex);
-      Ahead.swap(Newer);
+      Due = dueFetches(State, Tuning, Sources, now());
     }
-    std::ranges::for_each(
-        Ahead, [this](const PeerAddress &Peer) { fetchFromPeer(Peer); });
+    for (const Fetch &What : Due)
+      fetch(What);
     if (!Bundles.current() && now() >= NextSeeds) {
       askSeeds();
       NextSeeds = now() + SeedInterval;
     }
+    std::vector<Answer> Got;
+    {
+      std::scoped_lock Lock(InboxMutex);
+      Got.swap(Inbox);
+    }
+    for (const Answer &One : Got)
+      take(One);
+    bringIntoForce();
     std::this_thread::sleep_for(LoopInterval);
   }
 }
@@ -89,21 +132,14 @@
   const auto Read = Service->read(PointerValueName);
   if (!Read.ok()) {
     Count.add(Counter::ConfigReadErrors);
-    std::scoped_lock Lock(Mutex);
-    LastError = std::string(Read.status().message());
-    return;
+    return reject(Read.status().message());
   }
   const auto Head = verifyPointer(*Read, {Operator});
-  if (!Head.ok()) {
-    Count.add(Counter::BundlesRejected);
-    std::scoped_lock Lock(Mutex);
-    LastError = std::string(Head.status().message());
-    return;
-  }
-  View.with([&](ViewState &State) {
-    recordService(State, Question.Nonce, {Head->Number, Head->Root});
-  });
-  offer(*Read, nullptr);
+  if (Head.ok())
+    View.with([&](ViewState &V) {
+      recordService(V, Question.Nonce, {Head->Number, Head->Root});
+    });
+  takePointer({}, *Read);
 }
 
 void ConfigDuty::askParent(const ViewQuestion &Question) {
@@ -111,20 +147,19 @@
   if (!To)
     return;
   const std::uint64_t Nonce = Question.Nonce;
-  Peers.post(*To, QuestionTimeout, [this, To, Nonce](wire::Peer::Client &Peer) {
-    return Peer.confirmRequest().send().then([this, To, Nonce](auto &&Reply) {
+  const HostId From = Question.Target;
+  Peers.post(*To, QuestionTimeout, [this, From,
+                                    Nonce](wire::Peer::Client &Peer) {
+    return Peer.confirmRequest().send().then([this, From, Nonce](auto &&Reply) {
       const auto Said = Reply.getConfirmation();
       if (!Said.getKnown())
         return;
       const RevisionKey Held = readMessage(Said.getHeld());
-      const bool Ahead = View.with([&](ViewState &State) {
-        recordConfirmation(State, Nonce, {Held, Duration(Said.getAgeMicros())});
-        return Held > State.Held;
+      View.with([&](ViewState &V) {
+        recordConfirmation(V, Nonce, {Held, Duration(Said.getAgeMicros())});
       });
-      if (!Ahead)
-        return;
       std::scoped_lock Lock(Mutex);
-      Newer.push_back(*To);
+      noteVersion(State, {Held.Number, Held.Root}, From);
     });
   });
 }
@@ -134,111 +169,213 @@
   if (!To)
     return;
   const std::uint64_t Nonce = Question.Nonce;
-  Peers.post(*To, QuestionTimeout, [this, To, Nonce](wire::Peer::Client &Peer) {
-    return Peer.witnessRequest().send().then([this, To, Nonce](auto &&Reply) {
+  const HostId From = Question.Target;
+  Peers.post(*To, QuestionTimeout, [this, From,
+                                    Nonce](wire::Peer::Client &Peer) {
+    return Peer.witnessRequest().send().then([this, From, Nonce](auto &&Reply) {
       const auto Said = Reply.getAnswer();
       if (!Said.getKnown())
         return;
       const WitnessReply Answer{readMessage(Said.getHeld()),
                                 readMessage(Said.getHostsSince()),
                                 Duration(Said.getHostsHeldMicros())};
-      const bool Ahead = View.with([&](ViewState &State) {
-        recordWitness(State, Nonce, Answer, now());
-        return Answer.Held > State.Held;
-      });
-      if (!Ahead)
-        return;
+      View.with([&](ViewState &V) { recordWitness(V, Nonce, Answer, now()); });
       std::scoped_lock Lock(Mutex);
-      Newer.push_back(*To);
+      noteVersion(State, {Answer.Held.Number, Answer.Held.Root}, From);
     });
   });
 }
 
+void ConfigDuty::fetch(const Fetch &What) {
+  if (!What.Peer)
+    return fetchFromService(What);
+  const auto To = addressOf(*What.Peer);
+  if (!To)
+    return deliver({What, std::nullopt});
+  fetchFromPeer(*To, What);
+}
+
+void ConfigDuty::fetchFromService(const Fetch &What) {
+  Count.add(Counter::ConfigReads);
+  auto Read = Service->read(valueName(What));
+  if (Read.ok())
+    return take({What, *std::move(Read)});
+  Count.add(Counter::ConfigReadErrors);
+  if (absl::IsNotFound(Read.status()) && What.What == Fetch::Kind::Newest)
+    return take({What, ""});
+  reject(Read.status().message());
+  take({What, std::nullopt});
+}
+
+void ConfigDuty::fetchFromPeer(const PeerAddress &To, const Fetch &What) {
+  Peers.post(To, Tuning.FetchTimeout, [this, What](wire::Peer::Client &Peer) {
+    const auto Failed = [this, What](kj::Exception &&) {
+      deliver({What, std::nullopt});
+    };
+    if (What.What == Fetch::Kind::Chunk) {
+      auto Request = Peer.chunkRequest();
+      Request.setDigest(bytesOf(What.Wanted));
+      return Request.send().then(
+          [this, What](auto &&Reply) {
+            deliver({What, Reply.getFound()
+                               ? std::optional(bytesOfData(Reply.getContent()))
+                               : std::nullopt});
+          },
+          Failed);
+    }
+    auto Request = Peer.pointerRequest();
+    if (What.What == Fetch::Kind::Ancestor)
+      Request.setRoot(bytesOf(What.Wanted));
+    return Request.send().then(
+        [this, What](auto &&Reply) {
+          deliver({What, bytesOfData(Reply.getDocument())});
+        },
+        Failed);
+  });
+}
+
 // A node that starts in an outage of the service gets the bundle from a peer.
 void ConfigDuty::askSeeds() {
   for (const Endpoint &Seed : Options.Seeds) {
-    fetchFromPeer({Seed.Address, Seed.Port});
-    if (Bundles.current())
-      return;
+    const PeerAddress To{Seed.Address, Seed.Port};
+    std::string Document;
+    Peers.exchange(To, Tuning.FetchTimeout, [&](wire::Peer::Client &Peer) {
+      return Peer.pointerRequest().send().then([&Document](auto &&Reply) {
+        Document = bytesOfData(Reply.getDocument());
+      });
+    });
+    const auto Head = verifyPointer(Document, {Operator});
+    if (!Head.ok())
+      continue;
+    takePointer({}, Document);
+    for (const ChunkRef &Ref : Head->Chunks) {
+      if (chunk(Ref.Sum))
+        continue;
+      std::string Content;
+      Peers.exchange(To, Tuning.FetchTimeout, [&](wire::Peer::Client &Peer) {
+        auto Request = Peer.chunkRequest();
+        Request.setDigest(bytesOf(Ref.Sum));
+        return Request.send().then([&Content](auto &&Reply) {
+          if (Reply.getFound())
+            Content = bytesOfData(Reply.getContent());
+        });
+      });
+      takeChunk({Fetch::Kind::Chunk, Ref.Sum, std::nullopt}, Content);
+    }
+    return;
   }
 }
 
-void ConfigDuty::fetchFromPeer(const PeerAddress &Peer) {
-  std::string Offered;
-  const PeerError Error =
-      Peers.exchange(Peer, FetchTimeout, [&](wire::Peer::Client &Client) {
-        return Client.pointerRequest().send().then([&Offered](auto &&Reply) {
-          Offered = bytesOfData(Reply.getDocument());
-        });
-      });
-  if (Error == PeerError::None && !Offered.empty())
-    offer(Offered, &Peer);
+void ConfigDuty::deliver(Answer Got) {
+  std::scoped_lock Lock(InboxMutex);
+  if (Inbox.size() < MaxInbox) // Otherwise the fetch is repeated when due.
+    Inbox.push_back(std::move(Got));
 }
 
-std::optional<std::string> ConfigDuty::fetchChunk(const Digest &Sum,
-                                                  const PeerAddress *Peer) {
-  if (auto Known = chunk(Sum))
-    return Known;
-  if (Peer) {
-    std::optional<std::string> Got;
-    Peers.exchange(*Peer, FetchTimeout, [&](wire::Peer::Client &Client) {
-      auto Request = Client.chunkRequest();
-      Request.setDigest(bytesOf(Sum));
-      return Request.send().then([&Got](auto &&Reply) {
-        if (Reply.getFound())
-          Got = bytesOfData(Reply.getContent());
-      });
-    });
-    if (Got)
-      return Got;
+void ConfigDuty::take(const Answer &Got) {
+  if (!Got.Content) {
+    std::scoped_lock Lock(Mutex);
+    return onFetchFailed(State, Tuning, Got.What, now());
   }
-  Count.add(Counter::ConfigReads);
-  auto Read = Service->read(chunkValueName(Sum));
-  if (Read.ok())
-    return *std::move(Read);
-  Count.add(Counter::ConfigReadErrors);
-  return std::nullopt;
+  if (Got.What.What == Fetch::Kind::Chunk)
+    return takeChunk(Got.What, *Got.Content);
+  if (Got.Content->empty()) {
+    std::scoped_lock Lock(Mutex);
+    if (Got.What.What == Fetch::Kind::Newest)
+      return onEmptyAnswer(State, Got.What.Peer);
+    return onFetchFailed(State, Tuning, Got.What, now());
+  }
+  takePointer(Got.What, *Got.Content);
 }
 
-void ConfigDuty::offer(const std::string &Offered, const PeerAddress *Peer) {
-  const auto Head = verifyPointer(Offered, {Operator});
-  const auto Reject = [this](const absl::Status &Why) {
-    Count.add(Counter::BundlesRejected);
+void ConfigDuty::takePointer(const Fetch &What, const std::string &Text) {
+  const auto Head = verifyPointer(Text, {Operator});
+  if (!Head.ok()) {
+    reject(Head.status().message());
     std::scoped_lock Lock(Mutex);
-    LastError = std::string(Why.message());
-  };
-  if (!Head.ok())
-    return Reject(Head.status());
-  const BundlePtr Old = Bundles.current();
-  const RevisionKey Key{Head->Number, Head->Root};
-  if (Old && Key <= Old->Key)
+    return onFetchFailed(State, Tuning, What, now());
+  }
+  std::scoped_lock Lock(Mutex);
+  const OfferVerdict Verdict =
+      What.What == Fetch::Kind::Ancestor
+          ? offerAncestor(State, Tuning, *Head, true, now())
+          : offerPointer(State, Tuning, *Head, true, What.Peer, now());
+  if (Verdict == OfferVerdict::Unwanted || Verdict == OfferVerdict::Older ||
+      !Documents.emplace(Head->Root, Text).second)
     return;
-  ChunkMap Got;
-  for (const ChunkRef &Ref : Head->Chunks) {
-    auto Content = fetchChunk(Ref.Sum, Peer);
-    if (!Content)
-      return; // Asked again with the next answer.
-    Got.emplace(Ref.Sum, *std::move(Content));
+  DocumentOrder.push_back(Head->Root);
+  if (DocumentOrder.size() > Tuning.MaxHistory) {
+    Documents.erase(DocumentOrder.front());
+    DocumentOrder.erase(DocumentOrder.begin());
   }
-  auto Rules = assembleBundle(*Head, Got);
-  if (!Rules.ok())
-    return Reject(Rules.status());
-  const BundlePtr New = activate(*std::move(Rules), Head->Root, Old);
+}
+
+void ConfigDuty::takeChunk(const Fetch &What, const std::string &Content) {
+  if (sha256(Content) != What.Wanted) {
+    reject("a chunk does not have the digest it was asked by");
+    std::scoped_lock Lock(Mutex);
+    return onFetchFailed(State, Tuning, What, now());
+  }
+  std::scoped_lock Lock(Mutex);
+  if (offerChunk(State, What.Wanted) != OfferVerdict::Unwanted)
+    Chunks.emplace(What.Wanted, Content);
+}
+
+void ConfigDuty::bringIntoForce() {
+  const BundlePtr Old = Bundles.current();
+  const bool Confirmed =
+      View.with([](const ViewState &V) { return V.ConfirmedAt.has_value(); });
+  std::optional<Pointer> Head;
+  ChunkMap Held;
   {
     std::scoped_lock Lock(Mutex);
-    Document = Offered;
-    Chunks = std::move(Got);
+    if (Confirmed)
+      onServiceConfirmed(State);
+    if (!State.InForce || State.InForce == Applied)
+      return;
+    Head = State.InForce;
+    Held = Chunks;
+  }
+  auto Rules = assembleBundle(*Head, Held);
+  if (!Rules.ok()) {
+    reject(Rules.status().message());
+    std::scoped_lock Lock(Mutex);
+    return rejectInForce(State, Applied);
+  }
+  const BundlePtr New = activate(*std::move(Rules), *Head, Old);
+  {
+    std::scoped_lock Lock(Mutex);
+    // A starting node asks several sources first, so that a stale read does
+    // not put an old revision into force.
+    if (!mayServe(State, Tuning, New->Rules->Rules.Witnesses, now())) {
+      Sources.Witnesses = New->Rules->Rules.Witnesses;
+      return;
+    }
+    Applied = Head;
+    for (const Digest &Sum : dropUnusedChunks(State))
+      Chunks.erase(Sum);
     LastError.clear();
   }
   Bundles.replace(New);
   Count.add(Counter::BundlesAccepted);
   logState("config", "bundle in force",
-           {{"revision", std::to_string(Key.Number.Value)}});
+           {{"revision", std::to_string(Head->Number.Value)}});
+}
+
+void ConfigDuty::reject(std::string_view Why) {
+  Count.add(Counter::BundlesRejected);
+  std::scoped_lock Lock(Mutex);
+  LastError = std::string(Why);
 }
 
-std::string ConfigDuty::pointerDocument() const {
+std::string
+ConfigDuty::pointerDocument(const std::optional<Digest> &Root) const {
   std::scoped_lock Lock(Mutex);
-  return Document;
+  if (!Root && !State.InForce)
+    return "";
+  const auto It = Documents.find(Root.value_or(
+      State.InForce ? State.InForce->Root : Digest{}));
+  return It == Documents.end() ? "" : It->second;
 }
 
 std::optional<std::string> ConfigDuty::chunk(const Digest &Sum) const {
@@ -254,7 +391,11 @@
   Out.set("revision", Active ? Active->Key.Number.Value : 0);
   Out.set("root", Active ? digestText(Active->Key.Root) : "");
   std::scoped_lock Lock(Mutex);
+  Out.set("newest_known_revision", newestKnown(State).Number.Value);
+  Out.set("watcher", Sources.Watcher);
   Out.set("chunks", Chunks.size());
+  Out.set("forks_seen", State.ForksSeen);
+  Out.set("unusable_revisions", State.Unusable);
   Out.set("last_error", LastError);
 }
 
--- a/src/node/ConfigDuty.h
+++ b/src/node/ConfigDuty.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_NODE_CONFIGDUTY_H
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -9,9 +10,9 @@
 #include <thread>
 #include <vector>
 
-#include "absl/status/statusor.h"
 #include "bundle/Published.h"
 #include "bundle/Signing.h"
+#include "core/config/Config.h"
 #include "node/Counters.h"
 #include "node/Kernel.h"
 #include "node/Settings.h"
@@ -22,11 +23,13 @@
 
 class ConfigClient;
 
-/// Keeps the node's view fresh and brings new bundles into force. Asks the
-/// configuration service, other nodes and the witnesses when due.
+/// Keeps the node's view fresh and brings new bundles into force. Its thread
+/// asks the configuration service, other nodes and the witnesses when due;
+/// answers of other nodes reach it through an inbox.
 class ConfigDuty final : public Duty {
 public:
-  ConfigDuty(const Settings &S, PublicKey Operator, const Kernel &Registry);
+  ConfigDuty(const Settings &S, const IncarnationId &Self, PublicKey Operator,
+             const Kernel &Registry);
   ~ConfigDuty() override;
 
   std::string_view name() const override { return "config"; }
@@ -34,28 +37,43 @@
   void stop() override;
   void dump(Poco::JSON::Object &Out) const override;
 
+  // Called by the membership duty.
+  void setPlace(bool Watcher, std::vector<HostId> Parents);
+  void noteHeard(const Version &Announced, const HostId &From);
+
   // Requests of other nodes; thread-safe.
-  std::string pointerDocument() const;
+  std::string pointerDocument(const std::optional<Digest> &Root) const;
   std::optional<std::string> chunk(const Digest &Sum) const;
 
 private:
+  /// What became of a fetch; no content: the source did not answer.
+  struct Answer {
+    Fetch What;
+    std::optional<std::string> Content;
+  };
+  static constexpr std::size_t MaxInbox = 256;
+
   void run();
   void ask(const ViewQuestion &Question);
   void askService(const ViewQuestion &Question);
   void askParent(const ViewQuestion &Question);
   void askWitness(const ViewQuestion &Question);
+  void fetch(const Fetch &What);
+  void fetchFromService(const Fetch &What);
+  void fetchFromPeer(const PeerAddress &Peer, const Fetch &What);
   void askSeeds();
-  void fetchFromPeer(const PeerAddress &Peer);
-
-  /// Accepts a pointer document when it is signed and newer, fetching missing
-  /// chunks from `Peer` first, if given, and then from the service.
-  void offer(const std::string &Document, const PeerAddress *Peer);
-  std::optional<std::string> fetchChunk(const Digest &Sum,
-                                        const PeerAddress *Peer);
+  void deliver(Answer Got);
+  void take(const Answer &Got);
+  void takePointer(const Fetch &What, const std::string &Text);
+  void takeChunk(const Fetch &What, const std::string &Content);
+  void bringIntoForce();
   std::optional<PeerAddress> addressOf(const HostId &Host) const;
+  void reject(std::string_view Why);
 
   const Settings Options;
+  const IncarnationId Self;
   const PublicKey Operator;
+  const ConfigSettings Tuning;
   Counters &Count;
   ViewService &View;
   BundleStore &Bundles;
@@ -63,10 +81,16 @@
   std::unique_ptr<ConfigClient> Service;
 
   mutable std::mutex Mutex;
-  std::string Document; ///< Pointer in force, as published.
-  ChunkMap Chunks;      ///< Of the pointer in force and the one before.
+  ConfigState State;
+  PullSources Sources;
+  std::map<Digest, std::string> Documents; ///< Pointers by root.
+  std::vector<Digest> DocumentOrder;       ///< Oldest first.
+  ChunkMap Chunks;
+  std::optional<Pointer> Applied; ///< The pointer that is in force here.
   std::string LastError;
-  std::vector<PeerAddress> Newer; ///< Peers that named a newer revision.
+
+  std::mutex InboxMutex;
+  std::vector<Answer> Inbox;
 
   std::atomic<bool> Stopping = false;
   std::thread Thread;
--- a/src/node/Counters.cpp
+++ b/src/node/Counters.cpp
@@ -41,6 +41,7 @@
         {"heartbeats_sent", "Datagrams sent to other nodes."},
         {"heartbeats_received", "Datagrams accepted from other nodes."},
         {"heartbeats_rejected", "Datagrams that could not be read."},
+        {"host_list_errors", "Failed reads of the host list."},
         {"peer_requests", "Exchanges started with other nodes."},
     }};
 
--- a/src/node/Counters.h
+++ b/src/node/Counters.h
@@ -40,6 +40,7 @@
   HeartbeatsSent,
   HeartbeatsReceived,
   HeartbeatsRejected,
+  HostListErrors,
   PeerRequests,
   Count,
 };
--- /dev/null
+++ b/src/node/MembershipDuty.cpp
@@ -0,0 +1,259 @@
+#include "node/MembershipDuty.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <istream>
+#include <iterator>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Timestamp.h>
+
+#include "peer/Clock.h"
+#include "peer/HeartbeatWire.h"
+
+namespace pollenwick {
+namespace {
+
+constexpr int ReceiveTimeoutMicroseconds = 50'000;
+/// With the news of a heartbeat a datagram stays near one packet.
+constexpr std::size_t SuspicionsPerBeat = 6;
+/// The list lags by more than this anyway.
+constexpr Duration HostListInterval = std::chrono::seconds(2);
+constexpr Duration StopPoll = std::chrono::milliseconds(50);
+constexpr std::streamsize MaxHostListBytes = 4 << 20;
+constexpr int HostListTimeoutMicroseconds = 1'000'000;
+
+std::vector<ListedHost> parseHostList(const std::string &Text) {
+  Poco::JSON::Parser Parser;
+  Parser.getHandler(); // The default handler builds the tree.
+  const auto Root =
+      Parser.parse(Text).extract<Poco::JSON::Object::Ptr>()->getArray("hosts");
+  std::vector<ListedHost> Out;
+  for (std::size_t I = 0; Root && I < Root->size(); ++I) {
+    const auto Row = Root->getObject(static_cast<unsigned>(I));
+    Out.push_back({HostId(Row->getValue<std::string>("id")),
+                   Row->getValue<std::string>("state") == "leaving"});
+  }
+  return Out;
+}
+
+std::string fetchHostList(const Endpoint &From) {
+  using namespace Poco::Net;
+  HTTPClientSession Session(From.Address, From.Port);
+  Session.setTimeout(Poco::Timespan(HostListTimeoutMicroseconds));
+  HTTPRequest Request(HTTPRequest::HTTP_GET, "/v1/hosts",
+                      HTTPRequest::HTTP_1_1);
+  Session.sendRequest(Request);
+  HTTPResponse Response;
+  std::istream &In = Session.receiveResponse(Response);
+  const auto Length = Response.getContentLength64();
+  if (Response.getStatus() != HTTPResponse::HTTP_OK || Length < 0 ||
+      Length > MaxHostListBytes)
+    throw Poco::DataFormatException("host list without a usable length");
+  std::string Body(static_cast<std::size_t>(Length), '\0');
+  In.read(Body.data(), static_cast<std::streamsize>(Length));
+  return Body;
+}
+
+} // namespace
+
+MembershipDuty::MembershipDuty(const Settings &S, const IncarnationId &I,
+                               const Kernel &Registry)
+    : Options(S), Self(I), Count(Registry.find<Counters>("counters")),
+      View(Registry.find<ViewService>("view")),
+      Bundles(Registry.find<BundleStore>("bundles")),
+      Crashes(Registry.find<CrashService>("crashes")),
+      Calls(Registry.find<Forwarder>("forwarder")),
+      Config(Registry.find<ConfigDuty>("config")),
+      State(beginMembership(
+          {S.Host, S.Zone}, I.Start,
+          static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds()),
+          I.Start.Value, now())) {}
+
+std::string MembershipDuty::open() {
+  try {
+    Socket = Poco::Net::DatagramSocket(
+        Poco::Net::SocketAddress(Options.Address, Options.MembershipPort),
+        false);
+    Socket.setReceiveTimeout(Poco::Timespan(ReceiveTimeoutMicroseconds));
+    return "";
+  } catch (const Poco::Exception &Error) {
+    return "cannot bind membership port " + Options.Address + ":" +
+           std::to_string(Options.MembershipPort) + ": " +
+           Error.displayText() + "; use a free port";
+  }
+}
+
+void MembershipDuty::start() {
+  Thread = std::thread([this] { run(); });
+  if (Options.HostList.Port != 0)
+    ListThread = std::thread([this] {
+      Instant Next = now();
+      while (!Stopping) {
+        if (now() >= Next) {
+          readHostList();
+          Next = now() + HostListInterval;
+        }
+        std::this_thread::sleep_for(StopPoll);
+      }
+    });
+}
+
+void MembershipDuty::stop() {
+  Stopping = true;
+  for (std::thread *T : {&Thread, &ListThread})
+    if (T->joinable())
+      T->join();
+}
+
+void MembershipDuty::onBundle(const BundlePtr &New) {
+  std::vector<HostAndZone> Hosts;
+  std::ranges::transform(
+      New->Rules->Hosts, std::back_inserter(Hosts),
+      [](const HostSpec &Host) { return HostAndZone{Host.Id, Host.Zone}; });
+  {
+    std::scoped_lock Lock(Mutex);
+    setHosts(State, Hosts, now());
+  }
+  publishPlace();
+}
+
+void MembershipDuty::publishPlace() {
+  bool Watcher = false;
+  std::vector<HostId> Parents;
+  {
+    std::scoped_lock Lock(Mutex);
+    Watcher = isWatcher(State);
+    Parents = pullParents(State, Tuning);
+  }
+  Config.setPlace(Watcher, Parents);
+}
+
+void MembershipDuty::announceLeaving() {
+  std::scoped_lock Lock(Mutex);
+  beginLeaving(State, Tuning);
+  State.NextBeat = now();
+}
+
+void MembershipDuty::run() {
+  while (!Stopping) {
+    receive();
+    sendDue();
+  }
+  sendDue();
+}
+
+void MembershipDuty::receive() {
+  std::array<char, MaxDatagram> Buffer;
+  try {
+    Poco::Net::SocketAddress From;
+    const int Size = Socket.receiveFrom(
+        Buffer.data(), static_cast<int>(Buffer.size()), From);
+    const auto Content = decodeDatagram(
+        {Buffer.data(), static_cast<std::size_t>(std::max(Size, 0))});
+    if (!Content)
+      return Count.add(Counter::HeartbeatsRejected);
+    Count.add(Counter::HeartbeatsReceived);
+    apply(Content->Beat);
+    if (!Content->Suspicions.empty())
+      Crashes.hear(Content->Suspicions);
+  } catch (const Poco::TimeoutException &) {
+    return; // Nothing to receive.
+  } catch (const Poco::Exception &) {
+    // An ICMP error of an earlier datagram; its host is found dead by timeout.
+    Count.add(Counter::HeartbeatsRejected);
+  }
+}
+
+void MembershipDuty::apply(const Heartbeat &Beat) {
+  {
+    std::scoped_lock Lock(Mutex);
+    onHeartbeat(State, Tuning, Beat, now());
+  }
+  const auto Tell = [this](const HostNews &News) {
+    if (News.Host == Self.Host)
+      return;
+    Calls.onIncarnation(News.Host, News.Start);
+    if (News.Leaving)
+      Calls.onLeaving(News.Host);
+  };
+  Tell(Beat.Self);
+  std::ranges::for_each(Beat.News, Tell);
+  Config.noteHeard({Beat.Number, Beat.Root}, Beat.Self.Host);
+}
+
+void MembershipDuty::sendDue() {
+  const BundlePtr Bundle = Bundles.current();
+  if (!Bundle)
+    return;
+  std::optional<Beats> Due;
+  {
+    std::scoped_lock Lock(Mutex);
+    Due = dueHeartbeats(State, Tuning, Bundle->Key.Number, Bundle->Key.Root,
+                        now());
+  }
+  if (!Due)
+    return;
+  publishPlace();
+  const std::string Bytes =
+      encodeDatagram({Due->Message, Crashes.gossip(SuspicionsPerBeat)});
+  for (const HostId &Target : Due->Targets) {
+    const HostSpec *Host = findHost(*Bundle, Target);
+    if (!Host)
+      continue;
+    try {
+      Socket.sendTo(
+          Bytes.data(), static_cast<int>(Bytes.size()),
+          Poco::Net::SocketAddress(Host->Address, Host->MembershipPort));
+      Count.add(Counter::HeartbeatsSent);
+    } catch (const Poco::Exception &) {
+      continue; // The next heartbeat is sent anyway.
+    }
+  }
+}
+
+void MembershipDuty::readHostList() {
+  // Only the watchers read the list, so that its load does not grow with the
+  // fleet; the others learn from heartbeats.
+  if (!View.with([](const ViewState &S) { return S.Watcher; }))
+    return;
+  try {
+    const auto List = parseHostList(fetchHostList(Options.HostList));
+    {
+      std::scoped_lock Lock(Mutex);
+      onHostList(State, List);
+    }
+    for (const ListedHost &Host : List)
+      Calls.onHostList(Host.Host, Host.Leaving);
+  } catch (const Poco::Exception &) {
+    Count.add(Counter::HostListErrors);
+  }
+}
+
+void MembershipDuty::dump(Poco::JSON::Object &Out) const {
+  std::scoped_lock Lock(Mutex);
+  const auto With = [this](Liveness Status) {
+    return std::ranges::count_if(State.Members, [&](const Member &M) {
+      return M.Info.Status == Status;
+    });
+  };
+  Out.set("members", State.Members.size());
+  Out.set("alive", With(Liveness::Alive));
+  Out.set("suspected", With(Liveness::Suspected));
+  Out.set("dead", With(Liveness::Dead));
+  Out.set("leaving", std::ranges::count_if(State.Members, [](const Member &M) {
+            return M.Info.Leaving;
+          }));
+  Poco::JSON::Array::Ptr Parents = new Poco::JSON::Array;
+  for (const HostId &Host : pullParents(State, Tuning))
+    Parents->add(Host.Text);
+  Out.set("parents", Parents);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/node/MembershipDuty.h
@@ -0,0 +1,70 @@
+#ifndef POLLENWICK_NODE_MEMBERSHIPDUTY_H
+#define POLLENWICK_NODE_MEMBERSHIPDUTY_H
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include "core/membership/Membership.h"
+#include "node/ConfigDuty.h"
+#include "node/Counters.h"
+#include "node/CrashService.h"
+#include "node/Forwarder.h"
+#include "node/Kernel.h"
+#include "node/Settings.h"
+#include "node/ViewService.h"
+
+namespace pollenwick {
+
+/// Exchanges heartbeats with a few other nodes and tells the other parts who
+/// leaves, who restarted and where to pull the configuration from.
+class MembershipDuty final : public Duty {
+public:
+  MembershipDuty(const Settings &S, const IncarnationId &Self,
+                 const Kernel &Registry);
+
+  std::string_view name() const override { return "membership"; }
+  /// Opens the socket; returns an error that names the remedy, or nothing.
+  std::string open();
+  void start() override;
+  void stop() override;
+  void dump(Poco::JSON::Object &Out) const override;
+
+  void onBundle(const BundlePtr &New);
+  /// Announces that this host is leaving; the next heartbeats say so.
+  void announceLeaving();
+
+private:
+  void run();
+  void receive();
+  void sendDue();
+  void apply(const Heartbeat &Beat);
+  void publishPlace();
+  void readHostList();
+
+  const Settings Options;
+  const IncarnationId Self;
+  Counters &Count;
+  ViewService &View;
+  BundleStore &Bundles;
+  CrashService &Crashes;
+  Forwarder &Calls;
+  ConfigDuty &Config;
+  Poco::Net::DatagramSocket Socket;
+
+  mutable std::mutex Mutex;
+  MembershipState State;
+  MembershipSettings Tuning;
+
+  std::atomic<bool> Stopping = false;
+  std::thread Thread;
+  std::thread ListThread;
+};
+
+} // namespace pollenwick
+
+#endif
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -127,7 +127,9 @@
   Out.OnSuspect = [this](auto In, auto Reply) {
     Crashes->onSuspect(In, Reply);
   };
-  Out.OnPointer = [this] { return Config->pointerDocument(); };
+  Out.OnPointer = [this](const std::optional<Digest> &Root) {
+    return Config->pointerDocument(Root);
+  };
   Out.OnChunk = [this](const Digest &Sum) { return Config->chunk(Sum); };
   return Out;
 }
--- /dev/null
+++ b/src/peer/HeartbeatWire.h
@@ -0,0 +1,30 @@
+#ifndef POLLENWICK_PEER_HEARTBEATWIRE_H
+#define POLLENWICK_PEER_HEARTBEATWIRE_H
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "core/membership/Membership.h"
+#include "core/quarantine/Quarantine.h"
+
+namespace pollenwick {
+
+/// Content of one membership datagram.
+struct Datagram {
+  Heartbeat Beat;
+  std::vector<Suspicion> Suspicions;
+};
+
+/// Largest datagram that is read or written, in bytes.
+inline constexpr std::size_t MaxDatagram = 8192;
+
+std::string encodeDatagram(const Datagram &Content);
+/// Nothing for bytes that are not a whole datagram of this system.
+std::optional<Datagram> decodeDatagram(std::span<const char> Bytes);
+
+} // namespace pollenwick
+
+#endif
--- a/src/peer/Peer.capnp
+++ b/src/peer/Peer.capnp
@@ -175,27 +175,27 @@
   release @6 (claim :ShardClaim) -> (released :Bool, handover :Handover);
   confirm @7 () -> (confirmation :Confirmation);
   witness @8 () -> (answer :WitnessAnswer);
-  pointer @9 () -> (document :Data);
+  # An empty root asks for the pointer in force.
+  pointer @9 (root :Data) -> (document :Data);
   chunk @10 (digest :Data) -> (found :Bool, content :Data);
   suspect @11 (suspicions :List(Suspicion))
       -> (known :List(Suspicion), inFlight :Bool);
 }
 
-struct HostSample {
+enum Liveness { unknown @0; alive @1; suspected @2; dead @3; }
+
+struct HostNews {
   host @0 :Text;
   start @1 :UInt64;
   sequence @2 :UInt64;
-  leaving @3 :Bool;
-  ageMicros @4 :Int64;
+  status @3 :Liveness;
+  leaving @4 :Bool;
 }
 
-# Sent over UDP.
+# Sent over UDP, packed.
 struct Heartbeat {
-  sender @0 :Incarnation;
-  sequence @1 :UInt64;
-  leaving @2 :Bool;
-  held @3 :Revision;
-  suspicions @4 :List(Suspicion);
-  sample @5 :List(HostSample);
-  reply @6 :Bool;
+  self @0 :HostNews;
+  held @1 :Revision;
+  news @2 :List(HostNews);
+  suspicions @3 :List(Suspicion);
 }
--- a/src/peer/Peer.capnp.h
+++ b/src/peer/Peer.capnp.h
@@ -71,7 +71,15 @@
 CAPNP_DECLARE_SCHEMA(bcd0275f3de5dc86);
 CAPNP_DECLARE_SCHEMA(cf3cc73af5aa51c2);
 CAPNP_DECLARE_SCHEMA(f30bdcede42cba57);
-CAPNP_DECLARE_SCHEMA(a2939e1a67b0b21e);
+CAPNP_DECLARE_SCHEMA(a86c195beb516e43);
+enum class Liveness_a86c195beb516e43: uint16_t {
+  UNKNOWN,
+  ALIVE,
+  SUSPECTED,
+  DEAD,
+};
+CAPNP_DECLARE_ENUM(Liveness, a86c195beb516e43);
+CAPNP_DECLARE_SCHEMA(f961438d4f9dc6aa);
 CAPNP_DECLARE_SCHEMA(d6a06e40a68f7dc7);
 
 }  // namespace schemas
@@ -701,7 +709,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee3cbf6d70b426b0, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ee3cbf6d70b426b0, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -783,15 +791,17 @@
   };
 };
 
-struct HostSample {
-  HostSample() = delete;
+typedef ::capnp::schemas::Liveness_a86c195beb516e43 Liveness;
+
+struct HostNews {
+  HostNews() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2939e1a67b0b21e, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f961438d4f9dc6aa, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -806,7 +816,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6a06e40a68f7dc7, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d6a06e40a68f7dc7, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4666,6 +4676,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRoot() const;
+  inline  ::capnp::Data::Reader getRoot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4694,6 +4707,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRoot();
+  inline  ::capnp::Data::Builder getRoot();
+  inline void setRoot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRoot();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5135,9 +5155,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HostSample::Reader {
+class HostNews::Reader {
 public:
-  typedef HostSample Reads;
+  typedef HostNews Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5159,9 +5179,9 @@
 
   inline  ::uint64_t getSequence() const;
 
-  inline bool getLeaving() const;
+  inline  ::pollenwick::wire::Liveness getStatus() const;
 
-  inline  ::int64_t getAgeMicros() const;
+  inline bool getLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5175,9 +5195,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HostSample::Builder {
+class HostNews::Builder {
 public:
-  typedef HostSample Builds;
+  typedef HostNews Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5204,12 +5224,12 @@
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
+  inline  ::pollenwick::wire::Liveness getStatus();
+  inline void setStatus( ::pollenwick::wire::Liveness value);
+
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
-  inline  ::int64_t getAgeMicros();
-  inline void setAgeMicros( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5220,9 +5240,9 @@
 };
 
 #if !CAPNP_LITE
-class HostSample::Pipeline {
+class HostNews::Pipeline {
 public:
-  typedef HostSample Pipelines;
+  typedef HostNews Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5253,24 +5273,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::pollenwick::wire::Incarnation::Reader getSender() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline bool getLeaving() const;
+  inline bool hasSelf() const;
+  inline  ::pollenwick::wire::HostNews::Reader getSelf() const;
 
   inline bool hasHeld() const;
   inline  ::pollenwick::wire::Revision::Reader getHeld() const;
 
+  inline bool hasNews() const;
+  inline  ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader getNews() const;
+
   inline bool hasSuspicions() const;
   inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
 
-  inline bool hasSample() const;
-  inline  ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Reader getSample() const;
-
-  inline bool getReply() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5299,18 +5313,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::pollenwick::wire::Incarnation::Builder getSender();
-  inline void setSender( ::pollenwick::wire::Incarnation::Reader value);
-  inline  ::pollenwick::wire::Incarnation::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::pollenwick::wire::Incarnation>&& value);
-  inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> disownSender();
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline bool hasSelf();
+  inline  ::pollenwick::wire::HostNews::Builder getSelf();
+  inline void setSelf( ::pollenwick::wire::HostNews::Reader value);
+  inline  ::pollenwick::wire::HostNews::Builder initSelf();
+  inline void adoptSelf(::capnp::Orphan< ::pollenwick::wire::HostNews>&& value);
+  inline ::capnp::Orphan< ::pollenwick::wire::HostNews> disownSelf();
 
   inline bool hasHeld();
   inline  ::pollenwick::wire::Revision::Builder getHeld();
@@ -5319,6 +5327,13 @@
   inline void adoptHeld(::capnp::Orphan< ::pollenwick::wire::Revision>&& value);
   inline ::capnp::Orphan< ::pollenwick::wire::Revision> disownHeld();
 
+  inline bool hasNews();
+  inline  ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder getNews();
+  inline void setNews( ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder initNews(unsigned int size);
+  inline void adoptNews(::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>> disownNews();
+
   inline bool hasSuspicions();
   inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
   inline void setSuspicions( ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
@@ -5326,16 +5341,6 @@
   inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
 
-  inline bool hasSample();
-  inline  ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Builder getSample();
-  inline void setSample( ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Builder initSample(unsigned int size);
-  inline void adoptSample(::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>> disownSample();
-
-  inline bool getReply();
-  inline void setReply(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5354,7 +5359,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollenwick::wire::Incarnation::Pipeline getSender();
+  inline  ::pollenwick::wire::HostNews::Pipeline getSelf();
   inline  ::pollenwick::wire::Revision::Pipeline getHeld();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -8750,6 +8755,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::PointerParams::Reader::hasRoot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PointerParams::Builder::hasRoot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::PointerParams::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::PointerParams::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::PointerParams::Builder::setRoot( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::PointerParams::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::PointerParams::Builder::adoptRoot(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::PointerParams::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::PointerResults::Reader::hasDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8948,163 +8987,135 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HostSample::Reader::hasHost() const {
+inline bool HostNews::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HostSample::Builder::hasHost() {
+inline bool HostNews::Builder::hasHost() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HostSample::Reader::getHost() const {
+inline  ::capnp::Text::Reader HostNews::Reader::getHost() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HostSample::Builder::getHost() {
+inline  ::capnp::Text::Builder HostNews::Builder::getHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostSample::Builder::setHost( ::capnp::Text::Reader value) {
+inline void HostNews::Builder::setHost( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HostSample::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder HostNews::Builder::initHost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HostSample::Builder::adoptHost(
+inline void HostNews::Builder::adoptHost(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HostSample::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> HostNews::Builder::disownHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HostSample::Reader::getStart() const {
+inline  ::uint64_t HostNews::Reader::getStart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HostSample::Builder::getStart() {
+inline  ::uint64_t HostNews::Builder::getStart() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostSample::Builder::setStart( ::uint64_t value) {
+inline void HostNews::Builder::setStart( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HostSample::Reader::getSequence() const {
+inline  ::uint64_t HostNews::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HostSample::Builder::getSequence() {
+inline  ::uint64_t HostNews::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HostSample::Builder::setSequence( ::uint64_t value) {
+inline void HostNews::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HostSample::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::pollenwick::wire::Liveness HostNews::Reader::getStatus() const {
+  return _reader.getDataField< ::pollenwick::wire::Liveness>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool HostSample::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::pollenwick::wire::Liveness HostNews::Builder::getStatus() {
+  return _builder.getDataField< ::pollenwick::wire::Liveness>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void HostSample::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline void HostNews::Builder::setStatus( ::pollenwick::wire::Liveness value) {
+  _builder.setDataField< ::pollenwick::wire::Liveness>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t HostSample::Reader::getAgeMicros() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool HostNews::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t HostSample::Builder::getAgeMicros() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool HostNews::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
 }
-inline void HostSample::Builder::setAgeMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void HostNews::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasSender() const {
+inline bool Heartbeat::Reader::hasSelf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasSender() {
+inline bool Heartbeat::Builder::hasSelf() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pollenwick::wire::Incarnation::Reader Heartbeat::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_reader.getPointerField(
+inline  ::pollenwick::wire::HostNews::Reader Heartbeat::Reader::getSelf() const {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::HostNews>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::pollenwick::wire::Incarnation::Builder Heartbeat::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::get(_builder.getPointerField(
+inline  ::pollenwick::wire::HostNews::Builder Heartbeat::Builder::getSelf() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::HostNews>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::pollenwick::wire::Incarnation::Pipeline Heartbeat::Pipeline::getSender() {
-  return  ::pollenwick::wire::Incarnation::Pipeline(_typeless.getPointerField(0));
+inline  ::pollenwick::wire::HostNews::Pipeline Heartbeat::Pipeline::getSelf() {
+  return  ::pollenwick::wire::HostNews::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setSender( ::pollenwick::wire::Incarnation::Reader value) {
-  ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setSelf( ::pollenwick::wire::HostNews::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::HostNews>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pollenwick::wire::Incarnation::Builder Heartbeat::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::init(_builder.getPointerField(
+inline  ::pollenwick::wire::HostNews::Builder Heartbeat::Builder::initSelf() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::HostNews>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::adoptSender(
-    ::capnp::Orphan< ::pollenwick::wire::Incarnation>&& value) {
-  ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptSelf(
+    ::capnp::Orphan< ::pollenwick::wire::HostNews>&& value) {
+  ::capnp::_::PointerHelpers< ::pollenwick::wire::HostNews>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pollenwick::wire::Incarnation> Heartbeat::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::pollenwick::wire::Incarnation>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::pollenwick::wire::HostNews> Heartbeat::Builder::disownSelf() {
+  return ::capnp::_::PointerHelpers< ::pollenwick::wire::HostNews>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Heartbeat::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Heartbeat::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Heartbeat::Reader::hasHeld() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -9144,88 +9155,74 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasSuspicions() const {
+inline bool Heartbeat::Reader::hasNews() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasSuspicions() {
+inline bool Heartbeat::Builder::hasNews() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSuspicions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getNews() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSuspicions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getNews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setSuspicions( ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setNews( ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSuspicions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initNews(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptSuspicions(
-    ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptNews(
+    ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSuspicions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownNews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasSample() const {
+inline bool Heartbeat::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasSample() {
+inline bool Heartbeat::Builder::hasSuspicions() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSample() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSample() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setSample( ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setSuspicions( ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSample(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptSample(
-    ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSample() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::HostSample,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::wire::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::getReply() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getReply() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setReply(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
-}
-
 }  // namespace
 }  // namespace
 
--- a/src/peer/PeerHandlers.h
+++ b/src/peer/PeerHandlers.h
@@ -39,7 +39,8 @@
   std::function<void(capnp::List<wire::Suspicion>::Reader,
                      wire::Peer::SuspectResults::Builder)>
       OnSuspect;
-  std::function<std::string()> OnPointer;
+  /// Empty document when there is none; without a root: the one in force.
+  std::function<std::string(const std::optional<Digest> &Root)> OnPointer;
   std::function<std::optional<std::string>(const Digest &)> OnChunk;
 };
 
--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -105,7 +105,9 @@
 }
 
 kj::Promise<void> PeerServer::pointer(PointerContext Context) {
-  const std::string Document = Handlers.OnPointer();
+  const auto Root = Context.getParams().getRoot();
+  const std::string Document = Handlers.OnPointer(
+      Root.size() == 0 ? std::nullopt : std::optional(readDigest(Root)));
   Context.getResults().setDocument(
       {reinterpret_cast<const kj::byte *>(Document.data()), Document.size()});
   return kj::READY_NOW;
