--- /dev/null
+++ b/tests/calls/CallTree.h
@@ -0,0 +1,135 @@
+#ifndef POLLENWICK_TESTS_CALLS_CALLTREE_H
+#define POLLENWICK_TESTS_CALLS_CALLTREE_H
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "../Choices.h"
+#include "core/calls/RunningCalls.h"
+
+namespace pollenwick {
+
+inline RouteId routeAt(unsigned Level) {
+  return RouteId("s" + std::to_string(Level) + "/r");
+}
+
+/// One route per service. Level 0 is the root; edges lead downwards only.
+inline Bundle chainOf(unsigned Depth) {
+  Bundle Rules;
+  for (unsigned Level = 0; Level < Depth; ++Level) {
+    RouteSpec Route;
+    Route.Id = routeAt(Level);
+    Route.Service = ServiceId("s" + std::to_string(Level));
+    Route.Deadline = std::chrono::seconds(9);
+    if (Level + 1 < Depth)
+      Route.Calls.push_back({routeAt(Level + 1), 1});
+    Rules.Routes.push_back(Route);
+  }
+  return Rules;
+}
+
+/// Runs one root request through the records of all its nodes.
+struct CallTree {
+  Choices &Draw;
+  RouteIndex Index;
+  std::uint32_t Allowance = 3;
+  bool RetryAtEachHop = false; ///< Naive: every hop has the whole allowance.
+  unsigned LeafFailsPercent = 20;
+  unsigned HopFailsPercent = 20;
+  unsigned NotRunPercent = 10;
+  Instant Now;
+  RetryRatios Ratios{{100'000, 0}, {}};
+  RunningCalls Running;
+  std::uint8_t LastHandle[2] = {0, 0};
+  std::map<std::string, std::uint64_t> Executions;
+
+  CallTree(Choices &Source, Bundle Rules)
+      : Draw(Source),
+        Index(indexRoutes(std::make_shared<const Bundle>(std::move(Rules)))) {}
+
+  CallHandle nextHandle() {
+    if (++LastHandle[0] == 0)
+      ++LastHandle[1];
+    return CallHandle{{LastHandle[0], LastHandle[1]}};
+  }
+
+  // NOLINTNEXTLINE(misc-no-recursion): as deep as the generated call graph.
+  Outcome run(const RouteSpec &Route, std::uint32_t &Held) {
+    if (Draw.chance(NotRunPercent))
+      return Outcome::NotRun;
+    ++Executions[Route.Service.Text];
+    const CallHandle Handle = nextHandle();
+    CallContext Context;
+    Context.Route = Route.Id;
+    Context.Deadline = Now + Route.Deadline;
+    Context.Allowance.Left = RetryAtEachHop ? Allowance : Held;
+    RC_ASSERT(!beginCall(Running, Handle, Context));
+    bool Whole = true;
+    for (const EdgeSpec &Edge : Route.Calls)
+      for (std::uint32_t I = 0; I < Edge.Count && Whole; ++I)
+        Whole = callUntilDone(Handle, Edge.Route);
+    Held = finishCall(Running, Handle).value();
+    const bool Leaf = Route.Calls.empty();
+    if (!Whole || Draw.chance(Leaf ? LeafFailsPercent : HopFailsPercent))
+      return Outcome::Unknown;
+    return Outcome::Done;
+  }
+
+  /// What an impatient backend server does: repeats until the node refuses.
+  // NOLINTNEXTLINE(misc-no-recursion): as deep as the generated call graph.
+  bool callUntilDone(const CallHandle &Parent, const RouteId &Route) {
+    for (int Attempt = 0; Attempt < 8; ++Attempt) {
+      const auto Begun =
+          beginSubCall(Running, Index, Ratios, Parent, Route, Now);
+      const auto *Sub = std::get_if<SubCall>(&Begun);
+      if (Sub == nullptr)
+        return false;
+      std::uint32_t Held = Sub->Allowance;
+      const Outcome Result = run(*findRoute(Index, Route)->Spec, Held);
+      const bool Lost = Result != Outcome::NotRun && Draw.pick(100) >= 90;
+      const Outcome Seen = Lost ? Outcome::Unknown : Result;
+      finishSubCall(Running, Parent, Sub->Number, Seen, Lost ? 0 : Held);
+      // A doubled reply must give nothing back.
+      finishSubCall(Running, Parent, Sub->Number, Seen, Held);
+      if (Seen == Outcome::Done)
+        return true;
+    }
+    return false;
+  }
+
+  /// The ingress: retries the root itself within the same allowance.
+  Outcome runRoot() {
+    RetryAllowance Held{Allowance};
+    const RouteEntry &Root = *findRoute(Index, routeAt(0));
+    for (int Attempt = 0; Attempt < 8; ++Attempt) {
+      const std::uint32_t Part = delegate(Held);
+      std::uint32_t Back = Part;
+      const Outcome Result = run(*Root.Spec, Back);
+      giveBack(Held, Part, Back);
+      const FailedAttempt Failed{Result,         true, false,
+                                 Root.RetryCost, {},   Now + Duration(1)};
+      if (Result == Outcome::Done ||
+          mayRetry(Held, Ratios, Failed, Now) != RetryVerdict::Retry)
+        return Result;
+    }
+    return Outcome::Unknown;
+  }
+};
+
+/// Executions of every service that one call of the root declares, counted
+/// from the leaves of the edges upwards, independently of `indexRoutes`.
+inline std::map<std::string, std::uint64_t> declared(const Bundle &Rules) {
+  std::map<std::string, std::uint64_t> Count{{routeAt(0).Text, 1}};
+  std::map<std::string, std::uint64_t> Services;
+  for (const RouteSpec &Route : Rules.Routes) {
+    Services[Route.Service.Text] += Count[Route.Id.Text];
+    for (const EdgeSpec &Edge : Route.Calls)
+      Count[Edge.Route.Text] += Count[Route.Id.Text] * Edge.Count;
+  }
+  return Services;
+}
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/tests/calls/OutgoingCallsTest.cpp
@@ -0,0 +1,64 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "../Choices.h"
+#include "core/calls/OutgoingCalls.h"
+
+using namespace pollenwick;
+
+TEST_CASE("An answer reaches only the request that waits for it", "[calls]") {
+  // Guards against answers that arrive late, doubled, out of order, after a
+  // restart or from another host.
+  CHECK(rc::check([] {
+    struct Answer {
+      IncarnationId To;
+      CallId Id;
+      HostId From;
+      std::uint64_t Waiter = 0;
+    };
+    Choices Draw = drawChoices(500);
+    OutgoingCalls Calls;
+    Calls.Self = {HostId("host0"), StartId(1)};
+    Calls.MaxCalls = 8;
+    Instant Now;
+    std::uint64_t Waiters = 0;
+    std::vector<Answer> Wire;
+    std::map<std::uint64_t, int> Closed;
+    const auto Close = [&](const std::vector<OutgoingCall> &Gone) {
+      for (const OutgoingCall &Call : Gone)
+        ++Closed[Call.Waiter];
+    };
+    while (!Draw.done()) {
+      const unsigned Which = Draw.pick(10);
+      const HostId Peer("host" + std::to_string(1 + Draw.pick(3)));
+      if (Which < 4) {
+        const OutgoingCall Call{Peer, ++Waiters, Now + Duration(3)};
+        if (const auto Id = openOutgoing(Calls, Call))
+          Wire.push_back({Calls.Self, *Id, Peer, Waiters});
+      } else if (Which < 8 && !Wire.empty()) {
+        // The answer stays on the wire, so it may come again at any time.
+        Answer A = Wire[Draw.pick(Wire.size())];
+        const bool Forged = Draw.chance(20);
+        A.From = Forged ? HostId("host9") : A.From;
+        if (const auto Call = closeOutgoing(Calls, A.To, A.Id, A.From)) {
+          RC_ASSERT(!Forged);
+          RC_ASSERT(Call->Waiter == A.Waiter);
+          ++Closed[Call->Waiter];
+        }
+      } else if (Which == 8) {
+        Now += Duration(1);
+        Close(closeOverdue(Calls, Now));
+        if (Draw.chance(20))
+          Close(closeOutgoingTo(Calls, Peer));
+      } else if (Draw.chance(10)) {
+        Calls.Self.Start.Value += 1;
+        Calls.LastCall = 0;
+        Calls.Open.clear();
+      }
+      RC_ASSERT(Calls.Open.size() <= 8U);
+    }
+    for (const auto &[Waiter, Count] : Closed)
+      RC_ASSERT(Count == 1);
+  }));
+}
--- /dev/null
+++ b/tests/keys/KeysTest.cpp
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+
+#include "core/keys/Keys.h"
+
+using namespace pollenwick;
+
+TEST_CASE("A request runs only for the tenant of its key", "[keys]") {
+  Bundle Rules;
+  Rules.Tenants.push_back({TenantId("a"), {}, {}, 1});
+  Rules.Tenants.push_back({TenantId("b"), {}, {}, 1});
+  const KeyDigest KeyA{{1}};
+  const KeyDigest KeyB{{2}};
+  const KeyDigest Stray{{3}};
+  Rules.Keys = {{KeyA, TenantId("a")}, {KeyB, TenantId("b")}};
+  Rules.Keys.push_back({Stray, TenantId("nobody")});
+  RouteSpec Route;
+  Route.Id = RouteId("cobros/deposit");
+  Route.Tenants = {TenantId("a")};
+  const auto IndexOf = [](const Bundle &Source) {
+    return indexKeys(std::make_shared<const Bundle>(Source));
+  };
+  const KeyIndex Index = IndexOf(Rules);
+  const auto Reason = [&](const std::optional<KeyDigest> &Key) {
+    const auto Result = resolveKey(Index, Route, Key);
+    const auto *Refused = std::get_if<Refusal>(&Result);
+    return Refused != nullptr ? Refused->Reason : RefusalReason::None;
+  };
+
+  SECTION("other keys are refused") {
+    CHECK(Reason(KeyA) == RefusalReason::None);
+    CHECK(Reason(KeyB) == RefusalReason::RouteNotAllowed);
+    CHECK(Reason(Stray) == RefusalReason::UnknownKey);
+    CHECK(Reason(std::nullopt) == RefusalReason::UnknownKey);
+  }
+  SECTION("an open route needs no key, an internal one takes none") {
+    Route.Open = true;
+    CHECK(Reason(std::nullopt) == RefusalReason::None);
+    CHECK(Reason(Stray) == RefusalReason::None);
+    Route.Internal = true;
+    CHECK(Reason(KeyA) == RefusalReason::RouteNotAllowed);
+  }
+  SECTION("a key revoked or moved before dispatch no longer counts") {
+    const Permission Granted{TenantId("a")};
+    CHECK(!recheckKey(Index, Route, KeyA, Granted));
+    Rules.Keys[0].Tenant = TenantId("b");
+    Route.Tenants.clear();
+    CHECK(recheckKey(IndexOf(Rules), Route, KeyA, Granted));
+    Rules.Keys.clear();
+    CHECK(recheckKey(IndexOf(Rules), Route, KeyA, Granted));
+  }
+}
