--- /dev/null
+++ b/tests/quarantine/CrashFleet.h
@@ -0,0 +1,181 @@
+#ifndef POLLENWICK_TESTS_QUARANTINE_CRASHFLEET_H
+#define POLLENWICK_TESTS_QUARANTINE_CRASHFLEET_H
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
+#include "../Choices.h"
+#include "core/quarantine/Quarantine.h"
+
+namespace pollenwick {
+
+/// Four servers of one service. One request crashes each server that runs it;
+/// its caller sends it again to any node after each answer.
+struct CrashFleet {
+  static constexpr unsigned Nodes = 4;
+  static constexpr std::uint8_t Crasher = 0;
+
+  bool Spreads = true;    ///< Naive if false: every node counts for itself.
+  bool Impatient = false; ///< The caller resends without waiting.
+  bool Partitions = false;
+  bool RefuseSuspects = false; ///< Naive: refuses after the first crash.
+  unsigned Innocents = 40;     ///< Distinct other requests.
+
+  struct Flight {
+    unsigned At = 0;
+    std::uint8_t Request = 0;
+  };
+  struct News {
+    unsigned From = 0;
+    unsigned To = 0;
+    std::uint32_t Crash = 0;
+    std::vector<Suspicion> What;
+    bool Gossip = false;
+  };
+
+  Choices &Draw;
+  Instant Now{std::chrono::hours(1)};
+  std::array<Quarantine, Nodes> Fleet;
+  std::array<bool, Nodes * Nodes> Cut{};
+  std::vector<Flight> Flying;
+  std::vector<News> Wire;
+  std::uint64_t Starts = 0;
+  std::vector<Instant> Crashes;
+  unsigned Asked = 0;
+  unsigned WronglyRefused = 0;
+  unsigned Delayed = 0;
+
+  explicit CrashFleet(Choices &Source) : Draw(Source) {
+    for (unsigned N = 0; N < Nodes; ++N)
+      start(N);
+  }
+
+  static Fingerprint print(std::uint8_t Request) {
+    return fingerprintOf(RouteId("s/r"), TenantId("t"), Digest{{Request}});
+  }
+
+  void start(unsigned N) {
+    Fleet[N] = {};
+    Fleet[N].Self = {HostId("host" + std::to_string(N)), StartId(++Starts)};
+    // A starting node asks its peers before it serves.
+    for (const Quarantine &Peer : Fleet)
+      if (Peer.Self.Start.Value != Starts)
+        merge(Fleet[N], known(Peer, 1000, Now), Now);
+  }
+
+  /// The caller of the crashing request waits for an answer.
+  bool crasherIsOut() const {
+    return std::ranges::count(Flying, Crasher, &Flight::Request) > 0 ||
+           std::ranges::any_of(Wire, [](const News &N) { return !N.Gossip; });
+  }
+
+  void send(std::uint8_t Request, unsigned N, bool Tried = false) {
+    const bool Innocent = Request != Crasher;
+    Asked += Innocent && !Tried ? 1 : 0;
+    if (RefuseSuspects && isSuspect(Fleet[N], print(Request), Now)) {
+      WronglyRefused += Innocent ? 1 : 0;
+      return;
+    }
+    const auto Verdict = onCallStarted(Fleet[N], print(Request), Now);
+    if (std::holds_alternative<StartCall>(Verdict))
+      Flying.push_back({N, Request});
+    else if (const auto *Other = std::get_if<TryAt>(&Verdict); Other && !Tried)
+      send(Request, Other->Host.Text.back() - '0', true);
+    else if (std::holds_alternative<ServerReserved>(Verdict))
+      Delayed += Innocent ? 1 : 0;
+    else
+      WronglyRefused += Innocent ? 1 : 0;
+  }
+
+  void crash(unsigned N) {
+    Crashes.push_back(Now);
+    std::erase_if(Flying, [N](const Flight &F) { return F.At == N; });
+    const auto What = onServerCrash(Fleet[N], Now);
+    if (!Spreads || What.empty())
+      return;
+    for (unsigned To = 0; To < Nodes; ++To)
+      if (To != N)
+        Wire.push_back({N, To, Fleet[N].LastCrash, What, false});
+  }
+
+  void finish(std::size_t Position) {
+    const Flight F = Flying[Position];
+    if (F.Request == Crasher)
+      return crash(F.At);
+    Flying.erase(Flying.begin() + static_cast<std::ptrdiff_t>(Position));
+    gossip(F.At, Draw.pick(Nodes),
+           onCallFinished(Fleet[F.At], print(F.Request), true, Now));
+  }
+
+  void gossip(unsigned From, unsigned To, std::vector<Suspicion> What) {
+    if (Spreads && From != To && !What.empty())
+      Wire.push_back({From, To, 0, std::move(What), true});
+  }
+
+  void deliver(std::size_t Position) {
+    const News N = Wire[Position];
+    if (Cut[N.From * Nodes + N.To] || Cut[N.To * Nodes + N.From])
+      return; // Sent again later.
+    const auto Answer = acknowledge(Fleet[N.To], N.What, Now);
+    if (!N.Gossip && Answer.InFlight)
+      return; // Asked again later.
+    Wire.erase(Wire.begin() + static_cast<std::ptrdiff_t>(Position));
+    if (N.Gossip)
+      return;
+    merge(Fleet[N.From], Answer.Known, Now);
+    const bool Waits = std::ranges::any_of(Wire, [&](const News &Other) {
+      return !Other.Gossip && Other.From == N.From && Other.Crash == N.Crash;
+    });
+    const IncarnationId &Self = Fleet[N.From].Self;
+    if (!Waits)
+      onSpread(Fleet[N.From], {Self.Host, Self.Start, N.Crash});
+  }
+
+  void step() {
+    const unsigned Which = Draw.pick(100);
+    const unsigned N = Draw.pick(Nodes);
+    if (Which < 35)
+      send(static_cast<std::uint8_t>(1 + Draw.pick(Innocents)), N);
+    else if (Which < 45 && (Impatient || !crasherIsOut()))
+      send(Crasher, N);
+    else if (Which < 75 && !Flying.empty())
+      finish(Draw.pick(Flying.size()));
+    else if (Which < 88 && !Wire.empty())
+      deliver(Draw.pick(Wire.size()));
+    else if (Which < 93)
+      gossip(N, Draw.pick(Nodes), known(Fleet[N], 8, Now));
+    else if (Which < 95 && Partitions)
+      Cut[N * Nodes + Draw.pick(Nodes)] ^= true;
+    else if (Which == 95 && !crasherIsOut()) {
+      std::erase_if(Flying, [N](const Flight &F) { return F.At == N; });
+      start(N);
+    } else if (Which > 95 && !crasherIsOut()) {
+      // A call ends before its deadline, so none outlives a trial's margin.
+      Now += std::chrono::milliseconds(40 * (1 + Draw.pick(250)));
+      for (Quarantine &State : Fleet)
+        expire(State, Now);
+    }
+  }
+
+  void runAll() {
+    while (!Draw.done())
+      step();
+  }
+
+  /// Most crashes within the time for which a quarantine lasts.
+  std::size_t mostCrashes() const {
+    std::size_t Most = 0;
+    for (std::size_t From = 0; From < Crashes.size(); ++From) {
+      const Instant End = Crashes[From] + Fleet[0].Limits.QuarantineTime;
+      const auto Last = std::ranges::lower_bound(Crashes, End);
+      Most = std::max<std::size_t>(Most, Last - Crashes.begin() - From);
+    }
+    return Most;
+  }
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -0,0 +1,134 @@
+#include <catch2/catch.hpp>
+
+#include "CrashFleet.h"
+
+using namespace pollenwick;
+
+namespace {
+
+struct Totals {
+  std::size_t MostCrashes = 0;
+  std::size_t Crashes = 0;
+  unsigned Asked = 0;
+  unsigned WronglyRefused = 0;
+  unsigned Delayed = 0;
+};
+
+template <typename Setup> Totals measure(Setup Change) {
+  Totals Sum;
+  for (std::uint32_t Seed = 0; Seed < 100; ++Seed) {
+    Choices Draw = seededChoices(20261204 + Seed, 3000);
+    CrashFleet Fleet(Draw);
+    Change(Fleet);
+    Fleet.runAll();
+    Sum.MostCrashes = std::max(Sum.MostCrashes, Fleet.mostCrashes());
+    Sum.Crashes += Fleet.Crashes.size();
+    Sum.Asked += Fleet.Asked;
+    Sum.WronglyRefused += Fleet.WronglyRefused;
+    Sum.Delayed += Fleet.Delayed;
+  }
+  return Sum;
+}
+
+std::string text(const Totals &Sum) {
+  return std::to_string(Sum.MostCrashes) + " crashes at most, " +
+         std::to_string(Sum.WronglyRefused) + " refused and " +
+         std::to_string(Sum.Delayed) + " delayed of " +
+         std::to_string(Sum.Asked) + " innocent calls";
+}
+
+} // namespace
+
+TEST_CASE("One request crashes at most two servers", "[quarantine]") {
+  SECTION("for every schedule of resends, gossip, restarts and partitions") {
+    CHECK(rc::check([] {
+      Choices Draw = drawChoices(1500);
+      CrashFleet Fleet(Draw);
+      Fleet.Partitions = true;
+      Fleet.Innocents = 1 + Draw.pick(40);
+      Fleet.runAll();
+      RC_ASSERT(Fleet.mostCrashes() <= 2U);
+    }));
+  }
+  SECTION("where naive variants crash more or refuse bystanders") {
+    const Totals Ours = measure([](CrashFleet &) {});
+    const Totals Alone = measure([](CrashFleet &F) { F.Spreads = false; });
+    const Totals First =
+        measure([](CrashFleet &F) { F.RefuseSuspects = true; });
+    const Totals Impatient = measure([](CrashFleet &F) { F.Impatient = true; });
+    CHECK(Ours.MostCrashes == 2);
+    CHECK(Alone.MostCrashes > 2);
+    CHECK(First.WronglyRefused > Ours.WronglyRefused);
+    WARN("ours: " << text(Ours));
+    WARN("every node for itself: " << text(Alone));
+    WARN("refuse after the first crash: " << text(First));
+    WARN("resends without waiting for an answer: " << text(Impatient));
+  }
+}
+
+TEST_CASE("A bystander of a crash is cleared", "[quarantine]") {
+  Quarantine Here;
+  Here.Self = {HostId("host0"), StartId(1)};
+  Quarantine There;
+  There.Self = {HostId("host1"), StartId(2)};
+  Instant Now(std::chrono::hours(1));
+  const Fingerprint Innocent = CrashFleet::print(1);
+  onCallStarted(Here, Innocent, Now);
+  onCallStarted(Here, CrashFleet::print(0), Now);
+  const auto News = onServerCrash(Here, Now);
+  REQUIRE(News.size() == 2);
+  CHECK(isSuspect(Here, Innocent, Now));
+  const auto Start = [&](Quarantine &At) {
+    return onCallStarted(At, Innocent, Now);
+  };
+
+  SECTION("by a trial alone, where the crash was") {
+    CHECK(std::holds_alternative<Refusal>(Start(Here)));
+    CHECK(!acknowledge(There, News, Now).InFlight);
+    CHECK(std::get<TryAt>(Start(There)).Host == HostId("host0"));
+    onSpread(Here, News[0].Crash);
+    onCallStarted(Here, CrashFleet::print(2), Now);
+    CHECK(std::get<ServerReserved>(Start(Here)).Suspect);
+    CHECK(std::holds_alternative<ServerReserved>(
+        onCallStarted(Here, CrashFleet::print(3), Now)));
+    onCallFinished(Here, CrashFleet::print(2), true, Now);
+    REQUIRE(std::get<StartCall>(Start(Here)).Alone);
+    merge(There, onCallFinished(Here, Innocent, true, Now), Now);
+    CHECK(!isSuspect(There, Innocent, Now));
+    SECTION("also when older gossip arrives afterwards") {
+      merge(There, News, Now);
+      CHECK(std::holds_alternative<StartCall>(Start(There)));
+    }
+  }
+  SECTION("by time, which gossip does not extend") {
+    for (int I = 0; I < 61; ++I) {
+      Now += std::chrono::seconds(1);
+      merge(There, known(Here, 10, Now), Now);
+      merge(Here, known(There, 10, Now), Now);
+    }
+    CHECK(std::holds_alternative<StartCall>(Start(There)));
+  }
+  SECTION("or is no suspect when it completed there just before") {
+    onCallStarted(Here, CrashFleet::print(2), Now);
+    onCallFinished(Here, CrashFleet::print(2), true, Now);
+    onCallStarted(Here, CrashFleet::print(2), Now);
+    CHECK(onServerCrash(Here, Now).empty());
+  }
+  SECTION("while a second crash refuses a subject for a time") {
+    onCallStarted(There, Innocent, Now);
+    merge(Here, onServerCrash(There, Now), Now);
+    CHECK(isQuarantined(Here, Innocent, Now));
+    CHECK(std::get<Refusal>(Start(Here)).Result == Outcome::NotRun);
+    CHECK(!isQuarantined(Here, Innocent, Now + Here.Limits.QuarantineTime));
+  }
+  SECTION("and memory stays bounded, quarantined subjects last") {
+    onCallStarted(There, Innocent, Now);
+    merge(Here, onServerCrash(There, Now), Now);
+    Here.Limits.MaxSubjects = 4;
+    for (std::uint8_t I = 10; I < 30; ++I)
+      merge(Here, {{CrashFleet::print(I), {HostId("x"), {}, I}, false, {}}},
+            Now + Duration(I));
+    CHECK(Here.Subjects.size() <= 4);
+    CHECK(isQuarantined(Here, Innocent, Now));
+  }
+}
