--- a/tests/once/TicketFleet.h
+++ b/tests/once/TicketFleet.h
@@ -19,7 +19,7 @@
 /// Every message is a separate step, so that a kill, a pause or a partition
 /// falls between any two of them.
 struct TicketFleet {
-  static constexpr unsigned Nodes = 3;
+  static constexpr std::size_t Nodes = 3;
 
   /// Naive variants, for comparison.
   bool SameIncarnation = false; ///< A restarted node keeps start id and key.
--- a/tests/quarantine/CrashFleet.h
+++ b/tests/quarantine/CrashFleet.h
@@ -14,7 +14,7 @@
 /// Four servers of one service. One request crashes each server that runs it;
 /// its caller sends it again to any node after each answer.
 struct CrashFleet {
-  static constexpr unsigned Nodes = 4;
+  static constexpr std::size_t Nodes = 4;
   static constexpr std::uint8_t Crasher = 0;
 
   bool Spreads = true;    ///< Naive if false: every node counts for itself.
