--- a/bench/QuotaBench.cpp
+++ b/bench/QuotaBench.cpp
@@ -1,5 +1,6 @@
 #include <benchmark/benchmark.h>
 
+#include <cstdint>
 #include <cstdlib>
 #include <malloc.h>
 #include <new>
@@ -10,18 +11,26 @@
 
 namespace {
 std::size_t Allocations = 0;
+std::int64_t LiveBytes = 0;
 } // namespace
 
 // Counts allocations of the measured code. The sized and array forms call
 // these two.
-void *operator new(std::size_t Size) {
+[[gnu::noinline]] void *operator new(std::size_t Size) {
   ++Allocations;
-  if (void *Block = std::malloc(Size))
-    return Block;
-  throw std::bad_alloc();
+  void *Block = std::malloc(Size);
+  if (Block == nullptr)
+    throw std::bad_alloc();
+  LiveBytes += static_cast<std::int64_t>(malloc_usable_size(Block));
+  return Block;
+}
+[[gnu::noinline]] void operator delete(void *Block) noexcept {
+  LiveBytes -= static_cast<std::int64_t>(malloc_usable_size(Block));
+  std::free(Block);
+}
+[[gnu::noinline]] void operator delete(void *Block, std::size_t) noexcept {
+  operator delete(Block);
 }
-void operator delete(void *Block) noexcept { std::free(Block); }
-void operator delete(void *Block, std::size_t) noexcept { std::free(Block); }
 
 using namespace pollenwick;
 
@@ -111,9 +120,9 @@
   const Bundle Rules = bundleOf(static_cast<int>(Run.range(0)));
   double Bytes = 0;
   for (auto Step : Run) {
-    const auto Before = mallinfo2().uordblks;
+    const std::int64_t Before = LiveBytes;
     auto State = MakeState(Rules);
-    Bytes = static_cast<double>(mallinfo2().uordblks - Before);
+    Bytes = static_cast<double>(LiveBytes - Before);
     benchmark::DoNotOptimize(State);
   }
   Run.counters["bytes"] = Bytes;
--- a/src/core/quota/Shares.cpp
+++ b/src/core/quota/Shares.cpp
@@ -41,8 +41,7 @@
   for (const HostSpec &Host : Rules.Hosts)
     Zones.push_back(Host.Zone);
   std::ranges::sort(Zones);
-  const auto Repeated = std::ranges::unique(Zones);
-  Zones.erase(Repeated.begin(), Repeated.end());
+  Zones.erase(std::unique(Zones.begin(), Zones.end()), Zones.end());
   return Zones;
 }
 
--- a/src/core/view/View.cpp
+++ b/src/core/view/View.cpp
@@ -1,6 +1,7 @@
 #include "core/view/View.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace pollenwick {
@@ -44,20 +45,18 @@
   return Taken;
 }
 
-/// The time that a majority of the set reaches or passes, if there is one.
+/// The time that a majority of the set reaches, if there is one.
 std::optional<Instant> majorityTime(std::vector<Instant> Times,
-                                    std::size_t SetSize, bool Newest) {
-  const std::size_t Majority = SetSize / 2 + 1;
-  if (SetSize == 0 || Times.size() < Majority)
+                                    std::size_t SetSize) {
+  const std::size_t Others = SetSize / 2;
+  if (Times.size() <= Others)
     return std::nullopt;
-  if (Newest)
-    std::ranges::sort(Times, std::greater<>());
-  else
-    std::ranges::sort(Times);
-  return Times[Majority - 1];
+  std::ranges::sort(Times, std::greater<>());
+  return Times[Others];
 }
 
-/// Answers of the last lease length that say that nothing newer is known.
+/// Confirms the held revision at the time since which a majority of the
+/// witnesses was asked, while no answer names a newer one.
 void confirmByWitnesses(ViewState &State, Instant Now) {
   if (State.Held.Number.Value == 0 || State.Held != State.NewestKnown)
     return;
@@ -71,34 +70,51 @@
       Asked.push_back(Found->second.SentAt);
     }
   }
-  if (auto At = majorityTime(std::move(Asked), State.Witnesses.size(), true))
+  if (auto At = majorityTime(std::move(Asked), State.Witnesses.size()))
     confirm(State, State.Held, *At);
 }
 
+/// The first time at which a majority is known to have held the host list all
+/// at once. Answers from different times are not enough: a witness that
+/// restarts in between forgets the list.
 std::optional<Instant> anchoredIn(const ViewState &State,
-                                  const std::vector<HostId> &Witnesses) {
-  std::vector<Instant> Times;
+                                  const std::vector<HostId> &Witnesses,
+                                  Instant Now) {
+  struct Span {
+    Instant From{}, To{};
+  };
+  std::vector<Span> Held;
   for (const HostId &Witness : Witnesses) {
     if (Witness == State.Self) {
       if (canWitness(State))
-        Times.push_back(State.HostsHeldAt);
+        Held.push_back({State.HostsHeldAt, Now});
     } else if (auto Found = State.Answers.find(Witness);
                Found != State.Answers.end() &&
                Found->second.Reply.HostsSince == State.HostsSince) {
-      Times.push_back(Found->second.HostsHeldSince);
+      Held.push_back({Found->second.HostsHeldSince, Found->second.SentAt});
     }
   }
-  return majorityTime(std::move(Times), Witnesses.size(), false);
+  std::optional<Instant> First;
+  for (const Span &Candidate : Held) {
+    const auto Count = std::ranges::count_if(Held, [&](const Span &Other) {
+      return Other.From <= Candidate.From && Candidate.From <= Other.To;
+    });
+    if (static_cast<std::size_t>(Count) > Witnesses.size() / 2 &&
+        (!First || Candidate.From < *First))
+      First = Candidate.From;
+  }
+  return First;
 }
 
-std::optional<Instant> anchoredAt(const ViewState &State) {
-  auto At = anchoredIn(State, State.Witnesses);
-  if (!At || State.PreviousWitnesses.empty())
-    return At;
-  auto Before = anchoredIn(State, State.PreviousWitnesses);
-  if (!Before)
-    return std::nullopt;
-  return std::max(*At, *Before);
+void anchor(ViewState &State, Instant Now) {
+  if (State.AnchoredAt)
+    return;
+  auto At = anchoredIn(State, State.Witnesses, Now);
+  if (At && !State.PreviousWitnesses.empty()) {
+    const auto Before = anchoredIn(State, State.PreviousWitnesses, Now);
+    At = Before ? std::optional(std::max(*At, *Before)) : std::nullopt;
+  }
+  State.AnchoredAt = At;
 }
 
 } // namespace
@@ -122,6 +138,7 @@
       State.PreviousWitnesses = std::move(State.Witnesses);
     State.HostsSince = HostsSince;
     State.HostsHeldAt = Now;
+    State.AnchoredAt.reset();
   }
   State.Held = Key;
   State.Witnesses = Rules.Witnesses;
@@ -151,7 +168,7 @@
     Ask(ViewSource::Service, HostId());
   const bool Old = !State.ConfirmedAt ||
                    Now - *State.ConfirmedAt >= State.Fresh / WitnessPart;
-  if (Old || (State.NeedsAnchor && !anchoredAt(State))) {
+  if (Old || (State.NeedsAnchor && !State.AnchoredAt)) {
     for (const auto *Set : {&State.Witnesses, &State.PreviousWitnesses})
       for (const HostId &Witness : *Set)
         if (Witness != State.Self)
@@ -188,6 +205,7 @@
   Answer = {Reply, Taken->SentAt,
             Now - std::max(Reply.HostsHeldFor, Duration::zero())};
   confirmByWitnesses(State, Now);
+  anchor(State, Now);
 }
 
 void recordHearsay(ViewState &State, const RevisionKey &Key) {
@@ -214,7 +232,7 @@
   Lease.ConfirmedAt = *State.ConfirmedAt;
   Lease.Until = *State.ConfirmedAt + State.Fresh;
   Lease.HostsSince = State.HostsSince;
-  Lease.AnchoredAt = anchoredAt(State);
+  Lease.AnchoredAt = State.AnchoredAt;
   return Lease;
 }
 
--- a/src/core/view/View.h
+++ b/src/core/view/View.h
@@ -52,6 +52,7 @@
   RevisionKey Held;       ///< Number 0: no bundle yet.
   RevisionKey HostsSince; ///< First revision with the host list that is held.
   Instant HostsHeldAt{};
+  std::optional<Instant> AnchoredAt; ///< See `ViewLease`.
   std::vector<HostId> Witnesses;
   /// Of the host list before; a majority of both sets anchors a host list.
   std::vector<HostId> PreviousWitnesses;
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -31,6 +31,8 @@
   std::uint32_t Seed = 1;
   std::vector<Fault> Faults;
   Naive Wrong;
+  /// No fault hinders the way to the configuration service.
+  bool ServiceReachable = false;
   Duration Tick = HolderTick;
   Duration SettleTick = HolderTick;
   Duration ZoneDelay = std::chrono::milliseconds(1); ///< One way.
@@ -56,9 +58,11 @@
     RevisionKey Key;
     Succession Hosts;
     Instant At{};
+    /// A majority of the witnesses held it or a newer one at once.
+    std::optional<Instant> KnownAt{};
   };
 
-  enum class Answer : std::uint8_t { None, Admitted, Refused };
+  enum class Answer : std::uint8_t { None, Admitted, Refused, NoLease };
   struct Arrival {
     Instant At{};
     std::uint32_t Node = 0;
@@ -125,11 +129,12 @@
   void admit(std::size_t Call) {
     Calls[Call].Result = Answer::Admitted;
     ++Admissions;
+    StaleActions += stale(Nodes[Calls[Call].Node]) ? 1 : 0;
     if (!Bound.admit(Now))
       ++Excess;
   }
   void refuse(std::size_t Call, bool NoLease) {
-    Calls[Call].Result = Answer::Refused;
+    Calls[Call].Result = NoLease ? Answer::NoLease : Answer::Refused;
     if (OnRefusal)
       OnRefusal();
     ++Refusals;
@@ -145,7 +150,7 @@
       const Duration At = Call.At - Instant{};
       if (Call.Result == Answer::Admitted)
         Whole.admit(Call.At);
-      else if (Call.Result == Answer::Refused && Whole.hasToken(Call.At) &&
+      else if (Call.Result != Answer::None && Whole.hasToken(Call.At) &&
                From <= At && At < Until)
         ++Count;
     }
@@ -201,7 +206,8 @@
   std::vector<Arrival> Calls; ///< In order of arrival.
   std::function<void()> OnRefusal;
   std::uint64_t Admissions = 0, Refusals = 0, LeaseRefusals = 0, Unserved = 0;
-  std::uint64_t Excess = 0; ///< Admissions over the bound.
+  std::uint64_t Excess = 0;       ///< Admissions over the bound.
+  std::uint64_t StaleActions = 0; ///< Admissions and grants on an old view.
   std::uint64_t Messages = 0;
 
   ViewLease lease(const Node &N) const {
@@ -259,6 +265,7 @@
                 Before == nullptr ? nullptr : &Before->Rules, Now);
     adoptBundle(N.Ingress, P.Rules);
     N.Revision = Next;
+    noteKnown();
     const std::uint32_t Own = indexOf(N.Id);
     const auto FirstWatcher = static_cast<std::uint32_t>(Nodes.size()) - 3;
     N.View.Watcher = Own >= FirstWatcher;
@@ -267,6 +274,29 @@
       N.View.Parents = {Nodes[FirstWatcher + Own % 3].Id,
                         Nodes[FirstWatcher + (Own + 1) % 3].Id};
   }
+  void noteKnown() {
+    for (std::size_t R = 0; R < Chain.size(); ++R) {
+      const auto Count = std::ranges::count_if(Nodes, [&](const Node &N) {
+        return N.Up && N.Revision >= R &&
+               std::ranges::count(Chain[0].Rules.Rules.Witnesses, N.Id) > 0;
+      });
+      if (Count >= 3 && !Chain[R].KnownAt)
+        Chain[R].KnownAt = Now;
+    }
+  }
+  /// The node acts on a revision longer than a lease length after a newer one
+  /// was known to the witnesses, or in a fleet without a fault, published.
+  bool stale(const Node &N) const {
+    for (std::size_t R = N.Revision + 1; R < Chain.size(); ++R) {
+      std::optional<Instant> Since = Chain[R].KnownAt;
+      if (Options.ServiceReachable)
+        Since = Chain[R].At;
+      if (Since && Now >= *Since + Options.Rules.ViewLease)
+        return true;
+    }
+    return false;
+  }
+
   /// Takes a revision whose bundle came with a message.
   void learn(Node &N, const RevisionKey &Key) {
     const auto Next = static_cast<std::size_t>(Key.Number.Value - 1);
@@ -280,9 +310,9 @@
       ask(I, Question);
     creditExpired(N);
     HolderActions Due = tickHolder(N.Holder, lease(N), Now);
-    for (PullRequest &Pull : Due.Pulls)
-      sendPull(I, std::move(Pull));
-    for (Claim &C : Due.Claims) {
+    for (const PullRequest &Pull : Due.Pulls)
+      sendPull(I, Pull);
+    for (const Claim &C : Due.Claims) {
       const std::uint32_t To = indexOf(C.PreviousHolder);
       send(I, To, [this, I, To, C] {
         if (auto H = release(Nodes[To].Holder, C, Now))
@@ -300,7 +330,7 @@
        [this, I] { tickSettle(I); });
   }
 
-  void sendPull(std::uint32_t I, PullRequest Pull) {
+  void sendPull(std::uint32_t I, const PullRequest &Pull) {
     const std::uint32_t To = indexOf(Pull.Holder);
     send(I, To, [this, I, To, Pull] {
       PullReply Reply = givePull(Nodes[To].Holder, Pull, lease(Nodes[To]), Now);
@@ -309,8 +339,8 @@
     });
   }
 
-  void sendSettlements(std::uint32_t I, std::vector<Settlement> Due) {
-    for (Settlement &S : Due) {
+  void sendSettlements(std::uint32_t I, const std::vector<Settlement> &Due) {
+    for (const Settlement &S : Due) {
       const std::uint32_t To = indexOf(S.Holder.Host);
       send(I, To, [this, To, S] {
         creditExpired(Nodes[To]);
@@ -391,6 +421,8 @@
     send(I, To, [this, I, To, Request, Resume] {
       creditExpired(Nodes[To]);
       LendResult Lent = lend(Nodes[To].Holder, Request, lease(Nodes[To]), Now);
+      if (Lent.Reply.Tokens > MicroTokens{})
+        StaleActions += stale(Nodes[To]) ? 1 : 0;
       for (const Recall &R : Lent.Recalls) {
         const std::uint32_t Whom = indexOf(R.Borrower.Host);
         send(To, Whom, [this, Whom, R] {
@@ -446,6 +478,7 @@
   void publish(bool ChangeHosts, const Node &N) {
     Published Next = Chain.back();
     Next.At = Now;
+    Next.KnownAt.reset();
     Next.Rules.Number = Revision(Chain.size() + 1);
     Next.Key.Number = Next.Rules.Number;
     if (ChangeHosts) {
--- /dev/null
+++ b/tests/view/ViewLeaseTest.cpp
@@ -0,0 +1,148 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "tests/support/Fleet.h"
+
+using namespace pollenwick;
+using namespace pollenwick::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds WarmUp(1000);
+constexpr milliseconds RunTime(4000);
+
+FleetOptions shortLeases(std::vector<Fault> Faults) {
+  FleetOptions Options;
+  Options.Rules.ViewLease = milliseconds(500);
+  Options.Rules.QuotaLease = milliseconds(150);
+  Options.Faults = std::move(Faults);
+  return Options;
+}
+
+/// Steady load within the rate on every node.
+Fleet &drive(Fleet &F) {
+  std::uint32_t Next = 0;
+  for (Duration At = WarmUp; At < RunTime; At += milliseconds(7))
+    F.request(Next++ % F.Options.Hosts, Instant{} + At);
+  F.run(Instant{} + RunTime);
+  return F;
+}
+
+std::vector<Fault> drawFaults(const std::vector<FaultKind> &Kinds) {
+  std::vector<Fault> Faults;
+  const int Count = *rc::gen::inRange(1, 4);
+  for (int I = 0; I < Count; ++I) {
+    Fault F;
+    F.Kind = *rc::gen::elementOf(Kinds);
+    F.At = milliseconds(*rc::gen::inRange(0, 3000));
+    F.For = milliseconds(*rc::gen::inRange(1, 2500));
+    F.Target = *rc::gen::inRange<std::uint32_t>(0, 128);
+    F.Amount = *rc::gen::inRange<std::uint32_t>(1, 60);
+    Faults.push_back(F);
+  }
+  const int Published = *rc::gen::inRange(1, 4);
+  for (int I = 0; I < Published; ++I)
+    Faults.push_back({FaultKind::Publish,
+                      milliseconds(*rc::gen::inRange(500, 3500)),
+                      milliseconds(1), 0, 0});
+  return Faults;
+}
+
+const Fault LongOutage{FaultKind::ServiceOutage, WarmUp, RunTime, 0, 0};
+
+} // namespace
+
+TEST_CASE("A node acts only on a view that may be the newest") {
+  // Guards against a resumed process or one behind a partition that serves
+  // revoked keys and old quota holders.
+  SECTION("whatever cuts it off or stops it") {
+    rc::check("no action on an old view after the lease length", [] {
+      Fleet F(shortLeases(
+          drawFaults({FaultKind::Drop, FaultKind::Delay, FaultKind::Duplicate,
+                      FaultKind::Pause, FaultKind::Kill, FaultKind::OneWay,
+                      FaultKind::TwoWay, FaultKind::ServiceOutage,
+                      FaultKind::HostChange})));
+      RC_ASSERT(drive(F).StaleActions == 0U);
+    });
+  }
+  SECTION("counted from publication if the service can be reached") {
+    rc::check("pauses, kills, late and repeated messages", [] {
+      FleetOptions Options =
+          shortLeases(drawFaults({FaultKind::Delay, FaultKind::Duplicate,
+                                  FaultKind::Pause, FaultKind::Kill}));
+      // Late answers of witnesses would confirm what the service already
+      // replaced; the delays stay below the part of the lease that asks them.
+      for (Fault &F : Options.Faults)
+        F.Amount = std::min(F.Amount, 2U);
+      Options.ServiceReachable = true;
+      Fleet F(Options);
+      RC_ASSERT(drive(F).StaleActions == 0U);
+    });
+  }
+  SECTION("which a rule without the lease violates") {
+    const std::vector<Fault> Faults{
+        {FaultKind::TwoWay, milliseconds(1200), RunTime, 0b000111, 0},
+        {FaultKind::Publish, milliseconds(1500), milliseconds(1), 0, 0}};
+    FleetOptions Options = shortLeases(Faults);
+    Fleet Correct(Options);
+    REQUIRE(drive(Correct).StaleActions == 0);
+    Options.Wrong.NoViewLease = true;
+    Fleet Wrong(Options);
+    REQUIRE(drive(Wrong).StaleActions > 0);
+  }
+}
+
+TEST_CASE("An outage of the configuration service") {
+  // Guards against a fleet that stops with its configuration service.
+  SECTION("alone causes no refusal for want of a view lease") {
+    Fleet F(shortLeases({LongOutage}));
+    drive(F);
+    REQUIRE(F.Admissions > 400);
+    REQUIRE(F.LeaseRefusals == 0);
+  }
+  SECTION("with a minority cut off refuses there, and only there") {
+    Fleet F(shortLeases(
+        {LongOutage,
+         {FaultKind::TwoWay, milliseconds(1500), RunTime, 0b000011, 0}}));
+    drive(F);
+    REQUIRE(F.LeaseRefusals > 0);
+    for (const auto &Call : F.Calls)
+      if (Call.Result == Fleet::Answer::NoLease)
+        REQUIRE(Call.Node <= 1);
+  }
+  SECTION("with most witnesses restarted at once refuses until it ends") {
+    std::vector<Fault> Faults{LongOutage};
+    for (std::uint32_t Host = 1; Host <= 3; ++Host)
+      Faults.push_back(
+          {FaultKind::Kill, milliseconds(1500), milliseconds(50), Host, 0});
+    Fleet F(shortLeases(Faults));
+    drive(F);
+    REQUIRE_FALSE(viewLease(F.Nodes[0].View).validAt(F.now()));
+  }
+}
+
+TEST_CASE("A confirmation is dated by its question") {
+  ViewState State = makeView(HostId("a"), Instant{});
+  const RevisionKey Key{Revision(1), {}};
+  State.Parents = {HostId("b")};
+  holdRevision(State, Key, Key, Policy{}, Instant{});
+  const auto Questions = dueQuestions(State, Instant{});
+  REQUIRE(Questions.size() == 1);
+  const std::uint64_t Nonce = Questions[0].Nonce;
+
+  SECTION("so a late answer is not fresh, and its age counts") {
+    recordConfirmation(State, Nonce, {Key, milliseconds(400)});
+    REQUIRE(viewLease(State).Until ==
+            Instant{} + Policy{}.ViewLease - milliseconds(400));
+  }
+  SECTION("an answer to no question is ignored") {
+    recordConfirmation(State, Nonce + 1, {Key, Duration::zero()});
+    REQUIRE_FALSE(viewLease(State).validAt(Instant{}));
+  }
+  SECTION("a newer revision ends the confirmation of the held one") {
+    recordHearsay(State, {Revision(2), {}});
+    recordConfirmation(State, Nonce, {Key, Duration::zero()});
+    REQUIRE_FALSE(viewLease(State).validAt(Instant{}));
+  }
+}
