--- a/bench/model/Simulation.cpp
+++ b/bench/model/Simulation.cpp
@@ -28,7 +28,7 @@
   for (const HostSpec &Spec : Fleet.Rules.Hosts) {
     HostModel Host;
     Host.Callee = makeCallee(Reach, Reach.ServiceByName.at(Spec.Service), Now);
-    Host.Ingress = makeIngress(Reach, Random());
+    Host.Ingress = makeIngress(Reach);
     Host.Table = makeHostTable(Fleet.Rules, Reach, nullptr, Now);
     Hosts.push_back(std::move(Host));
   }
@@ -132,9 +132,8 @@
   Root->Route = User.Route;
   Root->Tenant = User.Tenant;
   Root->Rank = Fleet.Reach.Routes[User.Route].Rank;
+  Root->Hash = Random();
   Root->Ingress = static_cast<HostIndex>(Random() % Hosts.size());
-  Root->Hash = drawHash(Hosts[Root->Ingress].Ingress, Fleet.Reach, Root->Route,
-                        Root->Tenant);
   Root->AdmittedAt = Now + Fleet.FromClient;
   Root->Deadline = Now + Rules.Deadline;
   Root->HeldSeconds.resize(Fleet.Reach.Services.size());
--- a/src/core/admission/Ingress.cpp
+++ b/src/core/admission/Ingress.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <random>
 
 namespace pollenwick {
 
@@ -12,10 +11,6 @@
 /// approach it and keep the level in every relayed reply.
 constexpr std::uint32_t SnapDistance = 256;
 
-/// 2^32 over the golden ratio: the additive sequence with the least
-/// discrepancy. Random hashes would make a tenant's luck part of its share.
-constexpr std::uint32_t GoldenStep = 0x9e3779b9U;
-
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
 
@@ -66,28 +61,15 @@
 
 } // namespace
 
-IngressState makeIngress(const ReachTable &Reach, std::uint64_t Seed,
-                         IngressTuning Tuning) {
+IngressState makeIngress(const ReachTable &Reach, IngressTuning Tuning) {
   IngressState State;
   State.Tuning = Tuning;
   State.Common.resize(Reach.Services.size());
   State.PerTenant.resize(Reach.Services.size() * Reach.Tenants.size());
   State.Use.resize(Reach.Tenants.size());
-  State.HashSequence.resize(Reach.Routes.size() * Reach.Tenants.size());
-  std::mt19937_64 Random(Seed);
-  std::generate(State.HashSequence.begin(), State.HashSequence.end(),
-                [&] { return static_cast<std::uint32_t>(Random()); });
   return State;
 }
 
-std::uint64_t drawHash(IngressState &State, const ReachTable &Reach,
-                       RouteIndex Route, TenantIndex Tenant) {
-  std::uint32_t &Sequence =
-      State.HashSequence[std::size_t{Tenant} * Reach.Routes.size() + Route];
-  Sequence += GoldenStep;
-  return std::uint64_t{Sequence} << 32;
-}
-
 Level levelOf(const IngressState &State, const ReachTable &Reach,
               ServiceIndex Service, TenantIndex Tenant, Instant Now) {
   const std::uint32_t Top = admitAll(Reach.Ranks).Value;
--- a/src/core/admission/Ingress.h
+++ b/src/core/admission/Ingress.h
@@ -45,20 +45,12 @@
 /// Admission state of one ingress. Owner: the request path, under one mutex.
 struct IngressState {
   IngressTuning Tuning;
-  std::vector<HeldLevel> Common;           ///< By service.
-  std::vector<HeldLevel> PerTenant;        ///< By tenant, then service.
-  std::vector<TenantUse> Use;              ///< By tenant.
-  std::vector<std::uint32_t> HashSequence; ///< By tenant, then route.
+  std::vector<HeldLevel> Common;    ///< By service.
+  std::vector<HeldLevel> PerTenant; ///< By tenant, then service.
+  std::vector<TenantUse> Use;       ///< By tenant.
 };
 
-/// `Seed` makes the hash sequences of ingress nodes independent.
-IngressState makeIngress(const ReachTable &Reach, std::uint64_t Seed,
-                         IngressTuning Tuning = {});
-
-/// Hash of a new root request. The hashes of a tenant and route are spread
-/// evenly, so that a share of N requests admits that share of any N in a row.
-std::uint64_t drawHash(IngressState &State, const ReachTable &Reach,
-                       RouteIndex Route, TenantIndex Tenant);
+IngressState makeIngress(const ReachTable &Reach, IngressTuning Tuning = {});
 
 struct RootRequest {
   RouteIndex Route = 0;
--- a/src/core/admission/Level.h
+++ b/src/core/admission/Level.h
@@ -27,7 +27,12 @@
 /// Position of a request in the shedding order. Every node computes the same
 /// position for all calls of one root request.
 inline Level positionOf(std::uint32_t Rank, std::uint64_t RequestHash) {
-  return {Rank * LevelUnit + static_cast<std::uint32_t>(RequestHash >> 48)};
+  // The finalizer of splitmix64 spreads hashes that are only sequence numbers.
+  std::uint64_t Mixed = RequestHash + 0x9e3779b97f4a7c15ULL;
+  Mixed = (Mixed ^ (Mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94d049bb133111ebULL;
+  Mixed ^= Mixed >> 31;
+  return {Rank * LevelUnit + static_cast<std::uint32_t>(Mixed >> 48)};
 }
 
 /// Level that admits `Fraction` (0 to 1) of the class with rank `Rank` and all
