--- a/bench/model/Scenario.cpp
+++ b/bench/model/Scenario.cpp
@@ -47,10 +47,17 @@
 struct Shares {
   double Goodput = 0;
   double WorstTenant = 0;
+  double WorstWithinRate = 0;
+  std::vector<double> ByService;
 };
 
-Shares sharesIn(const Deployment &Fleet, const Calibration &Overloaded,
-                const Counters &Count, const Window &Span) {
+bool isOverRate(const Scenario &Story, TenantIndex Tenant) {
+  return Story.Surge > 0 || (Story.HotTenant > 1 && Tenant == 0);
+}
+
+Shares sharesIn(const Deployment &Fleet, const Scenario &Story,
+                const Calibration &Overloaded, const Counters &Count,
+                const Window &Span) {
   Matrix Demand = routesByTenants(Fleet);
   Matrix Done = Demand;
   for (const UserRecord &User : Count.Users) {
@@ -61,8 +68,9 @@
   }
   const Optimum Best =
       fillSlots(Fleet, Demand, Overloaded.Held, slotsOf(Fleet));
-  Shares Result{std::numeric_limits<double>::infinity(),
-                std::numeric_limits<double>::infinity()};
+  constexpr double Infinity = std::numeric_limits<double>::infinity();
+  Shares Result{Infinity, Infinity, Infinity,
+                std::vector<double>(Best.Saturated.size(), -1.0)};
   auto Use = [&](const Matrix &Rates, auto Weight) {
     double Sum = 0;
     for (RouteIndex R = 0; R < Rates.size(); ++R)
@@ -78,8 +86,8 @@
     auto Held = [&](RouteIndex R, TenantIndex) {
       return Overloaded.Held[R][S];
     };
-    Result.Goodput =
-        std::min(Result.Goodput, Use(Done, Held) / Use(Best.Served, Held));
+    Result.ByService[S] = Use(Done, Held) / Use(Best.Served, Held);
+    Result.Goodput = std::min(Result.Goodput, Result.ByService[S]);
   }
   auto One = [](RouteIndex, TenantIndex) { return 1.0; };
   if (!AnyFull)
@@ -88,8 +96,10 @@
     auto Mine = [&](RouteIndex, TenantIndex T) {
       return T == Tenant ? 1.0 : 0.0;
     };
-    Result.WorstTenant =
-        std::min(Result.WorstTenant, Use(Done, Mine) / Use(Best.Served, Mine));
+    const double Share = Use(Done, Mine) / Use(Best.Served, Mine);
+    Result.WorstTenant = std::min(Result.WorstTenant, Share);
+    if (!isOverRate(Story, Tenant))
+      Result.WorstWithinRate = std::min(Result.WorstWithinRate, Share);
   }
   return Result;
 }
@@ -185,11 +195,13 @@
   const Instant End = Start + Times.Overload;
   Measures Result;
   const Shares Steady =
-      sharesIn(Fleet, Overloaded, Count, {Start + Times.Onset, End});
+      sharesIn(Fleet, Story, Overloaded, Count, {Start + Times.Onset, End});
   Result.Goodput = Steady.Goodput;
   Result.WorstTenant = Steady.WorstTenant;
+  Result.WorstWithinRate = Steady.WorstWithinRate;
+  Result.ServiceGoodput = Steady.ByService;
   Result.GoodputOnset =
-      sharesIn(Fleet, Overloaded, Count, {Start, End}).Goodput;
+      sharesIn(Fleet, Story, Overloaded, Count, {Start, End}).Goodput;
   Result.Recovery = recoveryTime(Count, {End, End + Times.After});
   std::uint64_t WithinRate = 0;
   for (const UserRecord &User : Count.Users) {
--- a/bench/model/Scenario.h
+++ b/bench/model/Scenario.h
@@ -37,9 +37,11 @@
 
 struct Measures {
   double Goodput = 0; ///< Of the best allocation, at its worst full service.
-  double GoodputOnset = 0; ///< The same over the whole overload.
-  double Recovery = 0;     ///< Seconds; negative if not within `After`.
-  double WorstTenant = 0;  ///< Served, of its weighted max-min fair share.
+  double GoodputOnset = 0;    ///< The same over the whole overload.
+  double Recovery = 0;        ///< Seconds; negative if not within `After`.
+  double WorstTenant = 0;     ///< Served, of its weighted max-min fair share.
+  double WorstWithinRate = 0; ///< The same over tenants at their rate.
+  std::vector<double> ServiceGoodput;  ///< By full service; else negative.
   std::uint64_t RefusedWithinRate = 0; ///< Requests of tenants at their rate.
   double RefusedWithinRateShare = 0;
   std::uint64_t MoneyShed = 0;
--- a/bench/model/Simulation.cpp
+++ b/bench/model/Simulation.cpp
@@ -34,6 +34,7 @@
   }
   Count.HeldSeconds = Matrix(Reach.Routes.size(),
                              std::vector<double>(Reach.Services.size(), 0.0));
+  Count.RefusedBy = Matrix(Reach.Tenants.size(), std::vector<double>(32, 0.0));
   Count.Answered.resize(Reach.Routes.size());
   Count.HostRuns.resize(Hosts.size());
 }
@@ -148,6 +149,7 @@
                     {Root->Route, Root->Tenant, Root->Hash}, Now);
     if (!Verdict.Admitted) {
       ++Count.Refusals;
+      ++Count.RefusedBy[Root->Tenant][0];
       noteMoneyShed(Root, Verdict.Limiting);
       closeRoot(Root, false);
       return;
--- a/bench/model/Simulation.h
+++ b/bench/model/Simulation.h
@@ -53,7 +53,8 @@
 
 struct Counters {
   std::vector<UserRecord> Users;
-  std::uint64_t Refusals = 0;             ///< Attempts, by any decision.
+  std::uint64_t Refusals = 0; ///< Attempts, by any decision.
+  Matrix RefusedBy; ///< By tenant, then reason; ingress refusals are first.
   std::uint64_t MoneyShed = 0;            ///< Refused calls of rank 0.
   std::uint64_t MoneyShedBesideWorse = 0; ///< A worse class ran at the service.
   std::uint64_t DeadRuns = 0;     ///< Calls started for roots known to fail.
--- a/bench/model/SimulationCalls.cpp
+++ b/bench/model/SimulationCalls.cpp
@@ -216,6 +216,8 @@
 
 void Simulation::reply(const CallPtr &Call, RefusalReason Reason) {
   Call->Ended = true;
+  if (Reason != RefusalReason::None)
+    ++Count.RefusedBy[Call->Root->Tenant][static_cast<std::size_t>(Reason)];
   std::erase_if(Call->Root->Open, [&](const std::weak_ptr<CallState> &Open) {
     return Open.lock() == Call;
   });
--- a/bench/overload_model.cpp
+++ b/bench/overload_model.cpp
@@ -4,6 +4,7 @@
 #include <Poco/JSON/Object.h>
 #include <gflags/gflags.h>
 
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <future>
@@ -40,6 +41,9 @@
   Object->set("goodput_with_onset", Result.GoodputOnset);
   Object->set("recovery_seconds", Result.Recovery);
   Object->set("worst_tenant_of_fair_share", Result.WorstTenant);
+  // Absent when no tenant keeps to its rate.
+  if (std::isfinite(Result.WorstWithinRate))
+    Object->set("worst_tenant_within_rate", Result.WorstWithinRate);
   Object->set("refused_within_rate", Result.RefusedWithinRate);
   Object->set("refused_within_rate_share", Result.RefusedWithinRateShare);
   Object->set("money_shed", Result.MoneyShed);
@@ -52,10 +56,11 @@
 void printRow(const Row &Line) {
   const Measures &Result = Line.Result;
   std::printf(
-      "%-8s %-24s %-12s %7.3f %7.3f %7.2f %7.3f %8llu %7.4f %8llu %6llu "
+      "%-8s %-24s %-12s %7.3f %7.3f %7.2f %7.3f %7.3f %8llu %7.4f %8llu %6llu "
       "%6.3f %7llu\n",
       Line.Fleet->Name.c_str(), Line.Story.Name.c_str(), Line.Variant,
       Result.Goodput, Result.GoodputOnset, Result.Recovery, Result.WorstTenant,
+      Result.WorstWithinRate,
       static_cast<unsigned long long>(Result.RefusedWithinRate),
       Result.RefusedWithinRateShare,
       static_cast<unsigned long long>(Result.MoneyShed),
@@ -99,10 +104,10 @@
     for (std::future<void> &Run : Batch)
       Run.get();
   }
-  std::printf("%-8s %-24s %-12s %7s %7s %7s %7s %8s %7s %8s %6s %6s %7s\n",
+  std::printf("%-8s %-24s %-12s %7s %7s %7s %7s %7s %8s %7s %8s %6s %6s %7s\n",
               "fleet", "scenario", "variant", "goodput", "+onset", "recover",
-              "worst", "refused", "share", "moneyshd", "beside", "useful",
-              "deadrun");
+              "worst", "inrate", "refused", "share", "moneyshd", "beside",
+              "useful", "deadrun");
   Poco::JSON::Array Report;
   for (const Row &Line : Rows) {
     printRow(Line);
