core/admission: bound the error that the capacity trim integrates

Cause: the burst at the onset of a surge drove the trim down by a fifth, and slots idled for a second after it.

--- a/src/core/admission/OfferedLoad.cpp
+++ b/src/core/admission/OfferedLoad.cpp
@@ -33,6 +33,9 @@
 constexpr double MinTrim = 0.7;
 constexpr double MaxTrim = 1.4;
 constexpr double TrimGain = 0.01;
+/// Larger deviations are left to the horizon: the burst at the onset of a
+/// surge says nothing about the capacity.
+constexpr double MaxTrimError = 0.3;
 
 LoadCell &cellAt(ThresholdState &State, std::uint32_t Rank,
                  TenantIndex Tenant) {
@@ -118,8 +121,9 @@
     return std::numeric_limits<double>::infinity();
   }
   const double Missing = Target - Measure.Backlog;
-  State.Trim = std::clamp(State.Trim + TrimGain * Missing / Measure.Limit,
-                          MinTrim, MaxTrim);
+  const double Error =
+      std::clamp(Missing / Measure.Limit, -MaxTrimError, MaxTrimError);
+  State.Trim = std::clamp(State.Trim + TrimGain * Error, MinTrim, MaxTrim);
   const double Capacity = Measure.CapacityPerSecond * State.Trim;
   const double Horizon =
       std::chrono::duration<double>(State.Tuning.Horizon).count();
