--- a/bench/model/Scenario.cpp
+++ b/bench/model/Scenario.cpp
@@ -131,7 +131,9 @@
 } // namespace
 
 std::vector<Scenario> allScenarios() {
-  return {{"surge 2x", 2},
+  // The first scenario measures the capacity with saturated servers.
+  return {{"saturated at 1.1x", 1.1},
+          {"surge 2x", 2},
           {"surge 5x", 5},
           {"surge 10x", 10},
           {"deep service at a tenth", 0, 10},
--- a/src/core/admission/Ingress.cpp
+++ b/src/core/admission/Ingress.cpp
@@ -44,7 +44,10 @@
   const std::uint32_t Target = std::min(Reported.Value, Top);
   const double Current = relaxed(Held, Tuning, Top, Now);
   const bool Stale = ageOf(Held, Now) > Tuning.Hold;
-  const double Weight = Stale ? 1.0 : Tuning.ReportWeight / 1000.0;
+  // A server that still serves worse classes asks for the whole best class,
+  // whatever the other servers of its service ask for.
+  const bool Protects = Current < LevelUnit && Target >= LevelUnit;
+  const double Weight = Stale || Protects ? 1.0 : Tuning.ReportWeight / 1000.0;
   const double Mixed = Current + Weight * (Target - Current);
   Held.Value = static_cast<std::uint32_t>(Mixed);
   if (Target == Top && Top - Held.Value < SnapDistance)
@@ -54,6 +57,11 @@
     Held.AtMilliseconds = At;
 }
 
+/// Some server of the service lately admitted more than the best class.
+bool servesWorseClasses(const IngressState &State, ServiceIndex Service) {
+  return State.Common[Service].Value > LevelUnit + SnapDistance;
+}
+
 std::size_t cellOf(const ReachTable &Reach, ServiceIndex Service,
                    TenantIndex Tenant) {
   return std::size_t{Tenant} * Reach.Services.size() + Service;
@@ -87,7 +95,9 @@
   Result.Applied = admitAll(Reach.Ranks);
   Result.Limiting = Route.Service;
   for (ServiceIndex Service : Route.Services) {
-    const Level Held = levelOf(State, Reach, Service, Request.Tenant, Now);
+    Level Held = levelOf(State, Reach, Service, Request.Tenant, Now);
+    if (Held.Value < LevelUnit && servesWorseClasses(State, Service))
+      Held.Value = LevelUnit;
     if (Held < Result.Applied) {
       Result.Applied = Held;
       Result.Limiting = Service;
--- /dev/null
+++ b/tests/admission/AdmissionTest.cpp
@@ -0,0 +1,254 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "core/admission/Callee.h"
+#include "core/admission/Ingress.h"
+#include "model/Deployment.h"
+
+using namespace pollenwick;
+using std::chrono::milliseconds;
+
+namespace {
+
+const model::Deployment &fleet() {
+  static const model::Deployment Fleet = model::lantern();
+  return Fleet;
+}
+
+RouteIndex route(const char *Name) {
+  return fleet().Reach.RouteByName.at(RouteId(Name));
+}
+
+ServiceIndex service(const char *Name) {
+  return fleet().Reach.ServiceByName.at(ServiceId(Name));
+}
+
+Instant at(std::int64_t Milliseconds) {
+  return Instant{} + milliseconds(Milliseconds);
+}
+
+OfferedCall call(std::uint64_t Id, std::uint32_t Rank, bool WorkDone,
+                 std::int64_t AdmittedMs) {
+  OfferedCall Call;
+  Call.Id = CallId(Id);
+  Call.Rank = Rank;
+  Call.WorkDone = WorkDone;
+  Call.RootAdmitted = at(AdmittedMs);
+  Call.Deadline = at(100000);
+  return Call;
+}
+
+} // namespace
+
+TEST_CASE("The reach table follows the declared call graph", "[admission]") {
+  // Guards against a deep service whose overload the ingress does not see.
+  const RouteReach &Deposit = fleet().Reach.Routes[route("cobros/deposit")];
+  CHECK(Deposit.Services == std::vector<ServiceIndex>{service("catalogo"),
+                                                      service("cobros"),
+                                                      service("cereria")});
+  CHECK(Deposit.Rank == 0);
+  CHECK(fleet().Reach.Ranks == 3);
+}
+
+TEST_CASE("The ingress sheds by class, then tenant, then hash", "[admission]") {
+  rc::prop(
+      "a request that is refused implies refusal of all that rank worse", [] {
+        // Guards against a better class being shed before a worse one.
+        IngressState State = makeIngress(fleet().Reach);
+        const auto Value = *rc::gen::inRange<std::uint32_t>(0, 3 * LevelUnit);
+        const Level Cut{Value};
+        const ThresholdReport Report{service("catalogo"), Cut,
+                                     levelAt(Value / LevelUnit + 1, 0),
+                                     Duration::zero()};
+        onReply(State, fleet().Reach, 0, {&Report, 1}, at(1000));
+        const auto Hash = *rc::gen::arbitrary<std::uint64_t>();
+        auto Admitted = [&](const char *Name) {
+          return admit(State, fleet().Reach, {route(Name), 0, Hash}, at(1000))
+              .Admitted;
+        };
+        if (Admitted("catalogo/lookup"))
+          RC_ASSERT(Admitted("cobros/deposit"));
+        RC_ASSERT(Admitted("galeria/upload")); // Does not reach it.
+        RC_ASSERT(Admitted("cobros/deposit") == (positionOf(0, Hash) < Cut));
+      });
+
+  SECTION("a stale level relaxes until it refuses nothing") {
+    // Guards against a wrong or old level that refuses for ever.
+    IngressState State = makeIngress(fleet().Reach);
+    const ThresholdReport Report{service("cobros"), Level{0}, levelAt(1, 0),
+                                 Duration::zero()};
+    onReply(State, fleet().Reach, 3, {&Report, 1}, at(1000));
+    std::uint32_t Last = 0;
+    for (std::int64_t Ms = 1000; Ms < 2600; Ms += 50) {
+      const Level Now =
+          levelOf(State, fleet().Reach, service("cobros"), 3, at(Ms));
+      CHECK(Now.Value >= Last);
+      Last = Now.Value;
+    }
+    CHECK(Last == admitAll(3).Value);
+    SECTION("and one report restores it, without opening the class below") {
+      onReply(State, fleet().Reach, 3, {&Report, 1}, at(2600));
+      CHECK(
+          levelOf(State, fleet().Reach, service("cobros"), 3, at(2650)).Value ==
+          0);
+    }
+  }
+
+  SECTION("the best class is not cut while a server admits worse classes") {
+    // Guards against deposits shed on the average of unequal servers.
+    IngressState State = makeIngress(fleet().Reach);
+    const ThresholdReport Cut{service("cobros"), Level{0}, levelAt(2, 0),
+                              Duration::zero()};
+    onReply(State, fleet().Reach, 0, {&Cut, 1}, at(1000));
+    CHECK(admit(State, fleet().Reach, {route("cobros/deposit"), 0, ~0ULL},
+                at(1000))
+              .Admitted);
+  }
+
+  SECTION("levels of deeper services travel up the chain with their age") {
+    // Guards against relays that refresh each other's stale levels.
+    IngressState State = makeIngress(fleet().Reach);
+    const ThresholdReport Deep{service("cereria"), levelAt(1, 0.5),
+                               levelAt(2, 0), milliseconds(40)};
+    onReply(State, fleet().Reach, 0, {&Deep, 1}, at(1000));
+    std::vector<ThresholdReport> Relayed;
+    relayReports(State, fleet().Reach, route("cobros/deposit"), 0, at(1010),
+                 Relayed);
+    REQUIRE(Relayed.size() == 1);
+    CHECK(Relayed[0].Service == service("cereria"));
+    CHECK(Relayed[0].Age == milliseconds(50));
+  }
+}
+
+TEST_CASE("The callee queue serves and sheds in the documented orders",
+          "[admission]") {
+  rc::prop("served: work done, class, age; shed: class, no work, youth", [] {
+    // Guards against wasted work and against shedding a deposit before others.
+    CallQueue Queue;
+    const auto Count = *rc::gen::inRange<std::uint64_t>(1, 30);
+    for (std::uint64_t Id = 0; Id < Count; ++Id)
+      pushCall(Queue, call(Id, *rc::gen::inRange<std::uint32_t>(0, 3),
+                           *rc::gen::arbitrary<bool>(),
+                           *rc::gen::inRange<std::int64_t>(0, 50)));
+    for (const auto &[Id, Call] : Queue.ById)
+      RC_ASSERT(Call.Rank <= worstCall(Queue)->Rank);
+    std::optional<OfferedCall> Last;
+    while (auto Next = popNext(Queue)) {
+      if (Last) {
+        RC_ASSERT(Last->WorkDone >= Next->WorkDone);
+        if (Last->WorkDone == Next->WorkDone)
+          RC_ASSERT(std::pair(Last->Rank, Last->RootAdmitted) <=
+                    std::pair(Next->Rank, Next->RootAdmitted));
+      }
+      Last = Next;
+    }
+    RC_ASSERT(Queue.ShedOrder.empty());
+    RC_ASSERT(Queue.ById.empty());
+  });
+}
+
+TEST_CASE("The callee node sheds deposits last", "[admission]") {
+  rc::prop("no deposit is refused or evicted while another class is here", [] {
+    // Guards G2 at the callee node, whatever arrives in which order.
+    CalleeState State = makeCallee(fleet().Reach, service("cereria"), at(0));
+    std::uint64_t Id = 0;
+    std::map<std::uint64_t, std::uint32_t> RankOf;
+    std::vector<std::uint32_t> Running;
+    const auto Steps = *rc::gen::inRange(1, 200);
+    for (int Step = 0; Step < Steps; ++Step) {
+      const Instant Now = at(Step);
+      if (!Running.empty() && *rc::gen::inRange(0, 4) == 0) {
+        FinishedCall Done;
+        Done.Rank = Running.back();
+        Done.Held = milliseconds(20);
+        Done.Own = milliseconds(20);
+        Running.pop_back();
+        releaseSlot(State, Done, Now);
+        if (auto Next = takeCall(State, Now).Call)
+          Running.push_back(Next->Rank);
+        continue;
+      }
+      const auto Rank = *rc::gen::inRange<std::uint32_t>(0, 3);
+      const bool Worse = std::any_of(Running.begin(), Running.end(),
+                                     [](std::uint32_t R) { return R > 0; });
+      RankOf[++Id] = Rank;
+      const OfferResult Result =
+          offerCall(State, fleet().Reach,
+                    call(Id, Rank, *rc::gen::arbitrary<bool>(), 0), Now);
+      if (Result.Verdict == OfferVerdict::Run)
+        Running.push_back(Rank);
+      if (Worse && Result.Evicted)
+        RC_ASSERT(RankOf[Result.Evicted->Value] > 0);
+      if (Worse && Rank == 0)
+        RC_ASSERT(Result.Verdict != OfferVerdict::Refused);
+      RC_ASSERT(State.InSlots <= limitOf(State.Limit));
+    }
+  });
+
+  SECTION("a call that cannot meet its deadline is not run") {
+    // Guards against work for an answer that nobody waits for.
+    CalleeState State = makeCallee(fleet().Reach, service("cereria"), at(0));
+    State.OwnTime[0] = 50000;
+    OfferedCall Late = call(1, 0, true, 0);
+    Late.Deadline = at(1040);
+    CHECK(offerCall(State, fleet().Reach, Late, at(1000)).Reason ==
+          RefusalReason::DeadlineExceeded);
+  }
+}
+
+TEST_CASE("Levels share a class by weighted max-min fairness", "[admission]") {
+  rc::prop("a tenant below its fair share is not cut by another's surge", [] {
+    // Guards against a surge of one tenant that lowers another's share.
+    ThresholdState State = makeThreshold(fleet().Reach, at(0));
+    const auto Hot = *rc::gen::inRange<TenantIndex>(0, 8);
+    const auto Factor = *rc::gen::inRange(5, 50);
+    WindowMeasure Full;
+    Full.CapacityPerSecond = 4000;
+    Full.Limit = 100;
+    Full.Backlog = 100;
+    for (int Window = 1; Window <= 60; ++Window) {
+      for (TenantIndex T = 0; T < 8; ++T) {
+        const double Rate = 10.0 * (T == Hot ? Factor : 1) * (T < 2 ? 3 : 1);
+        const double Through =
+            Rate * State.Cells[std::size_t{2} * 8 + T].Applied;
+        for (int Call = 0; Call < static_cast<int>(Through + 0.5); ++Call)
+          recordOffered(State, 2, T);
+      }
+      updateThreshold(State, fleet().Reach, Full, at(50 * Window));
+    }
+    for (TenantIndex T = 0; T < 8; ++T)
+      if (T != Hot)
+        RC_ASSERT(State.Levels[T] == admitAll(3));
+  });
+}
+
+TEST_CASE("The concurrency limit learns from measured latency", "[admission]") {
+  auto Drive = [](ConcurrencyLimit &State, Instant &Now, int Calls,
+                  auto OwnTime) {
+    for (int Call = 0; Call < Calls; ++Call) {
+      Now += Duration{1000};
+      const Duration Own{
+          static_cast<std::int64_t>(OwnTime(limitOf(State)) * 1000)};
+      onOwnTime(State, 0, Own, true, Now);
+    }
+  };
+  ConcurrencyLimit State = makeLimit(100, 1, at(0));
+  Instant Now = at(0);
+  Drive(State, Now, 2000, [](std::uint32_t) { return 20.0; });
+  CHECK(limitOf(State) == 100);
+
+  SECTION("contention: latency grows with concurrency, so the limit falls") {
+    // Guards against a slow server that queues its calls inside.
+    Drive(State, Now, 20000, [](std::uint32_t N) { return 20.0 * N / 10; });
+    CHECK(limitOf(State) <= 20);
+    SECTION("and it returns within 2 s when the server is fast again") {
+      Drive(State, Now, 2000, [](std::uint32_t) { return 20.0; });
+      CHECK(limitOf(State) == 100);
+    }
+  }
+  SECTION("slow without contention: the limit keeps the slots busy") {
+    // Guards against a collapse of the limit that loses throughput.
+    Drive(State, Now, 20000, [](std::uint32_t) { return 200.0; });
+    CHECK(limitOf(State) == 100);
+  }
+}
