Publish the run of host lists in the pointer and connect membership

Cause: quota ownership needs the first revision with the present host list, and a node that skips revisions cannot derive it: its witnesses would never anchor. Change: the signed pointer carries it; the node gets its place in the zone from membership, configuration goes through the decided core, and a node reports healthy only once the shards that it holds lend.

--- a/apps/pollenwick-bundle/Author.cpp
+++ b/apps/pollenwick-bundle/Author.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 #include <map>
+#include <optional>
 #include <sstream>
 
 #include "Commands.h"
@@ -94,8 +95,9 @@
   return Out;
 }
 
-// The revision and the parent of the next bundle follow a published pointer.
-absl::Status followParent(Bundle &Source) {
+// The revision and the parent of the next bundle follow a published pointer,
+// which `Parent` receives.
+absl::Status followParent(Bundle &Source, std::optional<Pointer> &Parent) {
   if (FLAGS_parent.empty() && FLAGS_service.empty())
     return absl::OkStatus();
   absl::StatusOr<Pointer> Head;
@@ -116,6 +118,7 @@
       return Head.status();
   }
   Source.Parent = Head->Root;
+  Parent = *Head;
   if (Source.Number <= Head->Number)
     return absl::FailedPreconditionError(absl::StrCat(
         "revision ", Source.Number.Value, " does not follow the revision ",
@@ -246,7 +249,8 @@
   absl::StatusOr<Bundle> Source = loadBundle(Args[0]);
   if (!Source.ok())
     return fail(ExitInput, textOf(Source.status()));
-  if (const absl::Status Done = followParent(*Source); !Done.ok())
+  std::optional<Pointer> Parent;
+  if (const absl::Status Done = followParent(*Source, Parent); !Done.ok())
     return fail(absl::IsFailedPrecondition(Done) ? ExitProblems
                 : absl::IsUnavailable(Done)      ? ExitService
                                                  : ExitInput,
@@ -263,6 +267,8 @@
   absl::StatusOr<PublishedBundle> Published = encodeBundle(*Source);
   if (!Published.ok())
     return fail(ExitProblems, textOf(Published.status()));
+  if (Parent)
+    followPointer(Published->Head, *Parent);
   if (const absl::Status Done = signPointer(Published->Head, *Key); !Done.ok())
     return fail(ExitSignature, textOf(Done));
   if (const absl::Status Done = writePublished(FLAGS_out, *Published);
--- a/include/pollenwick/Pointer.h
+++ b/include/pollenwick/Pointer.h
@@ -20,11 +20,31 @@
   friend bool operator==(const ChunkRef &, const ChunkRef &) = default;
 };
 
+/// Names one revision. Number 0: none.
+struct RevisionRef {
+  Revision Number;
+  Digest Root{};
+  friend bool operator==(const RevisionRef &, const RevisionRef &) = default;
+};
+
+/// Where a pointer stands in the chain of host lists. It is signed, since a
+/// node that skips revisions cannot derive it, and quota ownership needs the
+/// same answer at every node.
+struct HostListRun {
+  /// First revision of the unbroken run with the host chunks and the policy of
+  /// this one; none: this revision itself.
+  RevisionRef Since;
+  /// First revision of the run before that; none: unknown.
+  RevisionRef Before;
+  friend bool operator==(const HostListRun &, const HostListRun &) = default;
+};
+
 /// Head of a published bundle: one operator signature over everything else.
 struct Pointer {
   Revision Number;
   Digest Parent{}; ///< Root of the revision it follows; zero for the first.
   Digest Root{};   ///< Identifies this revision; see `rootOf`.
+  HostListRun HostList;
   std::vector<ChunkRef> Chunks;
   Signature Sign{};
   friend bool operator==(const Pointer &, const Pointer &) = default;
--- a/src/bundle/Published.cpp
+++ b/src/bundle/Published.cpp
@@ -1,6 +1,7 @@
 #include "bundle/Published.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <sstream>
 
@@ -145,9 +146,30 @@
   return Out;
 }
 
+void followPointer(Pointer &Head, const Pointer &Parent) {
+  const auto HostPart = [](const Pointer &P) {
+    std::vector<ChunkRef> Out;
+    // The policy names the witnesses.
+    std::ranges::copy_if(
+        P.Chunks, std::back_inserter(Out), [](const ChunkRef &Ref) {
+          return Ref.Name.starts_with("hosts/") || Ref.Name == "policy";
+        });
+    return Out;
+  };
+  const RevisionRef ParentRun = Parent.HostList.Since.Number.Value != 0
+                                    ? Parent.HostList.Since
+                                    : RevisionRef{Parent.Number, Parent.Root};
+  Head.Parent = Parent.Root;
+  Head.HostList = HostPart(Head) == HostPart(Parent)
+                      ? HostListRun{ParentRun, Parent.HostList.Before}
+                      : HostListRun{{}, ParentRun};
+}
+
 Digest rootOf(const Pointer &Head) {
   std::string List = absl::StrCat("pollenwick root 1\n", Head.Number.Value,
                                   "\n", digestText(Head.Parent), "\n");
+  for (const RevisionRef &Ref : {Head.HostList.Since, Head.HostList.Before})
+    absl::StrAppend(&List, Ref.Number.Value, " ", digestText(Ref.Root), "\n");
   // Lengths come first, so that no two lists give the same bytes.
   for (const ChunkRef &Ref : Head.Chunks)
     absl::StrAppend(&List, Ref.Name.size(), " ", Ref.Name, " ", Ref.Bytes, " ",
@@ -161,6 +183,10 @@
   Root->set("revision", Head.Number.Value);
   Root->set("parent", digestText(Head.Parent));
   Root->set("root", digestText(Head.Root));
+  Root->set("hosts_since", Head.HostList.Since.Number.Value);
+  Root->set("hosts_since_root", digestText(Head.HostList.Since.Root));
+  Root->set("hosts_before", Head.HostList.Before.Number.Value);
+  Root->set("hosts_before_root", digestText(Head.HostList.Before.Root));
   Poco::JSON::Array::Ptr List = new Poco::JSON::Array;
   for (const ChunkRef &Ref : Head.Chunks) {
     Poco::JSON::Object::Ptr Item = newObject();
@@ -195,6 +221,13 @@
       "revision", 1, std::numeric_limits<std::int64_t>::max() - 1));
   Hex(Reader, "parent", Head.Parent);
   Hex(Reader, "root", Head.Root);
+  const auto Ref = [&](const char *Number, const char *Root, RevisionRef &To) {
+    To.Number = Revision(
+        Reader.number(Number, 0, std::numeric_limits<std::int64_t>::max() - 1));
+    Hex(Reader, Root, To.Root);
+  };
+  Ref("hosts_since", "hosts_since_root", Head.HostList.Since);
+  Ref("hosts_before", "hosts_before_root", Head.HostList.Before);
   Reader.each("chunks", [&](ObjectReader &Item) {
     ChunkRef Ref;
     Ref.Name = Item.text("name");
--- a/src/bundle/Published.h
+++ b/src/bundle/Published.h
@@ -33,9 +33,13 @@
 absl::StatusOr<Bundle> assembleBundle(const Pointer &Head,
                                       const ChunkMap &Chunks);
 
-/// Digest over revision, parent and the list of chunk names and digests. It
-/// covers the revision, so that a return to older content has a root of its
-/// own and the chain of parents stays unambiguous.
+/// Makes `Head` the successor of `Parent`: sets the parent and the run of host
+/// lists. Call it before `signPointer`.
+void followPointer(Pointer &Head, const Pointer &Parent);
+
+/// Digest over revision, parent, run of host lists and the list of chunk names
+/// and digests. It covers the revision, so that a return to older content has a
+/// root of its own and the chain of parents stays unambiguous.
 Digest rootOf(const Pointer &Head);
 
 /// Canonical document of a pointer, signature included.
--- a/src/node/ActiveBundle.cpp
+++ b/src/node/ActiveBundle.cpp
@@ -1,37 +1,19 @@
 #include "node/ActiveBundle.h"
 
-#include <algorithm>
-
 namespace pollenwick {
 namespace {
 
-bool sameHosts(const Bundle &A, const Bundle &B) {
-  return std::ranges::equal(A.Hosts, B.Hosts,
-                            [](const HostSpec &X, const HostSpec &Y) {
-                              return X.Id == Y.Id && X.Zone == Y.Zone;
-                            }) &&
-         A.Rules.Witnesses == B.Rules.Witnesses;
-}
-
-// A revision between the two may have had other hosts unless one is the parent
-// of the other; the later number is then the safe side: it makes a holder wait.
-Succession successionOf(const Bundle &New, const RevisionKey &Key,
-                        const BundlePtr &Previous) {
-  if (!Previous || New.Parent != Previous->Key.Root)
-    return {Key, {}};
-  if (sameHosts(New, *Previous->Rules))
-    return Previous->Succession;
-  return {Key, Previous->Succession.HostsSince};
-}
+RevisionKey keyOf(const RevisionRef &Ref) { return {Ref.Number, Ref.Root}; }
 
 } // namespace
 
-BundlePtr activate(Bundle Rules, const Digest &Root,
-                   const BundlePtr &Previous) {
+BundlePtr activate(Bundle Rules, const Pointer &Head) {
   auto Out = std::make_shared<ActiveBundle>();
   Out->Rules = std::make_shared<const Bundle>(std::move(Rules));
-  Out->Key = {Out->Rules->Number, Root};
-  Out->Succession = successionOf(*Out->Rules, Out->Key, Previous);
+  Out->Key = {Head.Number, Head.Root};
+  const HostListRun &Run = Head.HostList;
+  Out->Succession = {Run.Since.Number.Value == 0 ? Out->Key : keyOf(Run.Since),
+                     keyOf(Run.Before)};
   Out->Reach = buildReachTable(*Out->Rules);
   Out->Routes = indexRoutes(Out->Rules);
   Out->Keys = indexKeys(Out->Rules);
--- a/src/node/ActiveBundle.h
+++ b/src/node/ActiveBundle.h
@@ -14,6 +14,7 @@
 #include "core/view/ViewLease.h"
 #include "peer/PeerDuty.h"
 #include "pollenwick/Bundle.h"
+#include "pollenwick/Pointer.h"
 
 namespace pollenwick {
 
@@ -30,8 +31,8 @@
 
 using BundlePtr = std::shared_ptr<const ActiveBundle>;
 
-/// `Previous` may be null.
-BundlePtr activate(Bundle Rules, const Digest &Root, const BundlePtr &Previous);
+/// Makes the look-up tables of an assembled bundle.
+BundlePtr activate(Bundle Rules, const Pointer &Head);
 
 /// Null when the bundle has no such host.
 const HostSpec *findHost(const ActiveBundle &Bundle, const HostId &Host);
--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -132,7 +132,7 @@
   const auto Read = Service->read(PointerValueName);
   if (!Read.ok()) {
     Count.add(Counter::ConfigReadErrors);
-    return reject(Read.status().message());
+    return reject(std::string(Read.status().message()));
   }
   const auto Head = verifyPointer(*Read, {Operator});
   if (Head.ok())
@@ -148,20 +148,21 @@
     return;
   const std::uint64_t Nonce = Question.Nonce;
   const HostId From = Question.Target;
-  Peers.post(*To, QuestionTimeout, [this, From,
-                                    Nonce](wire::Peer::Client &Peer) {
-    return Peer.confirmRequest().send().then([this, From, Nonce](auto &&Reply) {
-      const auto Said = Reply.getConfirmation();
-      if (!Said.getKnown())
-        return;
-      const RevisionKey Held = readMessage(Said.getHeld());
-      View.with([&](ViewState &V) {
-        recordConfirmation(V, Nonce, {Held, Duration(Said.getAgeMicros())});
+  Peers.post(
+      *To, QuestionTimeout, [this, From, Nonce](wire::Peer::Client &Peer) {
+        return Peer.confirmRequest().send().then([this, From,
+                                                  Nonce](auto &&Reply) {
+          const auto Said = Reply.getConfirmation();
+          if (!Said.getKnown())
+            return;
+          const RevisionKey Held = readMessage(Said.getHeld());
+          View.with([&](ViewState &V) {
+            recordConfirmation(V, Nonce, {Held, Duration(Said.getAgeMicros())});
+          });
+          std::scoped_lock Lock(Mutex);
+          noteVersion(State, {Held.Number, Held.Root}, From);
+        });
       });
-      std::scoped_lock Lock(Mutex);
-      noteVersion(State, {Held.Number, Held.Root}, From);
-    });
-  });
 }
 
 void ConfigDuty::askWitness(const ViewQuestion &Question) {
@@ -170,20 +171,23 @@
     return;
   const std::uint64_t Nonce = Question.Nonce;
   const HostId From = Question.Target;
-  Peers.post(*To, QuestionTimeout, [this, From,
-                                    Nonce](wire::Peer::Client &Peer) {
-    return Peer.witnessRequest().send().then([this, From, Nonce](auto &&Reply) {
-      const auto Said = Reply.getAnswer();
-      if (!Said.getKnown())
-        return;
-      const WitnessReply Answer{readMessage(Said.getHeld()),
-                                readMessage(Said.getHostsSince()),
-                                Duration(Said.getHostsHeldMicros())};
-      View.with([&](ViewState &V) { recordWitness(V, Nonce, Answer, now()); });
-      std::scoped_lock Lock(Mutex);
-      noteVersion(State, {Answer.Held.Number, Answer.Held.Root}, From);
-    });
-  });
+  Peers.post(
+      *To, QuestionTimeout, [this, From, Nonce](wire::Peer::Client &Peer) {
+        return Peer.witnessRequest().send().then(
+            [this, From, Nonce](auto &&Reply) {
+              const auto Said = Reply.getAnswer();
+              if (!Said.getKnown())
+                return;
+              const WitnessReply Answer{readMessage(Said.getHeld()),
+                                        readMessage(Said.getHostsSince()),
+                                        Duration(Said.getHostsHeldMicros())};
+              View.with([&](ViewState &V) {
+                recordWitness(V, Nonce, Answer, now());
+              });
+              std::scoped_lock Lock(Mutex);
+              noteVersion(State, {Answer.Held.Number, Answer.Held.Root}, From);
+            });
+      });
 }
 
 void ConfigDuty::fetch(const Fetch &What) {
@@ -203,7 +207,7 @@
   Count.add(Counter::ConfigReadErrors);
   if (absl::IsNotFound(Read.status()) && What.What == Fetch::Kind::Newest)
     return take({What, ""});
-  reject(Read.status().message());
+  reject(std::string(Read.status().message()));
   take({What, std::nullopt});
 }
 
@@ -291,16 +295,16 @@
 void ConfigDuty::takePointer(const Fetch &What, const std::string &Text) {
   const auto Head = verifyPointer(Text, {Operator});
   if (!Head.ok()) {
-    reject(Head.status().message());
+    reject(std::string(Head.status().message()));
     std::scoped_lock Lock(Mutex);
     return onFetchFailed(State, Tuning, What, now());
   }
   std::scoped_lock Lock(Mutex);
-  const OfferVerdict Verdict =
+  const PointerVerdict Verdict =
       What.What == Fetch::Kind::Ancestor
           ? offerAncestor(State, Tuning, *Head, true, now())
           : offerPointer(State, Tuning, *Head, true, What.Peer, now());
-  if (Verdict == OfferVerdict::Unwanted || Verdict == OfferVerdict::Older ||
+  if (Verdict == PointerVerdict::Unwanted || Verdict == PointerVerdict::Older ||
       !Documents.emplace(Head->Root, Text).second)
     return;
   DocumentOrder.push_back(Head->Root);
@@ -317,12 +321,11 @@
     return onFetchFailed(State, Tuning, What, now());
   }
   std::scoped_lock Lock(Mutex);
-  if (offerChunk(State, What.Wanted) != OfferVerdict::Unwanted)
+  if (offerChunk(State, What.Wanted) != PointerVerdict::Unwanted)
     Chunks.emplace(What.Wanted, Content);
 }
 
 void ConfigDuty::bringIntoForce() {
-  const BundlePtr Old = Bundles.current();
   const bool Confirmed =
       View.with([](const ViewState &V) { return V.ConfirmedAt.has_value(); });
   std::optional<Pointer> Head;
@@ -338,11 +341,11 @@
   }
   auto Rules = assembleBundle(*Head, Held);
   if (!Rules.ok()) {
-    reject(Rules.status().message());
+    reject(std::string(Rules.status().message()));
     std::scoped_lock Lock(Mutex);
     return rejectInForce(State, Applied);
   }
-  const BundlePtr New = activate(*std::move(Rules), *Head, Old);
+  const BundlePtr New = activate(*std::move(Rules), *Head);
   {
     std::scoped_lock Lock(Mutex);
     // A starting node asks several sources first, so that a stale read does
@@ -362,10 +365,10 @@
            {{"revision", std::to_string(Head->Number.Value)}});
 }
 
-void ConfigDuty::reject(std::string_view Why) {
+void ConfigDuty::reject(const std::string &Why) {
   Count.add(Counter::BundlesRejected);
   std::scoped_lock Lock(Mutex);
-  LastError = std::string(Why);
+  LastError = Why;
 }
 
 std::string
@@ -373,8 +376,8 @@
   std::scoped_lock Lock(Mutex);
   if (!Root && !State.InForce)
     return "";
-  const auto It = Documents.find(Root.value_or(
-      State.InForce ? State.InForce->Root : Digest{}));
+  const auto It = Documents.find(
+      Root.value_or(State.InForce ? State.InForce->Root : Digest{}));
   return It == Documents.end() ? "" : It->second;
 }
 
--- a/src/node/ConfigDuty.h
+++ b/src/node/ConfigDuty.h
@@ -68,7 +68,7 @@
   void takeChunk(const Fetch &What, const std::string &Content);
   void bringIntoForce();
   std::optional<PeerAddress> addressOf(const HostId &Host) const;
-  void reject(std::string_view Why);
+  void reject(const std::string &Why);
 
   const Settings Options;
   const IncarnationId Self;
--- a/src/node/MembershipDuty.cpp
+++ b/src/node/MembershipDuty.cpp
@@ -85,8 +85,8 @@
     return "";
   } catch (const Poco::Exception &Error) {
     return "cannot bind membership port " + Options.Address + ":" +
-           std::to_string(Options.MembershipPort) + ": " +
-           Error.displayText() + "; use a free port";
+           std::to_string(Options.MembershipPort) + ": " + Error.displayText() +
+           "; use a free port";
   }
 }
 
@@ -114,9 +114,10 @@
 
 void MembershipDuty::onBundle(const BundlePtr &New) {
   std::vector<HostAndZone> Hosts;
-  std::ranges::transform(
-      New->Rules->Hosts, std::back_inserter(Hosts),
-      [](const HostSpec &Host) { return HostAndZone{Host.Id, Host.Zone}; });
+  std::ranges::transform(New->Rules->Hosts, std::back_inserter(Hosts),
+                         [](const HostSpec &Host) {
+                           return HostAndZone{Host.Id, Host.Zone};
+                         });
   {
     std::scoped_lock Lock(Mutex);
     setHosts(State, Hosts, now());
@@ -153,8 +154,8 @@
   std::array<char, MaxDatagram> Buffer;
   try {
     Poco::Net::SocketAddress From;
-    const int Size = Socket.receiveFrom(
-        Buffer.data(), static_cast<int>(Buffer.size()), From);
+    const int Size = Socket.receiveFrom(Buffer.data(),
+                                        static_cast<int>(Buffer.size()), From);
     const auto Content = decodeDatagram(
         {Buffer.data(), static_cast<std::size_t>(std::max(Size, 0))});
     if (!Content)
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include <algorithm>
+#include <atomic>
 #include <optional>
 #include <random>
 #include <sstream>
@@ -13,6 +14,7 @@
 #include "node/ConfigDuty.h"
 #include "node/HttpPort.h"
 #include "node/Log.h"
+#include "node/MembershipDuty.h"
 #include "node/UpkeepDuty.h"
 #include "peer/Clock.h"
 #include "peer/QuotaWire.h"
@@ -53,6 +55,7 @@
   void addDuties();
   void openPorts();
   std::string stateJson() const;
+  bool isHealthy();
   void beginDrain();
   bool isIdle() const;
 
@@ -75,6 +78,8 @@
   std::optional<Forwarder> Calls;
   std::optional<Ingress> Roots;
   std::optional<ConfigDuty> Config;
+  std::optional<MembershipDuty> Members;
+  std::atomic<bool> WasReady = false;
   std::optional<HttpPort> CallerPort;
   std::optional<HttpPort> EgressPort;
   std::optional<HttpPort> AdminPort;
@@ -100,7 +105,8 @@
                Calls.emplace(Self, O.Zone, Self.Start.Value, Registry));
   Registry.add("ingress",
                Roots.emplace(Self, ClaimWorkers, O.RingCapacity, Registry));
-  Registry.add("config", Config.emplace(O, Operator, Registry));
+  Registry.add("config", Config.emplace(O, Self, Operator, Registry));
+  Registry.add("membership", Members.emplace(O, Self, Registry));
   subscribe();
   addDuties();
   openPorts();
@@ -141,6 +147,7 @@
     Calls->onBundle(New);
     Quota->onBundle(Old, New);
     View.hold(*New);
+    Members->onBundle(New);
     const auto &Services = New->Rules->Services;
     const HostSpec *Here = findHost(*New, Self.Host);
     const auto It = std::ranges::find_if(Services, [&](const ServiceSpec &S) {
@@ -159,6 +166,7 @@
   });
   Registry.addDuty(*Quota);
   Registry.addDuty(*Config);
+  Registry.addDuty(*Members);
   Registry.addDuty(Upkeep);
 }
 
@@ -178,8 +186,7 @@
                      });
   const AdminCalls Admin{
       [this] { return stateJson(); }, [this] { return Count.exposition(); },
-      [this] { return View.holdsLease() && !Local->isDraining(); },
-      [this] { beginDrain(); }};
+      [this] { return isHealthy(); }, [this] { beginDrain(); }};
   AdminPort.emplace(HttpPortOptions{"admin", "127.0.0.1", Options.AdminPort,
                                     AdminThreads, "", ""},
                     [Admin](auto &Request, auto &Response) {
@@ -217,11 +224,20 @@
   return Text.str();
 }
 
+// A node becomes healthy once the shards that it holds lend; later waits of a
+// shard, for example after a change of hosts, leave it healthy.
+bool Node::Parts::isHealthy() {
+  if (!WasReady)
+    WasReady = Bundles.current() && Quota->allShardsActive();
+  return WasReady && View.holdsLease() && !Local->isDraining();
+}
+
 void Node::Parts::beginDrain() {
   if (Local->isDraining())
     return;
   logState("node", "draining");
   Local->beginDrain();
+  Members->announceLeaving();
   CallerPort->beginDrain();
 }
 
@@ -241,6 +257,8 @@
           All->Peers.start(All->Options.Address, All->Options.PeerPort);
       !Error.empty())
     return Error;
+  if (auto Error = All->Members->open(); !Error.empty())
+    return Error;
   for (HttpPort *Port :
        {&*All->AdminPort, &*All->EgressPort, &*All->CallerPort})
     if (auto Error = Port->start(); !Error.empty())
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -71,6 +71,13 @@
   adoptBundle(Table, *New->Rules);
 }
 
+bool QuotaService::allShardsActive() const {
+  std::scoped_lock Lock(HolderMutex);
+  return std::ranges::all_of(Holder.Shards, [](const auto &Entry) {
+    return Entry.second.Active || Entry.second.Retired;
+  });
+}
+
 std::optional<PeerAddress> QuotaService::addressOf(const HostId &Host) const {
   const BundlePtr Bundle = Bundles.current();
   const HostSpec *Spec = Bundle ? findHost(*Bundle, Host) : nullptr;
--- a/src/node/QuotaService.h
+++ b/src/node/QuotaService.h
@@ -34,6 +34,9 @@
   /// when spent; otherwise the refusal, which is always "not run".
   std::optional<Refusal> spendOne(const TenantId &Tenant, Instant Deadline);
 
+  /// True when every shard held here accrues and lends.
+  bool allShardsActive() const;
+
   void onBundle(const BundlePtr &Old, const BundlePtr &New);
 
   // Requests of other nodes; called on the peer duty's thread.
--- a/src/peer/HeartbeatWire.cpp
+++ b/src/peer/HeartbeatWire.cpp
@@ -46,9 +46,9 @@
   auto News = Out.initNews(static_cast<unsigned>(Content.Beat.News.size()));
   for (unsigned I = 0; I < News.size(); ++I)
     writeNews(News[I], Content.Beat.News[I]);
-  writeMessages(Out.initSuspicions(
-                    static_cast<unsigned>(Content.Suspicions.size())),
-                Content.Suspicions);
+  writeMessages(
+      Out.initSuspicions(static_cast<unsigned>(Content.Suspicions.size())),
+      Content.Suspicions);
   kj::VectorOutputStream Bytes;
   capnp::writePackedMessage(Bytes, Message);
   const auto Array = Bytes.getArray();
