--- a/tests/config/ConfigPropertyTest.cpp
+++ b/tests/config/ConfigPropertyTest.cpp
@@ -37,6 +37,8 @@
   std::size_t ReadsInSteadyState = 0;
   std::size_t ReadsAtStart = 0;
   double StartSeconds = 0;
+  double SecondsInRestarts = 0; ///< While a third of the nodes restarts.
+  std::size_t ReadsInRestarts = 0;
 };
 
 double secondsUntil(Fleet &Fleet, const Version &Wanted) {
@@ -65,6 +67,14 @@
   }
   Fleet.run(milliseconds(2'000));
   Result.ReadsInSteadyState = Fleet.maxReadsPerSecond(Steady);
+  const Instant Restarts = Fleet.Now + std::chrono::seconds(1);
+  Fleet.run(milliseconds(1'000));
+  Fleet.apply({{milliseconds(0), FaultKind::RestartMany, 0, milliseconds(0)}});
+  const Pointer Next = Fleet.publish(Fleet.published());
+  Fleet.run(milliseconds(50));
+  Result.SecondsInRestarts = secondsUntil(Fleet, {Next.Number, Next.Root});
+  Fleet.run(milliseconds(3'000));
+  Result.ReadsInRestarts = Fleet.maxReadsPerSecond(Restarts);
   return Result;
 }
 
@@ -213,13 +223,17 @@
 }
 
 TEST_CASE("Measure rollout at three sizes", "[.measure]") {
-  std::cout << "nodes  in force (s)  reads/s  cold start (s)  reads/s\n";
+  std::cout << "nodes  in force (s)  reads/s  cold start (s)  reads/s  "
+               "in restarts (s)  reads/s\n";
   for (const std::size_t Nodes : {30U, 300U, 3000U}) {
     const Measured Result = measure(Nodes);
     std::cout << Nodes << "  " << Result.Seconds << "  "
               << Result.ReadsInSteadyState << "  " << Result.StartSeconds
-              << "  " << Result.ReadsAtStart << '\n';
+              << "  " << Result.ReadsAtStart << "  " << Result.SecondsInRestarts
+              << "  " << Result.ReadsInRestarts << '\n';
     CHECK(Result.Seconds < 14);
     CHECK(Result.ReadsAtStart < 2000);
+    CHECK(Result.SecondsInRestarts < 14);
+    CHECK(Result.ReadsInRestarts < 2000);
   }
 }
