--- a/apps/pollenwick-bundle/Explain.cpp
+++ b/apps/pollenwick-bundle/Explain.cpp
@@ -93,7 +93,7 @@
   std::cout << "quota      " << tokensText(Tenant.RatePerSecond)
             << " per second, burst " << tokensText(Tenant.Burst)
             << " over the whole fleet; 429 beyond\n";
-  const std::vector<ZoneId> Zones = zonesOf(Source);
+  const std::vector<ZoneId> Zones = hostZones(Source);
   for (std::size_t I = 0; I < Zones.size(); ++I)
     std::cout << "  zone " << Zones[I].Text << ": "
               << tokensText(zoneShare(Tenant.RatePerSecond, I, Zones.size()))
--- a/src/bundle/Check.cpp
+++ b/src/bundle/Check.cpp
@@ -145,7 +145,7 @@
   }
 
   void checkTenants() {
-    const auto Zones = static_cast<std::int64_t>(zonesOf(Source).size());
+    const auto Zones = static_cast<std::int64_t>(hostZones(Source).size());
     for (const TenantSpec &Tenant : Source.Tenants) {
       // A shard lends whole tokens, so that a share below one token would
       // never admit anything.
@@ -339,7 +339,7 @@
   return "unknown";
 }
 
-std::vector<ZoneId> zonesOf(const Bundle &Source) {
+std::vector<ZoneId> hostZones(const Bundle &Source) {
   std::set<ZoneId> Zones;
   for (const HostSpec &Host : Source.Hosts)
     Zones.insert(Host.Zone);
--- a/src/bundle/Check.h
+++ b/src/bundle/Check.h
@@ -52,7 +52,7 @@
             std::optional<Revision> Current = std::nullopt);
 
 /// Zones that have hosts, sorted.
-std::vector<ZoneId> zonesOf(const Bundle &Source);
+std::vector<ZoneId> hostZones(const Bundle &Source);
 
 /// Share of the zone at `Index` of `Count`. The shares differ by at most one
 /// micro-token and sum exactly to `Total`.
--- a/src/core/config/Config.cpp
+++ b/src/core/config/Config.cpp
@@ -50,17 +50,17 @@
       [&](const ChunkRef &Ref) { return State.Held.contains(Ref.Sum); });
 }
 
-OfferVerdict promote(ConfigState &State) {
+PointerVerdict promote(ConfigState &State) {
   if (!State.Pending || !chunksComplete(State, *State.Pending))
-    return OfferVerdict::WaitingForChunks;
+    return PointerVerdict::WaitingForChunks;
   State.InForce = std::move(State.Pending);
   State.Pending.reset();
   State.PendingFrom.reset();
-  return OfferVerdict::InForce;
+  return PointerVerdict::InForce;
 }
 
-OfferVerdict accept(ConfigState &State, const ConfigSettings &Settings,
-                    const Pointer &Head, const std::optional<HostId> &From) {
+PointerVerdict accept(ConfigState &State, const ConfigSettings &Settings,
+                      const Pointer &Head, const std::optional<HostId> &From) {
   remember(State, Settings, Head.Root, {Head.Number, Head.Parent});
   State.Pending = Head;
   State.PendingFrom = From;
@@ -77,8 +77,8 @@
     State.PeersAnswered.insert(*From);
 }
 
-OfferVerdict acceptCandidate(ConfigState &State,
-                             const ConfigSettings &Settings) {
+PointerVerdict acceptCandidate(ConfigState &State,
+                               const ConfigSettings &Settings) {
   Candidate Done = std::move(*State.Unconnected);
   State.Unconnected.reset();
   for (const auto &[Root, Line] : Done.Chain) {
@@ -92,7 +92,7 @@
   if (versionOf(Done.Head) <= newestKnown(State)) {
     remember(State, Settings, Done.Head.Root,
              {Done.Head.Number, Done.Head.Parent});
-    return OfferVerdict::Older;
+    return PointerVerdict::Older;
   }
   return accept(State, Settings, Done.Head, Done.OfferedBy);
 }
@@ -186,21 +186,21 @@
   return State;
 }
 
-OfferVerdict offerPointer(ConfigState &State, const ConfigSettings &Settings,
-                          const Pointer &Head, bool SignatureValid,
-                          const std::optional<HostId> &From, Instant Now) {
+PointerVerdict offerPointer(ConfigState &State, const ConfigSettings &Settings,
+                            const Pointer &Head, bool SignatureValid,
+                            const std::optional<HostId> &From, Instant Now) {
   if (!SignatureValid)
-    return OfferVerdict::SignatureInvalid;
+    return PointerVerdict::SignatureInvalid;
   noteAnswer(State, From);
   const Version Offered = versionOf(Head);
   if (State.Known.contains(Head.Root))
-    return OfferVerdict::Known;
+    return PointerVerdict::Known;
   const bool First = State.Known.empty();
   detectForks(State, Settings, Head);
   if (!First && Offered < newestKnown(State)) {
     if (State.Known.contains(Head.Parent))
       remember(State, Settings, Head.Root, {Head.Number, Head.Parent});
-    return OfferVerdict::Older;
+    return PointerVerdict::Older;
   }
   // A starting node has no history; the signature is what it can check.
   if (First)
@@ -212,26 +212,26 @@
   if (const auto Parent = State.Known.find(Head.Parent);
       Parent != State.Known.end()) {
     if (Parent->second.Number >= Head.Number)
-      return OfferVerdict::Inconsistent;
+      return PointerVerdict::Inconsistent;
     return accept(State, Settings, Head, From);
   }
   if (State.Unconnected && Offered <= versionOf(State.Unconnected->Head))
-    return OfferVerdict::WaitingForAncestors;
+    return PointerVerdict::WaitingForAncestors;
   beginCandidate(State, Head, From, Now);
-  return OfferVerdict::WaitingForAncestors;
+  return PointerVerdict::WaitingForAncestors;
 }
 
-OfferVerdict offerAncestor(ConfigState &State, const ConfigSettings &Settings,
-                           const Pointer &Head, bool SignatureValid,
-                           Instant Now) {
+PointerVerdict offerAncestor(ConfigState &State, const ConfigSettings &Settings,
+                             const Pointer &Head, bool SignatureValid,
+                             Instant Now) {
   if (!SignatureValid)
-    return OfferVerdict::SignatureInvalid;
+    return PointerVerdict::SignatureInvalid;
   if (!State.Unconnected || State.Unconnected->Next != Head.Root)
-    return OfferVerdict::Unwanted;
+    return PointerVerdict::Unwanted;
   Candidate &Open = *State.Unconnected;
   if (Head.Number >= Open.LowestNumber) {
     State.Unconnected.reset();
-    return OfferVerdict::Inconsistent;
+    return PointerVerdict::Inconsistent;
   }
   State.Attempts.erase(Head.Root);
   Open.Chain.emplace(Head.Root, Lineage{Head.Number, Head.Parent});
@@ -244,10 +244,10 @@
     ++State.ChainsGivenUp;
     return acceptCandidate(State, Settings);
   }
-  return OfferVerdict::WaitingForAncestors;
+  return PointerVerdict::WaitingForAncestors;
 }
 
-OfferVerdict offerChunk(ConfigState &State, const Digest &Sum) {
+PointerVerdict offerChunk(ConfigState &State, const Digest &Sum) {
   const auto Lists = [&](const std::optional<Pointer> &Head) {
     return Head &&
            std::any_of(Head->Chunks.begin(), Head->Chunks.end(),
@@ -255,9 +255,9 @@
   };
   State.Attempts.erase(Sum);
   if (!Lists(State.Pending))
-    return OfferVerdict::Unwanted;
+    return PointerVerdict::Unwanted;
   if (!State.Held.insert(Sum).second)
-    return OfferVerdict::Known;
+    return PointerVerdict::Known;
   return promote(State);
 }
 
--- a/src/core/config/Config.h
+++ b/src/core/config/Config.h
@@ -117,7 +117,7 @@
   std::vector<HostId> Witnesses;
 };
 
-enum class OfferVerdict : std::uint8_t {
+enum class PointerVerdict : std::uint8_t {
   InForce,             ///< Accepted, all chunks are here.
   WaitingForChunks,    ///< Accepted, `dueFetches` names the chunks.
   WaitingForAncestors, ///< The parent is unknown, its chain is fetched.
@@ -134,15 +134,15 @@
 
 /// Offers the newest pointer of a peer or, if `From` is empty, of the service.
 /// `SignatureValid` is the result of `verifyPointer`.
-OfferVerdict offerPointer(ConfigState &State, const ConfigSettings &Settings,
-                          const Pointer &Head, bool SignatureValid,
-                          const std::optional<HostId> &From, Instant Now);
+PointerVerdict offerPointer(ConfigState &State, const ConfigSettings &Settings,
+                            const Pointer &Head, bool SignatureValid,
+                            const std::optional<HostId> &From, Instant Now);
 /// Offers an ancestor that `dueFetches` asked for.
-OfferVerdict offerAncestor(ConfigState &State, const ConfigSettings &Settings,
-                           const Pointer &Head, bool SignatureValid,
-                           Instant Now);
+PointerVerdict offerAncestor(ConfigState &State, const ConfigSettings &Settings,
+                             const Pointer &Head, bool SignatureValid,
+                             Instant Now);
 /// Offers a chunk whose digest was checked by the shell.
-OfferVerdict offerChunk(ConfigState &State, const Digest &Sum);
+PointerVerdict offerChunk(ConfigState &State, const Digest &Sum);
 
 /// The shell could not assemble the revision in force; the one before stays.
 /// Every node reaches the same verdict, as it depends on the content only.
--- a/tests/config/ConfigTest.cpp
+++ b/tests/config/ConfigTest.cpp
@@ -46,34 +46,34 @@
   const auto Offer = [&](const Pointer &Head) {
     return offerPointer(State, Settings, Head, true, Peer, Now);
   };
-  REQUIRE(Offer(pointerOf(5, 5, 4)) == OfferVerdict::InForce);
+  REQUIRE(Offer(pointerOf(5, 5, 4)) == PointerVerdict::InForce);
 
   SECTION("an invalid signature changes nothing") {
     CHECK(offerPointer(State, Settings, pointerOf(6, 6, 5), false, Peer, Now) ==
-          OfferVerdict::SignatureInvalid);
+          PointerVerdict::SignatureInvalid);
     CHECK(newestKnown(State).Number == Revision(5));
   }
 
   SECTION("a child of a known revision is accepted, an older one never") {
-    CHECK(Offer(pointerOf(6, 6, 5)) == OfferVerdict::InForce);
-    CHECK(Offer(pointerOf(5, 5, 4)) == OfferVerdict::Known);
-    CHECK(Offer(pointerOf(4, 4, 3)) == OfferVerdict::Older);
-    CHECK(Offer(pointerOf(6, 7, 6)) == OfferVerdict::Inconsistent);
+    CHECK(Offer(pointerOf(6, 6, 5)) == PointerVerdict::InForce);
+    CHECK(Offer(pointerOf(5, 5, 4)) == PointerVerdict::Known);
+    CHECK(Offer(pointerOf(4, 4, 3)) == PointerVerdict::Older);
+    CHECK(Offer(pointerOf(6, 7, 6)) == PointerVerdict::Inconsistent);
     CHECK(acceptedRevision(State).Number == Revision(6));
   }
 
   SECTION("a missing parent is fetched from peers, step by step") {
     // Guards against a node that skipped revisions and never catches up.
-    CHECK(Offer(pointerOf(8, 8, 7)) == OfferVerdict::WaitingForAncestors);
+    CHECK(Offer(pointerOf(8, 8, 7)) == PointerVerdict::WaitingForAncestors);
     CHECK(asks(dueFetches(State, Settings, Sources, Now), Fetch::Kind::Ancestor,
                Peer));
     CHECK(offerAncestor(State, Settings, pointerOf(7, 7, 6), true, Now) ==
-          OfferVerdict::WaitingForAncestors);
+          PointerVerdict::WaitingForAncestors);
     CHECK(acceptedRevision(State).Number == Revision(5));
     CHECK(offerAncestor(State, Settings, pointerOf(9, 9, 6), true, Now) ==
-          OfferVerdict::Unwanted);
+          PointerVerdict::Unwanted);
     CHECK(offerAncestor(State, Settings, pointerOf(6, 6, 5), true, Now) ==
-          OfferVerdict::InForce);
+          PointerVerdict::InForce);
     CHECK(acceptedRevision(State).Number == Revision(8));
     CHECK(State.ForksSeen == 0);
     CHECK(State.ChainsGivenUp == 0);
@@ -83,7 +83,7 @@
     // Guards against a chain that goes in circles.
     Offer(pointerOf(8, 8, 7));
     CHECK(offerAncestor(State, Settings, pointerOf(8, 7, 6), true, Now) ==
-          OfferVerdict::Inconsistent);
+          PointerVerdict::Inconsistent);
     CHECK(acceptedRevision(State).Number == Revision(5));
   }
 
@@ -91,7 +91,7 @@
     // Guards against two halves that disagree because one started later.
     Offer(pointerOf(6, 8, 7));
     CHECK(offerAncestor(State, Settings, pointerOf(5, 7, 4), true, Now) ==
-          OfferVerdict::InForce);
+          PointerVerdict::InForce);
     CHECK(acceptedRevision(State).Number == Revision(6));
     CHECK(State.ForksSeen > 0);
     CHECK(State.ChainsGivenUp == 0);
@@ -129,8 +129,8 @@
     Offer(pointerOf(6, 6, 5));
     rejectInForce(State, Before);
     CHECK(acceptedRevision(State).Number == Revision(5));
-    CHECK(Offer(pointerOf(6, 6, 5)) == OfferVerdict::Known);
-    CHECK(Offer(pointerOf(7, 7, 6)) == OfferVerdict::InForce);
+    CHECK(Offer(pointerOf(6, 6, 5)) == PointerVerdict::Known);
+    CHECK(Offer(pointerOf(7, 7, 6)) == PointerVerdict::InForce);
   }
 }
 
@@ -148,10 +148,10 @@
   SECTION("the new revision is in force once all chunks are here") {
     // Guards against a bundle that is used in part.
     CHECK(newestKnown(State).Number == Revision(2));
-    CHECK(offerChunk(State, digestOf(10)) == OfferVerdict::WaitingForChunks);
-    CHECK(offerChunk(State, digestOf(12)) == OfferVerdict::Unwanted);
+    CHECK(offerChunk(State, digestOf(10)) == PointerVerdict::WaitingForChunks);
+    CHECK(offerChunk(State, digestOf(12)) == PointerVerdict::Unwanted);
     CHECK(acceptedRevision(State).Number == Revision(1));
-    CHECK(offerChunk(State, digestOf(11)) == OfferVerdict::InForce);
+    CHECK(offerChunk(State, digestOf(11)) == PointerVerdict::InForce);
     CHECK(acceptedRevision(State).Number == Revision(2));
   }
 
