--- a/bench/compare/QuotaCompare.cpp
+++ b/bench/compare/QuotaCompare.cpp
@@ -1,5 +1,6 @@
 // Counts wrongful refusals of the escrow and of two baselines under the same
-// schedules. Usage: quota_compare [seeds]
+// schedules. Usage: quota_compare [seeds [schemes]], with the number of schemes
+// counted from the escrow
 #include <array>
 #include <cstdio>
 #include <cstdlib>
@@ -152,10 +153,12 @@
 
 int main(int Count, char **Arguments) {
   const int Seeds = Count > 1 ? std::atoi(Arguments[1]) : 5;
+  const std::size_t Schemes =
+      Count > 2 ? std::min<std::size_t>(std::atoi(Arguments[2]), 3) : 3;
   std::printf("%-32s %-14s %8s %8s %8s %7s %9s\n", "schedule", "scheme",
               "min %", "median %", "max %", "excess", "msgs/req");
   for (const Schedule &Plan : schedules()) {
-    for (std::size_t S = 0; S < SchemeNames.size(); ++S) {
+    for (std::size_t S = 0; S < Schemes; ++S) {
       std::vector<double> Percent;
       std::uint64_t Excess = 0;
       double Messages = 0;
