--- a/src/core/quota/Ownership.cpp
+++ b/src/core/quota/Ownership.cpp
@@ -13,9 +13,8 @@
 constexpr Duration LongestPull = std::chrono::milliseconds(320);
 /// Time between two claims of a shard.
 constexpr Duration ClaimInterval = std::chrono::milliseconds(50);
-/// A shard pulls while it has less than this part of its burst. Another shard
-/// may be full, and lose accrual, well before this one runs dry.
-constexpr std::int64_t PullBelowEighths = 7;
+/// A shard pulls while it has less than this part of its burst.
+constexpr int LowDivisor = 2;
 
 ShardShare smaller(const ShardShare &A, const ShardShare &B) {
   return {std::min(A.RatePerSecond, B.RatePerSecond),
@@ -95,7 +94,7 @@
     Kept.Reserved -= Entry.second.Reserved;
     return true;
   });
-  if (Kept.Balance.Value >= Kept.Share.Burst.Value / 8 * PullBelowEighths ||
+  if (Kept.Balance.Value >= Kept.Share.Burst.Value / LowDivisor ||
       Now < Kept.NextPull)
     return;
   Kept.PullInterval =
