--- a/include/pollenwick/Ids.h
+++ b/include/pollenwick/Ids.h
@@ -22,6 +22,7 @@
   explicit TextId(std::string Value) : Text(std::move(Value)) {}
 
   bool empty() const { return Text.empty(); }
+  // clang-tidy 14 reports the code that the compiler generates here.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const TextId &, const TextId &) = default;
   friend std::ostream &operator<<(std::ostream &Out, const TextId &Id) {
@@ -36,6 +37,7 @@
   NumberId() = default;
   constexpr explicit NumberId(std::uint64_t V) : Value(V) {}
 
+  // clang-tidy 14 reports the code that the compiler generates here.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const NumberId &, const NumberId &) = default;
   friend std::ostream &operator<<(std::ostream &Out, const NumberId &Id) {
@@ -67,6 +69,7 @@
 /// Digest of a caller's key. The key itself is never stored.
 struct KeyDigest {
   Digest Bytes{};
+  // clang-tidy 14 reports the code that the compiler generates here.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const KeyDigest &, const KeyDigest &) = default;
 };
@@ -75,6 +78,7 @@
 struct IncarnationId {
   HostId Host;
   StartId Start;
+  // clang-tidy 14 reports the code that the compiler generates here.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const IncarnationId &,
                           const IncarnationId &) = default;
