--- a/src/peer/QuotaWire.cpp
+++ b/src/peer/QuotaWire.cpp
@@ -45,10 +45,14 @@
 }
 
 BorrowReply readMessage(wire::BorrowReply::Reader In) {
-  return {readShard(In.getShard()),         readIncarnation(In.getHolder()),
-          readIncarnation(In.getBorrower()), In.getSequence(),
-          LeaseId(In.getLease()),           MicroTokens{In.getTokensMicro()},
-          Duration(In.getLifetimeMicros()), In.getAskAgain()};
+  return {readShard(In.getShard()),
+          readIncarnation(In.getHolder()),
+          readIncarnation(In.getBorrower()),
+          In.getSequence(),
+          LeaseId(In.getLease()),
+          MicroTokens{In.getTokensMicro()},
+          Duration(In.getLifetimeMicros()),
+          In.getAskAgain()};
 }
 
 void writeMessage(wire::Settlement::Builder Out, const Settlement &In) {
