Add rounds that spread the suspicions of a crash

The bound of two crashes rests on every server knowing a suspicion before the caller has its answer. The bookkeeping was in the test's fleet; the node needs it, so it is now core code and the fleet uses it. Answers are held for at most 0.3 s; a server with a copy in flight is asked again.

--- /dev/null
+++ b/src/core/quarantine/Spread.h
@@ -0,0 +1,65 @@
+#ifndef POLLENWICK_CORE_QUARANTINE_SPREAD_H
+#define POLLENWICK_CORE_QUARANTINE_SPREAD_H
+
+#include <cstddef>
+#include <vector>
+
+#include "core/quarantine/Quarantine.h"
+
+namespace pollenwick {
+
+struct SpreadLimits {
+  /// Longest time for which the answers of the crashed calls are held back.
+  Duration Hold = std::chrono::milliseconds(300);
+  /// Time between two messages to a node that has not acknowledged.
+  Duration Resend = std::chrono::milliseconds(50);
+  std::size_t MaxRounds = 64; ///< The oldest is given up at the limit.
+};
+
+/// Suspicions of one crash on their way to all servers of the service.
+struct SpreadRound {
+  CrashId Crash;
+  std::vector<Suspicion> What;
+  std::vector<HostId> Waiting; ///< Have not acknowledged.
+  Instant Begun;
+  Instant NextSend;
+  bool Released = false; ///< The answers are no longer held back.
+};
+
+/// Owned by the node beside the crashed server, with its `Quarantine`.
+struct Spreads {
+  SpreadLimits Limits;
+  std::vector<SpreadRound> Rounds; ///< Oldest first.
+};
+
+struct SpreadMessage {
+  HostId To;
+  CrashId Crash;
+  std::vector<Suspicion> What;
+};
+
+/// Starts a round with the result of `onServerCrash`. `Servers`: the other
+/// hosts of the service.
+void beginSpread(Spreads &State, const std::vector<Suspicion> &What,
+                 const std::vector<HostId> &Servers, Instant Now);
+
+/// Messages to send now; ages are brought up to date.
+std::vector<SpreadMessage> dueSpreads(Spreads &State, Instant Now);
+
+/// Takes an acknowledgement. An answer with a subject in flight is merged and
+/// asked for again.
+void onAcknowledged(Spreads &State, Quarantine &Known, const CrashId &Crash,
+                    const HostId &From, const Acknowledgement &Answer,
+                    Instant Now);
+
+/// No longer waits for hosts that the bundle does not list.
+void onServersChanged(Spreads &State, const std::vector<HostId> &Servers);
+
+/// Ends rounds that are complete, which permits trials, or too old for one.
+/// Returns the crashes whose answers are to be released, each once.
+std::vector<CrashId> advanceSpreads(Spreads &State, Quarantine &Known,
+                                    Instant Now);
+
+} // namespace pollenwick
+
+#endif
--- a/tests/quarantine/CrashFleet.h
+++ b/tests/quarantine/CrashFleet.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "../Choices.h"
-#include "core/quarantine/Quarantine.h"
+#include "core/quarantine/Spread.h"
 
 namespace pollenwick {
 
@@ -17,7 +17,7 @@
   static constexpr std::size_t Nodes = 4;
   static constexpr std::uint8_t Crasher = 0;
 
-  bool Spreads = true;    ///< Naive if false: every node counts for itself.
+  bool Gossips = true;    ///< Naive if false: every node counts for itself.
   bool Impatient = false; ///< The caller resends without waiting.
   bool Partitions = false;
   bool RefuseSuspects = false; ///< Naive: refuses after the first crash.
@@ -30,7 +30,7 @@
   struct News {
     unsigned From = 0;
     unsigned To = 0;
-    std::uint32_t Crash = 0;
+    CrashId Crash;
     std::vector<Suspicion> What;
     bool Gossip = false;
   };
@@ -38,6 +38,7 @@
   Choices &Draw;
   Instant Now{std::chrono::hours(1)};
   std::array<Quarantine, Nodes> Fleet;
+  std::array<Spreads, Nodes> Rounds;
   std::array<bool, Nodes * Nodes> Cut{};
   std::vector<Flight> Flying;
   std::vector<News> Wire;
@@ -52,6 +53,7 @@
       start(N);
   }
 
+  static unsigned nodeOf(const HostId &Host) { return Host.Text.back() - '0'; }
   static Fingerprint print(std::uint8_t Request) {
     return fingerprintOf(RouteId("s/r"), TenantId("t"), Digest{{Request}});
   }
@@ -68,7 +70,8 @@
   /// The caller of the crashing request waits for an answer.
   bool crasherIsOut() const {
     return std::ranges::count(Flying, Crasher, &Flight::Request) > 0 ||
-           std::ranges::any_of(Wire, [](const News &N) { return !N.Gossip; });
+           std::ranges::any_of(
+               Rounds, [](const Spreads &S) { return !S.Rounds.empty(); });
   }
 
   void send(std::uint8_t Request, unsigned N, bool Tried = false) {
@@ -82,7 +85,7 @@
     if (std::holds_alternative<StartCall>(Verdict))
       Flying.push_back({N, Request});
     else if (const auto *Other = std::get_if<TryAt>(&Verdict); Other && !Tried)
-      send(Request, Other->Host.Text.back() - '0', true);
+      send(Request, nodeOf(Other->Host), true);
     else if (std::holds_alternative<ServerReserved>(Verdict))
       Delayed += Innocent ? 1 : 0;
     else
@@ -93,11 +96,14 @@
     Crashes.push_back(Now);
     std::erase_if(Flying, [N](const Flight &F) { return F.At == N; });
     const auto What = onServerCrash(Fleet[N], Now);
-    if (!Spreads || What.empty())
-      return;
-    for (unsigned To = 0; To < Nodes; ++To)
-      if (To != N)
-        Wire.push_back({N, To, Fleet[N].LastCrash, What, false});
+    std::vector<HostId> Others;
+    for (const Quarantine &Other : Fleet)
+      if (Gossips && Other.Self != Fleet[N].Self)
+        Others.push_back(Other.Self.Host);
+    beginSpread(Rounds[N], What, Others, Now);
+    for (const SpreadMessage &M : dueSpreads(Rounds[N], Now))
+      Wire.push_back({N, nodeOf(M.To), M.Crash, M.What, false});
+    advanceSpreads(Rounds[N], Fleet[N], Now);
   }
 
   void finish(std::size_t Position) {
@@ -110,8 +116,8 @@
   }
 
   void gossip(unsigned From, unsigned To, std::vector<Suspicion> What) {
-    if (Spreads && From != To && !What.empty())
-      Wire.push_back({From, To, 0, std::move(What), true});
+    if (Gossips && From != To && !What.empty())
+      Wire.push_back({From, To, {}, std::move(What), true});
   }
 
   void deliver(std::size_t Position) {
@@ -124,13 +130,9 @@
     Wire.erase(Wire.begin() + static_cast<std::ptrdiff_t>(Position));
     if (N.Gossip)
       return;
-    merge(Fleet[N.From], Answer.Known, Now);
-    const bool Waits = std::ranges::any_of(Wire, [&](const News &Other) {
-      return !Other.Gossip && Other.From == N.From && Other.Crash == N.Crash;
-    });
-    const IncarnationId &Self = Fleet[N.From].Self;
-    if (!Waits)
-      onSpread(Fleet[N.From], {Self.Host, Self.Start, N.Crash});
+    onAcknowledged(Rounds[N.From], Fleet[N.From], N.Crash,
+                   Fleet[N.To].Self.Host, Answer, Now);
+    advanceSpreads(Rounds[N.From], Fleet[N.From], Now);
   }
 
   void step() {
--- a/tests/quarantine/QuarantineTest.cpp
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -34,7 +34,8 @@
   return std::to_string(Sum.MostCrashes) + " crashes at most, " +
          std::to_string(Sum.WronglyRefused) + " refused and " +
          std::to_string(Sum.Delayed) + " delayed of " +
-         std::to_string(Sum.Asked) + " innocent calls";
+         std::to_string(Sum.Asked) + " innocent calls, " +
+         std::to_string(Sum.Crashes) + " crashes";
 }
 
 } // namespace
@@ -52,7 +53,7 @@
   }
   SECTION("where naive variants crash more or refuse bystanders") {
     const Totals Ours = measure([](CrashFleet &) {});
-    const Totals Alone = measure([](CrashFleet &F) { F.Spreads = false; });
+    const Totals Alone = measure([](CrashFleet &F) { F.Gossips = false; });
     const Totals First =
         measure([](CrashFleet &F) { F.RefuseSuspects = true; });
     const Totals Impatient = measure([](CrashFleet &F) { F.Impatient = true; });
@@ -132,3 +133,43 @@
     CHECK(isQuarantined(Here, Innocent, Now));
   }
 }
+
+TEST_CASE("Answers wait until the servers know of a crash", "[quarantine]") {
+  Quarantine Here;
+  Here.Self = {HostId("host0"), StartId(1)};
+  Instant Now(std::chrono::hours(1));
+  onCallStarted(Here, CrashFleet::print(1), Now);
+  Spreads Rounds;
+  const HostId A("host1");
+  const HostId B("host2");
+  beginSpread(Rounds, onServerCrash(Here, Now), {A, B}, Now);
+  const CrashId Crash = Rounds.Rounds.at(0).Crash;
+  CHECK(dueSpreads(Rounds, Now).size() == 2);
+  const auto Advance = [&] { return advanceSpreads(Rounds, Here, Now).size(); };
+
+  SECTION("which a server with a copy in flight has not acknowledged") {
+    onAcknowledged(Rounds, Here, Crash, A, {{}, true}, Now);
+    onAcknowledged(Rounds, Here, Crash, B, {{}, false}, Now);
+    CHECK(Advance() == 0);
+    Now += Rounds.Limits.Resend;
+    const auto Again = dueSpreads(Rounds, Now);
+    REQUIRE(Again.size() == 1);
+    CHECK(Again[0].What[0].Age == Rounds.Limits.Resend);
+    SECTION("or the bundle no longer lists") {
+      onServersChanged(Rounds, {B});
+      CHECK(Advance() == 1);
+      const auto Trial = onCallStarted(Here, CrashFleet::print(1), Now);
+      CHECK(std::get<StartCall>(Trial).Alone);
+    }
+  }
+  SECTION("at most for the hold, without permitting a trial") {
+    Now += Rounds.Limits.Hold;
+    CHECK(Advance() == 1);
+    CHECK(Advance() == 0);
+    CHECK(std::holds_alternative<Refusal>(
+        onCallStarted(Here, CrashFleet::print(1), Now)));
+    Now += Here.Limits.SuspectTime;
+    CHECK(Advance() == 0);
+    CHECK(Rounds.Rounds.empty());
+  }
+}
