Add cancellation and deadlines of running calls

A cancelled call begins no more sub-calls and names those that are open, so that the node cancels them in turn. The record stays until the server has ended the call.

--- a/src/core/calls/RunningCalls.cpp
+++ b/src/core/calls/RunningCalls.cpp
@@ -1,6 +1,7 @@
 #include "core/calls/RunningCalls.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -65,6 +66,9 @@
                   "came with the request");
   RunningCall &Call = It->second;
   const CallContext &Context = Call.Context;
+  if (Call.Cancelled)
+    return refuse(RefusalReason::Cancelled,
+                  "the calling request was cancelled; stop working on it");
   if (Now >= Context.Deadline)
     return refuse(RefusalReason::DeadlineExceeded,
                   "the deadline of the calling request has passed");
@@ -136,6 +140,27 @@
   Call.Open.erase(Open);
 }
 
+std::vector<std::uint32_t> cancelCall(RunningCalls &Running,
+                                      const CallHandle &Handle) {
+  const auto It = Running.Calls.find(Handle);
+  if (It == Running.Calls.end())
+    return {};
+  It->second.Cancelled = true;
+  std::vector<std::uint32_t> Open;
+  std::ranges::transform(It->second.Open, std::back_inserter(Open),
+                         &OpenSubCall::Number);
+  return Open;
+}
+
+std::vector<CallHandle> overdueCalls(const RunningCalls &Running, Instant Now) {
+  std::vector<CallHandle> Overdue;
+  for (const auto &[Handle, Call] : Running.Calls)
+    if (!Call.Cancelled && Call.Context.Deadline <= Now)
+      Overdue.push_back(Handle);
+  std::ranges::sort(Overdue, {}, &CallHandle::Bytes);
+  return Overdue;
+}
+
 std::optional<std::uint32_t> finishCall(RunningCalls &Running,
                                         const CallHandle &Handle) {
   const auto It = Running.Calls.find(Handle);
--- a/src/core/calls/RunningCalls.h
+++ b/src/core/calls/RunningCalls.h
@@ -58,6 +58,7 @@
 /// Record of a call that runs on the local backend server.
 struct RunningCall {
   CallContext Context;
+  bool Cancelled = false; ///< Begins no more sub-calls.
   std::uint32_t LastSubCall = 0;
   std::vector<EdgeUse> Edges;
   std::vector<OpenSubCall> Open;
@@ -100,6 +101,15 @@
 void finishSubCall(RunningCalls &Running, const CallHandle &Parent,
                    std::uint32_t Number, Outcome Result, std::uint32_t Unused);
 
+/// Stops a call from beginning sub-calls. Returns the numbers of those that are
+/// open and to be cancelled in turn. The record stays until `finishCall`,
+/// because the backend server may still run the call.
+std::vector<std::uint32_t> cancelCall(RunningCalls &Running,
+                                      const CallHandle &Handle);
+
+/// Running calls whose deadline has passed and that are not cancelled yet.
+std::vector<CallHandle> overdueCalls(const RunningCalls &Running, Instant Now);
+
 /// Ends a call; its handle is void from then on. Returns the unused allowance
 /// that travels back with the reply; nothing if the handle is unknown.
 std::optional<std::uint32_t> finishCall(RunningCalls &Running,
--- a/tests/calls/RunningCallsTest.cpp
+++ b/tests/calls/RunningCallsTest.cpp
@@ -87,6 +87,14 @@
     CHECK(std::get<SubCall>(Begin(routeAt(2))).Repeat);
     CHECK(Reason(routeAt(2)) == RefusalReason::RetriesExhausted);
   }
+  SECTION("a cancelled or overdue call takes its sub-calls along") {
+    const auto Sub = std::get<SubCall>(Begin(routeAt(2)));
+    CHECK(overdueCalls(Running, Now).empty());
+    CHECK(overdueCalls(Running, Context.Deadline).size() == 1);
+    CHECK(cancelCall(Running, Handle) == std::vector{Sub.Number});
+    CHECK(Reason(routeAt(2)) == RefusalReason::Cancelled);
+    CHECK(overdueCalls(Running, Context.Deadline).empty());
+  }
   SECTION("undeclared edges, void handles and late sub-calls do not run") {
     CHECK(Reason(routeAt(0)) == RefusalReason::EdgeNotDeclared);
     CHECK(Reason(RouteId("a/b")) == RefusalReason::UnknownRoute);
