Test acknowledgement with a copy in flight and a restarted trial node

Ignoring copies in flight in an acknowledgement went unnoticed and is caught now. Letting a new incarnation run the trial went unnoticed because the new process has no complete spread and refuses anyway; only the time to retry after differs, and that is checked now.

--- a/tests/quarantine/QuarantineTest.cpp
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -88,6 +88,12 @@
     CHECK(!acknowledge(There, News, Now).InFlight);
     CHECK(std::get<TryAt>(Start(There)).Host == HostId("host0"));
     onSpread(Here, News[0].Crash);
+    // Guards against a trial beside the unreported trial of a lost process.
+    Quarantine Restarted;
+    Restarted.Self = {HostId("host0"), StartId(3)};
+    merge(Restarted, News, Now);
+    CHECK(std::get<Refusal>(Start(Restarted)).RetryAfter ==
+          Restarted.Limits.SuspectTime);
     onCallStarted(Here, CrashFleet::print(2), Now);
     CHECK(std::get<ServerReserved>(Start(Here)).Suspect);
     CHECK(std::holds_alternative<ServerReserved>(
@@ -101,6 +107,12 @@
       CHECK(std::holds_alternative<StartCall>(Start(There)));
     }
   }
+  SECTION("but not before copies that started elsewhere have ended") {
+    onCallStarted(There, Innocent, Now);
+    CHECK(acknowledge(There, News, Now).InFlight);
+    onCallFinished(There, Innocent, false, Now);
+    CHECK(!acknowledge(There, News, Now).InFlight);
+  }
   SECTION("by time, which gossip does not extend") {
     for (int I = 0; I < 61; ++I) {
       Now += std::chrono::seconds(1);
