--- a/bench/OnceBench.cpp
+++ b/bench/OnceBench.cpp
@@ -90,7 +90,7 @@
   RouteSpec Pay = Stock;
   Pay.Id = RouteId("b/pay");
   Rules.Routes = {Root, Stock, Pay};
-  const RouteIndex Index =
+  const RouteLookup Index =
       indexRoutes(std::make_shared<const Bundle>(std::move(Rules)));
   RunningCalls Running;
   Running.MaxCalls = 1U << 20;
--- a/src/core/calls/RouteIndex.cpp
+++ b/src/core/calls/RouteLookup.cpp
@@ -1,4 +1,4 @@
-#include "core/calls/RouteIndex.h"
+#include "core/calls/RouteLookup.h"
 
 #include <algorithm>
 #include <limits>
@@ -17,7 +17,7 @@
 
 /// Counts the executions of each service that one call of a route declares.
 struct CostWalk {
-  const RouteIndex &Index;
+  const RouteLookup &Index;
   absl::flat_hash_map<std::string_view, Executions> Known;
   absl::flat_hash_map<std::string_view, bool> Entered;
 
@@ -48,8 +48,8 @@
 
 } // namespace
 
-RouteIndex indexRoutes(std::shared_ptr<const Bundle> Rules) {
-  RouteIndex Index;
+RouteLookup indexRoutes(std::shared_ptr<const Bundle> Rules) {
+  RouteLookup Index;
   Index.Rules = std::move(Rules);
   for (const RouteSpec &Route : Index.Rules->Routes)
     Index.Routes.try_emplace(Route.Id.Text, RouteEntry{&Route, 1});
@@ -66,12 +66,12 @@
   return Index;
 }
 
-const RouteEntry *findRoute(const RouteIndex &Index, const RouteId &Route) {
+const RouteEntry *findRoute(const RouteLookup &Index, const RouteId &Route) {
   const auto It = Index.Routes.find(Route.Text);
   return It == Index.Routes.end() ? nullptr : &It->second;
 }
 
-const RouteEntry *findRouteOfPath(const RouteIndex &Index,
+const RouteEntry *findRouteOfPath(const RouteLookup &Index,
                                   std::string_view Path) {
   if (!Path.starts_with('/'))
     return nullptr;
--- a/src/core/calls/RouteIndex.h
+++ b/src/core/calls/RouteLookup.h
@@ -1,5 +1,5 @@
-#ifndef POLLENWICK_CORE_CALLS_ROUTEINDEX_H
-#define POLLENWICK_CORE_CALLS_ROUTEINDEX_H
+#ifndef POLLENWICK_CORE_CALLS_ROUTELOOKUP_H
+#define POLLENWICK_CORE_CALLS_ROUTELOOKUP_H
 
 #include <cstdint>
 #include <memory>
@@ -19,18 +19,18 @@
 };
 
 /// Routes of one bundle by id. Immutable, shared between threads.
-struct RouteIndex {
+struct RouteLookup {
   std::shared_ptr<const Bundle> Rules;
   absl::flat_hash_map<std::string_view, RouteEntry> Routes;
 };
 
-RouteIndex indexRoutes(std::shared_ptr<const Bundle> Rules);
+RouteLookup indexRoutes(std::shared_ptr<const Bundle> Rules);
 
 /// Null if the bundle has no such route.
-const RouteEntry *findRoute(const RouteIndex &Index, const RouteId &Route);
+const RouteEntry *findRoute(const RouteLookup &Index, const RouteId &Route);
 
 /// Route of a request path `/SERVICE/ROUTE[/...][?...]`; null if none.
-const RouteEntry *findRouteOfPath(const RouteIndex &Index,
+const RouteEntry *findRouteOfPath(const RouteLookup &Index,
                                   std::string_view Path);
 
 } // namespace pollenwick
--- a/src/core/calls/RunningCalls.cpp
+++ b/src/core/calls/RunningCalls.cpp
@@ -55,7 +55,7 @@
 }
 
 std::variant<SubCall, Refusal> beginSubCall(RunningCalls &Running,
-                                            const RouteIndex &Index,
+                                            const RouteLookup &Index,
                                             RetryRatios &Ratios,
                                             const CallHandle &Parent,
                                             const RouteId &Route, Instant Now) {
--- a/src/core/calls/RunningCalls.h
+++ b/src/core/calls/RunningCalls.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "core/calls/RouteIndex.h"
+#include "core/calls/RouteLookup.h"
 #include "core/retry/Retry.h"
 #include "pollenwick/Outcome.h"
 
@@ -90,7 +90,7 @@
 /// sub-calls than declared are retries: they consume the allowance and the
 /// ratio of the service. All refusals are "not run".
 std::variant<SubCall, Refusal> beginSubCall(RunningCalls &Running,
-                                            const RouteIndex &Index,
+                                            const RouteLookup &Index,
                                             RetryRatios &Ratios,
                                             const CallHandle &Parent,
                                             const RouteId &Route, Instant Now);
--- a/src/core/keys/Keys.h
+++ b/src/core/keys/Keys.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "absl/container/flat_hash_map.h"
-#include "core/calls/RouteIndex.h"
+#include "core/calls/RouteLookup.h"
 #include "pollenwick/Outcome.h"
 
 namespace pollenwick {
--- a/tests/calls/CallTree.h
+++ b/tests/calls/CallTree.h
@@ -32,7 +32,7 @@
 /// Runs one root request through the records of all its nodes.
 struct CallTree {
   Choices &Draw;
-  RouteIndex Index;
+  RouteLookup Index;
   std::uint32_t Allowance = 3;
   bool RetryAtEachHop = false; ///< Naive: every hop has the whole allowance.
   unsigned LeafFailsPercent = 20;
--- a/tests/calls/RunningCallsTest.cpp
+++ b/tests/calls/RunningCallsTest.cpp
@@ -53,7 +53,7 @@
   Rules.Routes[0].Calls[0].Count = 2;
   Rules.Routes[1].Calls[0].Count = 5;
   Rules.Routes[2].Idempotent = false;
-  const RouteIndex Index =
+  const RouteLookup Index =
       indexRoutes(std::make_shared<const Bundle>(std::move(Rules)));
   RetryRatios Ratios;
   RunningCalls Running;
