Pull below three quarters of the burst, and more at a time

Cause of the wrongful refusals without a fault near the full rate: a shard that is full loses accrual while another shard is between half and full, so the fleet starts a burst with fewer tokens than one exact bucket.

--- a/src/core/quota/Ownership.cpp
+++ b/src/core/quota/Ownership.cpp
@@ -9,12 +9,13 @@
 
 /// Bounds of the time between two pulls of a shard that runs dry. Grows while
 /// the others have nothing to give.
-constexpr Duration ShortestPull = std::chrono::milliseconds(20);
+constexpr Duration ShortestPull = std::chrono::milliseconds(40);
 constexpr Duration LongestPull = std::chrono::milliseconds(320);
 /// Time between two claims of a shard.
 constexpr Duration ClaimInterval = std::chrono::milliseconds(50);
-/// A shard pulls while it has less than this part of its burst.
-constexpr int LowDivisor = 2;
+/// A shard pulls while it has less than this part of its burst. Another shard
+/// may be full, and lose accrual, well before this one runs dry.
+constexpr std::int64_t PullBelowEighths = 6;
 
 ShardShare smaller(const ShardShare &A, const ShardShare &B) {
   return {std::min(A.RatePerSecond, B.RatePerSecond),
@@ -94,7 +95,7 @@
     Kept.Reserved -= Entry.second.Reserved;
     return true;
   });
-  if (Kept.Balance.Value >= Kept.Share.Burst.Value / LowDivisor ||
+  if (Kept.Balance.Value >= Kept.Share.Burst.Value / 8 * PullBelowEighths ||
       Now < Kept.NextPull)
     return;
   Kept.PullInterval =
@@ -268,8 +269,9 @@
   const std::vector<ShardHolder> &Holders = State.Others[Tenant];
   const MicroTokens Room = Kept.Share.Burst - Kept.Balance - Kept.Outstanding -
                            Kept.Inherited - Kept.Reserved;
-  // Half of the room stays for the shard's own accrual.
-  const MicroTokens Each{Room.Value / 2 /
+  // A quarter of the room stays for the accrual of the shard itself: an answer
+  // that never comes would otherwise stop it for the whole deadline.
+  const MicroTokens Each{Room.Value / 4 * 3 /
                          std::max<std::int64_t>(std::ssize(Holders) - 1, 1)};
   if (Each <= MicroTokens{})
     return Requests;
