Draw faults from the whole range in every case

'rc::gen::inRange' scales with the size of the case, and the container was drawn at size three, so nearly all cases of the bound property were losses of messages in the first 100 ms.

--- a/tests/quota/QuotaBoundTest.cpp
+++ b/tests/quota/QuotaBoundTest.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "tests/support/Draw.h"
 #include "tests/support/Fleet.h"
 
 using namespace pollenwick;
@@ -22,16 +23,6 @@
   return Rules;
 }
 
-Fault drawFault() {
-  Fault F;
-  F.Kind = static_cast<FaultKind>(*rc::gen::inRange(0, FaultKinds));
-  F.At = milliseconds(*rc::gen::inRange(0, 4500));
-  F.For = milliseconds(*rc::gen::inRange(1, 2000));
-  F.Target = *rc::gen::inRange<std::uint32_t>(0, 128);
-  F.Amount = *rc::gen::inRange<std::uint32_t>(1, 60);
-  return F;
-}
-
 /// Drives random load: bursts that empty the buckets, pauses that fill them.
 void drive(Fleet &F, std::uint32_t Load, std::uint32_t PauseMs) {
   for (Duration At = WarmUp; At < RunTime;) {
@@ -86,11 +77,14 @@
   // Guards against tokens created by any message, process or view fault.
   SECTION("whatever one to three faults happen at any moment") {
     rc::check("admissions <= burst + rate x length in every window", [] {
-      const auto Faults = *rc::gen::scale(
-          1, rc::gen::resize(3, rc::gen::container<std::vector<Fault>>(
-                                    rc::gen::exec(drawFault))));
-      const auto Seed = *rc::gen::inRange<std::uint32_t>(1, 1000);
-      const auto Load = *rc::gen::inRange<std::uint32_t>(1, 12);
+      std::vector<FaultKind> Kinds;
+      for (int Kind = 0; Kind < FaultKinds; ++Kind)
+        Kinds.push_back(static_cast<FaultKind>(Kind));
+      const auto Faults = drawFaults(Kinds, milliseconds(4500));
+      const std::uint32_t Seed = drawNumber(1, 1000);
+      const std::uint32_t Load = drawNumber(1, 12);
+      for (const Fault &F : Faults)
+        RC_LOG() << F << '\n';
       RC_LOG() << "seed " << Seed << " load " << Load;
       const Tally F = runWith(Faults, Seed, Load);
       RC_ASSERT(F.Excess == 0U);
--- a/tests/view/ViewLeaseTest.cpp
+++ b/tests/view/ViewLeaseTest.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "tests/support/Draw.h"
 #include "tests/support/Fleet.h"
 
 using namespace pollenwick;
@@ -29,22 +30,10 @@
   return F;
 }
 
-std::vector<Fault> drawFaults(const std::vector<FaultKind> &Kinds) {
-  std::vector<Fault> Faults;
-  const int Count = *rc::gen::inRange(1, 4);
-  for (int I = 0; I < Count; ++I) {
-    Fault F;
-    F.Kind = *rc::gen::elementOf(Kinds);
-    F.At = milliseconds(*rc::gen::inRange(0, 3000));
-    F.For = milliseconds(*rc::gen::inRange(1, 2500));
-    F.Target = *rc::gen::inRange<std::uint32_t>(0, 128);
-    F.Amount = *rc::gen::inRange<std::uint32_t>(1, 60);
-    Faults.push_back(F);
-  }
-  const int Published = *rc::gen::inRange(1, 4);
-  for (int I = 0; I < Published; ++I)
-    Faults.push_back({FaultKind::Publish,
-                      milliseconds(*rc::gen::inRange(500, 3500)),
+std::vector<Fault> drawWithRevisions(const std::vector<FaultKind> &Kinds) {
+  std::vector<Fault> Faults = drawFaults(Kinds, milliseconds(3000));
+  for (std::uint32_t I = drawNumber(1, 4); I > 0; --I)
+    Faults.push_back({FaultKind::Publish, milliseconds(drawNumber(500, 3500)),
                       milliseconds(1), 0, 0});
   return Faults;
 }
@@ -58,19 +47,19 @@
   // revoked keys and old quota holders.
   SECTION("whatever cuts it off or stops it") {
     rc::check("no action on an old view after the lease length", [] {
-      Fleet F(shortLeases(
-          drawFaults({FaultKind::Drop, FaultKind::Delay, FaultKind::Duplicate,
-                      FaultKind::Pause, FaultKind::Kill, FaultKind::OneWay,
-                      FaultKind::TwoWay, FaultKind::ServiceOutage,
-                      FaultKind::HostChange})));
+      Fleet F(shortLeases(drawWithRevisions(
+          {FaultKind::Drop, FaultKind::Delay, FaultKind::Duplicate,
+           FaultKind::Pause, FaultKind::Kill, FaultKind::OneWay,
+           FaultKind::TwoWay, FaultKind::ServiceOutage,
+           FaultKind::HostChange})));
       RC_ASSERT(drive(F).StaleActions == 0U);
     });
   }
   SECTION("counted from publication if the service can be reached") {
     rc::check("pauses, kills, late and repeated messages", [] {
       FleetOptions Options =
-          shortLeases(drawFaults({FaultKind::Delay, FaultKind::Duplicate,
-                                  FaultKind::Pause, FaultKind::Kill}));
+          shortLeases(drawWithRevisions({FaultKind::Delay, FaultKind::Duplicate,
+                                         FaultKind::Pause, FaultKind::Kill}));
       // Late answers of witnesses would confirm what the service already
       // replaced; the delays stay below the part of the lease that asks them.
       for (Fault &F : Options.Faults)
