--- a/tests/quota/QuotaBoundTest.cpp
+++ b/tests/quota/QuotaBoundTest.cpp
@@ -77,9 +77,10 @@
   // Guards against tokens created by any message, process or view fault.
   SECTION("whatever one to three faults happen at any moment") {
     rc::check("admissions <= burst + rate x length in every window", [] {
-      std::vector<FaultKind> Kinds;
-      for (int Kind = 0; Kind < FaultKinds; ++Kind)
-        Kinds.push_back(static_cast<FaultKind>(Kind));
+      std::vector<FaultKind> Kinds(FaultKinds);
+      std::ranges::generate(Kinds, [Kind = 0]() mutable {
+        return static_cast<FaultKind>(Kind++);
+      });
       const auto Faults = drawFaults(Kinds, milliseconds(4500));
       const std::uint32_t Seed = drawNumber(1, 1000);
       const std::uint32_t Load = drawNumber(1, 12);
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -9,66 +9,15 @@
 #include <random>
 #include <vector>
 
-#include "core/quota/Holder.h"
-#include "core/quota/Ingress.h"
-#include "core/view/View.h"
-#include "tests/support/Faults.h"
+#include "tests/support/FleetTypes.h"
 
 namespace pollenwick::test {
 
-/// Faulty rules that the properties must catch.
-struct Naive {
-  bool CreditExpired = false; ///< Expired leases go back to the balance.
-  bool NoFence = false;       ///< A new holder starts at once.
-  bool NoViewLease = false;   ///< The view is acted on without a lease.
-};
-
-struct FleetOptions {
-  std::uint32_t Hosts = 6;
-  std::int64_t Rate = 200; ///< Tokens per second.
-  std::int64_t Burst = 40;
-  Policy Rules;
-  std::uint32_t Seed = 1;
-  std::vector<Fault> Faults;
-  Naive Wrong;
-  /// No fault hinders the way to the configuration service.
-  bool ServiceReachable = false;
-  Duration Tick = HolderTick;
-  Duration SettleTick = HolderTick;
-  Duration ZoneDelay = std::chrono::milliseconds(1); ///< One way.
-  Duration LocalDelay = std::chrono::microseconds(200);
-};
-
 /// Cores of several nodes under one virtual clock.
 class Fleet {
 public:
-  struct Node {
-    HostId Id;
-    ZoneId Zone;
-    bool Up = true;
-    Instant PausedUntil{};
-    std::uint64_t Start = 1;
-    std::size_t Revision = 0; ///< Index into the published bundles.
-    ViewState View;
-    HolderState Holder;
-    IngressState Ingress;
-  };
-  struct Published {
-    Bundle Rules;
-    RevisionKey Key;
-    Succession Hosts;
-    Instant At{};
-    /// A majority of the witnesses held it or a newer one at once.
-    std::optional<Instant> KnownAt{};
-  };
-
-  enum class Answer : std::uint8_t { None, Admitted, Refused, NoLease };
-  struct Arrival {
-    Instant At{};
-    std::uint32_t Node = 0;
-    Answer Result = Answer::None;
-  };
-
+  using Node = FleetNode;
+  using Answer = test::Answer;
   explicit Fleet(FleetOptions Given)
       : Options(std::move(Given)), Random(Options.Seed), Bound(freshBucket()) {
     Chain.push_back({makeFleetBundle(Options.Hosts, Options.Rate, Options.Burst,
@@ -220,21 +169,12 @@
   }
 
 private:
+  using Event = FleetEvent;
   ExactBucket freshBucket() const {
     return {MicroTokens{Options.Rate * OneToken.Value},
             MicroTokens{Options.Burst * OneToken.Value}};
   }
 
-  struct Event {
-    Instant At{};
-    std::uint64_t Order = 0;
-    int Node = -1; ///< -1: not bound to a process.
-    std::uint64_t Start = 0;
-    std::function<void()> Action;
-    friend bool operator<(const Event &A, const Event &B) {
-      return std::pair(A.At, A.Order) > std::pair(B.At, B.Order);
-    }
-  };
   void at(Instant When, int Target, std::function<void()> Action) {
     const std::uint64_t Start =
         Target < 0 ? 0 : Nodes[static_cast<std::size_t>(Target)].Start;
