--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <memory>
 #include <queue>
 #include <random>
