--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -154,9 +154,9 @@
   std::vector<Arrival> Calls; ///< In order of arrival.
   std::function<void()> OnRefusal;
   std::uint64_t Admissions = 0, Refusals = 0, LeaseRefusals = 0, Unserved = 0;
-  std::uint64_t Excess = 0;       ///< Admissions over the bound.
-  std::uint64_t StaleActions = 0; ///< Admissions and grants on an old view.
-  std::uint64_t Messages = 0;
+  std::uint64_t Excess = 0; ///< Admissions over the bound.
+  /// Admissions and grants on an old view, and messages sent.
+  std::uint64_t StaleActions = 0, Messages = 0;
 
   ViewLease lease(const Node &N) const {
     ViewLease Lease = viewLease(N.View);
