--- a/bench/QuotaBench.cpp
+++ b/bench/QuotaBench.cpp
@@ -64,7 +64,7 @@
 }
 
 void spendCached(benchmark::State &Run) {
-  IngressState State = makeIngress(Self, ZoneId("zone-0"));
+  LeaseTable State = makeLeaseTable(Self, ZoneId("zone-0"));
   const Bundle Rules = bundleOf(static_cast<int>(Run.range(0)));
   adoptBundle(State, Rules);
   const TenantId &Tenant = Rules.Tenants.back().Id;
@@ -141,7 +141,7 @@
 
 void ingressMemory(benchmark::State &Run) {
   memoryPerTenant(Run, [](const Bundle &Rules) {
-    IngressState State = makeIngress(Self, ZoneId("zone-0"));
+    LeaseTable State = makeLeaseTable(Self, ZoneId("zone-0"));
     adoptBundle(State, Rules);
     return State;
   });
--- a/src/core/quota/Ingress.cpp
+++ b/src/core/quota/Ingress.cpp
@@ -16,7 +16,7 @@
   return {Lease.Id, Lease.Spent, Lease.Left, true};
 }
 
-void addReport(std::vector<Settlement> &Messages, const IngressState &State,
+void addReport(std::vector<Settlement> &Messages, const LeaseTable &State,
                const TenantId &Tenant, const HeldLease &Lease,
                const LeaseReport &Report) {
   auto Found = std::ranges::find_if(Messages, [&](const Settlement &Message) {
@@ -48,14 +48,14 @@
 
 } // namespace
 
-IngressState makeIngress(IncarnationId Self, ZoneId Zone) {
-  IngressState State;
+LeaseTable makeLeaseTable(IncarnationId Self, ZoneId Zone) {
+  LeaseTable State;
   State.Self = std::move(Self);
   State.Zone = std::move(Zone);
   return State;
 }
 
-void adoptBundle(IngressState &State, const Bundle &Rules) {
+void adoptBundle(LeaseTable &State, const Bundle &Rules) {
   std::unordered_map<TenantId, TenantLeases> Tenants;
   for (const TenantSpec &Tenant : Rules.Tenants) {
     TenantLeases Held;
@@ -73,7 +73,7 @@
   State.Tenants = std::move(Tenants);
 }
 
-SpendResult spend(IngressState &State, const TenantId &Tenant,
+SpendResult spend(LeaseTable &State, const TenantId &Tenant,
                   const ViewLease &View, Instant Now) {
   auto Found = State.Tenants.find(Tenant);
   if (Found == State.Tenants.end())
@@ -104,7 +104,7 @@
 
 namespace {
 
-BorrowRequest beginBorrow(IngressState &State, const TenantId &Tenant,
+BorrowRequest beginBorrow(LeaseTable &State, const TenantId &Tenant,
                           const ShardHolder &Holder, MicroTokens Needed,
                           std::uint32_t Batch, Instant Now) {
   BorrowRequest Request;
@@ -123,7 +123,7 @@
 
 } // namespace
 
-BorrowStep nextStep(IngressState &State, BorrowSearch &Search,
+BorrowStep nextStep(LeaseTable &State, BorrowSearch &Search,
                     MicroTokens Lacking, std::uint32_t Batch, Instant Now) {
   using Stage = BorrowSearch::Stage;
   BorrowStep Step;
@@ -172,7 +172,7 @@
   Search.AskAgain = Search.AskAgain || (Reply != nullptr && Reply->AskAgain);
 }
 
-bool acceptLease(IngressState &State, const BorrowReply &Reply, Instant Now) {
+bool acceptLease(LeaseTable &State, const BorrowReply &Reply, Instant Now) {
   auto Found = State.Tenants.find(Reply.Shard.Tenant);
   if (Found == State.Tenants.end() || Reply.Borrower != State.Self)
     return false;
@@ -194,7 +194,7 @@
   return true;
 }
 
-std::optional<Settlement> onRecall(IngressState &State, const Recall &Message) {
+std::optional<Settlement> onRecall(LeaseTable &State, const Recall &Message) {
   auto Found = State.Tenants.find(Message.Shard.Tenant);
   if (Found == State.Tenants.end() || Message.Borrower != State.Self)
     return std::nullopt;
@@ -219,7 +219,7 @@
 
 /// Reports and removes what is due of one tenant. A lease is closed when it is
 /// used up, or unused since `IdleSince`.
-void settleTenant(const IngressState &State, const TenantId &Tenant,
+void settleTenant(const LeaseTable &State, const TenantId &Tenant,
                   TenantLeases &Held, Instant IdleSince, Instant Now,
                   std::vector<Settlement> &Messages) {
   dropExpired(Held, Now);
@@ -246,8 +246,7 @@
 
 } // namespace
 
-std::vector<Settlement> tickIngress(IngressState &State, Instant Now,
-                                    bool All) {
+std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now, bool All) {
   std::vector<Settlement> Messages;
   const Instant IdleSince = All ? Now : Now - IdleReturn;
   for (auto &[Tenant, Held] : State.Tenants) {
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -44,7 +44,7 @@
 };
 
 /// All leases of one node. Owned by one duty thread or guarded by one mutex.
-struct IngressState {
+struct LeaseTable {
   IncarnationId Self;
   ZoneId Zone;
   std::unordered_map<TenantId, TenantLeases> Tenants;
@@ -84,21 +84,21 @@
   Duration Wait{};
 };
 
-IngressState makeIngress(IncarnationId Self, ZoneId Zone);
+LeaseTable makeLeaseTable(IncarnationId Self, ZoneId Zone);
 
 /// Takes over tenants and holders of an accepted bundle. Leases are kept; they
 /// end by themselves.
-void adoptBundle(IngressState &State, const Bundle &Rules);
+void adoptBundle(LeaseTable &State, const Bundle &Rules);
 
 /// Spends one token from the leases that are held. Does not allocate. The
 /// admission counts at `Now`; read the clock immediately before the call.
-SpendResult spend(IngressState &State, const TenantId &Tenant,
+SpendResult spend(LeaseTable &State, const TenantId &Tenant,
                   const ViewLease &View, Instant Now);
 
 /// Next step of a request for which `spend` answered `Ask`: the holder of the
 /// own zone, the other holders, then a collector. `Lacking` is from `spend`;
 /// `Batch` is the number of tokens that would be of use now.
-BorrowStep nextStep(IngressState &State, BorrowSearch &Search,
+BorrowStep nextStep(LeaseTable &State, BorrowSearch &Search,
                     MicroTokens Lacking, std::uint32_t Batch, Instant Now);
 /// Notes the answer to the last question, or that it timed out (null). The
 /// lease itself goes to `acceptLease`.
@@ -106,14 +106,14 @@
 
 /// Stores a lease. Returns false if the reply was not expected or came after
 /// the end of the lease.
-bool acceptLease(IngressState &State, const BorrowReply &Reply, Instant Now);
+bool acceptLease(LeaseTable &State, const BorrowReply &Reply, Instant Now);
 
 /// Returns the unspent part of a recalled lease.
-std::optional<Settlement> onRecall(IngressState &State, const Recall &Message);
+std::optional<Settlement> onRecall(LeaseTable &State, const Recall &Message);
 
 /// Settlements and returns of idle leases that are due. Call it every
 /// `IngressTick`, and with `All` when the process ends.
-std::vector<Settlement> tickIngress(IngressState &State, Instant Now,
+std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now,
                                     bool All = false);
 
 inline constexpr Duration IngressTick = std::chrono::milliseconds(2);
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -186,7 +186,7 @@
     ++N.Start;
     N.View = makeView(N.Id, Now);
     N.Holder = makeHolder({N.Id, StartId(N.Start)}, N.Zone, Now);
-    N.Ingress = makeIngress({N.Id, StartId(N.Start)}, N.Zone);
+    N.Ingress = makeLeaseTable({N.Id, StartId(N.Start)}, N.Zone);
     // A starting node may find a peer with an old bundle first.
     const Node &Peer = Nodes[(I + 1) % Nodes.size()];
     N.Revision = Peer.Revision;
--- a/tests/support/FleetTypes.h
+++ b/tests/support/FleetTypes.h
@@ -47,7 +47,7 @@
   std::size_t Revision = 0; ///< Index into the published bundles.
   ViewState View;
   HolderState Holder;
-  IngressState Ingress;
+  LeaseTable Ingress;
 };
 /// A bundle and when it was published.
 struct Published {
