--- a/src/core/admission/Callee.cpp
+++ b/src/core/admission/Callee.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <numeric>
 
 namespace pollenwick {
@@ -14,6 +15,9 @@
 constexpr double HeldSamplesFull = 200;
 constexpr double HeldMinWeight = 0.05;
 
+/// Weight of one window in the mean of running sub-calls.
+constexpr double SubCallsWeight = 0.1;
+
 /// Weights of one sample in the running means.
 constexpr double OwnTimeWeight = 0.05;
 constexpr double DelayWeight = 0.05;
@@ -56,10 +60,23 @@
   State.SlotTimeAt = Now;
 }
 
+/// Slots that new roots leave free. Otherwise a sub-call waits until another
+/// call ends, and its parent holds a slot of its own server meanwhile.
+std::uint32_t reserveOf(const CalleeState &State) {
+  return static_cast<std::uint32_t>(State.Tuning.ReservePerRoot *
+                                    std::sqrt(State.SubCallsMean));
+}
+
+bool slotFree(const CalleeState &State, bool WorkDone) {
+  const std::uint32_t Reserve = WorkDone ? 0 : reserveOf(State);
+  return State.InSlots + Reserve < limitOf(State.Limit);
+}
+
 void takeSlot(CalleeState &State, const OfferedCall &Call, Instant Now) {
   addSlotTime(State, Now);
   ++State.InSlots;
   ++State.Running[Call.Rank];
+  State.SubCalls += Call.WorkDone ? 1 : 0;
   const auto Wait = static_cast<double>((Now - Call.ArrivedAt).count());
   State.QueueDelay += DelayWeight * (Wait - State.QueueDelay);
   ++State.DelaySamples;
@@ -133,7 +150,9 @@
     return refuse(RefusalReason::DeadlineExceeded);
   if (beyondLevel(State, Call))
     return refuse(RefusalReason::Shed);
-  if (State.InSlots < limitOf(State.Limit) && State.Queue.ById.empty()) {
+  const bool Overtakes = State.Queue.ById.empty() ||
+                         ServesBefore()(Call, *State.Queue.ServeOrder.begin());
+  if (Overtakes && slotFree(State, Call.WorkDone)) {
     takeSlot(State, Call, Now);
     return {OfferVerdict::Run, RefusalReason::None, std::nullopt};
   }
@@ -145,7 +164,8 @@
 
 TakeResult takeCall(CalleeState &State, Instant Now) {
   TakeResult Result;
-  while (State.InSlots < limitOf(State.Limit)) {
+  while (!State.Queue.ServeOrder.empty() &&
+         slotFree(State, State.Queue.ServeOrder.begin()->WorkDone)) {
     std::optional<OfferedCall> Next = popNext(State.Queue);
     if (!Next)
       break;
@@ -166,6 +186,7 @@
   addSlotTime(State, Now);
   --State.InSlots;
   --State.Running[Call.Rank];
+  State.SubCalls -= Call.WorkDone ? 1 : 0;
   State.HeldSum += static_cast<double>(Call.Held.count());
   ++State.HeldSamples;
   if (!Call.Completed)
@@ -195,6 +216,7 @@
       State.QueueDelay += Window;
   }
   learnHeldTime(State);
+  State.SubCallsMean += SubCallsWeight * (State.SubCalls - State.SubCallsMean);
   WindowMeasure Measure;
   Measure.Limit = limitOf(State.Limit);
   if (State.HeldTime > 0)
