--- a/bench/model/SimulationCalls.cpp
+++ b/bench/model/SimulationCalls.cpp
@@ -204,7 +204,6 @@
   Finished.Rank = Call->Root->Rank;
   Finished.Held = Now - Call->StartedAt;
   Finished.Own = Finished.Held - Call->InSubCalls;
-  Finished.WorkDone = Call->Parent != nullptr;
   Finished.Completed = Completed;
   Call->Root->HeldSeconds[Host.Callee.Service] += seconds(Finished.Held);
   if (full()) {
--- a/src/core/admission/Callee.cpp
+++ b/src/core/admission/Callee.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <numeric>
 
 namespace pollenwick {
@@ -15,9 +14,6 @@
 constexpr double HeldSamplesFull = 200;
 constexpr double HeldMinWeight = 0.05;
 
-/// Weight of one window in the mean of running sub-calls.
-constexpr double SubCallsWeight = 0.1;
-
 /// Weights of one sample in the running means.
 constexpr double OwnTimeWeight = 0.05;
 constexpr double DelayWeight = 0.05;
@@ -60,23 +56,10 @@
   State.SlotTimeAt = Now;
 }
 
-/// Slots that new roots leave free. Otherwise a sub-call waits until another
-/// call ends, and its parent holds a slot of its own server meanwhile.
-std::uint32_t reserveOf(const CalleeState &State) {
-  return static_cast<std::uint32_t>(State.Tuning.ReservePerRoot *
-                                    std::sqrt(State.SubCallsMean));
-}
-
-bool slotFree(const CalleeState &State, bool WorkDone) {
-  const std::uint32_t Reserve = WorkDone ? 0 : reserveOf(State);
-  return State.InSlots + Reserve < limitOf(State.Limit);
-}
-
 void takeSlot(CalleeState &State, const OfferedCall &Call, Instant Now) {
   addSlotTime(State, Now);
   ++State.InSlots;
   ++State.Running[Call.Rank];
-  State.SubCalls += Call.WorkDone ? 1 : 0;
   const auto Wait = static_cast<double>((Now - Call.ArrivedAt).count());
   State.QueueDelay += DelayWeight * (Wait - State.QueueDelay);
   ++State.DelaySamples;
@@ -150,9 +133,7 @@
     return refuse(RefusalReason::DeadlineExceeded);
   if (beyondLevel(State, Call))
     return refuse(RefusalReason::Shed);
-  const bool Overtakes = State.Queue.ById.empty() ||
-                         ServesBefore()(Call, *State.Queue.ServeOrder.begin());
-  if (Overtakes && slotFree(State, Call.WorkDone)) {
+  if (State.InSlots < limitOf(State.Limit) && State.Queue.ById.empty()) {
     takeSlot(State, Call, Now);
     return {OfferVerdict::Run, RefusalReason::None, std::nullopt};
   }
@@ -164,8 +145,7 @@
 
 TakeResult takeCall(CalleeState &State, Instant Now) {
   TakeResult Result;
-  while (!State.Queue.ServeOrder.empty() &&
-         slotFree(State, State.Queue.ServeOrder.begin()->WorkDone)) {
+  while (State.InSlots < limitOf(State.Limit)) {
     std::optional<OfferedCall> Next = popNext(State.Queue);
     if (!Next)
       break;
@@ -186,7 +166,6 @@
   addSlotTime(State, Now);
   --State.InSlots;
   --State.Running[Call.Rank];
-  State.SubCalls -= Call.WorkDone ? 1 : 0;
   State.HeldSum += static_cast<double>(Call.Held.count());
   ++State.HeldSamples;
   if (!Call.Completed)
@@ -216,7 +195,6 @@
       State.QueueDelay += Window;
   }
   learnHeldTime(State);
-  State.SubCallsMean += SubCallsWeight * (State.SubCalls - State.SubCallsMean);
   WindowMeasure Measure;
   Measure.Limit = limitOf(State.Limit);
   if (State.HeldTime > 0)
--- a/src/core/admission/Callee.h
+++ b/src/core/admission/Callee.h
@@ -14,9 +14,6 @@
 namespace pollenwick {
 
 struct CalleeTuning {
-  /// Slots that new roots leave free for sub-calls, per square root of the
-  /// sub-calls that usually run.
-  double ReservePerRoot = 0.5;
   ThresholdTuning Threshold;
   LimitTuning Limit;
   /// Waiting calls per allowed running call.
@@ -33,8 +30,6 @@
   CallQueue Queue;
   std::vector<std::uint32_t> Running; ///< Calls in slots, by rank.
   std::uint32_t InSlots = 0;
-  std::uint32_t SubCalls = 0;     ///< In slots, with work done for their roots.
-  double SubCallsMean = 0;        ///< Over recent windows.
   std::vector<double> OwnTime;    ///< Mean own time by route, us.
   double HeldTime = 0;            ///< Mean time a slot is held, us.
   double HeldSum = 0;             ///< Of calls that ended in the window, us.
@@ -74,7 +69,6 @@
   std::uint32_t Rank = 0;
   Duration Held{};       ///< Time the slot was held.
   Duration Own{};        ///< `Held` without the time of its sub-calls.
-  bool WorkDone = false; ///< As offered.
   bool Completed = true; ///< False: cancelled or failed; not a latency sample.
 };
 
--- a/tests/admission/AdmissionTest.cpp
+++ b/tests/admission/AdmissionTest.cpp
@@ -153,31 +153,30 @@
     CalleeState State = makeCallee(fleet().Reach, service("cereria"), at(0));
     std::uint64_t Id = 0;
     std::map<std::uint64_t, std::uint32_t> RankOf;
-    std::vector<std::pair<std::uint32_t, bool>> Running;
+    std::vector<std::uint32_t> Running;
     const auto Steps = *rc::gen::inRange(1, 200);
     for (int Step = 0; Step < Steps; ++Step) {
       const Instant Now = at(Step);
       if (!Running.empty() && *rc::gen::inRange(0, 4) == 0) {
         FinishedCall Done;
-        std::tie(Done.Rank, Done.WorkDone) = Running.back();
+        Done.Rank = Running.back();
         Done.Held = milliseconds(20);
         Done.Own = milliseconds(20);
         Running.pop_back();
         releaseSlot(State, Done, Now);
         if (auto Next = takeCall(State, Now).Call)
-          Running.emplace_back(Next->Rank, Next->WorkDone);
+          Running.push_back(Next->Rank);
         continue;
       }
       const auto Rank = *rc::gen::inRange<std::uint32_t>(0, 3);
-      const bool Worse =
-          std::any_of(Running.begin(), Running.end(),
-                      [](const auto &Call) { return Call.first > 0; });
-      const bool WorkDone = *rc::gen::arbitrary<bool>();
+      const bool Worse = std::any_of(Running.begin(), Running.end(),
+                                     [](std::uint32_t R) { return R > 0; });
       RankOf[++Id] = Rank;
       const OfferResult Result =
-          offerCall(State, fleet().Reach, call(Id, Rank, WorkDone, 0), Now);
+          offerCall(State, fleet().Reach,
+                    call(Id, Rank, *rc::gen::arbitrary<bool>(), 0), Now);
       if (Result.Verdict == OfferVerdict::Run)
-        Running.emplace_back(Rank, WorkDone);
+        Running.push_back(Rank);
       if (Worse && Result.Evicted)
         RC_ASSERT(RankOf[Result.Evicted->Value] > 0);
       if (Worse && Rank == 0)
