--- a/tests/admission/OverloadTest.cpp
+++ b/tests/admission/OverloadTest.cpp
@@ -42,8 +42,8 @@
   for (const Deployment &Fleet : {lantern(), pier()}) {
     // The times of the measurement: in the first 3 s of a surge the levels of
     // neighboring services still settle (goodput 0.83 in lantern).
-    const Measures Result = runScenario(Fleet, {"surge", 5}, Variant::Full,
-                                        Timeline(), 20261204);
+    const Measures Result =
+        runScenario(Fleet, {"surge", 5}, Variant::Full, Timeline(), 20261204);
     INFO(Fleet.Name);
     // Guards against congestion collapse and against wasted work.
     CHECK(Result.Goodput > 0.85);
