--- a/src/core/admission/CallQueue.cpp
+++ b/src/core/admission/CallQueue.cpp
@@ -6,13 +6,13 @@
 
 bool ServesBefore::operator()(const OfferedCall &A,
                               const OfferedCall &B) const {
-  return std::tuple(!A.WorkDone, A.Rank, A.RootAdmitted, A.Id) <
-         std::tuple(!B.WorkDone, B.Rank, B.RootAdmitted, B.Id);
+  return std::tuple(!A.WorkDone, A.Rank, A.RootAdmitted, A.Id.Value) <
+         std::tuple(!B.WorkDone, B.Rank, B.RootAdmitted, B.Id.Value);
 }
 
 bool ShedsAfter::operator()(const OfferedCall &A, const OfferedCall &B) const {
-  return std::tuple(A.Rank, !A.WorkDone, A.RootAdmitted, A.Id) <
-         std::tuple(B.Rank, !B.WorkDone, B.RootAdmitted, B.Id);
+  return std::tuple(A.Rank, !A.WorkDone, A.RootAdmitted, A.Id.Value) <
+         std::tuple(B.Rank, !B.WorkDone, B.RootAdmitted, B.Id.Value);
 }
 
 void pushCall(CallQueue &Queue, const OfferedCall &Call) {
--- a/src/core/admission/Level.h
+++ b/src/core/admission/Level.h
@@ -1,7 +1,6 @@
 #ifndef POLLENWICK_CORE_ADMISSION_LEVEL_H
 #define POLLENWICK_CORE_ADMISSION_LEVEL_H
 
-#include <compare>
 #include <cstdint>
 #include <limits>
 
@@ -13,7 +12,9 @@
 struct Level {
   std::uint32_t Value = std::numeric_limits<std::uint32_t>::max();
 
-  friend auto operator<=>(const Level &, const Level &) = default;
+  friend bool operator==(Level A, Level B) { return A.Value == B.Value; }
+  friend bool operator<(Level A, Level B) { return A.Value < B.Value; }
+  friend bool operator>=(Level A, Level B) { return A.Value >= B.Value; }
 };
 
 inline constexpr std::uint32_t LevelUnit = 1U << 16;
--- a/src/core/admission/OfferedLoad.cpp
+++ b/src/core/admission/OfferedLoad.cpp
@@ -93,7 +93,8 @@
     return;
   const double Keep = 1 - UnderuseGain * std::min(1.0, Free);
   for (std::uint32_t Rank = 0; Rank < State.ClassOffered.size(); ++Rank) {
-    const auto First = State.Cells.begin() + Rank * State.Tenants;
+    const auto First =
+        State.Cells.begin() + std::ptrdiff_t{Rank} * State.Tenants;
     const auto Last = First + State.Tenants;
     if (std::none_of(First, Last,
                      [](const LoadCell &Cell) { return Cell.Share < 1; }))
--- a/src/core/admission/ReachTable.cpp
+++ b/src/core/admission/ReachTable.cpp
@@ -1,18 +1,17 @@
 #include "core/admission/ReachTable.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 
 namespace pollenwick {
 
 namespace {
 
-std::map<ClassId, std::uint32_t> denseRanks(const Bundle &Rules) {
+std::unordered_map<ClassId, std::uint32_t> denseRanks(const Bundle &Rules) {
   std::set<std::uint32_t> Distinct;
   for (const ClassSpec &Class : Rules.Classes)
     Distinct.insert(Class.Rank);
-  std::map<ClassId, std::uint32_t> Ranks;
+  std::unordered_map<ClassId, std::uint32_t> Ranks;
   for (const ClassSpec &Class : Rules.Classes)
     Ranks[Class.Id] = static_cast<std::uint32_t>(
         std::distance(Distinct.begin(), Distinct.find(Class.Rank)));
@@ -48,7 +47,7 @@
     Table.Tenants.push_back(Tenant.Id);
     Table.Weights.push_back(std::max(1U, Tenant.Weight));
   }
-  const std::map<ClassId, std::uint32_t> Ranks = denseRanks(Rules);
+  const std::unordered_map<ClassId, std::uint32_t> Ranks = denseRanks(Rules);
   for (const auto &[Class, Rank] : Ranks)
     Table.Ranks = std::max(Table.Ranks, Rank + 1);
   for (const RouteSpec &Route : Rules.Routes) {
--- a/tests/admission/AdmissionTest.cpp
+++ b/tests/admission/AdmissionTest.cpp
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <cmath>
+#include <map>
+
 #include "core/admission/Callee.h"
 #include "core/admission/Ingress.h"
 #include "model/Deployment.h"
@@ -211,10 +214,10 @@
         const double Rate = 10.0 * (T == Hot ? Factor : 1) * (T < 2 ? 3 : 1);
         const double Through =
             Rate * State.Cells[std::size_t{2} * 8 + T].Applied;
-        for (int Call = 0; Call < static_cast<int>(Through + 0.5); ++Call)
+        for (std::int64_t Call = 0; Call < std::lround(Through); ++Call)
           recordOffered(State, 2, T);
       }
-      updateThreshold(State, fleet().Reach, Full, at(50 * Window));
+      updateThreshold(State, fleet().Reach, Full, at(50L * Window));
     }
     for (TenantIndex T = 0; T < 8; ++T)
       if (T != Hot)
