--- a/tests/process/test_answers.py
+++ b/tests/process/test_answers.py
@@ -35,12 +35,12 @@
     def test_keys_decide(self):
         """Guards against closed routes that run without a valid key."""
         address = self.deployment.hosts[0].caller
-        for key in (None, "dev-nobody", self.key + "x", self.key[:-1]):
+        for number, key in enumerate((None, "dev-nobody", self.key + "x", self.key[:-1])):
             caller = Caller(address, key)
-            status, headers, _ = caller.send("/catalogo/stock", f"bad-{key}")
+            status, headers, _ = caller.send("/catalogo/stock", f"bad-{number}")
             self.assertEqual(status, 401, key)
             self.assertEqual(headers["Pollenwick-Outcome"], "not-run")
-            status, headers, _ = caller.send("/catalogo/listing?bytes=10", f"open-{key}")
+            status, headers, _ = caller.send("/catalogo/listing?bytes=10", f"open-{number}")
             self.assertEqual(status, 200, f"an open route needs no key: {dict(headers)}")
             caller.close()
         caller = Caller(address, self.key)
