Drive crash reports by the decided spread rounds; stop minting when draining

Change: a draining node mints no tickets, tickets already out are still served during the grace time. Cause 2: crashes closer than 200 ms counted as one, so a request could crash a third server that had been restarted at once (process_restart). Change: a lost call belongs to the last crash only if it started before that crash was found, and a server that closed all recent idle connections has ended.

--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -181,7 +181,24 @@
     Idle.push_back(std::move(Session));
 }
 
-bool BackendClient::isReachable() {
+bool BackendClient::hasEnded() { return !isReachable() || hasClosedIdle(); }
+
+bool BackendClient::hasClosedIdle() {
+  std::scoped_lock Lock(Mutex);
+  const auto IsRecent = [](const auto &Session) {
+    return now() - Session->LastUsed < MaxIdleTime;
+  };
+  const auto IsClosed = [](const auto &Session) {
+    return Session->socket().poll(Poco::Timespan(0),
+                                  Poco::Net::Socket::SELECT_READ);
+  };
+  const auto Recent = std::ranges::count_if(Idle, IsRecent);
+  return Recent > 0 && std::ranges::count_if(Idle, [&](const auto &Session) {
+                         return IsRecent(Session) && IsClosed(Session);
+                       }) == Recent;
+}
+
+bool BackendClient::isReachable() const {
   try {
     Poco::Net::StreamSocket Socket;
     Socket.connect(Poco::Net::SocketAddress(Server.Address, Server.Port),
--- a/src/node/BackendClient.h
+++ b/src/node/BackendClient.h
@@ -32,12 +32,16 @@
   /// sent; `Done` only if the whole answer was read.
   BackendResult run(const CallRequest &Call, const std::string &Handle);
 
-  /// True when a connection can be opened.
-  bool isReachable();
+  /// Whether the server process has ended: it takes no connection, or it closed
+  /// all idle connections that were in use shortly before. A server that was
+  /// started again at once shows only the latter.
+  bool hasEnded();
 
   void limitTo(std::size_t MaxConnections, std::size_t MaxBodyBytes);
 
 private:
+  bool isReachable() const;
+  bool hasClosedIdle();
   std::unique_ptr<BackendSession> acquire();
   void release(std::unique_ptr<BackendSession> Session);
 
--- a/src/node/Callee.cpp
+++ b/src/node/Callee.cpp
@@ -79,7 +79,7 @@
       Waiting.erase(Id);
     }
   }
-  notify(std::move(Out));
+  notify(Out);
 }
 
 std::optional<CallReply>
@@ -158,7 +158,7 @@
       }
     }
   }
-  notify(std::move(Out));
+  notify(Out);
 }
 
 void Callee::startWaiting(Started &Out) {
@@ -177,12 +177,12 @@
   }
 }
 
-void Callee::notify(Started Calls) {
-  for (auto &[Callback, Reason] : Calls.Refused)
+void Callee::notify(const Started &Calls) {
+  for (const auto &[Callback, Reason] : Calls.Refused)
     Callback(notRun(Reason, Reason == RefusalReason::DeadlineExceeded
                                 ? "the call cannot meet its deadline here"
                                 : "backend server is busy; send again later"));
-  for (SlotCallback &Callback : Calls.Run)
+  for (const SlotCallback &Callback : Calls.Run)
     Callback(std::nullopt);
 }
 
@@ -203,7 +203,7 @@
       startWaiting(Out);
     }
   }
-  notify(std::move(Out));
+  notify(Out);
 }
 
 void Callee::tick() {
@@ -215,7 +215,7 @@
     refreshThreshold(State, Bundle->Reach, now());
     startWaiting(Out);
   }
-  notify(std::move(Out));
+  notify(Out);
 }
 
 std::optional<CallReply> Callee::enterServer(const CallRequest &Call,
@@ -260,7 +260,7 @@
   // The call still counts as in flight here, so that a crash makes it and all
   // others that were running suspects.
   if (Result.ConnectionLost)
-    Result.Reply.Suspect = Crashes.onConnectionLost(Backend);
+    Result.Reply.Suspect = Crashes.onConnectionLost(Backend, Start);
   return std::move(Result.Reply);
 }
 
--- a/src/node/Callee.h
+++ b/src/node/Callee.h
@@ -63,7 +63,7 @@
   void release(const CallRequest &Call, CallId Id, Duration Held, Duration Own,
                bool Completed);
   void startWaiting(Started &Out);
-  static void notify(Started Calls);
+  static void notify(const Started &Calls);
 
   /// Needs a slot; frees it.
   CallReply execute(const CallRequest &Call, CallId Id,
--- a/src/node/CrashService.cpp
+++ b/src/node/CrashService.cpp
@@ -8,9 +8,9 @@
 namespace pollenwick {
 namespace {
 
-constexpr Duration SpreadTimeout = std::chrono::milliseconds(300);
-/// Connections lost within this time of a detected crash belong to it.
-constexpr Duration SameCrash = std::chrono::milliseconds(200);
+constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
+/// Shorter than the interval at which an unacknowledged report is repeated.
+constexpr Duration PumpInterval = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -42,12 +42,16 @@
   return isSuspect(State, Subject, now());
 }
 
-bool CrashService::onConnectionLost(BackendClient &Backend) {
+bool CrashService::onConnectionLost(BackendClient &Backend,
+                                    Instant CallStarted) {
   std::scoped_lock Detect(DetectMutex);
-  if (now() - LastCrash < SameCrash)
+  // A call that started before the last crash was found ran on that process;
+  // a later one ran on its successor, however soon that was started.
+  if (CallStarted <= LastCrash)
     return true;
-  if (Backend.isReachable())
+  if (!Backend.hasEnded())
     return false; // Only this connection ended.
+  LastCrash = now();
   std::vector<Suspicion> News;
   {
     std::scoped_lock Lock(Mutex);
@@ -55,72 +59,75 @@
   }
   Count.add(Counter::BackendCrashes);
   if (!News.empty()) {
-    const auto Sent = makeReport(std::move(News));
-    sendReport(Sent);
-    std::unique_lock Lock(Mutex);
-    if (Sent->Missing.empty())
-      onSpread(State, Sent->News.front().Crash);
-    else
-      Reports.push_back(Sent);
-    Sent->Changed.wait_for(Lock, SpreadTimeout,
-                           [&] { return Sent->Missing.empty(); });
+    const CrashId Crash = News.front().Crash;
+    {
+      std::scoped_lock Lock(Mutex);
+      beginSpread(Rounds, News, otherServers(), now());
+      Held.insert(Crash);
+    }
+    // The core releases the answers when all servers know, or after its hold.
+    for (;;) {
+      pump();
+      std::unique_lock Lock(Mutex);
+      if (Released.wait_for(Lock, PumpInterval,
+                            [&] { return !Held.contains(Crash); }))
+        break;
+    }
   }
-  LastCrash = now();
   return true;
 }
 
-std::shared_ptr<CrashService::Report>
-CrashService::makeReport(std::vector<Suspicion> News) const {
-  auto Out = std::make_shared<Report>();
-  Out->News = std::move(News);
-  Out->Since = now();
+std::vector<HostId> CrashService::otherServers() const {
+  std::vector<HostId> Out;
   const BundlePtr Bundle = Bundles.current();
   const HostSpec *Here = Bundle ? findHost(*Bundle, Self.Host) : nullptr;
   if (!Here)
     return Out;
   for (const HostSpec &Host : Bundle->Rules->Hosts)
     if (Host.Service == Here->Service && Host.Id != Self.Host)
-      Out->Missing.insert(Host.Id);
+      Out.push_back(Host.Id);
   return Out;
 }
 
-void CrashService::sendReport(const std::shared_ptr<Report> &Sent) {
-  const BundlePtr Bundle = Bundles.current();
-  std::set<HostId> Missing;
+void CrashService::onBundle() {
+  const auto Servers = otherServers();
+  std::scoped_lock Lock(Mutex);
+  onServersChanged(Rounds, Servers);
+}
+
+void CrashService::pump() {
+  std::vector<SpreadMessage> Due;
   {
     std::scoped_lock Lock(Mutex);
-    Missing = Sent->Missing;
-  }
-  for (const HostId &Host : Missing) {
-    const HostSpec *Spec = findHost(*Bundle, Host);
-    if (!Spec) { // Left the configuration.
-      onAcknowledged(*Sent, Host, {});
-      continue;
-    }
-    Peers.post(
-        peerAddress(*Spec), SpreadTimeout,
-        [this, Sent, Host](wire::Peer::Client &Peer) {
-          auto Request = Peer.suspectRequest();
-          writeMessages(
-              Request.initSuspicions(static_cast<unsigned>(Sent->News.size())),
-              Sent->News);
-          return Request.send().then([this, Sent, Host](auto &&Reply) {
-            if (!Reply.getInFlight())
-              onAcknowledged(*Sent, Host, readMessages(Reply.getKnown()));
-          });
-        });
+    if (Rounds.Rounds.empty())
+      return;
+    Due = dueSpreads(Rounds, now());
+    for (const CrashId &Crash : advanceSpreads(Rounds, State, now()))
+      Held.erase(Crash);
   }
+  Released.notify_all();
+  const BundlePtr Bundle = Bundles.current();
+  for (const SpreadMessage &Message : Due)
+    if (const HostSpec *To = findHost(*Bundle, Message.To))
+      send(peerAddress(*To), Message);
 }
 
-void CrashService::onAcknowledged(Report &Sent, const HostId &From,
-                                  const std::vector<Suspicion> &Known) {
-  std::scoped_lock Lock(Mutex);
-  merge(State, Known, now());
-  Sent.Missing.erase(From);
-  if (!Sent.Missing.empty())
-    return;
-  onSpread(State, Sent.News.front().Crash);
-  Sent.Changed.notify_all();
+void CrashService::send(const PeerAddress &To, const SpreadMessage &Message) {
+  Peers.post(To, ReportTimeout, [this, Message](wire::Peer::Client &Peer) {
+    auto Request = Peer.suspectRequest();
+    writeMessages(
+        Request.initSuspicions(static_cast<unsigned>(Message.What.size())),
+        Message.What);
+    return Request.send().then([this, Message](auto &&Reply) {
+      const Acknowledgement Answer{readMessages(Reply.getKnown()),
+                                   Reply.getInFlight()};
+      std::scoped_lock Lock(Mutex);
+      onAcknowledged(Rounds, State, Message.Crash, Message.To, Answer, now());
+      for (const CrashId &Crash : advanceSpreads(Rounds, State, now()))
+        Held.erase(Crash);
+      Released.notify_all();
+    });
+  });
 }
 
 void CrashService::onSuspect(capnp::List<wire::Suspicion>::Reader In,
@@ -142,18 +149,9 @@
   return known(State, Limit, now());
 }
 
-void CrashService::tick() {
-  std::vector<std::shared_ptr<Report>> Repeat;
-  {
-    std::scoped_lock Lock(Mutex);
-    expire(State, now());
-    std::erase_if(Reports, [&](const auto &Sent) {
-      return Sent->Missing.empty() ||
-             now() - Sent->Since > State.Limits.SuspectTime;
-    });
-    Repeat = Reports;
-  }
-  std::ranges::for_each(Repeat, [this](const auto &Sent) { sendReport(Sent); });
+void CrashService::expireOld() {
+  std::scoped_lock Lock(Mutex);
+  expire(State, now());
 }
 
 void CrashService::dump(Poco::JSON::Object &Out) const {
@@ -161,7 +159,7 @@
   Out.set("subjects", State.Subjects.size());
   Out.set("in_flight", State.InFlight.size());
   Out.set("crashes_seen_here", State.LastCrash);
-  Out.set("reports_unacknowledged", Reports.size());
+  Out.set("reports_unacknowledged", Rounds.Rounds.size());
 }
 
 } // namespace pollenwick
--- a/src/node/CrashService.h
+++ b/src/node/CrashService.h
@@ -2,7 +2,6 @@
 #define POLLENWICK_NODE_CRASHSERVICE_H
 
 #include <condition_variable>
-#include <memory>
 #include <mutex>
 #include <set>
 #include <vector>
@@ -10,6 +9,7 @@
 #include <Poco/JSON/Object.h>
 
 #include "core/quarantine/Quarantine.h"
+#include "core/quarantine/Spread.h"
 #include "node/ActiveBundle.h"
 #include "node/BackendClient.h"
 #include "node/Counters.h"
@@ -33,29 +33,22 @@
   /// counted as in flight. Returns true when the server has crashed; the calls
   /// in flight are then suspects, known to all servers of the service or to
   /// those that answered within a short time. Blocks until then.
-  bool onConnectionLost(BackendClient &Backend);
+  bool onConnectionLost(BackendClient &Backend, Instant CallStarted);
 
+  void onBundle();
   void hear(const std::vector<Suspicion> &Heard);
   /// Answers the report of another server of the service.
   void onSuspect(capnp::List<wire::Suspicion>::Reader In,
                  wire::Peer::SuspectResults::Builder Out);
   std::vector<Suspicion> gossip(std::size_t Limit) const;
-  void tick();
+  /// Sends crash reports that are due and releases answers; call it often.
+  void pump();
+  void expireOld();
   void dump(Poco::JSON::Object &Out) const;
 
 private:
-  /// A crash report and the servers that have not acknowledged it yet.
-  struct Report {
-    std::vector<Suspicion> News;
-    std::set<HostId> Missing;
-    Instant Since;
-    std::condition_variable Changed;
-  };
-
-  std::shared_ptr<Report> makeReport(std::vector<Suspicion> News) const;
-  void sendReport(const std::shared_ptr<Report> &Sent);
-  void onAcknowledged(Report &Sent, const HostId &From,
-                      const std::vector<Suspicion> &Known);
+  std::vector<HostId> otherServers() const;
+  void send(const PeerAddress &To, const SpreadMessage &Message);
 
   const IncarnationId Self;
   Counters &Count;
@@ -63,9 +56,11 @@
   PeerDuty &Peers;
   mutable std::mutex Mutex;
   Quarantine State;
-  std::vector<std::shared_ptr<Report>> Reports; ///< Not acknowledged by all.
+  Spreads Rounds;
+  std::set<CrashId> Held; ///< Crashes whose answers are held back.
+  std::condition_variable Released;
   std::mutex DetectMutex; ///< One crash is handled by one thread.
-  Instant LastCrash{};
+  Instant LastCrash{};    ///< When the last crash was found.
 };
 
 } // namespace pollenwick
--- a/src/node/Ingress.cpp
+++ b/src/node/Ingress.cpp
@@ -155,6 +155,9 @@
 
 CallReply Ingress::withNewTicket(CallReply Reply, const CallRequest &Call,
                                  const ActiveBundle &Active) {
+  if (Draining)
+    return refuse(Outcome::NotRun, RefusalReason::Draining,
+                  "this node is stopping; send the request to another");
   std::scoped_lock Lock(Mutex);
   const auto Minted = mintTicket(Tickets, Call.Tenant, Call.Route,
                                  Active.Rules->Rules.TicketLifetime, now());
@@ -236,15 +239,15 @@
 }
 
 void Ingress::submitClaim(std::string Ticket, CallRequest Call,
-                          CancelFlag Cancelled, ReplyCallback Answer) {
+                          const CancelFlag &Cancelled,
+                          const ReplyCallback &Answer) {
   const auto Shared = std::make_shared<CallRequest>(std::move(Call));
   const bool Queued = Claims.submit(
-      [this, Ticket = std::move(Ticket), Shared, Cancelled, Answer] {
+      [this, Ticket = std::move(Ticket), Shared, Cancelled, Reply = Answer] {
         if (Cancelled->load())
-          return Answer(refuse(Outcome::Unknown, RefusalReason::Cancelled,
-                               "the caller has given up"));
-        CallReply Reply = claimHere(Ticket, std::move(*Shared));
-        Answer(std::move(Reply));
+          return Reply(refuse(Outcome::Unknown, RefusalReason::Cancelled,
+                              "the caller has given up"));
+        Reply(claimHere(Ticket, std::move(*Shared)));
       });
   if (!Queued)
     Answer(refuse(Outcome::Unknown, RefusalReason::QueueFull,
--- a/src/node/Ingress.h
+++ b/src/node/Ingress.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_NODE_INGRESS_H
 #define POLLENWICK_NODE_INGRESS_H
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -39,8 +40,11 @@
   CallReply handle(RootArrival Arrival);
 
   /// Runs a ticketed call for the node that received it. Never blocks.
-  void submitClaim(std::string Ticket, CallRequest Call, CancelFlag Cancelled,
-                   ReplyCallback Answer);
+  void submitClaim(std::string Ticket, CallRequest Call,
+                   const CancelFlag &Cancelled, const ReplyCallback &Answer);
+
+  /// From now on no ticket is minted: this process would end before its use.
+  void beginDrain() { Draining = true; }
 
   void tick();
   void stop() { Claims.stop(); }
@@ -74,6 +78,7 @@
   PeerDuty &Peers;
   WorkerPool Claims;
 
+  std::atomic<bool> Draining = false;
   mutable std::mutex Mutex;
   TicketBook Tickets;
   std::mt19937_64 Random;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -119,7 +119,8 @@
     Local->submit(std::move(Call), std::move(Cancelled), std::move(Answer));
   };
   Out.OnClaim = [this](std::string Ticket, CallRequest Call,
-                       CancelFlag Cancelled, ReplyCallback Answer) {
+                       const CancelFlag &Cancelled,
+                       const ReplyCallback &Answer) {
     Roots->submitClaim(std::move(Ticket), std::move(Call), std::move(Cancelled),
                        std::move(Answer));
   };
@@ -148,6 +149,7 @@
     Quota->onBundle(Old, New);
     View.hold(*New);
     Members->onBundle(New);
+    Crashes->onBundle();
     const auto &Services = New->Rules->Services;
     const HostSpec *Here = findHost(*New, Self.Host);
     const auto It = std::ranges::find_if(Services, [&](const ServiceSpec &S) {
@@ -159,10 +161,13 @@
 }
 
 void Node::Parts::addDuties() {
-  Upkeep.every(CalleeTick, [this] { Local->tick(); });
+  Upkeep.every(CalleeTick, [this] {
+    Local->tick();
+    Crashes->pump();
+  });
   Upkeep.every(ExpiryTick, [this] {
     Roots->tick();
-    Crashes->tick();
+    Crashes->expireOld();
   });
   Registry.addDuty(*Quota);
   Registry.addDuty(*Config);
@@ -237,6 +242,7 @@
     return;
   logState("node", "draining");
   Local->beginDrain();
+  Roots->beginDrain();
   Members->announceLeaving();
   CallerPort->beginDrain();
 }
--- a/src/peer/HeartbeatWire.cpp
+++ b/src/peer/HeartbeatWire.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Enough for any datagram; a packed one could name far more.
-constexpr std::uint64_t MaxWords = 64 * 1024;
+constexpr std::uint64_t MaxWords = std::uint64_t{64} * 1024;
 constexpr int MaxNesting = 8;
 
 void writeNews(wire::HostNews::Builder Out, const HostNews &In) {
--- a/src/peer/PeerConnections.cpp
+++ b/src/peer/PeerConnections.cpp
@@ -45,7 +45,7 @@
 PeerConnections::run(const PeerAddress &To, Duration Timeout,
                      const PeerDuty::Exchange &Exchange) {
   return connect(To).then(
-      [this, To, Timeout, &Exchange](SharedConnection Used) {
+      [this, To, Timeout, &Exchange](SharedConnection &&Used) {
         auto TimedOut = Timer.afterDelay(Timeout.count() * kj::MICROSECONDS)
                             .then([this, To, Used] {
                               // A connection through a partition stays open
--- a/src/peer/PeerDuty.h
+++ b/src/peer/PeerDuty.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <tuple>
 
 #include <kj/async.h>
 
@@ -21,7 +22,10 @@
 struct PeerAddress {
   std::string Address;
   std::uint16_t Port = 0;
-  friend auto operator<=>(const PeerAddress &, const PeerAddress &) = default;
+  friend bool operator==(const PeerAddress &, const PeerAddress &) = default;
+  friend bool operator<(const PeerAddress &A, const PeerAddress &B) {
+    return std::tie(A.Address, A.Port) < std::tie(B.Address, B.Port);
+  }
 };
 
 /// How an exchange with a peer ended.
