--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -39,7 +39,7 @@
     def __init__(self, seed=None):
         seed = os.getpid() if seed is None else seed
         # Processes that choose at the same time start far apart.
-        self.upcoming = FIRST_PORT + seed * 241 % (LAST_PORT - FIRST_PORT)
+        self.upcoming = FIRST_PORT + seed * 1009 % (LAST_PORT - FIRST_PORT)
 
     def choose(self):
         for _ in range(FIRST_PORT, LAST_PORT):
@@ -265,6 +265,10 @@
                                   f"{done.stderr or done.stdout}")
         return done.stdout
 
+    def start_backend(self, host):
+        host.backend.start()
+        self._wait_answer(host.backend, host.control, "/health")
+
     def wait_healthy(self, host, seconds=START_SECONDS):
         self._wait_answer(host.node, host.admin, "/healthz", seconds)
 
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -19,6 +19,7 @@
 SEED = 20261204
 # Shorter than in the example bundles, so that a pause beyond it stays short.
 VIEW_LEASE_SECONDS = 2.0
+CRASH_STATUS = 70  # Exit status of a backend server that met its crash marker.
 
 
 def small_bundle(ports, hosts):
@@ -159,6 +160,41 @@
         self.assertEqual(result.json["violations"], {}, result.table)
 
 
+class CrashCase(ProcessTest):
+    """Sends a request that crashes each server of one service that runs it."""
+
+    hosts = {"catalogo": 2, "cobros": 1, "galeria": 5, "cereria": 1}
+
+    def send_crashing(self, restart_seconds, repeats=30):
+        """Returns the answers, and the hosts of the crashes in their order.
+
+        The platform starts a crashed server again after `restart_seconds`.
+        """
+        targets = self.deployment.hosts_of("galeria")
+        marker = {"crash_marker": "boom"}
+        for host in targets:
+            dep.http_json(host.control, "POST", "/control/set", marker)
+        answers, crashed = [], []
+        for number in range(repeats):
+            host = self.deployment.hosts[number % len(self.deployment.hosts)]
+            caller = Caller(host.caller, self.key)
+            status, headers, _ = caller.send("/galeria/photo?bytes=10", f"crash-{number}", "a boom")
+            caller.close()
+            answers.append((status, headers.get("Pollenwick-Reason")))
+            time.sleep(0.05)
+            for target in targets:
+                if target.backend.running():
+                    continue
+                self.assertEqual(target.backend.process.returncode, CRASH_STATUS, target.id)
+                crashed.append(target.id)
+                time.sleep(restart_seconds)
+                self.deployment.start_backend(target)
+                dep.http_json(target.control, "POST", "/control/set", marker)
+        show("crashes, in this order", crashed)
+        show("answers", [f"{status} {reason}" for status, reason in answers])
+        return answers, crashed
+
+
 class Repeater(threading.Thread):
     """Sends lookups over one open connection until it is stopped."""
 
