loadgen: count refusals as within the rate only for tenants within it

The model skipped requests above the rate, so during a surge a fourth of the surging tenant's requests counted as within its rate, whatever subset the node admitted: ./demo reported 740 such refusals. Every arrival is now charged, with the debt limited to the burst.

--- a/tools/loadgen/Arrivals.cpp
+++ b/tools/loadgen/Arrivals.cpp
@@ -67,10 +67,12 @@
   Own.Tokens = std::min(
       Load.LimitBurst, Own.Tokens + Elapsed / MicrosPerSecond * Load.LimitRate);
   Own.Filled = At;
-  if (Own.Tokens < 1)
-    return false;
-  Own.Tokens -= 1;
-  return true;
+  // Every arrival is charged: while a tenant is over its rate, which of its
+  // requests are refused is up to the node, so none of them counts as within.
+  // The debt is limited, so that this ends soon after a surge.
+  const bool Within = Own.Tokens >= 1;
+  Own.Tokens = std::max(-Load.LimitBurst, Own.Tokens - 1);
+  return Within;
 }
 
 } // namespace pollenwick::tools
--- a/tools/loadgen/Arrivals.h
+++ b/tools/loadgen/Arrivals.h
@@ -19,7 +19,7 @@
   const TenantLoad *Load = nullptr;
   const RequestSpec *Spec = nullptr;
   std::uint64_t Number = 0;
-  bool WithinLimit = false; ///< Conforms to the tenant's rate and burst.
+  bool WithinLimit = false; ///< The tenant is within its rate and burst.
 };
 
 /// Poisson arrivals of a plan in the order of time. Not thread-safe.
