--- a/src/node/ActiveBundle.cpp
+++ b/src/node/ActiveBundle.cpp
@@ -19,6 +19,10 @@
   Out->Keys = indexKeys(Out->Rules);
   for (const HostSpec &Host : Out->Rules->Hosts)
     Out->Hosts.emplace(Host.Id, &Host);
+  for (const RouteSpec &Route : Out->Rules->Routes)
+    Out->Ranks.emplace(
+        Route.Class,
+        Out->Reach.Routes[Out->Reach.RouteByName.at(Route.Id)].Rank);
   return Out;
 }
 
@@ -27,6 +31,11 @@
   return It == Bundle.Hosts.end() ? nullptr : It->second;
 }
 
+std::uint32_t rankOf(const ActiveBundle &Bundle, const ClassId &Class) {
+  const auto It = Bundle.Ranks.find(Class);
+  return It == Bundle.Ranks.end() ? Bundle.Reach.Ranks - 1 : It->second;
+}
+
 PeerAddress peerAddress(const HostSpec &Host) {
   return {Host.Address, Host.PeerPort};
 }
--- a/src/node/ActiveBundle.h
+++ b/src/node/ActiveBundle.h
@@ -27,6 +27,7 @@
   RouteLookup Routes;
   KeyIndex Keys;
   std::unordered_map<HostId, const HostSpec *> Hosts;
+  std::unordered_map<ClassId, std::uint32_t> Ranks; ///< Dense, as in `Reach`.
 };
 
 using BundlePtr = std::shared_ptr<const ActiveBundle>;
@@ -36,6 +37,8 @@
 
 /// Null when the bundle has no such host.
 const HostSpec *findHost(const ActiveBundle &Bundle, const HostId &Host);
+/// Dense rank of a class; the last one when the bundle does not use the class.
+std::uint32_t rankOf(const ActiveBundle &Bundle, const ClassId &Class);
 PeerAddress peerAddress(const HostSpec &Host);
 
 /// Holds the bundle in force. Thread-safe.
--- a/src/node/Callee.cpp
+++ b/src/node/Callee.cpp
@@ -57,12 +57,9 @@
     HasState = Here && Reach.ServiceByName.contains(Here->Service);
     if (HasState) {
       State = makeCallee(Reach, Reach.ServiceByName.at(Here->Service), now());
-      for (const auto &[Id, Route] : InSlots) {
-        const auto It = Reach.RouteByName.find(Route);
+      for (const auto &[Id, Class] : InSlots) {
         ++State.InSlots;
-        ++State.Running[It == Reach.RouteByName.end()
-                            ? 0
-                            : Reach.Routes[It->second].Rank];
+        ++State.Running[rankOf(*New, Class)];
       }
     }
     for (auto [Id, Call] : Waited) {
@@ -70,7 +67,7 @@
       const auto It = Reach.RouteByName.find(Entry.Route);
       if (HasState && It != Reach.RouteByName.end()) {
         Call.Route = It->second;
-        Call.Rank = Reach.Routes[It->second].Rank;
+        Call.Rank = rankOf(*New, Entry.Class);
         Call.Tenant = tenantIndex(Reach, Entry.Tenant);
         pushCall(State.Queue, Call);
         continue;
@@ -132,7 +129,7 @@
       const OfferedCall Offered{Id,
                                 It->second,
                                 tenantIndex(Reach, Call.Tenant),
-                                Reach.Routes[It->second].Rank,
+                                rankOf(*Bundle, Call.Class),
                                 Call.Hash,
                                 Call.SubCall,
                                 Call.AdmittedAt,
@@ -145,12 +142,12 @@
                                    RefusalReason::Shed);
       switch (Result.Verdict) {
       case OfferVerdict::Run:
-        InSlots.emplace(Id, Call.Route);
+        InSlots.emplace(Id, Call.Class);
         Out.Run.push_back(std::move(Callback));
         break;
       case OfferVerdict::Queued:
-        Waiting.emplace(Id,
-                        Waiter{Call.Route, Call.Tenant, std::move(Callback)});
+        Waiting.emplace(Id, Waiter{Call.Route, Call.Tenant, Call.Class,
+                                   std::move(Callback)});
         break;
       case OfferVerdict::Refused:
         Out.Refused.emplace_back(std::move(Callback), Result.Reason);
@@ -171,7 +168,7 @@
     if (!Taken.Call)
       return;
     if (auto Node = Waiting.extract(Taken.Call->Id)) {
-      InSlots.emplace(Node.key(), Node.mapped().Route);
+      InSlots.emplace(Node.key(), Node.mapped().Class);
       Out.Run.push_back(std::move(Node.mapped().Callback));
     }
   }
@@ -196,8 +193,7 @@
       const auto It = Bundle->Reach.RouteByName.find(Call.Route);
       const bool KnownRoute = It != Bundle->Reach.RouteByName.end();
       const RouteIndex Route = KnownRoute ? It->second : 0;
-      const std::uint32_t Rank =
-          KnownRoute ? Bundle->Reach.Routes[Route].Rank : 0;
+      const std::uint32_t Rank = rankOf(*Bundle, Call.Class);
       releaseSlot(State, {Route, Rank, Held, Own, Completed && KnownRoute},
                   now());
       startWaiting(Out);
--- a/src/node/Callee.h
+++ b/src/node/Callee.h
@@ -52,6 +52,7 @@
   struct Waiter {
     RouteId Route;
     TenantId Tenant;
+    ClassId Class; ///< Of the root request.
     SlotCallback Callback;
   };
   struct Started {
@@ -94,7 +95,8 @@
   bool HasState = false;
   CalleeState State;
   std::unordered_map<CallId, Waiter> Waiting;
-  std::unordered_map<CallId, RouteId> InSlots;
+  /// Class of the root request of each call in a slot.
+  std::unordered_map<CallId, ClassId> InSlots;
 };
 
 } // namespace pollenwick
--- /dev/null
+++ b/tests/peer/HeartbeatWireTest.cpp
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <string>
+
+#include "peer/HeartbeatWire.h"
+
+using namespace pollenwick;
+
+namespace {
+
+Datagram sample() {
+  Datagram Out;
+  Out.Beat.Self = {HostId("cobros-1"), StartId(7), 42, Liveness::Alive, true};
+  Out.Beat.Number = Revision(9);
+  Out.Beat.Root[3] = 5;
+  Out.Beat.News.push_back(
+      {HostId("galeria-2"), StartId(8), 43, Liveness::Dead, false});
+  Suspicion Entry;
+  Entry.Subject.Bytes[0] = 1;
+  Entry.Crash = {HostId("cobros-1"), StartId(7), 2};
+  Entry.Age = std::chrono::seconds(3);
+  Out.Suspicions.push_back(Entry);
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("A heartbeat survives the wire", "[peer]") {
+  // Guards against a field that is written but not read.
+  const Datagram Sent = sample();
+  const auto Got = decodeDatagram(encodeDatagram(Sent));
+  REQUIRE(Got);
+  CHECK(Got->Beat.Self == Sent.Beat.Self);
+  CHECK(Got->Beat.Number == Sent.Beat.Number);
+  CHECK(Got->Beat.Root == Sent.Beat.Root);
+  CHECK(Got->Beat.News == Sent.Beat.News);
+  REQUIRE(Got->Suspicions.size() == 1);
+  CHECK(Got->Suspicions[0].Subject == Sent.Suspicions[0].Subject);
+  CHECK(Got->Suspicions[0].Crash == Sent.Suspicions[0].Crash);
+  CHECK(Got->Suspicions[0].Age == Sent.Suspicions[0].Age);
+}
+
+TEST_CASE("Bytes that are no datagram are refused", "[peer][fuzz]") {
+  // Guards against garbage on the membership port that ends the process.
+  rc::prop("random bytes",
+           [](const std::string &Bytes) { decodeDatagram(Bytes); });
+  rc::prop("a damaged datagram", [] {
+    std::string Bytes = encodeDatagram(sample());
+    const auto At = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+    Bytes[At] = *rc::gen::arbitrary<char>();
+    Bytes.resize(*rc::gen::inRange<std::size_t>(0, Bytes.size() + 1));
+    decodeDatagram(Bytes);
+  });
+  CHECK_FALSE(decodeDatagram(std::string()));
+  CHECK_FALSE(decodeDatagram(std::string(MaxDatagram, '\xff')));
+}
