--- a/src/node/Callee.cpp
+++ b/src/node/Callee.cpp
@@ -18,6 +18,19 @@
                 Refused.RetryAfter.value_or(Duration::zero()));
 }
 
+std::string queueRefusalText(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::DeadlineExceeded:
+    return "the call cannot meet its deadline here";
+  case RefusalReason::NoBundle:
+    return "callee node has no configuration yet; use another";
+  case RefusalReason::UnknownRoute:
+    return "callee node does not serve this route; use another";
+  default:
+    return "backend server is busy; send again later";
+  }
+}
+
 CallReply notRun(RefusalReason Reason, std::string Message) {
   return refuse(Outcome::NotRun, Reason, std::move(Message));
 }
@@ -119,8 +132,10 @@
     const auto It =
         HasState ? Bundle->Reach.RouteByName.find(Call.Route)
                  : decltype(Bundle->Reach.RouteByName.find(Call.Route)){};
-    if (!HasState || It == Bundle->Reach.RouteByName.end() ||
-        Bundle->Reach.Routes[It->second].Service != State.Service) {
+    if (!HasState) {
+      Out.Refused.emplace_back(std::move(Callback), RefusalReason::NoBundle);
+    } else if (It == Bundle->Reach.RouteByName.end() ||
+               Bundle->Reach.Routes[It->second].Service != State.Service) {
       Out.Refused.emplace_back(std::move(Callback),
                                RefusalReason::UnknownRoute);
     } else {
@@ -176,9 +191,7 @@
 
 void Callee::notify(const Started &Calls) {
   for (const auto &[Callback, Reason] : Calls.Refused)
-    Callback(notRun(Reason, Reason == RefusalReason::DeadlineExceeded
-                                ? "the call cannot meet its deadline here"
-                                : "backend server is busy; send again later"));
+    Callback(notRun(Reason, queueRefusalText(Reason)));
   for (const SlotCallback &Callback : Calls.Run)
     Callback(std::nullopt);
 }
--- a/src/node/Forwarder.cpp
+++ b/src/node/Forwarder.cpp
@@ -28,11 +28,30 @@
   }
 }
 
+/// The host cannot serve now, but is not overloaded: another host may be tried
+/// at once. Such a refusal costs no retry, since it shows no load that further
+/// attempts would add to; the bound on attempts still holds.
+bool isHostUnready(const CallReply &Reply) {
+  if (Reply.Result != Outcome::NotRun)
+    return false;
+  switch (Reply.Reason) {
+  case RefusalReason::Draining:
+  case RefusalReason::NoBundle:
+  case RefusalReason::NoViewLease:
+  case RefusalReason::NoBackendServer:
+  case RefusalReason::PeerLost:
+  case RefusalReason::UnknownRoute:
+    return true;
+  default:
+    return false;
+  }
+}
+
 HostReplyKind kindOf(const CallReply &Reply) {
   if (Reply.Reason == RefusalReason::Draining)
     return HostReplyKind::Draining;
-  if (Reply.Load.Known && Reply.Reason != RefusalReason::BackendServerLost &&
-      Reply.Reason != RefusalReason::NoBackendServer)
+  if (Reply.Load.Known && !isHostUnready(Reply) &&
+      Reply.Reason != RefusalReason::BackendServerLost)
     return HostReplyKind::Answered;
   return HostReplyKind::Failed;
 }
@@ -131,6 +150,8 @@
     if (Reply.Result == Outcome::Done || isFinal(Reply.Reason) ||
         Tried.size() >= MaxAttempts)
       return Reply;
+    if (isHostUnready(Reply) && now() < Call.Deadline)
+      continue;
     Wanted = Reply.TryHost;
     const RetryVerdict Verdict = Running.decideRetry(
         Held, {Reply.Result, Spec.Idempotent, Reply.Suspect, Route.RetryCost,
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -121,8 +121,7 @@
   Out.OnClaim = [this](std::string Ticket, CallRequest Call,
                        const CancelFlag &Cancelled,
                        const ReplyCallback &Answer) {
-    Roots->submitClaim(std::move(Ticket), std::move(Call), std::move(Cancelled),
-                       std::move(Answer));
+    Roots->submitClaim(std::move(Ticket), std::move(Call), Cancelled, Answer);
   };
   Out.OnBorrow = [this](auto In, auto Reply) { Quota->onBorrow(In, Reply); };
   Out.OnSettle = [this](auto In) { Quota->onSettle(In); };
