Count the bytes of peer connections, heartbeats and configuration reads

The budget of 24 KB/s per node could not be checked: the node counted messages only. A counting stream wraps each peer connection; /state and /metrics report the sums. The counts exclude TCP and IP headers.

--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -134,6 +134,7 @@
     Count.add(Counter::ConfigReadErrors);
     return reject(std::string(Read.status().message()));
   }
+  Count.add(Counter::ConfigBytesRead, Read->size());
   const auto Head = verifyPointer(*Read, {Operator});
   if (Head.ok())
     View.with([&](ViewState &V) {
@@ -202,8 +203,10 @@
 void ConfigDuty::fetchFromService(const Fetch &What) {
   Count.add(Counter::ConfigReads);
   auto Read = Service->read(valueName(What));
-  if (Read.ok())
+  if (Read.ok()) {
+    Count.add(Counter::ConfigBytesRead, Read->size());
     return take({What, *std::move(Read)});
+  }
   Count.add(Counter::ConfigReadErrors);
   if (absl::IsNotFound(Read.status()) && What.What == Fetch::Kind::Newest)
     return take({What, ""});
--- a/src/node/Counters.cpp
+++ b/src/node/Counters.cpp
@@ -38,9 +38,12 @@
         {"bundles_rejected", "Pointers or chunks that were refused."},
         {"config_reads", "Calls to the configuration service."},
         {"config_read_errors", "Failed calls to that service."},
+        {"config_bytes_read", "Bytes of values read from that service."},
         {"heartbeats_sent", "Datagrams sent to other nodes."},
         {"heartbeats_received", "Datagrams accepted from other nodes."},
         {"heartbeats_rejected", "Datagrams that could not be read."},
+        {"heartbeat_bytes_sent", "Bytes of the datagrams sent."},
+        {"heartbeat_bytes_received", "Bytes of the datagrams accepted."},
         {"host_list_errors", "Failed reads of the host list."},
         {"peer_requests", "Exchanges started with other nodes."},
     }};
--- a/src/node/MembershipDuty.cpp
+++ b/src/node/MembershipDuty.cpp
@@ -161,6 +161,8 @@
     if (!Content)
       return Count.add(Counter::HeartbeatsRejected);
     Count.add(Counter::HeartbeatsReceived);
+    Count.add(Counter::HeartbeatBytesReceived,
+              static_cast<std::uint64_t>(Size));
     apply(Content->Beat);
     if (!Content->Suspicions.empty())
       Crashes.hear(Content->Suspicions);
@@ -213,6 +215,7 @@
           Bytes.data(), static_cast<int>(Bytes.size()),
           Poco::Net::SocketAddress(Host->Address, Host->MembershipPort));
       Count.add(Counter::HeartbeatsSent);
+      Count.add(Counter::HeartbeatBytesSent, Bytes.size());
     } catch (const Poco::Exception &) {
       continue; // The next heartbeat is sent anyway.
     }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -219,6 +219,8 @@
   Out.set("body_bytes", Bodies.used());
   Out.set("peer_exchanges_waiting", Peers.waiting());
   Out.set("peer_connections_opened", Peers.connectionsOpened());
+  Out.set("peer_bytes_sent", Peers.traffic().BytesSent.load());
+  Out.set("peer_bytes_received", Peers.traffic().BytesReceived.load());
   std::ostringstream Text;
   Out.stringify(Text, 2);
   return Text.str();
--- a/src/peer/PeerConnections.cpp
+++ b/src/peer/PeerConnections.cpp
@@ -28,7 +28,8 @@
                         }))
       .then([this, To](kj::Own<kj::AsyncIoStream> &&Stream) {
         setNoDelay(*Stream);
-        auto Made = std::make_shared<Connection>(kj::mv(Stream));
+        auto Made =
+            std::make_shared<Connection>(countBytes(kj::mv(Stream), Traffic));
         ++Opened;
         // When two exchanges connect at once, the first connection is kept.
         return Open.try_emplace(To, Made).first->second;
--- a/src/peer/PeerConnections.h
+++ b/src/peer/PeerConnections.h
@@ -17,8 +17,8 @@
 class PeerConnections {
 public:
   PeerConnections(kj::Network &N, kj::Timer &T,
-                  std::atomic<std::uint64_t> &OpenedCount)
-      : Network(N), Timer(T), Opened(OpenedCount) {}
+                  std::atomic<std::uint64_t> &OpenedCount, PeerTraffic &C)
+      : Network(N), Timer(T), Opened(OpenedCount), Traffic(C) {}
 
   /// Connects when necessary, then runs the exchange. Never rejects.
   kj::Promise<PeerError> run(const PeerAddress &To, Duration Timeout,
@@ -41,6 +41,7 @@
   kj::Network &Network;
   kj::Timer &Timer;
   std::atomic<std::uint64_t> &Opened;
+  PeerTraffic &Traffic;
   std::map<PeerAddress, SharedConnection> Open;
 };
 
--- a/src/peer/PeerDuty.cpp
+++ b/src/peer/PeerDuty.cpp
@@ -86,9 +86,10 @@
                         .wait(Io.waitScope)
                         ->listen();
     capnp::TwoPartyServer Server(kj::heap<PeerServer>(Handlers));
+    auto Counted = countBytes(*Listener, Traffic);
     auto Serving =
-        Server.listen(*Listener).eagerlyEvaluate([](kj::Exception &&) {});
-    PeerConnections Outgoing(Network, Io.provider->getTimer(), Opened);
+        Server.listen(*Counted).eagerlyEvaluate([](kj::Exception &&) {});
+    PeerConnections Outgoing(Network, Io.provider->getTimer(), Opened, Traffic);
     Connections = &Outgoing;
     IgnoreErrors Errors;
     kj::TaskSet Posted(Errors);
--- a/src/peer/PeerDuty.h
+++ b/src/peer/PeerDuty.h
@@ -11,6 +11,7 @@
 #include <kj/async.h>
 
 #include "peer/Calls.h"
+#include "peer/CountingStream.h"
 #include "peer/PeerHandlers.h"
 
 namespace pollenwick {
@@ -64,6 +65,7 @@
 
   std::uint32_t waiting() const { return Waiting.load(); }
   std::uint64_t connectionsOpened() const { return Opened.load(); }
+  const PeerTraffic &traffic() const { return Traffic; }
 
 private:
   void run(const std::string &Address, std::uint16_t Port,
@@ -73,6 +75,7 @@
   const std::uint32_t MaxWaiting;
   std::atomic<std::uint32_t> Waiting = 0;
   std::atomic<std::uint64_t> Opened = 0;
+  PeerTraffic Traffic;
   std::thread Thread;
   kj::Own<const kj::Executor> Executor;
   PeerConnections *Connections = nullptr;
