Let the quota duty sleep while nothing is lent

Cause: the duty woke every 2 ms (477 times a second) also without a lease or a question. Its thread used 0.298% of a core, half of the 0.635% of an idle node. Ruled out by the same profile: the configuration duty (0.13%, 54 wake-ups/s), membership (0.07%), upkeep (0.06%), the peer thread (0.03%).

While a lease is out, the ticks stay at 2 ms; a lease, a question or a new bundle ends the long wait. A holder of many shards still pays for each shard per tick while one of its shards is not full.

--- a/src/core/quota/Holder.h
+++ b/src/core/quota/Holder.h
@@ -141,6 +141,10 @@
                                         const TenantId &Tenant, Shard &Kept,
                                         bool All, Instant Now);
 
+/// True while every shard is active and full and nothing of it is lent or on
+/// its way, so that no tick is due.
+bool isIdle(const HolderState &State);
+
 inline constexpr Duration HolderTick = std::chrono::milliseconds(5);
 
 } // namespace pollenwick
--- a/src/core/quota/Ingress.cpp
+++ b/src/core/quota/Ingress.cpp
@@ -259,4 +259,10 @@
   return Messages;
 }
 
+bool isIdle(const LeaseTable &State) {
+  return std::ranges::all_of(State.Tenants, [](const auto &Entry) {
+    return Entry.second.Leases.empty() && Entry.second.Pending.empty();
+  });
+}
+
 } // namespace pollenwick
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -116,6 +116,9 @@
 std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now,
                                     bool All = false);
 
+/// True while no lease and no answer is outstanding, so that no tick is due.
+bool isIdle(const LeaseTable &State);
+
 inline constexpr Duration IngressTick = std::chrono::milliseconds(2);
 
 } // namespace pollenwick
--- a/src/core/quota/Ownership.cpp
+++ b/src/core/quota/Ownership.cpp
@@ -261,6 +261,15 @@
   return Due;
 }
 
+bool isIdle(const HolderState &State) {
+  return std::ranges::all_of(State.Shards, [](const auto &Entry) {
+    const Shard &Kept = Entry.second;
+    return Kept.Active && !Kept.Retired && !Kept.Raise && Kept.Leases.empty() &&
+           Kept.Pulls.empty() && Kept.Inherited == MicroTokens{} &&
+           Kept.Balance >= Kept.Share.Burst;
+  });
+}
+
 std::vector<PullRequest> pullFromOthers(HolderState &State,
                                         const TenantId &Tenant, Shard &Kept,
                                         bool All, Instant Now) {
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -16,6 +16,9 @@
 constexpr Duration BorrowTimeout = std::chrono::milliseconds(250);
 constexpr Duration MessageTimeout = std::chrono::milliseconds(500);
 constexpr std::uint32_t MaxBatch = 64;
+/// While nothing is lent no tick is due; a new lease ends the wait. Ticks of
+/// 2 ms all the time took 0.3 % of a core, half of the use of an idle node.
+constexpr Duration IdleTick = std::chrono::milliseconds(100);
 
 Refusal overRate(const TenantId &Tenant) {
   Refusal Out;
@@ -50,6 +53,7 @@
 
 void QuotaService::stop() {
   Stopping = true;
+  wake();
   if (Thread.joinable())
     Thread.join();
   // Unspent tokens go back, so that a planned stop costs no tenant anything.
@@ -67,8 +71,11 @@
     adoptBundle(Holder, *New->Rules, New->Key, New->Succession,
                 Old ? Old->Rules.get() : nullptr, now());
   }
-  std::scoped_lock Lock(TableMutex);
-  adoptBundle(Table, *New->Rules);
+  {
+    std::scoped_lock Lock(TableMutex);
+    adoptBundle(Table, *New->Rules);
+  }
+  wake();
 }
 
 bool QuotaService::allShardsActive() const {
@@ -99,6 +106,7 @@
     std::scoped_lock Lock(HolderMutex);
     Result = lend(Holder, Request, Lease, now());
   }
+  wake();
   std::ranges::for_each(Result.Recalls, [this](const Recall &M) { send(M); });
   return Result.Reply;
 }
@@ -142,12 +150,14 @@
       std::this_thread::sleep_for(Step.Wait);
       break;
     case BorrowStep::Kind::Ask: {
+      wake();
       const auto Reply = ask(Step.Request);
       noteReply(Search, Reply ? &*Reply : nullptr);
       if (Reply) {
         std::scoped_lock Lock(TableMutex);
         acceptLease(Table, *Reply, now());
       }
+      wake();
       break;
     }
     }
@@ -184,10 +194,40 @@
   return overRate(Tenant);
 }
 
+void QuotaService::wake() {
+  {
+    std::scoped_lock Lock(WakeMutex);
+    Woken = true;
+  }
+  Wake.notify_one();
+}
+
+void QuotaService::pause() {
+  {
+    // Reset before the look at the state, so that a lease which arrives in
+    // between ends the wait.
+    std::scoped_lock Lock(WakeMutex);
+    Woken = false;
+  }
+  bool Idle = false;
+  {
+    std::scoped_lock Lock(TableMutex);
+    Idle = isIdle(Table);
+  }
+  if (Idle) {
+    std::scoped_lock Lock(HolderMutex);
+    Idle = isIdle(Holder);
+  }
+  if (!Idle)
+    return std::this_thread::sleep_for(IngressTick);
+  std::unique_lock Lock(WakeMutex);
+  Wake.wait_for(Lock, IdleTick, [this] { return Woken || Stopping; });
+}
+
 void QuotaService::run() {
   Instant NextHolderTick = now();
   while (!Stopping) {
-    std::this_thread::sleep_for(IngressTick);
+    pause();
     std::vector<Settlement> Settlements;
     {
       std::scoped_lock Lock(TableMutex);
@@ -305,8 +345,11 @@
 void QuotaService::onPull(wire::PullRequest::Reader In,
                           wire::PullReply::Builder Out) {
   const ViewLease Lease = View.lease();
-  std::scoped_lock Lock(HolderMutex);
-  writeMessage(Out, givePull(Holder, readMessage(In), Lease, now()));
+  {
+    std::scoped_lock Lock(HolderMutex);
+    writeMessage(Out, givePull(Holder, readMessage(In), Lease, now()));
+  }
+  wake();
 }
 
 void QuotaService::onRelease(wire::ShardClaim::Reader In,
--- a/src/node/QuotaService.h
+++ b/src/node/QuotaService.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_NODE_QUOTASERVICE_H
 
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -50,6 +51,10 @@
 
 private:
   void run();
+  /// Waits until the next tick; longer while nothing is lent.
+  void pause();
+  /// Ends a long wait. Any thread.
+  void wake();
   SpendResult trySpend(const TenantId &Tenant);
   SpendResult borrowAndSpend(const TenantId &Tenant, SpendResult First,
                              Instant Deadline);
@@ -73,6 +78,9 @@
   LeaseTable Table;
   std::unordered_map<TenantId, std::uint32_t> Waiting; ///< Spenders, by tenant.
 
+  std::mutex WakeMutex;
+  std::condition_variable Wake;
+  bool Woken = false;
   std::atomic<bool> Stopping = false;
   std::thread Thread;
 };
