--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -75,12 +75,12 @@
     for number in range(hosts):
         local = number < running
         # Hosts that are only listed have an address where nothing listens.
-        port = (lambda: ports.choose()) if local else (lambda: 1 + number % 60000)
+        port = (lambda kind: ports.choose()) if local else (lambda kind: 7000 + kind)
         rows.append({"id": f"service-host-{number}", "zone": f"region-zone-{number % zones}",
                      "service": f"service-{number % services}",
                      "address": "127.0.0.1" if local else
-                     f"127.{1 + number // 60000}.{1 + number // 250}.{1 + number % 250}",
-                     "caller_port": port(), "peer_port": port(), "membership_port": port()})
+                     f"127.1.{1 + number // 250}.{1 + number % 250}",
+                     "caller_port": port(1), "peer_port": port(2), "membership_port": port(3)})
     names = [f"service-{number % services}/route-{number}" for number in range(routes)]
     return {
         "revision": 1, "parent": "0" * 64,
