--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -9,6 +9,7 @@
 
 import argparse
 import hashlib
+import http.client
 import json
 import os
 import pathlib
@@ -61,7 +62,7 @@
                 state = http_json(host.admin, "GET", "/state", timeout=5)
                 if state["config"]["revision"] >= self.bundle["revision"]:
                     return
-            except (OSError, DeploymentError, ValueError):
+            except (OSError, http.client.HTTPException, DeploymentError, ValueError):
                 pass
             time.sleep(0.1)
         raise DeploymentError(f"{host.id} has no bundle after {seconds} s\n"
