--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -9,7 +9,6 @@
 
 import argparse
 import hashlib
-import http.client
 import json
 import os
 import pathlib
@@ -62,7 +61,7 @@
                 state = http_json(host.admin, "GET", "/state", timeout=5)
                 if state["config"]["revision"] >= self.bundle["revision"]:
                     return
-            except (OSError, http.client.HTTPException, DeploymentError, ValueError):
+            except (OSError, DeploymentError, ValueError):
                 pass
             time.sleep(0.1)
         raise DeploymentError(f"{host.id} has no bundle after {seconds} s\n"
--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -1,7 +1,5 @@
 #include "node/ConfigDuty.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <chrono>
 
@@ -389,8 +387,6 @@
   }
   Bundles.replace(New);
   Count.add(Counter::BundlesAccepted);
-  // Reading a full bundle leaves free pages behind that would stay resident.
-  malloc_trim(0);
   logState("config", "bundle in force",
            {{"revision", std::to_string(Head->Number.Value)}});
 }
