Use one memory arena

Cause: with an arena per thread, memory that the reading of a bundle frees is not used by other threads. Ruled out: free pages at the end of the arenas (malloc_trim gave back 0.3 MB). 3,000 listed hosts, 5 windows of 4 s: resident 36.0 [36.0, 36.0] -> 28.9 [28.8, 28.9] MB (budget 32 MB), private 17.3 -> 10.2 MB.

Contention at higher rates is not measured.

--- a/apps/pollenwick-node/main.cpp
+++ b/apps/pollenwick-node/main.cpp
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -24,6 +26,10 @@
 
 int main(int Argc, char **Argv) {
   using namespace pollenwick;
+  // Before any thread starts. With an arena per thread, memory that the reading
+  // of a full bundle frees stays resident: 36.0 MB instead of 28.9 MB with
+  // 3,000 hosts.
+  mallopt(M_ARENA_MAX, 1);
   gflags::SetVersionString(POLLENWICK_VERSION);
   gflags::SetUsageMessage(
       "runs beside one backend server and decides on the calls it receives.\n"
