--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -68,15 +68,17 @@
                               f"{host.node.log_tail()}")
 
 
-def make_bundle(hosts, zones, services, routes, tenants, ports, running):
-    """Returns the source form of a bundle; call chains are up to 29 deep."""
+def make_bundle(hosts, zones, services, routes, tenants, ports, running, own_zone=False):
+    """Returns the source form of a bundle; call chains are up to 29 deep. With
+    `own_zone` the running hosts have a zone to themselves."""
     running = min(hosts, running)
     rows = []
     for number in range(hosts):
         local = number < running
         # Hosts that are only listed have an address where nothing listens.
         port = (lambda kind: ports.choose()) if local else (lambda kind: 7000 + kind)
-        rows.append({"id": f"service-host-{number}", "zone": f"region-zone-{number % zones}",
+        rows.append({"id": f"service-host-{number}", "zone": "region-zone-own" if own_zone and local
+                     else f"region-zone-{number % zones}",
                      "service": f"service-{number % services}",
                      "address": "127.0.0.1" if local else
                      f"127.1.{1 + number // 250}.{1 + number % 250}",
@@ -247,7 +249,7 @@
     changes = size if options.by == "changes" else options.changes
     sizes.pop("changes", None)
     ports = PortChooser()
-    bundle = make_bundle(zones=options.zones, ports=ports, **sizes)
+    bundle = make_bundle(zones=options.zones, ports=ports, own_zone=options.own_zone, **sizes)
     out = {"by": options.by, "size": size, "window_s": options.seconds, "runs": options.runs,
            "load_average": os.getloadavg()[0], **{k: v for k, v in sizes.items()}}
     if sizes["running"] + 1 > MAX_PROCESSES:
@@ -293,6 +295,8 @@
     parser.add_argument("--services", type=int, default=4)
     parser.add_argument("--routes", type=int, default=20)
     parser.add_argument("--zones", type=int, default=3)
+    parser.add_argument("--own-zone", action="store_true",
+                        help="the running nodes are a zone, so that they have parents")
     parser.add_argument("--changes", type=float, default=0, help="revisions per second")
     parser.add_argument("--outage", action="store_true",
                         help="the configuration service is down while measuring")
