--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -133,8 +133,9 @@
   Out.OnSuspect = [this](auto In, auto Reply) {
     Crashes->onSuspect(In, Reply);
   };
-  Out.OnPointer = [this](const std::optional<Digest> &Root) {
-    return Config->pointerDocument(Root);
+  Out.OnPointer = [this](const std::optional<Digest> &Root,
+                         const std::optional<Digest> &Held) {
+    return Config->pointerUnless(Root, Held);
   };
   Out.OnChunk = [this](const Digest &Sum) { return Config->chunk(Sum); };
   return Out;
@@ -223,6 +224,8 @@
   Out.set("body_bytes", Bodies.used());
   Out.set("peer_exchanges_waiting", Peers.waiting());
   Out.set("peer_connections_opened", Peers.connectionsOpened());
+  Out.set("peer_bytes_sent", Peers.traffic().BytesSent.load());
+  Out.set("peer_bytes_received", Peers.traffic().BytesReceived.load());
   std::ostringstream Text;
   Out.stringify(Text, 2);
   return Text.str();
