--- a/src/node/CallerPort.cpp
+++ b/src/node/CallerPort.cpp
@@ -70,12 +70,10 @@
   }
   const std::string &Body = Reply.Result == Outcome::Done ? Reply.Body : Text;
   Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
-  if (Method == "HEAD") {
-    Response.send().flush();
-    return;
-  }
-  // One write for header and body: a second one wakes the caller twice.
-  Response.sendBuffer(Body.data(), Body.size());
+  std::ostream &Out = Response.send();
+  if (Method != "HEAD")
+    Out.write(Body.data(), static_cast<std::streamsize>(Body.size()));
+  Out.flush();
 }
 
 std::size_t maxBody(const HttpCalls &Node) {
