Fetch quota tokens ahead of the requests

Cause: the ingress borrowed a token from a holder on every closed call, because the holder lends single tokens below half of its burst and the node asked for as many tokens as requests were waiting.

The ingress now asks every tick for what a tenant in steady use (two spends within 100 ms) needs next. A holder answers such a request only from the upper half of a shard, in whole tokens, and without recalls. After an answer without tokens there is no further request for 50 ms.

The model sends the prefetches, too.

--- a/src/core/quota/Holder.cpp
+++ b/src/core/quota/Holder.cpp
@@ -74,10 +74,16 @@
 /// Amount to lend: batches only while the shard is more than half full.
 MicroTokens lendable(const Shard &Kept, const BorrowRequest &Request) {
   // Parts of a token would get stuck at many ingresses at once.
-  if (Kept.Balance < Request.Needed || Request.Needed <= MicroTokens{})
+  if (Kept.Balance < Request.Needed || Request.Needed < MicroTokens{})
     return {};
   const std::int64_t Low = Kept.Share.Burst.Value / LowDivisor;
   const MicroTokens Spare{(Kept.Balance.Value - Low) / BatchDivisor};
+  if (Request.Needed == MicroTokens{}) {
+    if (Kept.Balance.Value - Low < OneToken.Value)
+      return {};
+    const std::int64_t Whole = Spare.Value / OneToken.Value * OneToken.Value;
+    return std::min(Request.Wanted, std::max(OneToken, MicroTokens{Whole}));
+  }
   return std::max(Request.Needed, std::min(Request.Wanted, Spare));
 }
 
--- a/src/core/quota/Ingress.cpp
+++ b/src/core/quota/Ingress.cpp
@@ -9,6 +9,9 @@
 /// Time without use after which a lease goes back. Shorter than a lease, so
 /// that its tokens do not expire; recalls cover urgent need.
 constexpr Duration IdleReturn = std::chrono::milliseconds(100);
+/// Time between prefetches of a tenant whose shard had nothing to spare.
+constexpr Duration PrefetchRetry = std::chrono::milliseconds(50);
+constexpr std::uint32_t MaxPrefetch = 16;
 /// A reply after this time is useless: every lease has ended.
 constexpr Duration PendingLimit = std::chrono::seconds(2);
 
@@ -88,6 +91,8 @@
     Sum += Held.Leases[Enough++].Left;
   if (Sum < OneToken)
     return {SpendStatus::Ask, OneToken - Sum};
+  Held.SpentBefore = std::exchange(Held.SpentAt, Now);
+  ++Held.SpentInTick;
   MicroTokens Due = OneToken;
   while (Enough-- > 0) {
     HeldLease &Lease = Held.Leases[Enough];
@@ -186,6 +191,8 @@
   // The lender counts from the grant, which is later: this end comes first.
   const Instant Expiry = Asked->SentAt + Reply.Lifetime;
   Held.Pending.erase(Asked);
+  if (Reply.Tokens <= MicroTokens{})
+    Held.NextPrefetch = Now + PrefetchRetry;
   if (Reply.Tokens <= MicroTokens{} || Now >= Expiry)
     return false;
   Held.Leases.push_back({Reply.Lease, Reply.Shard.Zone, Reply.Holder, Expiry,
@@ -259,4 +266,25 @@
   return Messages;
 }
 
+std::vector<BorrowRequest> prefetch(LeaseTable &State, Instant Now) {
+  std::vector<BorrowRequest> Requests;
+  for (auto &[Tenant, Held] : State.Tenants) {
+    const std::uint32_t Spent = std::exchange(Held.SpentInTick, 0);
+    // Tokens for a rarer caller would be returned unused.
+    if (Held.Holders.empty() || !Held.Pending.empty() ||
+        Now < Held.NextPrefetch || Now - Held.SpentAt >= IdleReturn ||
+        Held.SpentAt - Held.SpentBefore >= IdleReturn)
+      continue;
+    MicroTokens Left;
+    for (std::size_t I = 0; I < Held.Live; ++I)
+      Left += Held.Leases[I].Left;
+    const std::uint32_t Target = std::clamp(2 * Spent, 1U, MaxPrefetch);
+    if (Left >= MicroTokens{std::int64_t{std::max(Spent, 1U)} * OneToken.Value})
+      continue;
+    Requests.push_back(beginBorrow(State, Tenant, Held.Holders.front(),
+                                   MicroTokens{}, Target, Now));
+  }
+  return Requests;
+}
+
 } // namespace pollenwick
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -41,6 +41,10 @@
   std::vector<HeldLease> Leases; ///< First the ones with tokens.
   std::size_t Live = 0;          ///< How many have tokens.
   std::vector<PendingBorrow> Pending;
+  Instant SpentAt{}; ///< Last spend; the one before at `SpentBefore`.
+  Instant SpentBefore{};
+  std::uint32_t SpentInTick = 0;
+  Instant NextPrefetch{};
 };
 
 /// All leases of one node. Owned by one duty thread or guarded by one mutex.
@@ -116,6 +120,12 @@
 std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now,
                                     bool All = false);
 
+/// Requests for tokens that the next admissions will need, for tenants in
+/// steady use. Holders answer them only from the upper half of a shard. The
+/// replies go to `acceptLease`. Call it every `IngressTick`, after
+/// `tickIngress`.
+std::vector<BorrowRequest> prefetch(LeaseTable &State, Instant Now);
+
 inline constexpr Duration IngressTick = std::chrono::milliseconds(2);
 
 } // namespace pollenwick
--- a/src/core/quota/Messages.h
+++ b/src/core/quota/Messages.h
@@ -31,7 +31,7 @@
   HostId Holder;
   IncarnationId Borrower;
   std::uint64_t Sequence = 0;
-  MicroTokens Needed; ///< What the waiting request lacks.
+  MicroTokens Needed; ///< What the waiting request lacks; zero: a prefetch.
   MicroTokens Wanted; ///< Accepted as a batch; at least `Needed`.
   /// No holder has a whole token: collect the fractions of all shards here.
   bool Gather = false;
--- a/src/node/Counters.cpp
+++ b/src/node/Counters.cpp
@@ -31,6 +31,7 @@
         {"claims_forwarded", "Ticketed calls forwarded to their issuer."},
         {"quota_borrows", "Borrow requests to quota holders."},
         {"quota_cached_spends", "Admissions paid from leases held."},
+        {"quota_prefetches", "Borrow requests ahead of need."},
         {"quota_recalls", "Leases recalled from this node."},
         {"backend_crashes", "Crashes of the local backend server."},
         {"suspects_refused", "Calls refused as quarantined."},
--- a/src/node/Counters.h
+++ b/src/node/Counters.h
@@ -30,6 +30,7 @@
   ClaimsForwarded,
   QuotaBorrows,
   QuotaCachedSpends,
+  QuotaPrefetches,
   QuotaRecalls,
   BackendCrashes,
   SuspectsRefused,
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -189,10 +189,14 @@
   while (!Stopping) {
     std::this_thread::sleep_for(IngressTick);
     std::vector<Settlement> Settlements;
+    std::vector<BorrowRequest> Prefetches;
     {
       std::scoped_lock Lock(TableMutex);
       Settlements = tickIngress(Table, now());
+      Prefetches = prefetch(Table, now());
     }
+    std::ranges::for_each(Prefetches,
+                          [this](const BorrowRequest &M) { send(M); });
     std::ranges::for_each(Settlements,
                           [this](const Settlement &M) { send(M); });
     if (now() < NextHolderTick)
@@ -210,6 +214,25 @@
   }
 }
 
+void QuotaService::send(const BorrowRequest &Prefetch) {
+  Count.add(Counter::QuotaPrefetches);
+  if (Prefetch.Holder == Self.Host) {
+    const BorrowReply Reply = lendHere(Prefetch);
+    std::scoped_lock Lock(TableMutex);
+    acceptLease(Table, Reply, now());
+    return;
+  }
+  if (const auto To = addressOf(Prefetch.Holder))
+    Peers.post(*To, BorrowTimeout, [this, Prefetch](wire::Peer::Client &Peer) {
+      auto Request = Peer.borrowRequest();
+      writeMessage(Request.initRequest(), Prefetch);
+      return Request.send().then([this](auto &&Response) {
+        std::scoped_lock Lock(TableMutex);
+        acceptLease(Table, readMessage(Response.getReply()), now());
+      });
+    });
+}
+
 void QuotaService::send(const Settlement &Message) {
   if (Message.Holder.Host == Self.Host) {
     std::scoped_lock Lock(HolderMutex);
--- a/src/node/QuotaService.h
+++ b/src/node/QuotaService.h
@@ -55,6 +55,7 @@
                              Instant Deadline);
   std::optional<BorrowReply> ask(const BorrowRequest &Request);
   BorrowReply lendHere(const BorrowRequest &Request);
+  void send(const BorrowRequest &Prefetch);
   void send(const Settlement &Message);
   void send(const Recall &Message);
   void send(const PullRequest &Message);
--- /dev/null
+++ b/tests/quota/PrefetchTest.cpp
@@ -0,0 +1,67 @@
+#include <catch2/catch.hpp>
+
+#include "tests/support/Fleet.h"
+
+using namespace pollenwick;
+using namespace pollenwick::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Covers the wait of a first holder and the filling of its shard.
+constexpr std::chrono::seconds WarmUp(8);
+
+/// Requests of an ingress without tokens whose last two spends are `Gap` apart.
+std::vector<BorrowRequest> afterSpends(Fleet &F, Duration Gap) {
+  TenantLeases &Held = F.Nodes[0].Ingress.Tenants.at(F.Tenant);
+  Held.SpentAt = F.now();
+  Held.SpentBefore = F.now() - Gap;
+  Held.SpentInTick = 1;
+  return prefetch(F.Nodes[0].Ingress, F.now());
+}
+
+} // namespace
+
+TEST_CASE("An ingress fetches tokens ahead of the requests") {
+  Fleet F(FleetOptions{});
+  F.run(Instant{} + WarmUp);
+  // Guards against a round trip to the holder on each request.
+  SECTION("for a tenant in steady use, with one question at a time") {
+    const auto First = afterSpends(F, milliseconds(20));
+    REQUIRE(First.size() == 1);
+    REQUIRE(First[0].Needed == MicroTokens{});
+    REQUIRE(First[0].Wanted == MicroTokens{2 * OneToken.Value});
+    REQUIRE(afterSpends(F, milliseconds(20)).empty());
+  }
+  // Guards against tokens that wait at the ingress and go back unused.
+  SECTION("not for a rare caller") {
+    REQUIRE(afterSpends(F, milliseconds(150)).empty());
+  }
+}
+
+// Guards against prefetches that take the tokens other ingresses need now.
+TEST_CASE("A holder answers a prefetch from the upper half of its shard") {
+  Fleet F(FleetOptions{});
+  F.run(Instant{} + WarmUp);
+  const ShardHolder Holder = holdersOf(F.Chain[0].Rules, F.Tenant)[0];
+  FleetNode &N = F.Nodes[F.indexOf(Holder.Host)];
+  Shard &Kept = N.Holder.Shards.at(F.Tenant);
+  Kept.AccruedAt = F.now();
+  const MicroTokens Half{Kept.Share.Burst.Value / 2};
+  BorrowRequest Request;
+  Request.Shard = {F.Tenant, Holder.Zone};
+  Request.Borrower = {F.Nodes[0].Id, StartId(1)};
+  Request.Wanted = MicroTokens{4 * OneToken.Value};
+  auto Lent = [&] {
+    return lend(N.Holder, Request, F.lease(N), F.now()).Reply.Tokens;
+  };
+  SECTION("nothing below a whole token above the half") {
+    Kept.Balance = Half + OneToken - MicroTokens{1};
+    REQUIRE(Lent() == MicroTokens{});
+  }
+  SECTION("one token just above it") {
+    Kept.Balance = Half + OneToken;
+    REQUIRE(Lent() == OneToken);
+    REQUIRE(Kept.Balance == Half);
+  }
+}
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -265,6 +265,9 @@
 
   void tickSettle(std::uint32_t I) {
     sendSettlements(I, tickIngress(Nodes[I].Ingress, Now));
+    if (!Decide)
+      for (const BorrowRequest &Request : prefetch(Nodes[I].Ingress, Now))
+        sendBorrow(I, Request, [](const BorrowReply *) {});
     at(Now + Options.SettleTick, static_cast<int>(I),
        [this, I] { tickSettle(I); });
   }
@@ -348,7 +351,6 @@
 
   void borrow(std::uint32_t I, std::size_t Call, const BorrowSearch &Search,
               const BorrowRequest &Request) {
-    const std::uint32_t To = indexOf(Request.Holder);
     auto Pending = std::make_shared<bool>(true);
     auto Resume = [this, I, Call, Pending, Search](const BorrowReply *Reply) {
       if (!std::exchange(*Pending, false))
@@ -357,6 +359,13 @@
       noteReply(Next, Reply);
       attempt(I, Call, Next);
     };
+    sendBorrow(I, Request, Resume);
+    at(Now + BorrowTimeout, static_cast<int>(I), [Resume] { Resume(nullptr); });
+  }
+
+  void sendBorrow(std::uint32_t I, const BorrowRequest &Request,
+                  const std::function<void(const BorrowReply *)> &Resume) {
+    const std::uint32_t To = indexOf(Request.Holder);
     send(I, To, [this, I, To, Request, Resume] {
       creditExpired(Nodes[To]);
       LendResult Lent = lend(Nodes[To].Holder, Request, lease(Nodes[To]), Now);
@@ -376,20 +385,11 @@
         Resume(&Reply);
       });
     });
-    at(Now + BorrowTimeout, static_cast<int>(I), [Resume] { Resume(nullptr); });
   }
 
   void creditExpired(Node &N) {
-    if (!Options.Wrong.CreditExpired)
-      return;
-    for (auto &[Id, Kept] : N.Holder.Shards)
-      while (!Kept.Leases.empty() &&
-             Kept.Leases.begin()->second.Expiry <= Now) {
-        const LentLease &Lease = Kept.Leases.begin()->second;
-        Kept.Balance += Lease.Tokens - Lease.Spent;
-        Kept.Outstanding -= Lease.Tokens - Lease.Spent;
-        Kept.Leases.erase(Kept.Leases.begin());
-      }
+    if (Options.Wrong.CreditExpired)
+      creditExpiredLeases(N.Holder, Now);
   }
 
   bool active(FaultKind Kind) const {
--- a/tests/support/FleetTypes.h
+++ b/tests/support/FleetTypes.h
@@ -49,6 +49,18 @@
   HolderState Holder;
   LeaseTable Ingress;
 };
+
+/// The faulty rule `CreditExpired`.
+inline void creditExpiredLeases(HolderState &Holder, Instant Now) {
+  for (auto &[Id, Kept] : Holder.Shards)
+    while (!Kept.Leases.empty() && Kept.Leases.begin()->second.Expiry <= Now) {
+      const LentLease &Lease = Kept.Leases.begin()->second;
+      Kept.Balance += Lease.Tokens - Lease.Spent;
+      Kept.Outstanding -= Lease.Tokens - Lease.Spent;
+      Kept.Leases.erase(Kept.Leases.begin());
+    }
+}
+
 /// A bundle and when it was published.
 struct Published {
   Bundle Rules;
