--- a/src/core/quota/Ingress.cpp
+++ b/src/core/quota/Ingress.cpp
@@ -266,6 +266,14 @@
   return Messages;
 }
 
+bool isIdle(const LeaseTable &State, Instant Now) {
+  return std::ranges::all_of(State.Tenants, [&](const auto &Entry) {
+    const TenantLeases &Held = Entry.second;
+    return Held.Leases.empty() && Held.Pending.empty() &&
+           Now - Held.SpentAt >= IdleReturn;
+  });
+}
+
 std::vector<BorrowRequest> prefetch(LeaseTable &State, Instant Now) {
   std::vector<BorrowRequest> Requests;
   for (auto &[Tenant, Held] : State.Tenants) {
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -126,6 +126,10 @@
 /// `tickIngress`.
 std::vector<BorrowRequest> prefetch(LeaseTable &State, Instant Now);
 
+/// True while no lease and no answer is outstanding and no tenant is in steady
+/// use, so that neither a settlement nor a prefetch is due.
+bool isIdle(const LeaseTable &State, Instant Now);
+
 inline constexpr Duration IngressTick = std::chrono::milliseconds(2);
 
 } // namespace pollenwick
--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -70,10 +70,9 @@
   Sources.Parents = std::move(Parents);
 }
 
+// Datagrams are not authenticated: what they name is only a hint to pull from
+// their sender, and counts once the signature of the pointer was checked.
 void ConfigDuty::noteHeard(const Version &Announced, const HostId &From) {
-  View.with([&](ViewState &V) {
-    recordHearsay(V, {Announced.Number, Announced.Root});
-  });
   std::scoped_lock Lock(Mutex);
   noteVersion(State, Announced, From);
 }
@@ -325,6 +324,9 @@
     std::scoped_lock Lock(Mutex);
     return onFetchFailed(State, Tuning, What, now());
   }
+  View.with([&](ViewState &V) {
+    recordHearsay(V, {Head->Number, Head->Root});
+  });
   std::scoped_lock Lock(Mutex);
   const PointerVerdict Verdict =
       What.What == Fetch::Kind::Ancestor
--- a/src/node/Counters.cpp
+++ b/src/node/Counters.cpp
@@ -119,6 +119,10 @@
 void Counters::refused(RefusalRecord Record) {
   std::scoped_lock Lock(Mutex);
   ++ByReason.at(static_cast<std::size_t>(Record.Reason));
+  // Every non-idempotent call begins with this refusal; kept ones would push
+  // out those that an operator looks for.
+  if (Record.Reason == RefusalReason::TicketNeeded)
+    return;
   Last.push_front(std::move(Record));
   if (Last.size() > KeptRefusals)
     Last.pop_back();
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -212,7 +212,7 @@
   bool Idle = false;
   {
     std::scoped_lock Lock(TableMutex);
-    Idle = isIdle(Table);
+    Idle = isIdle(Table, now());
   }
   if (Idle) {
     std::scoped_lock Lock(HolderMutex);
--- a/tests/quota/QuotaIdleTest.cpp
+++ b/tests/quota/QuotaIdleTest.cpp
@@ -11,12 +11,16 @@
   const TenantId Tenant("casa-azul");
 
   SECTION("an ingress is idle without leases and questions") {
+    const Instant Now{std::chrono::seconds(10)};
     LeaseTable Table;
     TenantLeases &Held = Table.Tenants[Tenant];
-    CHECK(isIdle(Table));
+    CHECK(isIdle(Table, Now));
     SECTION("a question without an answer") { Held.Pending.emplace_back(); }
     SECTION("a lease") { Held.Leases.emplace_back(); }
-    CHECK_FALSE(isIdle(Table));
+    SECTION("a tenant in use, for which tokens are fetched ahead") {
+      Held.SpentAt = Now - std::chrono::milliseconds(20);
+    }
+    CHECK_FALSE(isIdle(Table, Now));
   }
 
   SECTION("a holder is idle while its shards are full and at rest") {
