Count the time added to root requests; one definition of zone shares and refusals

The share of a zone stood in the bundle check and in the quota, the reply to a refusal in three files of the node; each stands once now. quarantine_time_ms of the policy reaches the node.

--- a/apps/pollenwick-bundle/Explain.cpp
+++ b/apps/pollenwick-bundle/Explain.cpp
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "bundle/Check.h"
 #include "bundle/Graph.h"
+#include "core/quota/Shares.h"
 
 DECLARE_string(tenant);
 DECLARE_string(route);
@@ -93,12 +94,13 @@
   std::cout << "quota      " << tokensText(Tenant.RatePerSecond)
             << " per second, burst " << tokensText(Tenant.Burst)
             << " over the whole fleet; 429 beyond\n";
-  const std::vector<ZoneId> Zones = hostZones(Source);
-  for (std::size_t I = 0; I < Zones.size(); ++I)
+  const std::vector<ZoneId> Zones = zonesOf(Source);
+  for (std::size_t I = 0; I < Zones.size(); ++I) {
+    const ShardShare Share = shareOf(Tenant, I, Zones.size());
     std::cout << "  zone " << Zones[I].Text << ": "
-              << tokensText(zoneShare(Tenant.RatePerSecond, I, Zones.size()))
-              << " per second, burst "
-              << tokensText(zoneShare(Tenant.Burst, I, Zones.size())) << '\n';
+              << tokensText(Share.RatePerSecond) << " per second, burst "
+              << tokensText(Share.Burst) << '\n';
+  }
 }
 
 void explainCalls(const Bundle &Source, const CallGraph &Graph,
--- a/src/bundle/Check.cpp
+++ b/src/bundle/Check.cpp
@@ -10,6 +10,7 @@
 #include "bundle/Digests.h"
 #include "bundle/Graph.h"
 #include "bundle/Published.h"
+#include "core/quota/Shares.h"
 
 namespace pollenwick {
 namespace {
@@ -145,7 +146,7 @@
   }
 
   void checkTenants() {
-    const auto Zones = static_cast<std::int64_t>(hostZones(Source).size());
+    const auto Zones = static_cast<std::int64_t>(zonesOf(Source).size());
     for (const TenantSpec &Tenant : Source.Tenants) {
       // A shard lends whole tokens, so that a share below one token would
       // never admit anything.
@@ -339,17 +340,4 @@
   return "unknown";
 }
 
-std::vector<ZoneId> hostZones(const Bundle &Source) {
-  std::set<ZoneId> Zones;
-  for (const HostSpec &Host : Source.Hosts)
-    Zones.insert(Host.Zone);
-  return {Zones.begin(), Zones.end()};
-}
-
-MicroTokens zoneShare(MicroTokens Total, std::size_t Index, std::size_t Count) {
-  const auto Zones = static_cast<std::int64_t>(Count);
-  const bool Extra = static_cast<std::int64_t>(Index) < Total.Value % Zones;
-  return MicroTokens{Total.Value / Zones + (Extra ? 1 : 0)};
-}
-
 } // namespace pollenwick
--- a/src/bundle/Check.h
+++ b/src/bundle/Check.h
@@ -51,13 +51,6 @@
 checkBundle(const Bundle &Source,
             std::optional<Revision> Current = std::nullopt);
 
-/// Zones that have hosts, sorted.
-std::vector<ZoneId> hostZones(const Bundle &Source);
-
-/// Share of the zone at `Index` of `Count`. The shares differ by at most one
-/// micro-token and sum exactly to `Total`.
-MicroTokens zoneShare(MicroTokens Total, std::size_t Index, std::size_t Count);
-
 } // namespace pollenwick
 
 #endif
--- a/src/node/Callee.cpp
+++ b/src/node/Callee.cpp
@@ -13,11 +13,6 @@
 /// Time between two tries of a suspect to find the server idle.
 constexpr Duration TrialPoll = std::chrono::milliseconds(5);
 
-CallReply fromRefusal(const Refusal &Refused) {
-  return refuse(Refused.Result, Refused.Reason, Refused.Message,
-                Refused.RetryAfter.value_or(Duration::zero()));
-}
-
 std::string queueRefusalText(RefusalReason Reason) {
   switch (Reason) {
   case RefusalReason::DeadlineExceeded:
@@ -117,7 +112,7 @@
     return std::nullopt; // The root was on an open route.
   if (auto Refused =
           recheckKey(Active.Keys, Checked, Key, Permission{Call.Tenant}))
-    return fromRefusal(*Refused);
+    return refuse(*Refused);
   return std::nullopt;
 }
 
@@ -235,7 +230,7 @@
       return std::nullopt;
     if (const auto *Refused = std::get_if<Refusal>(&Verdict)) {
       Count.add(Counter::SuspectsRefused);
-      return fromRefusal(*Refused);
+      return refuse(*Refused);
     }
     if (const auto *Elsewhere = std::get_if<TryAt>(&Verdict)) {
       CallReply Reply =
@@ -257,12 +252,13 @@
 CallReply Callee::runOnServer(const CallRequest &Call, Duration &SubCallTime) {
   auto Begun = Running.begin(Call);
   if (auto *Refused = std::get_if<Refusal>(&Begun))
-    return fromRefusal(*Refused);
+    return refuse(*Refused);
   const CallHandle Handle = std::get<CallHandle>(Begun);
   const Instant Start = now();
   BackendResult Result = Backend.run(Call, handleText(Handle));
   Count.add(Counter::LocalRuns);
-  Count.observe(Latency::BackendRun, now() - Start);
+  Result.Reply.ServerTime = now() - Start;
+  Count.observe(Latency::BackendRun, Result.Reply.ServerTime);
   const FinishedRun Finished = Running.finish(Handle);
   SubCallTime = Finished.SubCallTime;
   Result.Reply.UnusedAllowance = Finished.UnusedAllowance;
--- a/src/node/CallerPort.cpp
+++ b/src/node/CallerPort.cpp
@@ -44,11 +44,6 @@
   return std::chrono::milliseconds(std::min(Millis, MaxMillis));
 }
 
-CallReply fromRefusal(const Refusal &Refused) {
-  return refuse(Refused.Result, Refused.Reason, Refused.Message,
-                Refused.RetryAfter.value_or(Duration::zero()));
-}
-
 void writeReply(const CallReply &Reply, const std::string &Method,
                 HTTPServerResponse &Response) {
   Response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(Reply.Status));
@@ -85,7 +80,7 @@
                   HTTPServerResponse &Response) {
   // A body that was not read would be taken for the next request.
   Response.setKeepAlive(false);
-  CallReply Reply = fromRefusal(Refused);
+  CallReply Reply = refuse(Refused);
   // An earlier use of the ticket may have run.
   if (Request.has("Pollenwick-Ticket"))
     Reply.Result = Outcome::Unknown;
@@ -107,7 +102,7 @@
                   "no route has this path; check it");
   auto Begun = Node.Running.beginSub(*Active, *Handle, Route->Spec->Id);
   if (const auto *Refused = std::get_if<Refusal>(&Begun))
-    return fromRefusal(*Refused);
+    return refuse(*Refused);
   const GrantedSubCall &Sub = std::get<GrantedSubCall>(Begun);
   const Instant Start = now();
   CallRequest Call;
--- a/src/node/Counters.cpp
+++ b/src/node/Counters.cpp
@@ -53,7 +53,7 @@
     LatencyDescriptions{{
         {"root_request_us", "Whole root requests, microseconds."},
         {"backend_run_us", "Exchanges with the local backend server."},
-        {"added_by_ingress_us", "Root requests less the callee exchange."},
+        {"added_us", "Answered root requests less the time at the server."},
     }};
 
 constexpr std::size_t KeptRefusals = 64;
--- a/src/node/Counters.h
+++ b/src/node/Counters.h
@@ -50,9 +50,9 @@
 };
 
 enum class Latency : std::uint8_t {
-  RootRequest,    ///< Whole root request at its ingress.
-  BackendRun,     ///< Exchange with the local backend server.
-  AddedByIngress, ///< Root request less the exchange with the callee node.
+  RootRequest, ///< Whole root request at its ingress.
+  BackendRun,  ///< Exchange with the local backend server.
+  Added,       ///< Answered root request less the time at the server.
   Count,
 };
 
--- a/src/node/CrashService.cpp
+++ b/src/node/CrashService.cpp
@@ -89,9 +89,10 @@
   return Out;
 }
 
-void CrashService::onBundle() {
+void CrashService::onBundle(const Policy &Rules) {
   const auto Servers = otherServers();
   std::scoped_lock Lock(Mutex);
+  State.Limits.QuarantineTime = Rules.QuarantineTime;
   onServersChanged(Rounds, Servers);
 }
 
--- a/src/node/CrashService.h
+++ b/src/node/CrashService.h
@@ -35,7 +35,7 @@
   /// those that answered within a short time. Blocks until then.
   bool onConnectionLost(BackendClient &Backend, Instant CallStarted);
 
-  void onBundle();
+  void onBundle(const Policy &Rules);
   void hear(const std::vector<Suspicion> &Heard);
   /// Answers the report of another server of the service.
   void onSuspect(capnp::List<wire::Suspicion>::Reader In,
--- a/src/node/Ingress.cpp
+++ b/src/node/Ingress.cpp
@@ -19,11 +19,6 @@
 /// A caller that asks again for a running ticket is told to wait this long.
 constexpr Duration InProgressRetry = std::chrono::milliseconds(200);
 
-CallReply fromRefusal(const Refusal &Refused) {
-  return refuse(Refused.Result, Refused.Reason, Refused.Message,
-                Refused.RetryAfter.value_or(Duration::zero()));
-}
-
 CallReply fromAnswer(const TicketAnswer &Answer) {
   CallReply Reply;
   Reply.Result = Outcome::Done;
@@ -73,7 +68,7 @@
   const auto Permitted = resolveKey(
       Active.Keys, Spec, Call.HasKey ? std::optional(Call.Key) : std::nullopt);
   if (const auto *Refused = std::get_if<Refusal>(&Permitted))
-    return fromRefusal(*Refused);
+    return refuse(*Refused);
   Call.Tenant = std::get<Permission>(Permitted).Tenant;
   if (!Spec.Open && !View.holdsLease())
     return refuse(Outcome::NotRun, RefusalReason::NoViewLease,
@@ -130,7 +125,10 @@
   const bool Claimed = Route && !Route->Spec->Idempotent && !Call.Route.empty();
   if (!Arrival.Ticket.empty() && !Claimed && Reply.Result == Outcome::NotRun)
     Reply.Result = Outcome::Unknown;
-  Count.observe(Latency::RootRequest, now() - Start);
+  const Duration Took = now() - Start;
+  Count.observe(Latency::RootRequest, Took);
+  if (Reply.Result == Outcome::Done && Reply.ServerTime > Duration::zero())
+    Count.observe(Latency::Added, Took - Reply.ServerTime);
   record(Reply, Call);
   return Reply;
 }
@@ -162,7 +160,7 @@
   const auto Minted = mintTicket(Tickets, Call.Tenant, Call.Route,
                                  Active.Rules->Rules.TicketLifetime, now());
   if (const auto *Full = std::get_if<Refusal>(&Minted))
-    return fromRefusal(*Full);
+    return refuse(*Full);
   Count.add(Counter::TicketsMinted);
   Reply.Headers.push_back(
       {"Pollenwick-Ticket", ticketText(std::get<Ticket>(Minted))});
@@ -189,7 +187,7 @@
                   "the first use of the ticket is still running; ask again",
                   InProgressRetry);
   if (const auto *Refused = std::get_if<Refusal>(&Claimed)) {
-    CallReply Reply = fromRefusal(*Refused);
+    CallReply Reply = refuse(*Refused);
     return Reply.Result == Outcome::NotRun
                ? withNewTicket(std::move(Reply), Call, Active)
                : Reply;
@@ -212,12 +210,12 @@
   Count.add(Counter::ClaimsForwarded);
   const HostSpec *Host = findHost(Active, Issuer);
   if (!Host || Issuer == Self.Host)
-    return fromRefusal(issuerUnreachable(Issuer));
+    return refuse(issuerUnreachable(Issuer));
   CallReply Reply = Peers.claim(peerAddress(*Host), Ticket, Call);
   // "Not run" of this attempt says nothing about an earlier one.
   if (Reply.Reason == RefusalReason::PeerLost ||
       Reply.Reason == RefusalReason::QueueFull)
-    return fromRefusal(issuerUnreachable(Issuer));
+    return refuse(issuerUnreachable(Issuer));
   return Reply;
 }
 
@@ -258,10 +256,10 @@
                                const ActiveBundle &Active,
                                const RouteEntry &Route) {
   if (auto Refused = Admission.admitRoot(Call.Route, Call.Tenant, Call.Hash))
-    return fromRefusal(*Refused);
+    return refuse(*Refused);
   if (!Call.Tenant.empty())
     if (auto Refused = Quota.spendOne(Call.Tenant, Call.Deadline))
-      return fromRefusal(*Refused);
+      return refuse(*Refused);
   return Calls.forward(Call, Active, Route);
 }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -149,7 +149,7 @@
     Quota->onBundle(Old, New);
     View.hold(*New);
     Members->onBundle(New);
-    Crashes->onBundle();
+    Crashes->onBundle(New->Rules->Rules);
     const auto &Services = New->Rules->Services;
     const HostSpec *Here = findHost(*New, Self.Host);
     const auto It = std::ranges::find_if(Services, [&](const ServiceSpec &S) {
--- a/src/peer/Calls.cpp
+++ b/src/peer/Calls.cpp
@@ -18,6 +18,11 @@
   return Reply;
 }
 
+CallReply refuse(const Refusal &Refused) {
+  return refuse(Refused.Result, Refused.Reason, Refused.Message,
+                Refused.RetryAfter.value_or(Duration::zero()));
+}
+
 const std::string *findHeader(const std::vector<HeaderField> &Headers,
                               std::string_view Name) {
   const auto It = std::ranges::find_if(Headers, [&](const HeaderField &Field) {
--- a/src/peer/Calls.h
+++ b/src/peer/Calls.h
@@ -68,7 +68,8 @@
   std::string Body;
   std::uint32_t UnusedAllowance = 0;
   Duration RetryAfter{};
-  bool Suspect = false; ///< The backend server crashed during the call.
+  Duration ServerTime{}; ///< Of the exchange with the backend server.
+  bool Suspect = false;  ///< The backend server crashed during the call.
   /// When set, only this host may run the call for now.
   HostId TryHost;
   LoadReport Load;
@@ -78,6 +79,9 @@
 CallReply refuse(Outcome Result, RefusalReason Reason, std::string Message,
                  Duration RetryAfter = Duration::zero());
 
+/// The reply that tells a caller about a refusal.
+CallReply refuse(const Refusal &Refused);
+
 /// First header of that name, compared without case; nullptr when absent.
 const std::string *findHeader(const std::vector<HeaderField> &Headers,
                               std::string_view Name);
--- a/src/peer/Peer.capnp
+++ b/src/peer/Peer.capnp
@@ -62,6 +62,7 @@
   load @8 :LoadReport;
   retryAfterMicros @9 :Int64;
   suspect @10 :Bool;         # The backend server crashed during the call.
+  serverMicros @12 :Int64;   # Of the exchange with the backend server.
   tryHost @11 :Text;         # Only this host may run the call now.
 }
 
--- a/src/peer/Peer.capnp.h
+++ b/src/peer/Peer.capnp.h
@@ -173,7 +173,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb4406ff8fd0e773, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(fb4406ff8fd0e773, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1457,6 +1457,8 @@
   inline bool hasTryHost() const;
   inline  ::capnp::Text::Reader getTryHost() const;
 
+  inline  ::int64_t getServerMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1541,6 +1543,9 @@
   inline void adoptTryHost(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTryHost();
 
+  inline  ::int64_t getServerMicros();
+  inline void setServerMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6398,6 +6403,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Reply::Reader::getServerMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Reply::Builder::getServerMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Reply::Builder::setServerMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Shard::Reader::hasTenant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peer/Wire.cpp
+++ b/src/peer/Wire.cpp
@@ -159,6 +159,7 @@
   Out.setUnusedAllowance(Reply.UnusedAllowance);
   Out.setRetryAfterMicros(Reply.RetryAfter.count());
   Out.setSuspect(Reply.Suspect);
+  Out.setServerMicros(Reply.ServerTime.count());
   Out.setTryHost(Reply.TryHost.Text);
   writeLoad(Out.initLoad(), Reply.Load);
   writeHeaders(Out.initHeaders(static_cast<unsigned>(Reply.Headers.size())),
@@ -179,6 +180,7 @@
   Reply.UnusedAllowance = In.getUnusedAllowance();
   Reply.RetryAfter = Duration(In.getRetryAfterMicros());
   Reply.Suspect = In.getSuspect();
+  Reply.ServerTime = Duration(In.getServerMicros());
   Reply.TryHost = HostId(textOf(In.getTryHost()));
   Reply.Load = readLoad(In.getLoad());
   Reply.Headers = readHeaders(In.getHeaders());
--- a/tests/bundle/CheckTest.cpp
+++ b/tests/bundle/CheckTest.cpp
@@ -5,6 +5,7 @@
 #include "SampleBundle.h"
 #include "bundle/Check.h"
 #include "bundle/Graph.h"
+#include "core/quota/Shares.h"
 
 using namespace pollenwick;
 
@@ -174,10 +175,16 @@
   // Guards against rounding that adds or loses quota (G6).
   for (const std::int64_t Total : {0L, 1L, 2L, 1'000'000L, 99'999'999L})
     for (const std::size_t Count : {1U, 2U, 3U, 9U}) {
-      MicroTokens Sum;
-      for (std::size_t I = 0; I < Count; ++I)
-        Sum += zoneShare(MicroTokens{Total}, I, Count);
-      CHECK(Sum.Value == Total);
+      TenantSpec Tenant;
+      Tenant.RatePerSecond = Tenant.Burst = MicroTokens{Total};
+      ShardShare Sum;
+      for (std::size_t I = 0; I < Count; ++I) {
+        const ShardShare Share = shareOf(Tenant, I, Count);
+        Sum.RatePerSecond += Share.RatePerSecond;
+        Sum.Burst += Share.Burst;
+      }
+      CHECK(Sum.RatePerSecond.Value == Total);
+      CHECK(Sum.Burst.Value == Total);
     }
 }
 
