Check a bundle before it comes into force

Cause: signed bundles that pollenwick-bundle check lets through could end every node: a rate above 1e6 tokens a second meets an assertion of the quota, and a bundle without tenants one of admission; found by reading the assertions of src/core. Ruled out: rejection at assembly, which checks form and digests only. Change: the check reports both, and a node checks what it has assembled, since another tool may have signed it.

--- a/src/bundle/Check.cpp
+++ b/src/bundle/Check.cpp
@@ -147,7 +147,13 @@
 
   void checkTenants() {
     const auto Zones = static_cast<std::int64_t>(zonesOf(Source).size());
+    if (Source.Tenants.empty())
+      add(ProblemKind::BadValue, "bundle has no tenant; add at least one");
     for (const TenantSpec &Tenant : Source.Tenants) {
+      if (Tenant.RatePerSecond > MaxRatePerSecond)
+        add(ProblemKind::BadValue, "tenant ", quoted(Tenant.Id.Text),
+            " has a rate of ", Tenant.RatePerSecond.Value,
+            " micro-tokens per second; use at most ", MaxRatePerSecond.Value);
       // A shard lends whole tokens, so that a share below one token would
       // never admit anything.
       if (Tenant.Burst.Value < Zones * OneToken.Value)
@@ -291,6 +297,19 @@
 
 } // namespace
 
+absl::StatusOr<Bundle> assembleUsable(const Pointer &Head,
+                                      const ChunkMap &Chunks) {
+  absl::StatusOr<Bundle> Out = assembleBundle(Head, Chunks);
+  if (!Out.ok())
+    return Out;
+  const std::vector<Problem> Problems = checkBundle(*Out);
+  if (Problems.empty())
+    return Out;
+  return absl::FailedPreconditionError(
+      absl::StrCat("bundle has ", Problems.size(),
+                   " problems, the first: ", Problems.front().Message));
+}
+
 std::vector<Problem> checkBundle(const Bundle &Source,
                                  std::optional<Revision> Current) {
   return Checker(Source).run(Current);
--- a/src/bundle/Check.h
+++ b/src/bundle/Check.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/statusor.h"
+#include "bundle/Published.h"
 #include "pollenwick/Bundle.h"
 
 namespace pollenwick {
@@ -45,12 +47,21 @@
 /// Hosts whose majority keeps the view lease when the service is down.
 inline constexpr std::size_t WitnessCount = 5;
 
+/// Highest rate of a tenant. The accrual of a shard is computed in 64 bits.
+inline constexpr MicroTokens MaxRatePerSecond{1'000'000'000'000};
+
 /// Everything that is wrong with a bundle, up to 100 problems of each kind.
 /// `Current` is the revision that the bundle is to follow.
 std::vector<Problem>
 checkBundle(const Bundle &Source,
             std::optional<Revision> Current = std::nullopt);
 
+/// Assembles and checks a published bundle, since another tool may have signed
+/// what `checkBundle` refuses. The verdict depends on the content only, so that
+/// it is the same at every node.
+absl::StatusOr<Bundle> assembleUsable(const Pointer &Head,
+                                      const ChunkMap &Chunks);
+
 } // namespace pollenwick
 
 #endif
--- a/src/node/ConfigDuty.cpp
+++ b/src/node/ConfigDuty.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "bundle/Check.h"
 #include "bundle/Digests.h"
 #include "node/ConfigClient.h"
 #include "node/Log.h"
@@ -367,7 +368,7 @@
     Head = State.InForce;
     Held = Chunks;
   }
-  auto Rules = assembleBundle(*Head, Held);
+  auto Rules = assembleUsable(*Head, Held);
   if (!Rules.ok()) {
     reject(std::string(Rules.status().message()));
     std::scoped_lock Lock(Mutex);
--- a/tests/bundle/CheckTest.cpp
+++ b/tests/bundle/CheckTest.cpp
@@ -44,6 +44,18 @@
     CHECK(Problems.empty());
   }
 
+  SECTION("what would end a node is found before and after it is signed") {
+    // Guards against a rate beyond the arithmetic of the shards and against
+    // tables without a tenant: both ended a node by an assertion.
+    Source.Tenants[0].RatePerSecond = MicroTokens{2'000'000'000'000};
+    CHECK(reports(Source, ProblemKind::BadValue, "2000000000000"));
+    const PublishedBundle Published = encodeBundle(Source).value();
+    CHECK(assembleBundle(Published.Head, Published.Chunks).ok());
+    CHECK_FALSE(assembleUsable(Published.Head, Published.Chunks).ok());
+    Source.Tenants.clear();
+    CHECK(reports(Source, ProblemKind::BadValue, "no tenant"));
+  }
+
   SECTION("all problems are reported at once") {
     // Guards against a check that stops at the first problem.
     Source.Routes[0].Class = ClassId();
