--- /dev/null
+++ b/include/pollenwick/Rules.h
@@ -0,0 +1,87 @@
+#ifndef POLLENWICK_RULES_H
+#define POLLENWICK_RULES_H
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "pollenwick/Ids.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+using CustomerId = TextId<struct CustomerTag>;
+
+/// What may be repeated after it may have run.
+enum class Repeat : std::uint8_t {
+  Safe,   ///< May run more than once.
+  Unsafe, ///< Runs at most once.
+};
+
+struct WeightedService {
+  ServiceId Service;
+  std::uint32_t Weight = 1;
+};
+
+/// One route: which requests it takes, where they go and how they are treated.
+struct RouteRule {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix; ///< Begins and ends with a slash.
+  Repeat Kind = Repeat::Unsafe;
+  Duration Timeout{};       ///< Zero: only the caller's deadline applies.
+  Duration LatencyTarget{}; ///< Zero: none.
+  int Priority = 0;         ///< 0 is the most important.
+  std::uint32_t MaxAttempts = 1;
+  bool Public = false; ///< Needs no key.
+  std::vector<WeightedService> Services;
+};
+
+struct CustomerRule {
+  CustomerId Customer;
+  std::vector<std::string> Keys;
+  int Priority = -1;        ///< Negative: the route's priority applies.
+  std::int64_t RatePerS = 0; ///< Zero: no limit.
+  std::int64_t Burst = 0;
+};
+
+struct ServiceRule {
+  ServiceId Service;
+  std::uint32_t MaxConnections = 0; ///< Per server; zero: no limit.
+};
+
+/// Bounds on what a caller may send.
+struct CallerLimits {
+  std::size_t HeaderBytes = 16 * 1024;
+  std::size_t BodyBytes = 64 * 1024 * 1024;
+  Duration HeaderTimeout = std::chrono::seconds(3);
+  Duration IdleTimeout = std::chrono::seconds(15);
+};
+
+/// The newest accepted configuration in the form that requests need.
+struct Rules {
+  std::uint64_t Version = 0;
+  std::vector<RouteRule> Routes;
+  std::vector<CustomerRule> Customers;
+  std::vector<ServiceRule> Services;
+  CallerLimits Limits;
+};
+
+enum class ServerState : std::uint8_t { Ready, Draining };
+
+/// What a backend server says of itself.
+struct ServerEntry {
+  HostId Id;
+  ServiceId Service;
+  std::string Address; ///< IP:PORT
+  ZoneId Zone;
+  std::uint32_t Slots = 1;
+  ServerState State = ServerState::Ready;
+  Duration ColdRemaining{};
+  std::int64_t Born = 0; ///< Start of this run, Unix milliseconds.
+};
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/agent/Agent.h
@@ -0,0 +1,82 @@
+#ifndef POLLENWICK_AGENT_AGENT_H
+#define POLLENWICK_AGENT_AGENT_H
+
+#include <memory>
+#include <string>
+
+#include "agent/Backend.h"
+#include "agent/CallerPort.h"
+#include "agent/Dialect.h"
+#include "agent/Directory.h"
+#include "agent/EventLoop.h"
+#include "agent/FleetState.h"
+#include "agent/Ingress.h"
+#include "agent/Log.h"
+#include "agent/Metrics.h"
+#include "agent/PeerLinks.h"
+#include "agent/Settings.h"
+#include "agent/Source.h"
+
+namespace pollenwick::agent {
+
+/// One process beside a backend server: joins the ports, the decisions and the
+/// source of configuration on one event loop.
+class Agent : public PeerEvents {
+public:
+  Agent(Settings Options, Dialect Words, std::unique_ptr<Source> Reader);
+  ~Agent() override;
+
+  /// Serves until `beginDrain` was called and everything has been answered.
+  void run();
+  /// Safe from any thread.
+  void beginDrain();
+  void reload();
+
+  std::uint64_t onPeerCall(CallRequest &&Request, AnswerHandler Done) override;
+  void onPeerCancel(std::uint64_t Number) override;
+  void onPeerStatus(const std::string &Ip, StatusFrame &&Status) override;
+  void onPeerPull(PeerLink &Link, const PullFrame &Pull) override;
+  void onPeerRecords(RecordsFrame &&Records) override;
+  void onPeerConnected(PeerLink &Link) override;
+
+private:
+  class StatusPort;
+
+  void takeNews(SourceNews &&News);
+  void takeChange(const Directory::Change &Change);
+  void tick();
+  void pullFromPeers();
+  void watchSettingsFile();
+  void drainStep();
+  StatusFrame status() const;
+  bool ready() const { return Hosts.rules() != nullptr && !Draining; }
+  std::string renderMetrics();
+
+  Settings Options;
+  Dialect Words;
+  EventLoop Loop;
+  LogWriter Log;
+  Metrics Counters;
+  Directory Hosts;
+  FleetState Fleet;
+  Backend Local;
+  PeerLinks Peers;
+  Ingress Requests;
+  CallerPort Callers;
+  std::unique_ptr<StatusPort> Ready;
+  std::unique_ptr<StatusPort> MetricsPort;
+  std::unique_ptr<Source> Reader;
+  bool Draining = false;
+  Instant DrainBegan;
+  bool SourceLost = false;
+  std::string AheadPeer; ///< A peer that knows newer records.
+  Instant AheadSince;
+  bool Ahead = false;
+  Instant LastTick;
+  std::uint64_t Ticks = 0;
+  std::int64_t SettingsStamp = 0;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/Backend.cpp
@@ -0,0 +1,264 @@
+#include "agent/Backend.h"
+
+#include <algorithm>
+
+#include "agent/BackendConnection.h"
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr Duration SweepEvery = std::chrono::milliseconds(50);
+/// A server answers at its deadline by itself; only a silent one is cut off.
+constexpr Duration AnswerGrace = std::chrono::milliseconds(200);
+/// Calls lost within this time before the server refused a connection ran when
+/// it crashed.
+constexpr Duration CrashWindow = std::chrono::milliseconds(1500);
+constexpr Duration AssumedService = std::chrono::milliseconds(50);
+
+} // namespace
+
+Backend::Backend(
+    EventLoop &TheLoop, const Dialect &TheWords, LogWriter &TheLog,
+    std::string TheAddress,
+    std::function<void(const std::vector<std::uint64_t> &)> CrashHandler)
+    : Loop(TheLoop), Words(TheWords), Log(TheLog),
+      Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
+      LastSweep(TheLoop.now()) {
+  Loop.callAt(Loop.now() + SweepEvery, [this] { sweep(); });
+}
+
+Backend::~Backend() = default;
+
+void Backend::setServer(const ServerEntry *Entry, std::uint32_t Connections) {
+  MaxConnections = Connections;
+  if (!Entry) {
+    Server.reset();
+    return;
+  }
+  const bool Restarted = !Server || Server->Id != Entry->Id ||
+                         Server->Born != Entry->Born;
+  Server = *Entry;
+  if (Restarted) {
+    Queue.Service = Duration{};
+    Reachable = true;
+  }
+  Queue.Limit = concurrencyLimit(Entry->Slots);
+}
+
+ServerLoad Backend::load() const {
+  ServerLoad Load;
+  Load.Running = Queue.Running;
+  Load.Waiting = static_cast<std::uint32_t>(Queue.Waiting.size());
+  Load.Limit = Queue.Limit;
+  Load.Service = Queue.Service;
+  Load.Leaving = Leaving;
+  return Load;
+}
+
+void Backend::refuse(AnswerHandler &&Done, std::string Cause) {
+  Loop.atTurnEnd([this, Done = std::move(Done), Cause = std::move(Cause)] {
+    CallAnswer Answer;
+    Answer.Outcome = CallOutcome::NotRun;
+    Answer.Cause = Cause;
+    Answer.Load = load();
+    Done(std::move(Answer));
+  });
+}
+
+Backend::CallNumber Backend::submit(CallRequest &&Request, AnswerHandler Done) {
+  const CallNumber Number = ++LastNumber;
+  Counts.OfferedMicros += static_cast<std::uint64_t>(
+      (Queue.Service.count() > 0 ? Queue.Service : AssumedService).count());
+  if (Leaving) {
+    refuse(std::move(Done), "node-leaving");
+    return Number;
+  }
+  if (Server && (Server->Id.Text != Request.ServerId ||
+                 Server->State == ServerState::Draining)) {
+    refuse(std::move(Done), Server->Id.Text == Request.ServerId
+                                ? "server-draining"
+                                : "server-replaced");
+    return Number;
+  }
+  CallTerms Terms;
+  Terms.Arrival = Loop.now();
+  Terms.Deadline = Request.Deadline;
+  Terms.LatencyTarget = Request.LatencyTarget;
+  Terms.Rank = Request.Rank;
+  Terms.Nested = Request.Nested;
+  const WaitingCall Waiting{Number, dueTime(Terms), Request.Deadline};
+  const QueueDecision Decision = offerCall(Queue, Waiting, Loop.now());
+  if (Decision == QueueDecision::Refuse) {
+    refuse(std::move(Done), "queue-too-long");
+    return Number;
+  }
+  PendingCall Call;
+  Call.Request = std::move(Request);
+  Call.Done = std::move(Done);
+  Call.Waiting = Waiting;
+  Calls.emplace(Number, std::move(Call));
+  if (Decision == QueueDecision::Run)
+    dispatch(Number);
+  return Number;
+}
+
+BackendConnection *Backend::idleConnection() {
+  while (!Idle.empty()) {
+    BackendConnection *Last = Idle.back();
+    Idle.pop_back();
+    if (Last->usable(Loop.now()))
+      return Last;
+    Last->close();
+    Loop.retire(Connections[Last]);
+    Connections.erase(Last);
+  }
+  auto New = std::make_shared<BackendConnection>(Loop, Words, *this);
+  if (!New->open(Address))
+    return nullptr;
+  ++Counts.Connections;
+  BackendConnection *Raw = New.get();
+  Connections.emplace(Raw, std::move(New));
+  return Raw;
+}
+
+void Backend::dispatch(CallNumber Number) {
+  PendingCall &Call = Calls.at(Number);
+  Call.Began = Loop.now();
+  BackendConnection *Connection = idleConnection();
+  if (!Connection) {
+    Loop.atTurnEnd([this, Number] {
+      CallAnswer Answer;
+      Answer.Outcome = CallOutcome::NotRun;
+      Answer.Cause = "server-unreachable";
+      answer(Number, std::move(Answer));
+    });
+    return;
+  }
+  Call.Connection = Connection;
+  Connection->run(Number, Call.Request, Loop.now());
+}
+
+void Backend::dispatchWaiting() {
+  while (const auto Next = takeNext(Queue))
+    dispatch(Next->Id);
+}
+
+void Backend::answer(CallNumber Number, CallAnswer &&Answer) {
+  const auto Found = Calls.find(Number);
+  if (Found == Calls.end())
+    return;
+  PendingCall Call = std::move(Found->second);
+  Calls.erase(Found);
+  const bool Connected = Call.Connection && Call.Connection->connected();
+  if (Call.Connection && !Connected) {
+    // Nothing was sent: the connection never came up.
+    Answer.Outcome = CallOutcome::NotRun;
+    Answer.Arrived = false;
+  } else if (Answer.Cause == "server-connection-lost") {
+    onLostCall(Call);
+  }
+  finishCall(Queue, Loop.now() - Call.Began);
+  if (Answer.Outcome == CallOutcome::Complete) {
+    ++Counts.Runs;
+    Reachable = true;
+  }
+  if (Call.Connection && Call.Connection->usable(Loop.now()))
+    Idle.push_back(Call.Connection);
+  dispatchWaiting();
+  if (Call.Abandoned)
+    return;
+  Answer.Load = load();
+  Call.Done(std::move(Answer));
+}
+
+void Backend::onLostCall(const PendingCall &Call) {
+  Lost.push_back({Loop.now(), Call.Request.Fingerprint});
+}
+
+void Backend::confirmCrash() {
+  std::vector<std::uint64_t> Prints;
+  for (const LostCall &Call : Lost)
+    if (Loop.now() - Call.At <= CrashWindow)
+      Prints.push_back(Call.Fingerprint);
+  Lost.clear();
+  if (!Reachable && Prints.empty())
+    return;
+  Reachable = false;
+  Log.state(std::move(LogLine("server-unreachable", Loop.now())
+                          .field("server", serverId())
+                          .field("lost_calls",
+                                 static_cast<std::int64_t>(Prints.size()))));
+  if (!Prints.empty())
+    OnCrash(Prints);
+}
+
+void Backend::onConnectionEnd(BackendConnection &Connection,
+                              bool WasConnected) {
+  std::erase(Idle, &Connection);
+  const auto Found = Connections.find(&Connection);
+  if (Found == Connections.end())
+    return;
+  Loop.retire(Found->second);
+  Connections.erase(Found);
+  if (!WasConnected)
+    confirmCrash();
+}
+
+void Backend::cancel(CallNumber Number) {
+  const auto Found = Calls.find(Number);
+  if (Found == Calls.end())
+    return;
+  PendingCall &Call = Found->second;
+  if (withdrawCall(Queue, Call.Waiting)) {
+    Calls.erase(Found);
+    return;
+  }
+  if (!Call.Request.Repeatable) {
+    Call.Abandoned = true;
+    return;
+  }
+  BackendConnection *Connection = Call.Connection;
+  const Duration Held = Loop.now() - Call.Began;
+  Calls.erase(Found);
+  finishCall(Queue, Held);
+  if (Connection) {
+    Connection->close();
+    onConnectionEnd(*Connection, true);
+  }
+  dispatchWaiting();
+}
+
+void Backend::sweep() {
+  Loop.callAt(Loop.now() + SweepEvery, [this] { sweep(); });
+  const Duration Elapsed = Loop.now() - LastSweep;
+  LastSweep = Loop.now();
+  if (Server && Server->State == ServerState::Ready)
+    Counts.LimitMicros +=
+        static_cast<std::uint64_t>(Elapsed.count()) * Queue.Limit;
+  for (const WaitingCall &Expired : dropExpired(Queue, Loop.now())) {
+    const auto Found = Calls.find(Expired.Id);
+    if (Found == Calls.end())
+      continue;
+    AnswerHandler Done = std::move(Found->second.Done);
+    Calls.erase(Found);
+    refuse(std::move(Done), "deadline-in-queue");
+  }
+  std::vector<CallNumber> Silent;
+  for (const auto &[Number, Call] : Calls)
+    if (Call.Connection && Call.Request.Deadline + AnswerGrace <= Loop.now())
+      Silent.push_back(Number);
+  for (const CallNumber Number : Silent) {
+    const auto Found = Calls.find(Number);
+    if (Found == Calls.end())
+      continue;
+    BackendConnection *Connection = Found->second.Connection;
+    CallAnswer Answer;
+    Answer.Arrived = true;
+    Answer.Cause = "server-silent";
+    Connection->close();
+    answer(Number, std::move(Answer));
+    onConnectionEnd(*Connection, true);
+  }
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Backend.h
@@ -0,0 +1,105 @@
+#ifndef POLLENWICK_AGENT_BACKEND_H
+#define POLLENWICK_AGENT_BACKEND_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "agent/Call.h"
+#include "agent/Dialect.h"
+#include "agent/EventLoop.h"
+#include "agent/Log.h"
+#include "core/dispatch/DispatchQueue.h"
+
+namespace pollenwick::agent {
+
+class BackendConnection;
+
+/// Totals since the start of the process.
+struct BackendCounts {
+  std::uint64_t Runs = 0;
+  std::uint64_t Connections = 0;
+  std::uint64_t OfferedMicros = 0; ///< Slot time that the offered calls need.
+  std::uint64_t LimitMicros = 0;   ///< Slot time that was there.
+};
+
+/// The way to the backend server beside this node: queue, slots, connections.
+class Backend {
+public:
+  /// `OnCrash` receives the fingerprints of calls that ran when the server
+  /// crashed.
+  Backend(EventLoop &Loop, const Dialect &Words, LogWriter &Log,
+          std::string Address,
+          std::function<void(const std::vector<std::uint64_t> &)> OnCrash);
+  ~Backend();
+
+  using CallNumber = std::uint64_t;
+
+  /// Runs a call when a slot is free. `Done` is called once, never during
+  /// `submit`, unless the call is cancelled.
+  CallNumber submit(CallRequest &&Request, AnswerHandler Done);
+  /// The caller no longer waits. A call that may not be repeated and has begun
+  /// runs to its end.
+  void cancel(CallNumber Number);
+
+  /// What the server says of itself; null when it is not registered.
+  void setServer(const ServerEntry *Entry, std::uint32_t MaxConnections);
+
+  ServerLoad load() const;
+  const BackendCounts &counts() const { return Counts; }
+  std::size_t pending() const { return Calls.size(); }
+  std::string serverId() const { return Server ? Server->Id.Text : ""; }
+  void leave() { Leaving = true; }
+
+private:
+  friend class BackendConnection;
+
+  struct PendingCall {
+    CallRequest Request;
+    AnswerHandler Done;
+    WaitingCall Waiting;
+    BackendConnection *Connection = nullptr;
+    Instant Began;
+    bool Abandoned = false;
+  };
+
+  void refuse(AnswerHandler &&Done, std::string Cause);
+  void dispatch(CallNumber Number);
+  void dispatchWaiting();
+  BackendConnection *idleConnection();
+  void answer(CallNumber Number, CallAnswer &&Answer);
+  void onConnectionEnd(BackendConnection &Connection, bool WasConnected);
+  void onLostCall(const PendingCall &Call);
+  void confirmCrash();
+  void sweep();
+
+  EventLoop &Loop;
+  const Dialect &Words;
+  LogWriter &Log;
+  std::string Address;
+  std::function<void(const std::vector<std::uint64_t> &)> OnCrash;
+  std::optional<ServerEntry> Server;
+  std::uint32_t MaxConnections = 0;
+  bool Leaving = false;
+  DispatchQueue Queue;
+  BackendCounts Counts;
+  CallNumber LastNumber = 0;
+  absl::flat_hash_map<CallNumber, PendingCall> Calls;
+  std::map<BackendConnection *, std::shared_ptr<BackendConnection>> Connections;
+  std::vector<BackendConnection *> Idle;
+  struct LostCall {
+    Instant At;
+    std::uint64_t Fingerprint;
+  };
+  std::vector<LostCall> Lost;
+  Instant LastSweep;
+  bool Reachable = true;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/BackendConnection.cpp
@@ -0,0 +1,187 @@
+#include "agent/BackendConnection.h"
+
+#include <algorithm>
+
+#include "agent/Backend.h"
+#include "agent/Text.h"
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr int UnansweredMs = 5000;
+/// The server may close an idle connection while a call is on its way; the
+/// connection is not used so close to that time.
+constexpr Duration IdleMargin = std::chrono::milliseconds(1500);
+constexpr std::uint64_t LargestAnswer = 64 * 1024 * 1024;
+constexpr std::uint32_t LargestHead = 64 * 1024;
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+} // namespace
+
+BackendConnection::BackendConnection(EventLoop &TheLoop,
+                                     const Dialect &TheWords, Backend &TheOwner)
+    : Loop(TheLoop), Words(TheWords), Owner(TheOwner),
+      IdleUntil(Instant::max()) {}
+
+bool BackendConnection::open(const std::string &Address) {
+  Connection = connectStream(Loop, Address, *this, UnansweredMs);
+  return Connection != nullptr;
+}
+
+void BackendConnection::close() {
+  if (Connection)
+    Connection->close();
+}
+
+bool BackendConnection::usable(Instant Now) const {
+  return !Spoiled && !Connection->closed() && Number == 0 && Now < IdleUntil;
+}
+
+void BackendConnection::run(std::uint64_t TheNumber, const CallRequest &Request,
+                            Instant Now) {
+  Number = TheNumber;
+  RequestId = Request.RequestId;
+  Method = Request.Method;
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Request.Deadline - Now);
+  std::string Text = concat(
+      Request.Method, " ", Request.Target, " HTTP/1.1\r\n", Request.Head,
+      Words.Deadline, ": ", std::max<std::int64_t>(1, Left.count()), "\r\n",
+      Words.ExpectedServer, ": ", Request.ServerId, "\r\n");
+  if (!Request.Body.empty() || Request.Method == "POST" ||
+      Request.Method == "PUT")
+    appendAll(Text, "Content-Length: ", Request.Body.size(), "\r\n");
+  appendAll(Text, "\r\n", Request.Body);
+  Connection->send(std::move(Text));
+}
+
+void BackendConnection::onData(std::string_view Bytes) {
+  if (Number == 0) {
+    // Bytes that belong to no call. Whatever follows cannot be told apart.
+    Spoiled = true;
+    close();
+    Owner.onConnectionEnd(*this, Connected);
+    return;
+  }
+  parse(Bytes);
+}
+
+void BackendConnection::parse(std::string_view Bytes) {
+  while (!Bytes.empty() && Number != 0) {
+    if (!Parser) {
+      Parser.emplace();
+      Parser->eager(true);
+      Parser->body_limit(LargestAnswer);
+      Parser->header_limit(LargestHead);
+      if (Method == "HEAD")
+        Parser->skip(true);
+    }
+    boost::system::error_code Error;
+    const std::size_t Used = Parser->put(
+        boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
+    if (Error && Error != http::error::need_more) {
+      breakOff("unreadable-answer");
+      return;
+    }
+    Bytes.remove_prefix(Used);
+    if (Parser->is_done()) {
+      finish();
+      continue;
+    }
+    if (Used == 0)
+      break;
+  }
+  if (!Bytes.empty() && Number == 0) {
+    Spoiled = true;
+    close();
+    Owner.onConnectionEnd(*this, Connected);
+  }
+}
+
+CallAnswer BackendConnection::readAnswer(const ResponseMessage &Response) const {
+  CallAnswer Answer;
+  Answer.Arrived = true;
+  Answer.Status = static_cast<int>(Response.result_int());
+  const bool NotRun = !headerValue(Response, Words.NotRun).empty() ||
+                      Answer.Status == 421;
+  if (NotRun) {
+    Answer.Outcome = CallOutcome::NotRun;
+    Answer.Cause = concat("server-refused-", Answer.Status);
+    return Answer;
+  }
+  const bool Stamped = !headerValue(Response, Words.ServerStamp).empty();
+  const bool Encoded =
+      !Response[http::field::content_encoding].empty();
+  if (isSuccess(Answer.Status) && (!Stamped || Encoded)) {
+    Answer.Cause = "answer-without-stamp";
+    return Answer;
+  }
+  Answer.Outcome = CallOutcome::Complete;
+  Answer.Head = forwardedHeaders(Response, {Words.ServerLoad});
+  Answer.Body = Response.body();
+  return Answer;
+}
+
+void BackendConnection::finish() {
+  const bool Persistent = Parser->keep_alive();
+  const ResponseMessage Response = Parser->release();
+  Parser.reset();
+  if (Response.result_int() < 200)
+    return;
+  const std::string_view Echo = headerValue(Response, Words.RequestId);
+  const bool NotRun = !headerValue(Response, Words.NotRun).empty() ||
+                      Response.result_int() == 421;
+  if (Echo != RequestId && !(Echo.empty() && NotRun)) {
+    // An extra answer to an earlier call; ours is still to come.
+    Spoiled = true;
+    return;
+  }
+  if (const auto Seconds = keepAliveSeconds(Response))
+    IdleLimit = std::max(Duration{}, std::chrono::seconds(*Seconds) -
+                                         IdleMargin);
+  const bool Keep = Persistent && !Spoiled &&
+                    Connection->unsent() == 0 && IdleLimit.count() > 0;
+  CallAnswer Answer = readAnswer(Response);
+  const std::uint64_t Done = Number;
+  Number = 0;
+  IdleUntil = Loop.now() + IdleLimit;
+  if (!Keep) {
+    Spoiled = true;
+    close();
+  }
+  Owner.answer(Done, std::move(Answer));
+  if (!Keep)
+    Owner.onConnectionEnd(*this, true);
+}
+
+void BackendConnection::breakOff(std::string Cause) {
+  close();
+  Spoiled = true;
+  const std::uint64_t Done = Number;
+  Number = 0;
+  if (Done != 0) {
+    CallAnswer Answer;
+    Answer.Arrived = true;
+    Answer.Cause = std::move(Cause);
+    Owner.answer(Done, std::move(Answer));
+  }
+  Owner.onConnectionEnd(*this, Connected);
+}
+
+void BackendConnection::onEnd(StreamEnd End) {
+  if (Number != 0 && Parser && End == StreamEnd::Closed) {
+    // An answer without a length ends with its connection.
+    boost::system::error_code Error;
+    Parser->put_eof(Error);
+    if (!Error && Parser->is_done()) {
+      Spoiled = true;
+      finish();
+      if (Number == 0)
+        return;
+    }
+  }
+  breakOff(Connected ? "server-connection-lost" : "server-unreachable");
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Call.h
@@ -0,0 +1,51 @@
+#ifndef POLLENWICK_AGENT_CALL_H
+#define POLLENWICK_AGENT_CALL_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/placement/Placement.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick::agent {
+
+/// A request on its way to one backend server.
+struct CallRequest {
+  std::string RequestId;
+  std::string ServerId;
+  std::string Route;
+  Instant Deadline;
+  Duration LatencyTarget{};
+  int Rank = 0;
+  bool Nested = false;
+  bool Repeatable = false;
+  std::uint64_t Fingerprint = 0;
+  std::string Method;
+  std::string Target;
+  std::string Head; ///< Header lines without framing and deadline.
+  std::string Body;
+};
+
+enum class CallOutcome : std::uint8_t {
+  Complete, ///< The server's whole answer.
+  NotRun,   ///< The call has not run and will not run.
+  Unknown,  ///< The call may have run.
+};
+
+struct CallAnswer {
+  CallOutcome Outcome = CallOutcome::Unknown;
+  int Status = 0; ///< Of the server; 0 when it gave none.
+  std::string Cause;
+  std::string Head;
+  std::string Body;
+  /// The request reached the server, which may have refused it.
+  bool Arrived = false;
+  ServerLoad Load;
+};
+
+using AnswerHandler = std::function<void(CallAnswer &&)>;
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/CallerPort.cpp
@@ -0,0 +1,236 @@
+#include "agent/CallerPort.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr int Backlog = 1024;
+/// Bytes that a caller may send ahead of the answer to its running request.
+constexpr std::size_t LargestUnread = 256 * 1024;
+constexpr Duration SweepEvery = std::chrono::milliseconds(500);
+/// An answer that the caller does not read for so long is given up.
+constexpr Duration UnreadLimit = std::chrono::seconds(20);
+
+} // namespace
+
+CallerConnection::CallerConnection(EventLoop &TheLoop, CallerPort &ThePort,
+                                   std::string TheIp)
+    : Loop(TheLoop), Port(ThePort), PeerIp(std::move(TheIp)),
+      Waiting(TheLoop.now()) {}
+
+void CallerConnection::start(const Poco::Net::StreamSocket &Socket) {
+  Connection = std::make_shared<Stream>(Loop, Socket, *this, false);
+  Connection->start();
+}
+
+void CallerConnection::onData(std::string_view Bytes) {
+  if (Closing)
+    return;
+  Unread.append(Bytes);
+  if (Busy) {
+    if (Unread.size() > LargestUnread)
+      onEnd(StreamEnd::Reset);
+    return;
+  }
+  parse();
+}
+
+void CallerConnection::parse() {
+  while (!Busy && !Closing && !Unread.empty()) {
+    if (!Parser) {
+      Parser.emplace();
+      Parser->eager(true);
+      Parser->header_limit(
+          static_cast<std::uint32_t>(Port.limits().HeaderBytes));
+      Parser->body_limit(Port.limits().BodyBytes);
+      Waiting = Loop.now();
+      Continued = false;
+    }
+    boost::system::error_code Error;
+    const std::size_t Used = Parser->put(
+        boost::asio::const_buffer(Unread.data(), Unread.size()), Error);
+    if (Error && Error != http::error::need_more) {
+      if (Error == http::error::header_limit)
+        reject(431, "header-too-large");
+      else if (Error == http::error::body_limit)
+        reject(413, "body-too-large");
+      else
+        reject(400, "unreadable-request");
+      return;
+    }
+    Unread.erase(0, Used);
+    if (Parser->is_done()) {
+      finishRequest();
+      continue;
+    }
+    if (!Continued && Parser->is_header_done() &&
+        Parser->get()[http::field::expect] == "100-continue") {
+      Continued = true;
+      Connection->send(std::string_view("HTTP/1.1 100 Continue\r\n\r\n"));
+    }
+    if (Used == 0)
+      return;
+  }
+}
+
+void CallerConnection::reject(int Status, std::string_view Cause) {
+  Connection->send(ownAnswer(Status, Cause, "", false));
+  closeAfterAnswer();
+}
+
+void CallerConnection::closeAfterAnswer() {
+  Closing = true;
+  Busy = false;
+  Unread.clear();
+  Connection->closeWhenFlushed();
+  Port.drop(*this);
+}
+
+void CallerConnection::finishRequest() {
+  Busy = true;
+  KeepAlive = Parser->keep_alive();
+  auto Request = Parser->release();
+  Parser.reset();
+  CallerRequest Result;
+  Result.Method = std::string(Request.method_string());
+  Result.Target = std::string(Request.target());
+  Result.Body = std::move(Request.body());
+  Result.Fields = std::move(Request.base());
+  Result.PeerIp = PeerIp;
+  Port.Events.onRequest(shared_from_this(), std::move(Result));
+}
+
+void CallerConnection::respond(std::string &&Message, bool Keep) {
+  if (!Busy || Connection->closed())
+    return;
+  Busy = false;
+  Waiting = Loop.now();
+  Connection->send(std::move(Message));
+  if (!Keep || !KeepAlive || Port.leaving()) {
+    closeAfterAnswer();
+    return;
+  }
+  if (!Unread.empty())
+    parse();
+}
+
+void CallerConnection::close() {
+  Connection->close();
+  Port.drop(*this);
+}
+
+void CallerConnection::onEnd(StreamEnd /*End*/) {
+  const std::shared_ptr<CallerConnection> Self = shared_from_this();
+  const bool WasBusy = Busy;
+  Busy = false;
+  close();
+  if (WasBusy)
+    Port.Events.onCallerLeft(*this);
+}
+
+void CallerConnection::checkAge(Instant Now, const CallerLimits &Limits) {
+  if (Busy)
+    return;
+  const Duration Age = Now - Waiting;
+  if (Connection->unsent() > 0) {
+    if (Age > UnreadLimit)
+      close();
+    return;
+  }
+  if (Parser && !Parser->is_header_done() && Age > Limits.HeaderTimeout) {
+    reject(408, "header-timeout");
+    return;
+  }
+  if (Age > Limits.IdleTimeout)
+    close();
+}
+
+CallerPort::CallerPort(EventLoop &TheLoop, CallerEvents &TheEvents,
+                       const std::string &ListenAddress)
+    : Loop(TheLoop), Events(TheEvents) {
+  Listener.bind(Poco::Net::SocketAddress(ListenAddress), true);
+  Listener.listen(Backlog);
+  Listener.setBlocking(false);
+  Loop.watch(Listener.impl()->sockfd(), *this);
+  Loop.callAt(Loop.now() + SweepEvery, [this] { sweep(); });
+}
+
+void CallerPort::onReady(bool /*Readable*/, bool /*Writable*/,
+                         bool /*Failed*/) {
+  if (!Listening)
+    return;
+  try {
+    while (true) {
+      Poco::Net::SocketAddress From;
+      Poco::Net::StreamSocket Socket = Listener.acceptConnection(From);
+      Socket.setBlocking(false);
+      Socket.setNoDelay(true);
+      auto Connection = std::make_shared<CallerConnection>(
+          Loop, *this, From.host().toString());
+      Connections.emplace(Connection.get(), Connection);
+      Connection->start(Socket);
+    }
+  } catch (const Poco::Exception &) {
+    // No further connection waits, or none can be taken now; the next arrival
+    // raises another event.
+  }
+}
+
+void CallerPort::drop(CallerConnection &Connection) {
+  const auto Found = Connections.find(&Connection);
+  if (Found == Connections.end())
+    return;
+  // The stream refers to its owner until the last byte has left.
+  Loop.retire(Found->second);
+  if (Connection.Connection->closed()) {
+    Connections.erase(Found);
+    return;
+  }
+}
+
+void CallerPort::sweep() {
+  Loop.callAt(Loop.now() + SweepEvery, [this] { sweep(); });
+  std::vector<std::shared_ptr<CallerConnection>> All;
+  All.reserve(Connections.size());
+  for (const auto &[Raw, Connection] : Connections)
+    All.push_back(Connection);
+  for (const std::shared_ptr<CallerConnection> &Connection : All) {
+    if (Connection->Connection->closed())
+      Connections.erase(Connection.get());
+    else
+      Connection->checkAge(Loop.now(), Limits);
+  }
+}
+
+void CallerPort::leave() {
+  Leaving = true;
+  std::vector<std::shared_ptr<CallerConnection>> All;
+  for (const auto &[Raw, Connection] : Connections)
+    if (!Connection->busy() && !Connection->Parser)
+      All.push_back(Connection);
+  for (const std::shared_ptr<CallerConnection> &Connection : All)
+    Connection->closeAfterAnswer();
+}
+
+void CallerPort::stopListening() {
+  if (!Listening)
+    return;
+  Listening = false;
+  Loop.unwatch(Listener.impl()->sockfd());
+  Listener.close();
+}
+
+std::size_t CallerPort::busyCount() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Connections, [](const auto &Entry) {
+        return Entry.second->busy() ||
+               Entry.second->Connection->unsent() > 0;
+      }));
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/CallerPort.h
@@ -0,0 +1,120 @@
+#ifndef POLLENWICK_AGENT_CALLERPORT_H
+#define POLLENWICK_AGENT_CALLERPORT_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include "agent/EventLoop.h"
+#include "agent/HttpMessage.h"
+#include "agent/Stream.h"
+#include "pollenwick/Rules.h"
+
+namespace pollenwick::agent {
+
+class CallerPort;
+
+/// A whole request of a caller.
+struct CallerRequest {
+  std::string Method;
+  std::string Target;
+  HeaderFields Fields;
+  std::string Body;
+  std::string PeerIp;
+};
+
+
+class CallerConnection;
+
+/// Receives whole requests. `respond` of the connection must be called once,
+/// unless the caller left before.
+class CallerEvents {
+public:
+  virtual ~CallerEvents() = default;
+  virtual void onRequest(const std::shared_ptr<CallerConnection> &From,
+                         CallerRequest &&Request) = 0;
+  /// The caller closed its connection while its request was running.
+  virtual void onCallerLeft(CallerConnection &From) = 0;
+};
+
+/// One connection of a caller; one request at a time.
+class CallerConnection : public StreamOwner,
+                         public std::enable_shared_from_this<CallerConnection> {
+public:
+  CallerConnection(EventLoop &Loop, CallerPort &Port, std::string PeerIp);
+
+  void start(const Poco::Net::StreamSocket &Socket);
+  /// Sends a complete message.
+  void respond(std::string &&Message, bool KeepAlive);
+  bool busy() const { return Busy; }
+  bool keepsAlive() const { return KeepAlive; }
+  void close();
+
+  /// Closes a connection that was idle or slow for too long.
+  void checkAge(Instant Now, const CallerLimits &Limits);
+
+  /// Number of the running request; for the owner's use.
+  std::uint64_t Exchange = 0;
+
+  void onData(std::string_view Bytes) override;
+  void onEnd(StreamEnd End) override;
+  void onFlushed() override { Waiting = Loop.now(); }
+
+private:
+  friend class CallerPort;
+  void parse();
+  void reject(int Status, std::string_view Cause);
+  void finishRequest();
+  void closeAfterAnswer();
+
+  EventLoop &Loop;
+  CallerPort &Port;
+  std::string PeerIp;
+  std::shared_ptr<Stream> Connection;
+  std::optional<RequestParser> Parser;
+  std::string Unread; ///< Bytes after the running request.
+  bool Busy = false;
+  bool KeepAlive = true;
+  bool Continued = false;
+  bool Closing = false;
+  Instant Waiting; ///< Since when nothing happened.
+};
+
+/// Accepts callers on one address.
+class CallerPort : public EventHandler {
+public:
+  CallerPort(EventLoop &Loop, CallerEvents &Events,
+             const std::string &ListenAddress);
+
+  void setLimits(const CallerLimits &New) { Limits = New; }
+  const CallerLimits &limits() const { return Limits; }
+  /// Closes idle connections and asks the busy ones to close.
+  void leave();
+  void stopListening();
+  bool leaving() const { return Leaving; }
+  std::size_t busyCount() const;
+  std::size_t connectionCount() const { return Connections.size(); }
+
+  void onReady(bool Readable, bool Writable, bool Failed) override;
+
+private:
+  friend class CallerConnection;
+  void drop(CallerConnection &Connection);
+  void sweep();
+
+  EventLoop &Loop;
+  CallerEvents &Events;
+  Poco::Net::ServerSocket Listener;
+  bool Listening = true;
+  bool Leaving = false;
+  CallerLimits Limits;
+  std::map<CallerConnection *, std::shared_ptr<CallerConnection>> Connections;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/Directory.h
@@ -0,0 +1,80 @@
+#ifndef POLLENWICK_AGENT_DIRECTORY_H
+#define POLLENWICK_AGENT_DIRECTORY_H
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "agent/Dialect.h"
+#include "agent/Log.h"
+#include "core/hosts/RecordTable.h"
+#include "core/placement/Placement.h"
+#include "core/rules/RouteTable.h"
+
+namespace pollenwick::agent {
+
+/// A backend server and what this node knows of its load.
+struct KnownServer {
+  ServerEntry Entry;
+  std::string NodeIp; ///< Of the node beside it.
+  Instant ColdUntil;
+  ServerLoad Load;
+  Instant LoadAt;
+  std::uint32_t SentSince = 0;
+  Instant AvoidUntil; ///< Refused calls lately.
+};
+
+/// The configuration in force and the servers that are registered.
+class Directory {
+public:
+  Directory(const Dialect &Words, LogWriter &Log);
+
+  /// Takes in records, from whoever has them. Returns whether the rules or the
+  /// servers changed.
+  struct Change {
+    bool Rules = false;
+    bool Servers = false;
+  };
+  Change apply(const std::vector<Record> &Records, std::string_view Source,
+               Instant Now);
+  Change applyFullList(RecordKind Kind, const std::vector<Record> &List,
+                       std::uint64_t AsOf, bool AfterOutage, Instant Now);
+  /// All changes of `Kind` up to `AsOf` were applied.
+  void advance(RecordKind Kind, std::uint64_t AsOf);
+  Change expire(Instant Now);
+
+  /// Null until the first configuration is known.
+  const std::shared_ptr<const RouteTable> &rules() const { return Rules; }
+  std::vector<KnownServer *> serversOf(const ServiceId &Service);
+  KnownServer *find(const std::string &ServerId);
+  /// The registered server with this address; the latest one if several are.
+  const ServerEntry *atAddress(const std::string &Address) const;
+  std::set<std::string> nodeIps() const;
+
+  std::uint64_t rulesRevision() const { return RuleRecords.Revision; }
+  std::uint64_t serversRevision() const { return ServerRecords.Revision; }
+  std::vector<Record> recordsAfter(std::uint64_t RulesRevision,
+                                   std::uint64_t ServersRevision) const;
+
+private:
+  RecordTable &tableOf(RecordKind Kind) {
+    return Kind == RecordKind::Rules ? RuleRecords : ServerRecords;
+  }
+  bool takeRules(const Record &Item, std::string_view Source, Instant Now);
+  void takeServer(const std::string &Id, Instant Now);
+
+  const Dialect &Words;
+  LogWriter &Log;
+  RecordTable RuleRecords;
+  RecordTable ServerRecords;
+  std::shared_ptr<const RouteTable> Rules;
+  std::map<std::string, KnownServer> Servers;
+  absl::flat_hash_map<std::string, std::vector<KnownServer *>> ByService;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/EventLoop.cpp
@@ -0,0 +1,152 @@
+#include "agent/EventLoop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr int EventsPerTurn = 128;
+constexpr int LongestWaitMs = 1000;
+
+Instant readClock() {
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+    : Epoll(epoll_create1(EPOLL_CLOEXEC)),
+      Wakeup(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), Now(readClock()) {
+  if (Epoll < 0 || Wakeup < 0)
+    throw std::system_error(errno, std::generic_category(),
+                            "cannot create the event loop; raise the limit of "
+                            "open descriptors");
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.ptr = nullptr;
+  epoll_ctl(Epoll, EPOLL_CTL_ADD, Wakeup, &Event);
+}
+
+EventLoop::~EventLoop() {
+  ::close(Epoll);
+  ::close(Wakeup);
+}
+
+void EventLoop::watch(int Descriptor, EventHandler &Handler) {
+  epoll_event Event{};
+  // Edge-triggered for both directions: one system call for the life of a
+  // connection.
+  Event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  Event.data.ptr = &Handler;
+  epoll_ctl(Epoll, EPOLL_CTL_ADD, Descriptor, &Event);
+}
+
+void EventLoop::unwatch(int Descriptor) {
+  epoll_event Event{};
+  epoll_ctl(Epoll, EPOLL_CTL_DEL, Descriptor, &Event);
+}
+
+void EventLoop::retire(std::shared_ptr<void> Object) {
+  Retired.push_back(std::move(Object));
+}
+
+void EventLoop::atTurnEnd(std::function<void()> Task) {
+  TurnEnd.push_back(std::move(Task));
+}
+
+TimerId EventLoop::callAt(Instant When, std::function<void()> Task) {
+  const TimerId Id = ++LastTimer;
+  Timers.push(Timer{When, Id});
+  TimerTasks.emplace(Id, std::move(Task));
+  return Id;
+}
+
+void EventLoop::cancelTimer(TimerId Id) { TimerTasks.erase(Id); }
+
+void EventLoop::post(std::function<void()> Task) {
+  {
+    const std::scoped_lock Lock(PostedMutex);
+    Posted.push_back(std::move(Task));
+  }
+  const std::uint64_t One = 1;
+  [[maybe_unused]] const auto Written = ::write(Wakeup, &One, sizeof(One));
+}
+
+int EventLoop::waitMillis() const {
+  if (Timers.empty())
+    return LongestWaitMs;
+  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      Timers.top().When - Now);
+  return static_cast<int>(
+      std::clamp<std::int64_t>(Left.count(), 0, LongestWaitMs));
+}
+
+void EventLoop::runTimers() {
+  while (!Timers.empty() && Timers.top().When <= Now) {
+    const TimerId Id = Timers.top().Id;
+    Timers.pop();
+    const auto Found = TimerTasks.find(Id);
+    if (Found == TimerTasks.end())
+      continue;
+    const std::function<void()> Task = std::move(Found->second);
+    TimerTasks.erase(Found);
+    Task();
+  }
+  // Cancelled timers at the top would otherwise cause needless wake-ups.
+  while (!Timers.empty() && !TimerTasks.contains(Timers.top().Id))
+    Timers.pop();
+}
+
+void EventLoop::runPosted() {
+  std::uint64_t Count = 0;
+  [[maybe_unused]] const auto Got = ::read(Wakeup, &Count, sizeof(Count));
+  std::vector<std::function<void()>> Tasks;
+  {
+    const std::scoped_lock Lock(PostedMutex);
+    Tasks.swap(Posted);
+  }
+  for (const std::function<void()> &Task : Tasks)
+    Task();
+}
+
+void EventLoop::runTurnEnd() {
+  while (!TurnEnd.empty()) {
+    std::vector<std::function<void()>> Tasks;
+    Tasks.swap(TurnEnd);
+    for (const std::function<void()> &Task : Tasks)
+      Task();
+  }
+  Retired.clear();
+}
+
+void EventLoop::run() {
+  std::array<epoll_event, EventsPerTurn> Events{};
+  while (!Stopping) {
+    const int Count =
+        epoll_wait(Epoll, Events.data(), EventsPerTurn, waitMillis());
+    Now = readClock();
+    for (int I = 0; I < Count; ++I) {
+      const epoll_event &Event = Events[static_cast<std::size_t>(I)];
+      if (Event.data.ptr == nullptr) {
+        runPosted();
+        continue;
+      }
+      static_cast<EventHandler *>(Event.data.ptr)
+          ->onReady((Event.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) != 0,
+                    (Event.events & EPOLLOUT) != 0,
+                    (Event.events & EPOLLERR) != 0);
+    }
+    runTimers();
+    runTurnEnd();
+  }
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/EventLoop.h
@@ -0,0 +1,83 @@
+#ifndef POLLENWICK_AGENT_EVENTLOOP_H
+#define POLLENWICK_AGENT_EVENTLOOP_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <queue>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "pollenwick/Time.h"
+
+namespace pollenwick::agent {
+
+/// Receives the readiness of one descriptor.
+class EventHandler {
+public:
+  virtual ~EventHandler() = default;
+  virtual void onReady(bool Readable, bool Writable, bool Failed) = 0;
+};
+
+using TimerId = std::uint64_t;
+
+/// One thread's edge-triggered event loop with timers. All members but `post`
+/// and `stop` are for the loop's thread.
+class EventLoop {
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  /// Time of the current turn of the loop.
+  Instant now() const { return Now; }
+
+  /// Watches a descriptor for reading and writing until `unwatch`. The
+  /// handler must outlive the turn in which it is unwatched: see `retire`.
+  void watch(int Descriptor, EventHandler &Handler);
+  void unwatch(int Descriptor);
+
+  /// Keeps an object alive until the end of the current turn.
+  void retire(std::shared_ptr<void> Object);
+
+  /// Calls `Task` once at the end of the current turn.
+  void atTurnEnd(std::function<void()> Task);
+
+  TimerId callAt(Instant When, std::function<void()> Task);
+  void cancelTimer(TimerId Id);
+
+  /// Runs `Task` on the loop's thread. Safe from any thread.
+  void post(std::function<void()> Task);
+
+  void run();
+  void stop() { Stopping = true; }
+
+private:
+  struct Timer {
+    Instant When;
+    TimerId Id;
+    bool operator>(const Timer &Other) const { return When > Other.When; }
+  };
+  void runTimers();
+  void runPosted();
+  void runTurnEnd();
+  int waitMillis() const;
+
+  int Epoll = -1;
+  int Wakeup = -1;
+  bool Stopping = false;
+  Instant Now;
+  TimerId LastTimer = 0;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> Timers;
+  absl::flat_hash_map<TimerId, std::function<void()>> TimerTasks;
+  std::vector<std::function<void()>> TurnEnd;
+  std::vector<std::shared_ptr<void>> Retired;
+  std::mutex PostedMutex;
+  std::vector<std::function<void()>> Posted;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/FleetState.cpp
@@ -0,0 +1,193 @@
+#include "agent/FleetState.h"
+
+#include <algorithm>
+
+namespace pollenwick::agent {
+namespace {
+
+/// Reports older than this say nothing about the present.
+constexpr Duration ReportLife = std::chrono::milliseconds(1500);
+
+double seconds(Duration Time) {
+  return static_cast<double>(Time.count()) / 1e6;
+}
+
+std::uint64_t grown(std::uint64_t Latest, std::uint64_t Before) {
+  return Latest > Before ? Latest - Before : 0;
+}
+
+std::uint64_t countOf(const std::vector<NamedCount> &Counts,
+                      const std::string &Name,
+                      std::uint64_t NamedCount::*Member) {
+  const auto Found = std::ranges::find(Counts, Name, &NamedCount::Name);
+  return Found == Counts.end() ? 0 : (*Found).*Member;
+}
+
+} // namespace
+
+FleetState::FleetState(const Settings &TheOptions, std::uint64_t TheStart)
+    : Options(TheOptions), Start(TheStart) {}
+
+QuotaDecision FleetState::spend(const CustomerRule &Customer, Instant Now) {
+  return spendQuota(Quotas[Customer.Customer.Text],
+                    {Customer.RatePerS, Customer.Burst}, Now);
+}
+
+Duration FleetState::retryAfter(const CustomerRule &Customer) const {
+  const auto Found = Quotas.find(Customer.Customer.Text);
+  const QuotaLimit Limit{Customer.RatePerS, Customer.Burst};
+  return quotaRetryAfter(Found == Quotas.end() ? QuotaBucket{} : Found->second,
+                         Limit);
+}
+
+RetryTerms FleetState::retryTerms() const {
+  return {Options.RetryRatio, Options.RetrySlack, Options.RetryWindow};
+}
+
+void FleetState::countRequest(const RouteRule & /*Route*/,
+                              const ServiceId &Service, Instant Now) {
+  countFirst(Budgets[Service.Text], retryTerms(), Now);
+}
+
+bool FleetState::takeRepeat(const ServiceId &Service, Instant Now) {
+  // A repeat of a call that makes calls repeats those too, and they count at
+  // the services that they reach.
+  std::map<std::string, ServiceUse> Uses;
+  for (const auto &[Ip, Node] : Reports) {
+    ServiceUse &Use = Uses[Node.Latest.Service];
+    for (const NamedCount &Call : Node.Latest.Calls)
+      if (Node.Latest.Runs > 0)
+        Use.CallsPerRun[Call.Name] = std::max(
+            Use.CallsPerRun[Call.Name],
+            static_cast<double>(Call.A) / static_cast<double>(Node.Latest.Runs));
+  }
+  const std::map<std::string, double> Reach = reachOf(Service.Text, Uses);
+  for (const auto &[Name, Cost] : Reach) {
+    RetryBudget Trial = Budgets[Name];
+    if (!pollenwick::takeRepeat(Trial, retryTerms(), Cost, Now))
+      return false;
+  }
+  for (const auto &[Name, Cost] : Reach)
+    pollenwick::takeRepeat(Budgets[Name], retryTerms(), Cost, Now);
+  return true;
+}
+
+void FleetState::countOffered(const RouteRule &Route, bool Admitted) {
+  OwnRoute &Counts = Routes[Route.Name];
+  ++Counts.Offered;
+  if (Admitted)
+    ++Counts.Admitted;
+}
+
+void FleetState::countCrash(std::uint64_t Fingerprint, Instant Now) {
+  pollenwick::countCrash(Crashes, Fingerprint, Options.Ip, Now);
+}
+
+void FleetState::takeStatus(const std::string &Ip, const StatusFrame &Status,
+                            Instant Now) {
+  Report &Node = Reports[Ip];
+  const bool Restarted = Node.Latest.Start != Status.Start;
+  Node.Before = Restarted ? Status : Node.Latest;
+  Node.BeforeAt = Restarted ? Now : Node.LatestAt;
+  Node.Latest = Status;
+  Node.LatestAt = Now;
+  if (Ip == Options.Ip)
+    return;
+  for (const NamedCount &Item : Status.Customers)
+    reportQuota(Quotas[Item.Name], Ip, Status.Start, {Item.A, Item.B}, Now);
+  for (const NamedCount &Item : Status.Retries)
+    reportRepeats(Budgets[Item.Name], retryTerms(), Ip, Status.Start,
+                  {Item.A, Item.B}, Now);
+  for (const CrashReport &Item : Status.Crashes)
+    reportCrash(Crashes, Item.Fingerprint, Ip, Item.Count, Now);
+}
+
+void FleetState::fillStatus(StatusFrame &Status) const {
+  Status.Start = Start;
+  for (const auto &[Name, Bucket] : Quotas)
+    Status.Customers.push_back(
+        {Name, Bucket.Own.Admitted, Bucket.Own.Offered});
+  for (const auto &[Name, Counts] : Routes)
+    Status.Routes.push_back({Name, Counts.Admitted, Counts.Offered});
+  for (const auto &[Name, Budget] : Budgets)
+    Status.Retries.push_back({Name, Budget.Own.Repeats, Budget.Own.Firsts});
+  for (const auto &[Name, Count] : Nested)
+    Status.Calls.push_back({Name, Count, 0});
+  for (const auto &[Print, Entry] : Crashes.Requests) {
+    const auto Own = Entry.ByNode.find(Options.Ip);
+    if (Own != Entry.ByNode.end())
+      Status.Crashes.push_back({Print, Own->second});
+  }
+}
+
+void FleetState::plan(const Directory &Hosts, const StatusFrame &Own,
+                      Duration Interval, Instant Now) {
+  takeStatus(Options.Ip, Own, Now);
+  for (auto &[Name, Budget] : Budgets)
+    Budget.SinceTick = 0;
+  expireCrashes(Crashes, Now);
+  if (!Hosts.rules())
+    return;
+  const RouteTable &Rules = *Hosts.rules();
+  for (const CustomerRule &Customer : Rules.Source.Customers)
+    planQuota(Quotas[Customer.Customer.Text],
+              {Customer.RatePerS, Customer.Burst}, Interval, Now);
+  planAdmission(Rules, Interval, Now);
+}
+
+void FleetState::planAdmission(const RouteTable &Rules, Duration Interval,
+                               Instant Now) {
+  std::map<std::string, ServiceUse> Uses;
+  std::map<std::string, double> Offered;
+  std::map<std::string, double> There;
+  std::map<std::string, double> Slots;
+  std::map<std::string, double> Waiting;
+  std::map<std::string, double> Runs;
+  std::map<std::string, std::map<std::string, double>> Calls;
+  std::map<std::string, double> Demand;
+  for (const auto &[Ip, Node] : Reports) {
+    if (Now - Node.LatestAt > ReportLife)
+      continue;
+    const StatusFrame &Latest = Node.Latest;
+    const StatusFrame &Before = Node.Before;
+    const double Elapsed = seconds(Node.LatestAt - Node.BeforeAt);
+    Offered[Latest.Service] += static_cast<double>(
+        grown(Latest.OfferedMicros, Before.OfferedMicros));
+    There[Latest.Service] +=
+        static_cast<double>(grown(Latest.LimitMicros, Before.LimitMicros));
+    Slots[Latest.Service] += Latest.Load.Limit;
+    Waiting[Latest.Service] += Latest.Load.Waiting;
+    Runs[Latest.Service] += static_cast<double>(Latest.Runs);
+    for (const NamedCount &Call : Latest.Calls)
+      Calls[Latest.Service][Call.Name] += static_cast<double>(Call.A);
+    if (Elapsed <= 0)
+      continue;
+    for (const NamedCount &Route : Latest.Routes)
+      Demand[Route.Name] +=
+          static_cast<double>(
+              grown(Route.B,
+                    countOf(Before.Routes, Route.Name, &NamedCount::B))) /
+          Elapsed;
+  }
+  for (const auto &[Service, Limit] : There) {
+    ServiceUse &Use = Uses[Service];
+    Use.OfferedUse = Limit > 0 ? Offered[Service] / Limit : 0;
+    Use.WaitShare = Slots[Service] > 0 ? Waiting[Service] / Slots[Service] : 0;
+    if (Runs[Service] > 0)
+      for (const auto &[Callee, Count] : Calls[Service])
+        Use.CallsPerRun[Callee] = Count / Runs[Service];
+  }
+  std::vector<RouteDemand> Routes;
+  for (const RouteRule &Route : Rules.Source.Routes) {
+    const auto Found = Demand.find(Route.Name);
+    if (Found == Demand.end() || Found->second <= 0)
+      continue;
+    for (const WeightedService &Part : Route.Services)
+      Routes.push_back({Route.Name, Part.Service.Text, Route.Priority,
+                        Found->second / static_cast<double>(
+                                            Route.Services.size())});
+  }
+  updatePlan(Plan, Routes, Uses, Interval);
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Ingress.cpp
@@ -0,0 +1,407 @@
+#include "agent/Ingress.h"
+
+#include <algorithm>
+
+#include "absl/hash/hash.h"
+#include "absl/strings/str_format.h"
+#include "agent/Text.h"
+
+namespace pollenwick::agent {
+
+std::vector<std::string> ownedRequestHeaders(const Dialect &Words) {
+  return {Words.Deadline,      Words.Key,    Words.Customer,
+          Words.CallerService, Words.ExpectedServer};
+}
+
+namespace {
+
+/// Used when neither the caller nor the route bounds the time.
+constexpr Duration DefaultTimeout = std::chrono::seconds(10);
+/// The node beside the server reports a passed deadline; the ingress waits a
+/// little longer for that report before it answers by itself.
+constexpr Duration ExpiryGrace = std::chrono::milliseconds(60);
+/// Placements of one request. Refusals by a node cost no repeat.
+constexpr std::uint32_t LargestPlacements = 6;
+/// Time between two looks for a usable server.
+constexpr Duration PlaceAgain = std::chrono::milliseconds(40);
+/// Part of the latency target for which a request may wait for a server.
+constexpr int PlaceWaitDivisor = 9;
+constexpr Duration ShortestPlaceWait = std::chrono::milliseconds(100);
+/// A server that could not be reached gets no further calls for a moment.
+constexpr Duration AvoidFor = std::chrono::milliseconds(400);
+
+constexpr Duration RetrySoon = std::chrono::milliseconds(300);
+constexpr Duration RetryWhenShed = std::chrono::milliseconds(1000);
+constexpr Duration RetryQuarantined = std::chrono::seconds(60);
+
+std::uint64_t fingerprintOf(const CallRequest &Request) {
+  return absl::HashOf(Request.Method, Request.Target, Request.Body);
+}
+
+bool isServerFailure(int Status) { return Status >= 500; }
+
+} // namespace
+
+Ingress::Ingress(EventLoop &TheLoop, const Dialect &TheWords,
+                 const Settings &TheOptions, LogWriter &TheLog,
+                 Metrics &TheCounters, Directory &TheHosts,
+                 FleetState &TheFleet, Backend &TheLocal, PeerLinks &ThePeers,
+                 std::uint64_t Seed)
+    : Loop(TheLoop), Words(TheWords), Options(TheOptions), Log(TheLog),
+      Counters(TheCounters), Hosts(TheHosts), Fleet(TheFleet), Local(TheLocal),
+      Peers(ThePeers), Dropped(ownedRequestHeaders(TheWords)),
+      Random(static_cast<std::minstd_rand::result_type>(Seed)), Split(Seed) {}
+
+void Ingress::onRequest(const std::shared_ptr<CallerConnection> &From,
+                        CallerRequest &&Request) {
+  const Number Id = ++LastNumber;
+  From->Exchange = Id;
+  auto Owned = std::make_unique<Exchange>();
+  Exchange &Item = *Owned;
+  Exchanges.emplace(Id, std::move(Owned));
+  Item.From = From;
+  Item.Rules = Hosts.rules();
+  Item.Began = Loop.now();
+  Item.Request.RequestId =
+      std::string(headerValue(Request.Fields, Words.RequestId));
+  Refusal Why;
+  if (!admit(Item, Request, Why)) {
+    refuse(Id, Why);
+    return;
+  }
+  buildCall(Item, std::move(Request));
+  if (Fleet.quarantined(Item.Request.Fingerprint)) {
+    refuse(Id, {503, "crashes-servers", RetryQuarantined});
+    return;
+  }
+  Item.ExpiryTimer =
+      Loop.callAt(Item.Expiry + ExpiryGrace, [this, Id] { onExpiry(Id); });
+  place(Id);
+}
+
+bool Ingress::admit(Exchange &Item, const CallerRequest &Request,
+                    Refusal &Why) {
+  if (!Item.Rules) {
+    Why = {503, "no-configuration-yet", spread(RetrySoon)};
+    return false;
+  }
+  const std::string_view Host = headerValue(Request.Fields, "Host");
+  Item.Route = findRoute(*Item.Rules, Host, Request.Target);
+  if (!Item.Route || Item.Route->Services.empty()) {
+    Why = {404, "no-route", {}};
+    return false;
+  }
+  if (Item.Request.RequestId.empty()) {
+    Why = {400, "no-request-id", {}};
+    return false;
+  }
+  const std::string_view Key = headerValue(Request.Fields, Words.Key);
+  // Calls that a server makes carry no key; they use routes open to all.
+  Item.Request.Nested = Item.Route->Public && Key.empty();
+  Item.Request.Rank = Item.Route->Priority;
+  const auto Left = parseNumber(headerValue(Request.Fields, Words.Deadline));
+  Duration Time = Left ? Duration(std::chrono::milliseconds(std::clamp<
+                             std::int64_t>(*Left, 0, 3'600'000)))
+                       : DefaultTimeout;
+  if (Item.Route->Timeout.count() > 0)
+    Time = std::min(Time, Item.Route->Timeout);
+  Item.Expiry = Loop.now() + Time;
+  Item.Service = Split.next(*Item.Route);
+  if (Item.Request.Nested) {
+    Fleet.countNested(Item.Service);
+    return true;
+  }
+  return admitCustomer(Item, Request, Why);
+}
+
+bool Ingress::admitCustomer(Exchange &Item, const CallerRequest &Request,
+                            Refusal &Why) {
+  const CustomerRule *Customer = nullptr;
+  if (!Item.Route->Public && !Item.Rules->Source.Customers.empty()) {
+    const std::string_view Key = headerValue(Request.Fields, Words.Key);
+    Customer = Key.empty() ? nullptr : findCustomer(*Item.Rules, Key);
+    if (!Customer) {
+      Why = {401, "unknown-key", {}};
+      return false;
+    }
+    Item.Customer = Customer->Customer.Text;
+  }
+  std::uniform_real_distribution<double> Draw(0, 1);
+  if (Draw(Random) >= Fleet.share(Item.Route->Name)) {
+    Fleet.countOffered(*Item.Route, false);
+    Why = {503, "overload", spread(RetryWhenShed)};
+    return false;
+  }
+  if (Customer &&
+      Fleet.spend(*Customer, Loop.now()) == QuotaDecision::Refuse) {
+    Why = {429, "over-rate", spread(Fleet.retryAfter(*Customer))};
+    return false;
+  }
+  Fleet.countOffered(*Item.Route, true);
+  Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
+  return true;
+}
+
+void Ingress::buildCall(Exchange &Item, CallerRequest &&Request) {
+  CallRequest &Call = Item.Request;
+  Call.Route = Item.Route->Name;
+  Call.Deadline = Item.Expiry;
+  Call.LatencyTarget = Item.Route->LatencyTarget;
+  Call.Repeatable = Item.Route->Kind == Repeat::Safe;
+  Call.Method = std::move(Request.Method);
+  Call.Target = std::move(Request.Target);
+  Call.Head = forwardedHeaders(Request.Fields, Dropped);
+  appendAll(Call.Head, Words.CallerService, ": ", Options.Service.Text,
+                  "\r\n");
+  if (!Item.Customer.empty())
+    appendAll(Call.Head, Words.Customer, ": ", Item.Customer, "\r\n");
+  Call.Body = std::move(Request.Body);
+  Call.Fingerprint = fingerprintOf(Call);
+}
+
+std::vector<KnownServer *> Ingress::usableServers(const Exchange &Item) {
+  std::vector<KnownServer *> Servers = Hosts.serversOf(Item.Service);
+  std::erase_if(Servers, [&](const KnownServer *Server) {
+    const bool AtLocal = Server->Entry.Address == Options.ServerAddress;
+    return Server->Entry.State != ServerState::Ready || Server->Load.Leaving ||
+           Server->AvoidUntil > Loop.now() ||
+           Item.Tried.contains(Server->Entry.Id.Text) ||
+           (!AtLocal && !Peers.find(Server->NodeIp));
+  });
+  return Servers;
+}
+
+void Ingress::place(Number Id) {
+  Exchange &Item = *Exchanges.at(Id);
+  Item.PlaceTimer = 0;
+  const std::vector<KnownServer *> Servers = usableServers(Item);
+  std::vector<Candidate> Candidates(Servers.size());
+  std::ranges::transform(Servers, Candidates.begin(), [&](const auto *Server) {
+    Candidate Choice;
+    Choice.Load = Server->Load;
+    Choice.SentSince = Server->SentSince;
+    Choice.SameZone = Server->Entry.Zone == Options.Zone;
+    Choice.Local = Server->Entry.Address == Options.ServerAddress;
+    Choice.ColdRemaining = Server->ColdUntil - Loop.now();
+    return Choice;
+  });
+  const auto Chosen = choosePlacement(Candidates, Random);
+  if (Chosen) {
+    send(Id, *Servers[*Chosen]);
+    return;
+  }
+  const Duration Wait = std::max(
+      ShortestPlaceWait, Item.Route->LatencyTarget / PlaceWaitDivisor);
+  const Instant Until = std::min(Item.Began + Wait, Item.Expiry);
+  if (Loop.now() + PlaceAgain < Until) {
+    Item.PlaceTimer =
+        Loop.callAt(Loop.now() + PlaceAgain, [this, Id] { place(Id); });
+    return;
+  }
+  if (Item.LastCause.empty())
+    Item.LastCause = "no-usable-server";
+  refuse(Id, {Item.MayHaveRun ? 502 : 503, Item.LastCause, spread(RetrySoon)});
+}
+
+void Ingress::send(Number Id, KnownServer &Server) {
+  Exchange &Item = *Exchanges.at(Id);
+  Item.ServerId = Server.Entry.Id.Text;
+  ++Item.Placements;
+  ++Server.SentSince;
+  CallRequest Call = Item.Request;
+  Call.ServerId = Item.ServerId;
+  auto Done = [this, Id](CallAnswer &&Answer) {
+    onAnswer(Id, std::move(Answer));
+  };
+  Item.AtLocal = Server.Entry.Address == Options.ServerAddress;
+  if (Item.AtLocal) {
+    Item.LocalNumber = Local.submit(std::move(Call), std::move(Done));
+    return;
+  }
+  PeerLink *Link = Peers.find(Server.NodeIp);
+  Item.Link = Link->weak_from_this();
+  Item.LinkId = Link->call(std::move(Call), std::move(Done));
+}
+
+void Ingress::withdraw(Exchange &Item) {
+  if (Item.ServerId.empty())
+    return;
+  if (Item.AtLocal)
+    Local.cancel(Item.LocalNumber);
+  else if (const auto Link = Item.Link.lock())
+    Link->cancel(Item.LinkId);
+  Item.ServerId.clear();
+}
+
+void Ingress::onAnswer(Number Id, CallAnswer &&Answer) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end())
+    return;
+  Exchange &Item = *Found->second;
+  KnownServer *Server = Hosts.find(Item.ServerId);
+  if (Server && Answer.Load.Limit > 0) {
+    Server->Load = Answer.Load;
+    Server->LoadAt = Loop.now();
+    Server->SentSince = 0;
+  }
+  if (Answer.Arrived)
+    ++Item.Attempts;
+  Item.Tried.insert(Item.ServerId);
+  switch (Answer.Outcome) {
+  case CallOutcome::Complete:
+    if (isServerFailure(Answer.Status) && Item.Request.Repeatable &&
+        Answer.Status != 504 && mayRepeat(Item)) {
+      Counters.count("repeats_total", "server-failed");
+      Item.ServerId.clear();
+      Item.LastCause = "server-failed";
+      place(Id);
+      return;
+    }
+    deliver(Id, Answer);
+    return;
+  case CallOutcome::NotRun:
+    if (Server && !Answer.Arrived)
+      Server->AvoidUntil = Answer.Cause == "server-unreachable"
+                               ? Loop.now() + AvoidFor
+                               : Server->AvoidUntil;
+    Item.ServerId.clear();
+    onNotRun(Id, Answer);
+    return;
+  case CallOutcome::Unknown:
+    Item.ServerId.clear();
+    onUnknown(Id, Answer);
+    return;
+  }
+}
+
+bool Ingress::mayRepeat(Exchange &Item) {
+  return Item.Attempts < Item.Route->MaxAttempts &&
+         Item.Placements < LargestPlacements && Loop.now() < Item.Expiry &&
+         Fleet.takeRepeat(Item.Service, Loop.now());
+}
+
+void Ingress::onNotRun(Number Id, const CallAnswer &Answer) {
+  Exchange &Item = *Exchanges.at(Id);
+  Item.LastCause = Answer.Cause;
+  const bool InTime =
+      Item.Placements < LargestPlacements && Loop.now() < Item.Expiry;
+  // A refusal by the server itself used up one of its arrivals.
+  const bool Again = Answer.Arrived ? mayRepeat(Item) : InTime;
+  if (Again && Answer.Cause != "deadline-in-queue") {
+    Counters.count("replacements_total", Answer.Cause);
+    place(Id);
+    return;
+  }
+  refuse(Id, {Item.MayHaveRun ? 502 : 503, Item.LastCause, spread(RetrySoon)});
+}
+
+void Ingress::onUnknown(Number Id, const CallAnswer &Answer) {
+  Exchange &Item = *Exchanges.at(Id);
+  Item.LastCause = Answer.Cause;
+  Item.MayHaveRun = true;
+  if (Item.Request.Repeatable && mayRepeat(Item)) {
+    Counters.count("repeats_total", Answer.Cause);
+    place(Id);
+    return;
+  }
+  refuse(Id, {502, Item.LastCause, {}});
+}
+
+void Ingress::onExpiry(Number Id) {
+  Exchange &Item = *Exchanges.at(Id);
+  Item.ExpiryTimer = 0;
+  withdraw(Item);
+  refuse(Id, {504, "deadline-passed", {}});
+}
+
+void Ingress::onCallerLeft(CallerConnection &From) {
+  const auto Found = Exchanges.find(From.Exchange);
+  if (Found == Exchanges.end())
+    return;
+  Counters.count("answers_total", "caller-left");
+  withdraw(*Found->second);
+  finish(From.Exchange);
+}
+
+void Ingress::deliver(Number Id, const CallAnswer &Answer) {
+  const Exchange &Item = *Exchanges.at(Id);
+  std::string Message = concat(
+      "HTTP/1.1 ", Answer.Status, " ", reasonPhrase(Answer.Status), "\r\n",
+      Answer.Head);
+  const bool Leaving = !Item.From->keepsAlive();
+  if (Leaving)
+    appendAll(Message, "Connection: close\r\n");
+  if (Answer.Status != 204 && Answer.Status != 304)
+    appendAll(Message, "Content-Length: ", Answer.Body.size(), "\r\n");
+  appendAll(Message, "\r\n", Answer.Body);
+  Counters.count("answers_total",
+                 concat(Answer.Status / 100, "xx"));
+  Counters.answered(Item.Route->Name, Loop.now() - Item.Began);
+  if (isServerFailure(Answer.Status))
+    logOutcome(Item, Answer.Status, "server-answer");
+  const std::shared_ptr<CallerConnection> From = Item.From;
+  finish(Id);
+  From->respond(std::move(Message), !Leaving);
+}
+
+void Ingress::refuse(Number Id, const Refusal &Why) {
+  const Exchange &Item = *Exchanges.at(Id);
+  Counters.count("answers_total", concat(Why.Status, "-", Why.Reason));
+  logOutcome(Item, Why.Status, Why.Reason);
+  std::string Extra;
+  if (Why.RetryAfter.count() > 0)
+    Extra = absl::StrFormat("Retry-After: %.2f\r\n",
+                            static_cast<double>(Why.RetryAfter.count()) / 1e6);
+  if (!Item.Request.RequestId.empty())
+    appendAll(Extra, Words.RequestId, ": ", Item.Request.RequestId,
+                    "\r\n");
+  const std::shared_ptr<CallerConnection> From = Item.From;
+  const bool Keep = From->keepsAlive();
+  std::string Message = ownAnswer(Why.Status, Why.Reason, Extra, Keep);
+  finish(Id);
+  From->respond(std::move(Message), Keep);
+}
+
+void Ingress::finish(Number Id) {
+  const auto Found = Exchanges.find(Id);
+  if (Found == Exchanges.end())
+    return;
+  if (Found->second->ExpiryTimer != 0)
+    Loop.cancelTimer(Found->second->ExpiryTimer);
+  if (Found->second->PlaceTimer != 0)
+    Loop.cancelTimer(Found->second->PlaceTimer);
+  Exchanges.erase(Found);
+}
+
+void Ingress::logOutcome(const Exchange &Item, int Status,
+                         std::string_view Reason) {
+  LogLine Line("request-answered", Loop.now());
+  Line.field("request", Item.Request.RequestId)
+      .field("status", Status)
+      .field("reason", Reason)
+      .field("nested", Item.Request.Nested ? 1 : 0)
+      .field("held_us", (Loop.now() - Item.Began).count());
+  if (Item.Rules)
+    Line.field("rules_version",
+               static_cast<std::int64_t>(Item.Rules->Source.Version));
+  if (Item.Route)
+    Line.field("route", Item.Route->Name)
+        .field("service", Item.Service.Text)
+        .field("customer", Item.Customer)
+        .field("admitted_share_pct",
+               static_cast<std::int64_t>(
+                   100 * Fleet.share(Item.Route->Name)))
+        .field("placements", Item.Placements)
+        .field("arrivals", Item.Attempts)
+        .field("last_cause", Item.LastCause)
+        .field("server", Item.ServerId);
+  Log.request(Reason, std::move(Line), Loop.now());
+}
+
+Duration Ingress::spread(Duration Base) {
+  std::uniform_real_distribution<double> Factor(0.7, 1.3);
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(Base.count()) * Factor(Random)));
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Metrics.cpp
@@ -0,0 +1,93 @@
+#include "agent/Metrics.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr unsigned LatencyBuckets = 24;
+constexpr double LowestMs = 0.5;
+constexpr double HighestMs = 10000;
+/// Routes with a histogram of their own; the rest share one.
+constexpr std::size_t LargestRouteCount = 64;
+
+} // namespace
+
+Metrics::Metrics() = default;
+
+Metrics::Histogram Metrics::emptyHistogram() {
+  return boost::histogram::make_histogram(
+      boost::histogram::axis::regular<
+          double, boost::histogram::axis::transform::log>(
+          LatencyBuckets, LowestMs, HighestMs));
+}
+
+void Metrics::count(std::string_view Name, std::string_view Label,
+                    std::uint64_t Amount) {
+  auto Family = Counters.find(Name);
+  if (Family == Counters.end())
+    Family = Counters.try_emplace(std::string(Name)).first;
+  const auto Found = Family->second.find(Label);
+  if (Found == Family->second.end())
+    Family->second.emplace(std::string(Label), Amount);
+  else
+    Found->second += Amount;
+}
+
+void Metrics::gauge(std::string_view Name, std::int64_t Value) {
+  const auto Found = Gauges.find(Name);
+  if (Found == Gauges.end())
+    Gauges.emplace(std::string(Name), Value);
+  else
+    Found->second = Value;
+}
+
+void Metrics::answered(std::string_view Route, Duration Time) {
+  auto Found = Latencies.find(Route);
+  if (Found == Latencies.end()) {
+    const std::string Name = Latencies.size() < LargestRouteCount
+                                 ? std::string(Route)
+                                 : std::string("other");
+    Found = Latencies.try_emplace(Name, emptyHistogram()).first;
+  }
+  const double Ms = static_cast<double>(Time.count()) / 1000;
+  Found->second(Ms);
+  LatencySums[Found->first] += Ms;
+}
+
+std::string Metrics::render() const {
+  std::string Out;
+  for (const auto &[Name, Labels] : Counters) {
+    absl::StrAppend(&Out, "# TYPE pollenwick_", Name, " counter\n");
+    for (const auto &[Label, Value] : Labels)
+      absl::StrAppend(&Out, "pollenwick_", Name, "{kind=\"", Label, "\"} ",
+                      Value, "\n");
+  }
+  for (const auto &[Name, Value] : Gauges)
+    absl::StrAppend(&Out, "# TYPE pollenwick_", Name, " gauge\npollenwick_",
+                    Name, " ", Value, "\n");
+  if (!Latencies.empty())
+    absl::StrAppend(&Out, "# TYPE pollenwick_answer_ms histogram\n");
+  for (const auto &[Route, Histogram] : Latencies) {
+    double Total = 0;
+    for (const auto &Bin : boost::histogram::indexed(
+             Histogram, boost::histogram::coverage::all)) {
+      Total += *Bin;
+      const auto Upper = Bin.bin().upper();
+      absl::StrAppend(&Out, "pollenwick_answer_ms_bucket{route=\"", Route,
+                      "\",le=\"");
+      if (Upper > HighestMs * 2)
+        absl::StrAppend(&Out, "+Inf");
+      else
+        absl::StrAppend(&Out, Upper);
+      absl::StrAppend(&Out, "\"} ", static_cast<std::uint64_t>(Total), "\n");
+    }
+    absl::StrAppend(&Out, "pollenwick_answer_ms_sum{route=\"", Route, "\"} ",
+                    LatencySums.find(Route)->second,
+                    "\npollenwick_answer_ms_count{route=\"", Route, "\"} ",
+                    static_cast<std::uint64_t>(Total), "\n");
+  }
+  return Out;
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Metrics.h
@@ -0,0 +1,44 @@
+#ifndef POLLENWICK_AGENT_METRICS_H
+#define POLLENWICK_AGENT_METRICS_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <boost/histogram.hpp>
+
+#include "pollenwick/Time.h"
+
+namespace pollenwick::agent {
+
+/// Counters and latency histograms of one process, in the text exposition
+/// format.
+class Metrics {
+public:
+  Metrics();
+
+  void count(std::string_view Name, std::string_view Label,
+             std::uint64_t Amount = 1);
+  void gauge(std::string_view Name, std::int64_t Value);
+  /// Time from a caller's request to its final answer.
+  void answered(std::string_view Route, Duration Time);
+  std::string render() const;
+
+private:
+  using Histogram = decltype(boost::histogram::make_histogram(
+      boost::histogram::axis::regular<
+          double, boost::histogram::axis::transform::log>(1, 1.0, 2.0)));
+  static Histogram emptyHistogram();
+
+  std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>,
+           std::less<>>
+      Counters;
+  std::map<std::string, std::int64_t, std::less<>> Gauges;
+  std::map<std::string, Histogram, std::less<>> Latencies;
+  std::map<std::string, double, std::less<>> LatencySums;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/agent/PeerWire.cpp
@@ -0,0 +1,313 @@
+#include "agent/PeerWire.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include "absl/strings/str_cat.h"
+#include "peer/Mesh.capnp.h"
+
+namespace pollenwick::agent {
+namespace {
+
+/// Largest frame: a body at its limit and its headers.
+constexpr std::size_t LargestFrame = 72U * 1024 * 1024;
+constexpr std::size_t WordBytes = sizeof(capnp::word);
+constexpr std::size_t ScratchWords = 1024;
+
+capnp::Text::Reader text(const std::string &Value) {
+  return {Value.c_str(), Value.size()};
+}
+
+capnp::Data::Reader data(const std::string &Value) {
+  return {reinterpret_cast<const kj::byte *>(Value.data()), Value.size()};
+}
+
+std::string toString(capnp::Text::Reader Value) {
+  return {Value.cStr(), Value.size()};
+}
+
+std::string toString(capnp::Data::Reader Value) {
+  return {reinterpret_cast<const char *>(Value.begin()), Value.size()};
+}
+
+std::uint32_t micros(Duration Time) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      Time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void put(mesh::wire::Load::Builder Out, const ServerLoad &Load) {
+  Out.setRunning(Load.Running);
+  Out.setWaiting(Load.Waiting);
+  Out.setLimit(Load.Limit);
+  Out.setServiceMicros(micros(Load.Service));
+  Out.setLeaving(Load.Leaving);
+}
+
+ServerLoad read(mesh::wire::Load::Reader In) {
+  ServerLoad Load;
+  Load.Running = In.getRunning();
+  Load.Waiting = In.getWaiting();
+  Load.Limit = In.getLimit();
+  Load.Service = Duration(In.getServiceMicros());
+  Load.Leaving = In.getLeaving();
+  return Load;
+}
+
+template <typename Builder>
+void putCounts(Builder Out, const std::vector<NamedCount> &Counts) {
+  for (unsigned I = 0; I < Counts.size(); ++I) {
+    Out[I].setName(text(Counts[I].Name));
+    Out[I].setA(Counts[I].A);
+    Out[I].setB(Counts[I].B);
+  }
+}
+
+template <typename Reader> std::vector<NamedCount> readCounts(Reader In) {
+  std::vector<NamedCount> Counts;
+  Counts.reserve(In.size());
+  for (const auto Item : In)
+    Counts.push_back({toString(Item.getName()), Item.getA(), Item.getB()});
+  return Counts;
+}
+
+void put(mesh::wire::Frame::Builder Root, const CallFrame &Frame, Instant Now) {
+  auto Out = Root.initCall();
+  const CallRequest &Request = Frame.Request;
+  Out.setId(Frame.Id);
+  Out.setRequestId(text(Request.RequestId));
+  Out.setServerId(text(Request.ServerId));
+  Out.setRoute(text(Request.Route));
+  Out.setRemainingMicros(micros(Request.Deadline - Now));
+  Out.setTargetMicros(micros(Request.LatencyTarget));
+  Out.setRank(static_cast<std::uint16_t>(std::clamp(Request.Rank, 0, 65535)));
+  Out.setNested(Request.Nested);
+  Out.setRepeatable(Request.Repeatable);
+  Out.setFingerprint(Request.Fingerprint);
+  Out.setMethod(text(Request.Method));
+  Out.setTarget(text(Request.Target));
+  Out.setHead(data(Request.Head));
+  Out.setBody(data(Request.Body));
+}
+
+void put(mesh::wire::Frame::Builder Root, const AnswerFrame &Frame, Instant) {
+  auto Out = Root.initAnswer();
+  const CallAnswer &Answer = Frame.Answer;
+  Out.setId(Frame.Id);
+  Out.setOutcome(static_cast<mesh::wire::Outcome>(Answer.Outcome));
+  Out.setStatus(static_cast<std::uint16_t>(Answer.Status));
+  Out.setArrived(Answer.Arrived);
+  Out.setCause(text(Answer.Cause));
+  Out.setHead(data(Answer.Head));
+  Out.setBody(data(Answer.Body));
+  put(Out.initLoad(), Answer.Load);
+}
+
+void put(mesh::wire::Frame::Builder Root, const CancelFrame &Frame, Instant) {
+  Root.setCancel(Frame.Id);
+}
+
+void put(mesh::wire::Frame::Builder Root, const StatusFrame &Frame, Instant) {
+  auto Out = Root.initStatus();
+  Out.setStart(Frame.Start);
+  Out.setRulesRevision(Frame.RulesRevision);
+  Out.setServersRevision(Frame.ServersRevision);
+  Out.setService(text(Frame.Service));
+  Out.setServerId(text(Frame.ServerId));
+  put(Out.initLoad(), Frame.Load);
+  Out.setOfferedMicros(Frame.OfferedMicros);
+  Out.setLimitMicros(Frame.LimitMicros);
+  Out.setRuns(Frame.Runs);
+  putCounts(Out.initCustomers(static_cast<unsigned>(Frame.Customers.size())),
+            Frame.Customers);
+  putCounts(Out.initRoutes(static_cast<unsigned>(Frame.Routes.size())),
+            Frame.Routes);
+  putCounts(Out.initRetries(static_cast<unsigned>(Frame.Retries.size())),
+            Frame.Retries);
+  putCounts(Out.initCalls(static_cast<unsigned>(Frame.Calls.size())),
+            Frame.Calls);
+  auto Crashes = Out.initCrashes(static_cast<unsigned>(Frame.Crashes.size()));
+  for (unsigned I = 0; I < Frame.Crashes.size(); ++I) {
+    Crashes[I].setFingerprint(Frame.Crashes[I].Fingerprint);
+    Crashes[I].setCount(Frame.Crashes[I].Count);
+  }
+}
+
+void put(mesh::wire::Frame::Builder Root, const PullFrame &Frame, Instant) {
+  auto Out = Root.initPull();
+  Out.setRulesRevision(Frame.RulesRevision);
+  Out.setServersRevision(Frame.ServersRevision);
+}
+
+void put(mesh::wire::Frame::Builder Root, const RecordsFrame &Frame, Instant) {
+  auto Set = Root.initRecords();
+  Set.setRulesRevision(Frame.RulesRevision);
+  Set.setServersRevision(Frame.ServersRevision);
+  auto Out = Set.initRecords(static_cast<unsigned>(Frame.Records.size()));
+  for (unsigned I = 0; I < Frame.Records.size(); ++I) {
+    const Record &Item = Frame.Records[I];
+    Out[I].setKind(static_cast<std::uint8_t>(Item.Kind));
+    Out[I].setId(text(Item.Id));
+    Out[I].setRevision(Item.Revision);
+    Out[I].setDeleted(Item.Deleted);
+    Out[I].setValue(data(Item.Value));
+  }
+}
+
+CallFrame readCall(mesh::wire::Call::Reader In, Instant Now) {
+  CallFrame Frame;
+  CallRequest &Request = Frame.Request;
+  Frame.Id = In.getId();
+  Request.RequestId = toString(In.getRequestId());
+  Request.ServerId = toString(In.getServerId());
+  Request.Route = toString(In.getRoute());
+  Request.Deadline = Now + Duration(In.getRemainingMicros());
+  Request.LatencyTarget = Duration(In.getTargetMicros());
+  Request.Rank = In.getRank();
+  Request.Nested = In.getNested();
+  Request.Repeatable = In.getRepeatable();
+  Request.Fingerprint = In.getFingerprint();
+  Request.Method = toString(In.getMethod());
+  Request.Target = toString(In.getTarget());
+  Request.Head = toString(In.getHead());
+  Request.Body = toString(In.getBody());
+  return Frame;
+}
+
+AnswerFrame readAnswer(mesh::wire::Answer::Reader In) {
+  AnswerFrame Frame;
+  CallAnswer &Answer = Frame.Answer;
+  Frame.Id = In.getId();
+  const auto Outcome = static_cast<std::uint16_t>(In.getOutcome());
+  Answer.Outcome = Outcome <= 2 ? static_cast<CallOutcome>(Outcome)
+                                : CallOutcome::Unknown;
+  Answer.Status = In.getStatus();
+  Answer.Arrived = In.getArrived();
+  Answer.Cause = toString(In.getCause());
+  Answer.Head = toString(In.getHead());
+  Answer.Body = toString(In.getBody());
+  Answer.Load = read(In.getLoad());
+  return Frame;
+}
+
+StatusFrame readStatus(mesh::wire::Status::Reader In) {
+  StatusFrame Frame;
+  Frame.Start = In.getStart();
+  Frame.RulesRevision = In.getRulesRevision();
+  Frame.ServersRevision = In.getServersRevision();
+  Frame.Service = toString(In.getService());
+  Frame.ServerId = toString(In.getServerId());
+  Frame.Load = read(In.getLoad());
+  Frame.OfferedMicros = In.getOfferedMicros();
+  Frame.LimitMicros = In.getLimitMicros();
+  Frame.Runs = In.getRuns();
+  Frame.Customers = readCounts(In.getCustomers());
+  Frame.Routes = readCounts(In.getRoutes());
+  Frame.Retries = readCounts(In.getRetries());
+  Frame.Calls = readCounts(In.getCalls());
+  for (const auto Item : In.getCrashes())
+    Frame.Crashes.push_back({Item.getFingerprint(), Item.getCount()});
+  return Frame;
+}
+
+RecordsFrame readRecords(mesh::wire::RecordSet::Reader In) {
+  RecordsFrame Frame;
+  Frame.RulesRevision = In.getRulesRevision();
+  Frame.ServersRevision = In.getServersRevision();
+  for (const auto Item : In.getRecords()) {
+    Record New;
+    New.Kind = Item.getKind() == 0 ? RecordKind::Rules : RecordKind::Server;
+    New.Id = toString(Item.getId());
+    New.Revision = Item.getRevision();
+    New.Deleted = Item.getDeleted();
+    New.Value = toString(Item.getValue());
+    Frame.Records.push_back(std::move(New));
+  }
+  return Frame;
+}
+
+absl::StatusOr<PeerFrame> decode(mesh::wire::Frame::Reader Root, Instant Now) {
+  switch (Root.which()) {
+  case mesh::wire::Frame::CALL:
+    return readCall(Root.getCall(), Now);
+  case mesh::wire::Frame::ANSWER:
+    return readAnswer(Root.getAnswer());
+  case mesh::wire::Frame::CANCEL:
+    return CancelFrame{Root.getCancel()};
+  case mesh::wire::Frame::STATUS:
+    return readStatus(Root.getStatus());
+  case mesh::wire::Frame::PULL:
+    return PullFrame{Root.getPull().getRulesRevision(),
+                     Root.getPull().getServersRevision()};
+  case mesh::wire::Frame::RECORDS:
+    return readRecords(Root.getRecords());
+  }
+  return absl::InvalidArgumentError(
+      "frame of an unknown kind; run the same release on all nodes");
+}
+
+} // namespace
+
+void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out) {
+  alignas(8) static thread_local std::array<capnp::word, ScratchWords> Scratch;
+  std::memset(Scratch.data(), 0, sizeof(Scratch));
+  capnp::MallocMessageBuilder Message(
+      kj::arrayPtr(Scratch.data(), Scratch.size()));
+  auto Root = Message.initRoot<mesh::wire::Frame>();
+  std::visit([&](const auto &Kind) { put(Root, Kind, Now); }, Frame);
+  const kj::Array<capnp::word> Words = capnp::messageToFlatArray(Message);
+  const auto Bytes = Words.asBytes();
+  Out.append(reinterpret_cast<const char *>(Bytes.begin()), Bytes.size());
+}
+
+absl::Status
+FrameReader::feed(std::string_view Bytes, Instant Now,
+                  const std::function<void(PeerFrame &&)> &OnFrame) {
+  Buffer.append(Bytes);
+  std::size_t At = 0;
+  absl::Status Result;
+  while (Buffer.size() - At >= WordBytes && Result.ok()) {
+    const auto *Words =
+        reinterpret_cast<const capnp::word *>(Buffer.data() + At);
+    const std::size_t Whole = (Buffer.size() - At) / WordBytes;
+    try {
+      const std::size_t Needed = capnp::expectedSizeInWordsFromPrefix(
+          kj::arrayPtr(Words, std::min<std::size_t>(Whole, 64)));
+      if (Needed * WordBytes > LargestFrame) {
+        Result = absl::InvalidArgumentError(
+            absl::StrCat("frame of ", Needed * WordBytes,
+                         " bytes; check that the peer is a node"));
+        break;
+      }
+      if (Needed > Whole) {
+        Buffer.reserve(At + Needed * WordBytes);
+        break;
+      }
+      capnp::ReaderOptions Options;
+      Options.traversalLimitInWords = 2 * LargestFrame / WordBytes;
+      capnp::FlatArrayMessageReader Message(kj::arrayPtr(Words, Needed),
+                                            Options);
+      absl::StatusOr<PeerFrame> Frame =
+          decode(Message.getRoot<mesh::wire::Frame>(), Now);
+      At += Needed * WordBytes;
+      if (Frame.ok())
+        OnFrame(std::move(*Frame));
+      else
+        Result = Frame.status();
+    } catch (const kj::Exception &Error) {
+      Result = absl::InvalidArgumentError(
+          absl::StrCat("unreadable frame: ", Error.getDescription().cStr(),
+                       "; check that the peer is a node"));
+    }
+  }
+  Buffer.erase(0, At);
+  if (Buffer.empty() && Buffer.capacity() > LargestFrame / 64)
+    std::string().swap(Buffer);
+  return Result;
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Settings.cpp
@@ -0,0 +1,150 @@
+#include "agent/Settings.h"
+
+#include <cstdlib>
+#include <fstream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <gflags/gflags.h>
+
+#include "absl/strings/str_cat.h"
+
+// NOLINTBEGIN(readability-identifier-naming): gflags fixes the names.
+DEFINE_string(node_name, "", "name of this node in logs and metrics");
+DEFINE_string(ip, "", "own IP address");
+DEFINE_string(zone, "", "availability zone of this host");
+DEFINE_string(service, "", "service of the backend server on this host");
+DEFINE_string(server_address, "", "IP:PORT of the backend server");
+DEFINE_string(caller_address, "", "IP:PORT for callers and the local server");
+DEFINE_string(peer_address, "", "IP:PORT for the other nodes");
+DEFINE_string(ready_address, "", "IP:PORT for readiness checks");
+DEFINE_string(metrics_address, "",
+              "IP:PORT for metrics and the state dump; empty: not served");
+DEFINE_string(source_address, "", "IP:PORT of the configuration service");
+DEFINE_int32(drain_grace_s, 6, "seconds from SIGTERM to the forced end");
+DEFINE_double(retry_ratio, 0.2, "repeats allowed for each request");
+DEFINE_double(retry_slack, 10, "repeats allowed besides, in each window");
+DEFINE_int32(retry_window_s, 10, "window of the retry budget in seconds");
+// NOLINTEND(readability-identifier-naming)
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr const char *FileVariable = "POLLENWICK_SETTINGS";
+
+void checkAddress(const char *Flag, const std::string &Value, bool Optional,
+                  std::vector<std::string> &Errors) {
+  if (Value.empty() && Optional)
+    return;
+  try {
+    const Poco::Net::SocketAddress Parsed(Value);
+    if (Value.empty() || Parsed.port() == 0)
+      throw Poco::InvalidArgumentException("no port");
+  } catch (const Poco::Exception &) {
+    Errors.push_back(absl::StrCat("--", Flag, ": \"", Value,
+                                  "\" is no address; write IP:PORT"));
+  }
+}
+
+void checkText(const char *Flag, const std::string &Value,
+               std::vector<std::string> &Errors) {
+  if (Value.empty())
+    Errors.push_back(absl::StrCat("--", Flag, " is missing; set it"));
+}
+
+void checkRange(const char *Flag, double Value, double Least, double Most,
+                std::vector<std::string> &Errors) {
+  if (!(Value >= Least && Value <= Most))
+    Errors.push_back(absl::StrCat("--", Flag, ": ", Value, " is outside ",
+                                  Least, " to ", Most,
+                                  "; use a value in that range"));
+}
+
+std::vector<std::string> takeFlags(Settings &Out) {
+  std::vector<std::string> Errors;
+  checkText("node_name", FLAGS_node_name, Errors);
+  checkText("zone", FLAGS_zone, Errors);
+  checkText("service", FLAGS_service, Errors);
+  checkText("ip", FLAGS_ip, Errors);
+  checkAddress("server_address", FLAGS_server_address, false, Errors);
+  checkAddress("caller_address", FLAGS_caller_address, false, Errors);
+  checkAddress("peer_address", FLAGS_peer_address, false, Errors);
+  checkAddress("ready_address", FLAGS_ready_address, false, Errors);
+  checkAddress("metrics_address", FLAGS_metrics_address, true, Errors);
+  checkAddress("source_address", FLAGS_source_address, false, Errors);
+  checkRange("drain_grace_s", FLAGS_drain_grace_s, 1, 600, Errors);
+  checkRange("retry_ratio", FLAGS_retry_ratio, 0, 1, Errors);
+  checkRange("retry_slack", FLAGS_retry_slack, 0, 1e6, Errors);
+  checkRange("retry_window_s", FLAGS_retry_window_s, 1, 3600, Errors);
+  if (!Errors.empty())
+    return Errors;
+  Out.NodeName = FLAGS_node_name;
+  Out.Ip = FLAGS_ip;
+  Out.Zone = ZoneId(FLAGS_zone);
+  Out.Service = ServiceId(FLAGS_service);
+  Out.ServerAddress = FLAGS_server_address;
+  Out.CallerAddress = FLAGS_caller_address;
+  Out.PeerAddress = FLAGS_peer_address;
+  Out.ReadyAddress = FLAGS_ready_address;
+  Out.MetricsAddress = FLAGS_metrics_address;
+  Out.SourceAddress = FLAGS_source_address;
+  Out.DrainGrace = std::chrono::seconds(FLAGS_drain_grace_s);
+  Out.RetryRatio = FLAGS_retry_ratio;
+  Out.RetrySlack = FLAGS_retry_slack;
+  Out.RetryWindow = std::chrono::seconds(FLAGS_retry_window_s);
+  return Errors;
+}
+
+/// Reads `--name=value` lines. Names that are not known are passed over, so
+/// that a newer template does not stop an older agent.
+void readFlagFile(std::vector<std::string> &Errors) {
+  const std::string Path = settingsFile();
+  if (Path.empty())
+    return;
+  std::ifstream File(Path);
+  if (!File) {
+    Errors.push_back(absl::StrCat(FileVariable, ": cannot read \"", Path,
+                                  "\"; check the path and its permissions"));
+    return;
+  }
+  for (std::string Line; std::getline(File, Line);) {
+    const std::size_t Equals = Line.find('=');
+    if (!Line.starts_with("--") || Equals == std::string::npos)
+      continue;
+    const std::string Name = Line.substr(2, Equals - 2);
+    const std::string Value = Line.substr(Equals + 1);
+    gflags::CommandLineFlagInfo Info;
+    if (!gflags::GetCommandLineFlagInfo(Name.c_str(), &Info))
+      continue;
+    if (gflags::SetCommandLineOption(Name.c_str(), Value.c_str()).empty())
+      Errors.push_back(absl::StrCat("--", Name, ": \"", Value,
+                                    "\" is no ", Info.type,
+                                    "; correct it in ", Path));
+  }
+}
+
+} // namespace
+
+std::string settingsFile() {
+  const char *Path = std::getenv(FileVariable);
+  return Path ? Path : "";
+}
+
+std::vector<std::string> readSettings(int Argc, char **Argv, Settings &Out) {
+  std::vector<std::string> Errors;
+  readFlagFile(Errors);
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  const std::vector<std::string> More = takeFlags(Out);
+  Errors.insert(Errors.end(), More.begin(), More.end());
+  return Errors;
+}
+
+std::vector<std::string> reloadSettings(Settings &Out) {
+  std::vector<std::string> Errors;
+  readFlagFile(Errors);
+  if (!Errors.empty())
+    return Errors;
+  return takeFlags(Out);
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/Text.h
@@ -0,0 +1,40 @@
+#ifndef POLLENWICK_AGENT_TEXT_H
+#define POLLENWICK_AGENT_TEXT_H
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+#include "absl/strings/string_view.h"
+
+namespace pollenwick::agent {
+
+// Debian builds Abseil with a string_view of its own, which does not take the
+// standard one.
+
+inline void append(std::string &Out, std::string_view Part) {
+  Out.append(Part);
+}
+inline void append(std::string &Out, std::integral auto Part) {
+  Out.append(std::to_string(Part));
+}
+
+/// The parts, texts or whole numbers, one after the other.
+template <typename... Parts> std::string concat(const Parts &...All) {
+  std::string Out;
+  (append(Out, All), ...);
+  return Out;
+}
+
+template <typename... Parts>
+void appendAll(std::string &Out, const Parts &...All) {
+  (append(Out, All), ...);
+}
+
+inline std::string_view standardView(absl::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+} // namespace pollenwick::agent
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/DispatchQueue.cpp
@@ -0,0 +1,92 @@
+#include "core/dispatch/DispatchQueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenwick {
+namespace {
+
+/// Share of the slots that is used.
+constexpr double SlotShare = 0.94;
+/// Part of its latency target that a call may wait for a slot.
+constexpr double WaitShare = 0.5;
+constexpr Duration DefaultTarget = std::chrono::milliseconds(1000);
+/// Later start of a call for each rank below the most important one.
+constexpr Duration RankStep = std::chrono::milliseconds(60);
+/// Earlier start of nested calls: the work above them holds slots meanwhile.
+constexpr Duration NestedLead = std::chrono::milliseconds(150);
+/// Weight of one call in the mean of the time that a slot is held.
+constexpr double ServiceWeight = 0.05;
+
+} // namespace
+
+std::uint32_t concurrencyLimit(std::uint32_t Slots) {
+  return std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(std::floor(Slots * SlotShare)));
+}
+
+Instant dueTime(const CallTerms &Terms) {
+  const Duration Target =
+      Terms.LatencyTarget.count() > 0 ? Terms.LatencyTarget : DefaultTarget;
+  Instant Due = Terms.Arrival + std::chrono::duration_cast<Duration>(
+                                    Target * WaitShare);
+  Due += RankStep * Terms.Rank;
+  return Terms.Nested ? Due - NestedLead : Due;
+}
+
+Duration expectedWait(const DispatchQueue &Queue) {
+  if (Queue.Running < Queue.Limit && Queue.Waiting.empty())
+    return Duration{};
+  return Queue.Service * static_cast<std::int64_t>(Queue.Waiting.size() + 1) /
+         static_cast<std::int64_t>(Queue.Limit);
+}
+
+QueueDecision offerCall(DispatchQueue &Queue, const WaitingCall &Call,
+                        Instant Now) {
+  if (Call.Deadline <= Now)
+    return QueueDecision::Refuse;
+  if (Queue.Running < Queue.Limit && Queue.Waiting.empty()) {
+    ++Queue.Running;
+    return QueueDecision::Run;
+  }
+  if (Now + expectedWait(Queue) >= Call.Deadline)
+    return QueueDecision::Refuse;
+  Queue.Waiting.insert(Call);
+  return QueueDecision::Wait;
+}
+
+std::optional<WaitingCall> takeNext(DispatchQueue &Queue) {
+  if (Queue.Running >= Queue.Limit || Queue.Waiting.empty())
+    return std::nullopt;
+  const WaitingCall Next = *Queue.Waiting.begin();
+  Queue.Waiting.erase(Queue.Waiting.begin());
+  ++Queue.Running;
+  return Next;
+}
+
+std::vector<WaitingCall> dropExpired(DispatchQueue &Queue, Instant Now) {
+  std::vector<WaitingCall> Expired;
+  std::ranges::copy_if(
+      Queue.Waiting, std::back_inserter(Expired),
+      [Now](const WaitingCall &Call) { return Call.Deadline <= Now; });
+  for (const WaitingCall &Call : Expired)
+    Queue.Waiting.erase(Call);
+  return Expired;
+}
+
+bool withdrawCall(DispatchQueue &Queue, const WaitingCall &Call) {
+  return Queue.Waiting.erase(Call) > 0;
+}
+
+void finishCall(DispatchQueue &Queue, Duration Held) {
+  if (Queue.Running > 0)
+    --Queue.Running;
+  if (Queue.Service.count() == 0) {
+    Queue.Service = Held;
+    return;
+  }
+  Queue.Service += std::chrono::duration_cast<Duration>(
+      (Held - Queue.Service) * ServiceWeight);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/fleet/FleetQuota.cpp
@@ -0,0 +1,134 @@
+#include "core/fleet/FleetQuota.h"
+
+#include <algorithm>
+
+namespace pollenwick {
+namespace {
+
+/// A bucket starts half full: after all nodes restart at once the fleet has
+/// spent part of the burst shortly before.
+constexpr double StartShare = 0.5;
+/// Share of the burst below which the nodes divide what is left.
+constexpr double ScarceShare = 0.4;
+/// Weight of the newest interval in the mean rates.
+constexpr double RateWeight = 0.5;
+/// A peer that has been silent so long admits nothing any more, as far as this
+/// node can know: it has ended.
+constexpr Duration PeerExpiry = std::chrono::seconds(20);
+/// Reports arrive this late at most while the network works.
+constexpr Duration ReportLag = std::chrono::milliseconds(700);
+constexpr Duration ShortestWait = std::chrono::milliseconds(200);
+constexpr Duration LongestWait = std::chrono::seconds(3);
+
+double seconds(Duration Time) {
+  return static_cast<double>(Time.count()) / 1e6;
+}
+
+void refill(QuotaBucket &Bucket, const QuotaLimit &Limit, Instant Now) {
+  const auto Burst = static_cast<double>(Limit.Burst);
+  if (!Bucket.Started) {
+    Bucket.Started = true;
+    Bucket.Level = Burst * StartShare;
+    Bucket.Filled = Now;
+  }
+  Bucket.Level =
+      std::min(Burst, Bucket.Level + static_cast<double>(Limit.RatePerS) *
+                                         seconds(Now - Bucket.Filled));
+  Bucket.Filled = Now;
+}
+
+} // namespace
+
+QuotaDecision spendQuota(QuotaBucket &Bucket, const QuotaLimit &Limit,
+                         Instant Now) {
+  ++Bucket.Own.Offered;
+  if (Limit.RatePerS > 0) {
+    refill(Bucket, Limit, Now);
+    const bool Enough = Bucket.Scarce ? Bucket.Allowance >= 1
+                                      : Bucket.Level >= 1;
+    if (!Enough)
+      return QuotaDecision::Refuse;
+    Bucket.Level -= 1;
+    if (Bucket.Scarce)
+      Bucket.Allowance -= 1;
+  }
+  ++Bucket.Own.Admitted;
+  return QuotaDecision::Admit;
+}
+
+void reportQuota(QuotaBucket &Bucket, const std::string &Name,
+                 std::uint64_t Start, const QuotaCounts &Counts, Instant Now) {
+  QuotaBucket::Peer &Peer = Bucket.Peers[Name];
+  if (Peer.Start != Start) {
+    // Nothing is known of what a new incarnation spent before this report.
+    Peer = QuotaBucket::Peer{};
+    Peer.Start = Start;
+    Peer.Counts = Counts;
+    Peer.Reported = Now;
+    Bucket.Level -= static_cast<double>(Counts.Admitted);
+    return;
+  }
+  if (Counts.Offered < Peer.Counts.Offered)
+    return;
+  const double Elapsed = std::max(0.05, seconds(Now - Peer.Reported));
+  const auto Admitted =
+      static_cast<double>(Counts.Admitted - Peer.Counts.Admitted);
+  const auto Offered =
+      static_cast<double>(Counts.Offered - Peer.Counts.Offered);
+  Bucket.Level -= Admitted - Peer.Assumed;
+  Peer.Assumed = 0;
+  Peer.AdmittedPerS += (Admitted / Elapsed - Peer.AdmittedPerS) * RateWeight;
+  Peer.OfferedPerS += (Offered / Elapsed - Peer.OfferedPerS) * RateWeight;
+  Peer.Counts = Counts;
+  Peer.Reported = Now;
+}
+
+void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, Duration Interval,
+               Instant Now) {
+  refill(Bucket, Limit, Now);
+  const double Span = std::max(0.01, seconds(Interval));
+  const auto OwnOffered = static_cast<double>(Bucket.Own.Offered -
+                                              Bucket.OwnAtTick.Offered);
+  Bucket.OwnOfferedPerS +=
+      (OwnOffered / Span - Bucket.OwnOfferedPerS) * RateWeight;
+  Bucket.OwnAtTick = Bucket.Own;
+  double Total = Bucket.OwnOfferedPerS;
+  for (auto It = Bucket.Peers.begin(); It != Bucket.Peers.end();) {
+    QuotaBucket::Peer &Peer = It->second;
+    const Duration Silent = Now - Peer.Reported;
+    if (Silent > PeerExpiry) {
+      It = Bucket.Peers.erase(It);
+      continue;
+    }
+    if (Silent > ReportLag) {
+      const double Assumed = Peer.AdmittedPerS * Span;
+      Peer.Assumed += Assumed;
+      Bucket.Level -= Assumed;
+    }
+    Total += Peer.OfferedPerS;
+    ++It;
+  }
+  Bucket.Level = std::max(Bucket.Level, -2.0 * static_cast<double>(
+                                                   Limit.RatePerS));
+  Bucket.Scarce = Bucket.Level < ScarceShare * static_cast<double>(Limit.Burst);
+  if (!Bucket.Scarce)
+    return;
+  const double Nodes = static_cast<double>(Bucket.Peers.size()) + 1;
+  const double Share =
+      Total > 0 ? Bucket.OwnOfferedPerS / Total : 1.0 / Nodes;
+  const double There = std::max(
+      0.0, Bucket.Level + static_cast<double>(Limit.RatePerS) * Span);
+  // A fraction that was not used up carries over, up to one request.
+  Bucket.Allowance = std::clamp(Bucket.Allowance, 0.0, 1.0) + Share * There;
+}
+
+Duration quotaRetryAfter(const QuotaBucket &Bucket, const QuotaLimit &Limit) {
+  if (Limit.RatePerS <= 0)
+    return ShortestWait;
+  const double Missing = std::max(0.0, 1.0 - Bucket.Level);
+  const auto Wait = Duration(static_cast<std::int64_t>(
+      Missing / static_cast<double>(Limit.RatePerS) * 1e6));
+  return std::clamp(Wait, ShortestWait, LongestWait);
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/fleet/FleetQuota.h
@@ -0,0 +1,67 @@
+#ifndef POLLENWICK_CORE_FLEET_FLEETQUOTA_H
+#define POLLENWICK_CORE_FLEET_FLEETQUOTA_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// Rate limit of one customer.
+struct QuotaLimit {
+  std::int64_t RatePerS = 0; ///< Zero: no limit.
+  std::int64_t Burst = 0;
+};
+
+/// Totals of one node since its start.
+struct QuotaCounts {
+  std::uint64_t Admitted = 0;
+  std::uint64_t Offered = 0;
+};
+
+/// One customer's bucket as one node sees it. Every node keeps the whole
+/// bucket and takes out what it admits itself and what the peers report.
+/// What the peers have not reported yet is assumed from their last rates, so
+/// that a partition does not multiply the limit.
+struct QuotaBucket {
+  struct Peer {
+    QuotaCounts Counts;
+    std::uint64_t Start = 0;
+    double AdmittedPerS = 0;
+    double OfferedPerS = 0;
+    double Assumed = 0; ///< Taken out ahead of the next report.
+    Instant Reported;
+  };
+  double Level = 0;
+  Instant Filled;
+  bool Started = false;
+  QuotaCounts Own;
+  QuotaCounts OwnAtTick;
+  double OwnOfferedPerS = 0;
+  double Allowance = 0; ///< Admissions left until the next tick when scarce.
+  bool Scarce = false;
+  std::map<std::string, Peer> Peers;
+};
+
+enum class QuotaDecision : std::uint8_t { Admit, Refuse };
+
+/// Decides on one request and counts it.
+QuotaDecision spendQuota(QuotaBucket &Bucket, const QuotaLimit &Limit,
+                         Instant Now);
+
+/// Takes in a peer's totals. A changed `Start` means that the peer restarted.
+void reportQuota(QuotaBucket &Bucket, const std::string &Peer,
+                 std::uint64_t Start, const QuotaCounts &Counts, Instant Now);
+
+/// Plans the admissions until the next tick, `Interval` from now.
+void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, Duration Interval,
+               Instant Now);
+
+/// Time until a request that was refused now may be admitted.
+Duration quotaRetryAfter(const QuotaBucket &Bucket, const QuotaLimit &Limit);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/fleet/RetryBudget.cpp
@@ -0,0 +1,74 @@
+#include "core/fleet/RetryBudget.h"
+
+#include <algorithm>
+
+namespace pollenwick {
+namespace {
+
+/// Share of the bound that is used: reports of peers are late.
+constexpr double UsedShare = 0.5;
+/// Repeats a node may add between two reports to its peers.
+constexpr std::uint64_t RepeatsPerTick = 2;
+
+} // namespace
+
+std::int64_t WindowSum::sliceOf(Duration Window, Instant Now) const {
+  const std::int64_t Length = std::max<std::int64_t>(1, Window.count() / Slices);
+  return Now.time_since_epoch().count() / Length;
+}
+
+void WindowSum::add(double Amount, Duration Window, Instant Now) {
+  const std::int64_t Number = sliceOf(Window, Now);
+  Slice &Current = Ring[static_cast<std::size_t>(Number) % Ring.size()];
+  if (Current.Number != Number)
+    Current = Slice{Number, 0};
+  Current.Amount += Amount;
+}
+
+double WindowSum::sum(Duration Window, Instant Now) const {
+  const std::int64_t Number = sliceOf(Window, Now);
+  double Total = 0;
+  for (const Slice &Part : Ring)
+    if (Part.Number >= 0 &&
+        Part.Number + static_cast<std::int64_t>(Slices) >= Number)
+      Total += Part.Amount;
+  return Total;
+}
+
+void countFirst(RetryBudget &Budget, const RetryTerms &Terms, Instant Now) {
+  ++Budget.Own.Firsts;
+  Budget.Firsts.add(1, Terms.Window, Now);
+}
+
+bool takeRepeat(RetryBudget &Budget, const RetryTerms &Terms, double Cost,
+                Instant Now) {
+  if (Budget.SinceTick >= RepeatsPerTick)
+    return false;
+  const double Allowed =
+      UsedShare * (Terms.Ratio * Budget.Firsts.sum(Terms.Window, Now) +
+                   Terms.Slack);
+  if (Budget.Repeats.sum(Terms.Window, Now) + Cost > Allowed)
+    return false;
+  Budget.Repeats.add(Cost, Terms.Window, Now);
+  Budget.Own.Repeats += static_cast<std::uint64_t>(Cost + 0.5);
+  ++Budget.SinceTick;
+  return true;
+}
+
+void reportRepeats(RetryBudget &Budget, const RetryTerms &Terms,
+                   const std::string &Name, std::uint64_t Start,
+                   const RetryCounts &Counts, Instant Now) {
+  RetryBudget::Peer &Peer = Budget.Peers[Name];
+  if (Peer.Start != Start)
+    Peer = RetryBudget::Peer{Start, {}};
+  if (Counts.Repeats > Peer.Counts.Repeats)
+    Budget.Repeats.add(
+        static_cast<double>(Counts.Repeats - Peer.Counts.Repeats),
+        Terms.Window, Now);
+  if (Counts.Firsts > Peer.Counts.Firsts)
+    Budget.Firsts.add(static_cast<double>(Counts.Firsts - Peer.Counts.Firsts),
+                      Terms.Window, Now);
+  Peer.Counts = Counts;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/fleet/RetryBudget.h
@@ -0,0 +1,69 @@
+#ifndef POLLENWICK_CORE_FLEET_RETRYBUDGET_H
+#define POLLENWICK_CORE_FLEET_RETRYBUDGET_H
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// Fleet-wide bound on repeats of calls to a service.
+struct RetryTerms {
+  double Ratio = 0.2;  ///< Repeats allowed for each request of a caller.
+  double Slack = 10;   ///< Repeats allowed besides, in each window.
+  Duration Window = std::chrono::seconds(10);
+};
+
+/// Totals of one node since its start, for one service.
+struct RetryCounts {
+  std::uint64_t Repeats = 0;
+  std::uint64_t Firsts = 0; ///< Requests of callers.
+};
+
+/// Sum over the last window, in slices.
+class WindowSum {
+public:
+  void add(double Amount, Duration Window, Instant Now);
+  double sum(Duration Window, Instant Now) const;
+
+private:
+  static constexpr std::size_t Slices = 10;
+  std::int64_t sliceOf(Duration Window, Instant Now) const;
+
+  struct Slice {
+    std::int64_t Number = -1;
+    double Amount = 0;
+  };
+  std::array<Slice, Slices + 1> Ring{};
+};
+
+/// Budget of one service: what this node and its peers have repeated.
+struct RetryBudget {
+  struct Peer {
+    std::uint64_t Start = 0;
+    RetryCounts Counts;
+  };
+  RetryCounts Own;
+  WindowSum Repeats;
+  WindowSum Firsts;
+  std::uint64_t SinceTick = 0; ///< Own repeats that peers do not know of yet.
+  std::map<std::string, Peer> Peers;
+};
+
+/// Counts a caller's request.
+void countFirst(RetryBudget &Budget, const RetryTerms &Terms, Instant Now);
+
+/// Counts and allows a repeat that causes `Cost` arrivals in all, or refuses.
+bool takeRepeat(RetryBudget &Budget, const RetryTerms &Terms, double Cost,
+                Instant Now);
+
+void reportRepeats(RetryBudget &Budget, const RetryTerms &Terms,
+                   const std::string &Peer, std::uint64_t Start,
+                   const RetryCounts &Counts, Instant Now);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/core/hosts/RecordTable.cpp
@@ -0,0 +1,71 @@
+#include "core/hosts/RecordTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pollenwick {
+
+bool applyRecord(RecordTable &Table, const Record &New) {
+  Record &Held = Table.Items[New.Id];
+  if (New.Revision <= Held.Revision)
+    return false;
+  Held = New;
+  Table.Missing.erase(New.Id);
+  return true;
+}
+
+std::vector<std::string> applyList(RecordTable &Table,
+                                   const std::vector<Record> &List,
+                                   std::uint64_t AsOf, bool AfterOutage,
+                                   Instant Now) {
+  std::vector<std::string> Changed;
+  std::set<std::string> Listed;
+  for (const Record &Item : List) {
+    Listed.insert(Item.Id);
+    Table.Missing.erase(Item.Id);
+    if (applyRecord(Table, Item))
+      Changed.push_back(Item.Id);
+  }
+  for (auto &[Id, Held] : Table.Items) {
+    if (Held.Deleted || Held.Revision > AsOf || Listed.contains(Id))
+      continue;
+    if (AfterOutage) {
+      Table.Missing.try_emplace(Id, Now + lapseGrace);
+      continue;
+    }
+    Held.Deleted = true;
+    Held.Revision = AsOf;
+    Changed.push_back(Id);
+  }
+  Table.Revision = std::max(Table.Revision, AsOf);
+  return Changed;
+}
+
+std::vector<std::string> expireMissing(RecordTable &Table, Instant Now) {
+  std::vector<std::string> Expired;
+  for (auto It = Table.Missing.begin(); It != Table.Missing.end();) {
+    if (It->second > Now) {
+      ++It;
+      continue;
+    }
+    Record &Held = Table.Items[It->first];
+    Held.Deleted = true;
+    // The list that lacked the item was newer than the item.
+    ++Held.Revision;
+    Expired.push_back(It->first);
+    It = Table.Missing.erase(It);
+  }
+  return Expired;
+}
+
+std::vector<Record> recordsAfter(const RecordTable &Table,
+                                 std::uint64_t After) {
+  std::vector<Record> Result;
+  for (const auto &[Id, Held] : Table.Items)
+    if (Held.Revision > After)
+      Result.push_back(Held);
+  std::ranges::sort(Result, {}, &Record::Revision);
+  return Result;
+}
+
+} // namespace pollenwick
--- /dev/null
+++ b/src/core/placement/Placement.h
@@ -0,0 +1,42 @@
+#ifndef POLLENWICK_CORE_PLACEMENT_PLACEMENT_H
+#define POLLENWICK_CORE_PLACEMENT_PLACEMENT_H
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// Load of a backend server as its node reported it.
+struct ServerLoad {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Limit = 0; ///< Calls that run at once; 0: nothing reported.
+  Duration Service{};      ///< Mean time that a call holds a slot.
+  bool Leaving = false;
+};
+
+/// One server that could run a call.
+struct Candidate {
+  ServerLoad Load;
+  std::uint32_t SentSince = 0; ///< Calls sent there after the last report.
+  bool SameZone = false;
+  bool Local = false; ///< Beside this node: no hop between nodes.
+  Duration ColdRemaining{};
+};
+
+/// Time until the server would answer a call placed there now.
+Duration expectedTime(const Candidate &Server);
+
+/// Index of the server with the shortest expected time, with a little
+/// randomness so that nodes with the same reports do not all pick the same
+/// one. Empty when there is no candidate.
+std::optional<std::size_t> choosePlacement(std::span<const Candidate> Servers,
+                                           std::minstd_rand &Random);
+
+} // namespace pollenwick
+
+#endif
--- /dev/null
+++ b/src/peer/Mesh.capnp
@@ -0,0 +1,99 @@
+@0x9e2d5c1ab7f04c63;
+
+# Messages between the nodes of a fleet. Each TCP connection carries a sequence
+# of Frame messages in Cap'n Proto's stream framing.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("pollenwick::mesh::wire");
+
+# Load of the backend server beside a node.
+struct Load {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  limit @2 :UInt32;          # Calls that the node lets run at once.
+  serviceMicros @3 :UInt32;  # Mean time that a call holds a slot.
+  leaving @4 :Bool;
+}
+
+struct Call {
+  id @0 :UInt64;             # Unique on the connection.
+  requestId @1 :Text;
+  serverId @2 :Text;         # The only server that may run the call.
+  route @3 :Text;
+  remainingMicros @4 :UInt32;
+  targetMicros @5 :UInt32;   # Latency target of the route.
+  rank @6 :UInt16;
+  nested @7 :Bool;           # Made by a backend server during a call.
+  repeatable @8 :Bool;
+  fingerprint @9 :UInt64;
+  method @10 :Text;
+  target @11 :Text;
+  head @12 :Data;            # Header lines, each ended by CR LF.
+  body @13 :Data;
+}
+
+enum Outcome { complete @0; notRun @1; unknown @2; }
+
+struct Answer {
+  id @0 :UInt64;
+  outcome @1 :Outcome;
+  status @2 :UInt16;
+  cause @3 :Text;
+  head @4 :Data;
+  body @5 :Data;
+  load @6 :Load;
+  arrived @7 :Bool;          # The server received the request.
+}
+
+struct Count { name @0 :Text; a @1 :UInt64; b @2 :UInt64; }
+
+struct Crash { fingerprint @0 :UInt64; count @1 :UInt32; }
+
+# What a node tells each peer from time to time. Counts only grow while the
+# node's start number stays the same.
+struct Status {
+  start @0 :UInt64;
+  sentAtMicros @1 :UInt64;
+  rulesRevision @2 :UInt64;
+  serversRevision @3 :UInt64;
+  service @4 :Text;
+  serverId @5 :Text;
+  load @6 :Load;
+  offeredMicros @7 :UInt64;  # Work that arrived at the server, slot time.
+  limitMicros @8 :UInt64;    # Slot time that was there.
+  customers @9 :List(Count); # a: admitted, b: offered.
+  routes @10 :List(Count);   # a: admitted, b: offered by outside callers.
+  retries @11 :List(Count);  # By service; a: repeats, b: first sends.
+  calls @12 :List(Count);    # Nested calls by service; a: calls.
+  runs @13 :UInt64;          # Runs of the server beside the node.
+  crashes @14 :List(Crash);
+}
+
+struct Record {
+  kind @0 :UInt8;
+  id @1 :Text;
+  revision @2 :UInt64;
+  deleted @3 :Bool;
+  value @4 :Data;
+}
+
+# Records newer than a pull asked for. The sender holds everything up to the
+# revisions.
+struct RecordSet {
+  rulesRevision @0 :UInt64;
+  serversRevision @1 :UInt64;
+  records @2 :List(Record);
+}
+
+struct Pull { rulesRevision @0 :UInt64; serversRevision @1 :UInt64; }
+
+struct Frame {
+  union {
+    call @0 :Call;
+    answer @1 :Answer;
+    cancel @2 :UInt64;
+    status @3 :Status;
+    pull @4 :Pull;
+    records @5 :RecordSet;
+  }
+}
