Send changes of counts to peers, and price other zones by size

Ruled out: a flat factor for other zones (1.1, 1.25, 1.3): it saves bytes but sends requests to slow servers of the own zone.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -169,7 +169,8 @@
   Peers.tick();
   StatusFrame Own = status();
   Fleet.plan(Hosts, Own, Elapsed, Loop.now());
-  Peers.broadcast(Own);
+  Peers.broadcast(changesSince(Own, LastSent));
+  LastSent = std::move(Own);
   pullFromPeers();
   Log.tick(Loop.now());
   if (++Ticks % TicksPerSettingsCheck == 0)
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -73,6 +73,7 @@
   Instant AheadSince;
   bool Ahead = false;
   Instant LastTick;
+  StatusFrame LastSent; ///< What the peers know of this node.
   std::uint64_t Ticks = 0;
   std::int64_t SettingsStamp = 0;
 };
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -13,6 +13,9 @@
 /// Calls lost within this time before the server refused a connection ran when
 /// it crashed.
 constexpr Duration CrashWindow = std::chrono::milliseconds(1500);
+/// A server that finished nothing for so long may have become faster, for
+/// example after a cold start: its speed counts as unknown again.
+constexpr Duration ServiceMemory = std::chrono::seconds(2);
 constexpr Duration AssumedService = std::chrono::milliseconds(50);
 
 } // namespace
@@ -158,6 +161,7 @@
     onLostCall(Call);
   }
   finishCall(Queue, Loop.now() - Call.Began);
+  LastFinished = Loop.now();
   if (Answer.Outcome == CallOutcome::Complete) {
     ++Counts.Runs;
     Reachable = true;
@@ -232,6 +236,8 @@
   Loop.callAt(Loop.now() + SweepEvery, [this] { sweep(); });
   const Duration Elapsed = Loop.now() - LastSweep;
   LastSweep = Loop.now();
+  if (Loop.now() - LastFinished >= ServiceMemory)
+    Queue.Service = Duration{};
   if (Server && Server->State == ServerState::Ready)
     Counts.LimitMicros +=
         static_cast<std::uint64_t>(Elapsed.count()) * Queue.Limit;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -97,6 +97,7 @@
   };
   std::vector<LostCall> Lost;
   Instant LastSweep;
+  Instant LastFinished;
   bool Reachable = true;
 };
 
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -83,14 +83,18 @@
   pollenwick::countCrash(Crashes, Fingerprint, Options.Ip, Now);
 }
 
-void FleetState::takeStatus(const std::string &Ip, const StatusFrame &Status,
+void FleetState::takeStatus(const std::string &Ip, const StatusFrame &Changes,
                             Instant Now) {
   Report &Node = Reports[Ip];
-  const bool Restarted = Node.Latest.Start != Status.Start;
-  Node.Before = Restarted ? Status : Node.Latest;
+  const bool Restarted = Node.Latest.Start != Changes.Start;
+  StatusFrame Whole = Changes;
+  if (!Restarted)
+    mergeStatus(Whole, Node.Latest);
+  Node.Before = Restarted ? Whole : std::move(Node.Latest);
   Node.BeforeAt = Restarted ? Now : Node.LatestAt;
-  Node.Latest = Status;
+  Node.Latest = std::move(Whole);
   Node.LatestAt = Now;
+  const StatusFrame &Status = Node.Latest;
   if (Ip == Options.Ip)
     return;
   for (const NamedCount &Item : Status.Customers)
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -40,7 +40,8 @@
     return isQuarantined(Crashes, Fingerprint);
   }
 
-  void takeStatus(const std::string &Ip, const StatusFrame &Status,
+  /// `Changes` holds the counts that changed since the node's last report.
+  void takeStatus(const std::string &Ip, const StatusFrame &Changes,
                   Instant Now);
   /// Adds this node's counts to a status for the peers.
   void fillStatus(StatusFrame &Status) const;
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -34,6 +34,9 @@
 constexpr Duration RetryWhenShed = std::chrono::milliseconds(1000);
 constexpr Duration RetryQuarantined = std::chrono::seconds(60);
 
+/// Weight of one answer in the mean size of a route's answers.
+constexpr double AnswerBytesWeight = 0.1;
+
 std::uint64_t fingerprintOf(const CallRequest &Request) {
   return absl::HashOf(Request.Method, Request.Target, Request.Body);
 }
@@ -175,6 +178,11 @@
   Exchange &Item = *Exchanges.at(Id);
   Item.PlaceTimer = 0;
   const std::vector<KnownServer *> Servers = usableServers(Item);
+  const double Kilobytes =
+      (static_cast<double>(Item.Request.Head.size() +
+                           Item.Request.Body.size()) +
+       AnswerBytes[Item.Route->Name]) /
+      1024;
   std::vector<Candidate> Candidates(Servers.size());
   std::ranges::transform(Servers, Candidates.begin(), [&](const auto *Server) {
     Candidate Choice;
@@ -183,6 +191,7 @@
     Choice.SameZone = Server->Entry.Zone == Options.Zone;
     Choice.Local = Server->Entry.Address == Options.ServerAddress;
     Choice.ColdRemaining = Server->ColdUntil - Loop.now();
+    Choice.Kilobytes = Kilobytes;
     return Choice;
   });
   const auto Chosen = choosePlacement(Candidates, Random);
@@ -337,6 +346,8 @@
   Counters.count("answers_total",
                  concat(Answer.Status / 100, "xx"));
   Counters.answered(Item.Route->Name, Loop.now() - Item.Began);
+  double &Bytes = AnswerBytes[Item.Route->Name];
+  Bytes += (static_cast<double>(Message.size()) - Bytes) * AnswerBytesWeight;
   if (isServerFailure(Answer.Status))
     logOutcome(Item, Answer.Status, "server-answer");
   const std::shared_ptr<CallerConnection> From = Item.From;
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -230,6 +230,28 @@
   return Frame;
 }
 
+std::vector<NamedCount> changedCounts(const std::vector<NamedCount> &Latest,
+                                      const std::vector<NamedCount> &Sent) {
+  std::vector<NamedCount> Changed;
+  std::ranges::copy_if(
+      Latest, std::back_inserter(Changed), [&](const NamedCount &Item) {
+        const auto Old = std::ranges::find(Sent, Item.Name, &NamedCount::Name);
+        return Old == Sent.end() || Old->A != Item.A || Old->B != Item.B;
+      });
+  return Changed;
+}
+
+void mergeCounts(std::vector<NamedCount> &Changes,
+                 const std::vector<NamedCount> &Known) {
+  std::vector<NamedCount> Missing;
+  std::ranges::copy_if(
+      Known, std::back_inserter(Missing), [&](const NamedCount &Item) {
+        return std::ranges::find(Changes, Item.Name, &NamedCount::Name) ==
+               Changes.end();
+      });
+  Changes.insert(Changes.end(), Missing.begin(), Missing.end());
+}
+
 absl::StatusOr<PeerFrame> decode(mesh::wire::Frame::Reader Root, Instant Now) {
   switch (Root.which()) {
   case mesh::wire::Frame::CALL:
@@ -252,6 +274,22 @@
 
 } // namespace
 
+StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent) {
+  StatusFrame Changes = Latest;
+  Changes.Customers = changedCounts(Latest.Customers, Sent.Customers);
+  Changes.Routes = changedCounts(Latest.Routes, Sent.Routes);
+  Changes.Retries = changedCounts(Latest.Retries, Sent.Retries);
+  Changes.Calls = changedCounts(Latest.Calls, Sent.Calls);
+  return Changes;
+}
+
+void mergeStatus(StatusFrame &Changes, const StatusFrame &Known) {
+  mergeCounts(Changes.Customers, Known.Customers);
+  mergeCounts(Changes.Routes, Known.Routes);
+  mergeCounts(Changes.Retries, Known.Retries);
+  mergeCounts(Changes.Calls, Known.Calls);
+}
+
 void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out) {
   alignas(8) static thread_local std::array<capnp::word, ScratchWords> Scratch;
   std::memset(Scratch.data(), 0, sizeof(Scratch));
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -71,6 +71,13 @@
 using PeerFrame = std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame,
                                PullFrame, RecordsFrame>;
 
+/// The counts of `Latest` that differ from those of `Sent`; everything else is
+/// kept. Counts are totals, so that a peer which knows `Sent` misses nothing.
+StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent);
+
+/// Completes a report of changes with what was known before.
+void mergeStatus(StatusFrame &Changes, const StatusFrame &Known);
+
 /// Appends the encoded frame to `Out`. `Now` turns deadlines into remaining
 /// times.
 void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out);
--- a/src/core/fleet/FleetQuota.cpp
+++ b/src/core/fleet/FleetQuota.cpp
@@ -5,9 +5,6 @@
 namespace pollenwick {
 namespace {
 
-/// A bucket starts half full: after all nodes restart at once the fleet has
-/// spent part of the burst shortly before.
-constexpr double StartShare = 0.5;
 /// Share of the burst below which the nodes divide what is left.
 constexpr double ScarceShare = 0.4;
 /// Weight of the newest interval in the mean rates.
@@ -28,7 +25,7 @@
   const auto Burst = static_cast<double>(Limit.Burst);
   if (!Bucket.Started) {
     Bucket.Started = true;
-    Bucket.Level = Burst * StartShare;
+    Bucket.Level = Burst;
     Bucket.Filled = Now;
   }
   Bucket.Level =
@@ -60,12 +57,15 @@
                  std::uint64_t Start, const QuotaCounts &Counts, Instant Now) {
   QuotaBucket::Peer &Peer = Bucket.Peers[Name];
   if (Peer.Start != Start) {
-    // Nothing is known of what a new incarnation spent before this report.
+    // A peer that restarted counts from zero. One that is new to this node
+    // spent its count at an unknown time, mostly long ago.
+    const bool Known = Peer.Start != 0;
     Peer = QuotaBucket::Peer{};
     Peer.Start = Start;
     Peer.Counts = Counts;
     Peer.Reported = Now;
-    Bucket.Level -= static_cast<double>(Counts.Admitted);
+    if (Known)
+      Bucket.Level -= static_cast<double>(Counts.Admitted);
     return;
   }
   if (Counts.Offered < Peer.Counts.Offered)
@@ -118,8 +118,13 @@
       Total > 0 ? Bucket.OwnOfferedPerS / Total : 1.0 / Nodes;
   const double There = std::max(
       0.0, Bucket.Level + static_cast<double>(Limit.RatePerS) * Span);
-  // A fraction that was not used up carries over, up to one request.
-  Bucket.Allowance = std::clamp(Bucket.Allowance, 0.0, 1.0) + Share * There;
+  // A fraction that was not used up carries over, up to one request. While
+  // tokens are left, a node with a small share may admit one request: refusing
+  // it would be wrong more often than admitting it breaks the limit, and the
+  // debt is paid back.
+  const double Least = Bucket.Level >= 1 ? 1.0 : 0.0;
+  Bucket.Allowance = std::max(
+      Least, std::clamp(Bucket.Allowance, 0.0, 1.0) + Share * There);
 }
 
 Duration quotaRetryAfter(const QuotaBucket &Bucket, const QuotaLimit &Limit) {
--- a/src/core/fleet/RetryBudget.cpp
+++ b/src/core/fleet/RetryBudget.cpp
@@ -59,8 +59,12 @@
                    const std::string &Name, std::uint64_t Start,
                    const RetryCounts &Counts, Instant Now) {
   RetryBudget::Peer &Peer = Budget.Peers[Name];
-  if (Peer.Start != Start)
-    Peer = RetryBudget::Peer{Start, {}};
+  if (Peer.Start != Start) {
+    // What a peer that is new to this node did lies before the window, as far
+    // as is known; one that restarted counts from zero.
+    const bool Known = Peer.Start != 0;
+    Peer = RetryBudget::Peer{Start, Known ? RetryCounts{} : Counts};
+  }
   if (Counts.Repeats > Peer.Counts.Repeats)
     Budget.Repeats.add(
         static_cast<double>(Counts.Repeats - Peer.Counts.Repeats),
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -13,27 +13,43 @@
 /// Share of the service time that a fully used server is assumed to add before
 /// calls wait: servers slow down near their limit.
 constexpr double BusyFactor = 1.0;
-/// Traffic between zones costs bandwidth and delay.
-constexpr Duration ZoneHop = std::chrono::milliseconds(4);
+/// Traffic between zones costs delay and, by its size, bandwidth that operators
+/// pay for: a server of another zone is taken when it is faster by more.
+constexpr Duration ZoneHop = std::chrono::milliseconds(2);
+constexpr Duration ZoneKilobyte = std::chrono::milliseconds(8);
 constexpr Duration PeerHop = std::chrono::milliseconds(1);
 /// Half-width of the random factor.
 constexpr double Jitter = 0.05;
 
+/// Mean over the servers that have reported; a new one is taken for as fast.
+Duration typicalService(std::span<const Candidate> Servers) {
+  Duration Sum{};
+  std::int64_t Count = 0;
+  for (const Candidate &Server : Servers)
+    if (Server.Load.Service.count() > 0) {
+      Sum += Server.Load.Service;
+      ++Count;
+    }
+  return Count > 0 ? Sum / Count : UnknownService;
+}
+
 } // namespace
 
-Duration expectedTime(const Candidate &Server) {
+Duration expectedTime(const Candidate &Server, Duration Typical) {
   const ServerLoad &Load = Server.Load;
   const double Limit = Load.Limit > 0 ? Load.Limit : UnknownLimit;
   double Service = static_cast<double>(
-      (Load.Service.count() > 0 ? Load.Service : UnknownService).count());
+      (Load.Service.count() > 0 ? Load.Service : Typical).count());
   if (Server.ColdRemaining.count() > 0)
     Service *= ColdFactor;
   const double Held = Load.Running + Load.Waiting + Server.SentSince;
   const double Use = std::min(1.0, Held / Limit);
   const double Ahead = std::max(0.0, Held + 1 - Limit);
-  double Time = Service * (1 + BusyFactor * Use * Use) + Ahead * Service / Limit;
+  double Time =
+      Service * (1 + BusyFactor * Use * Use) + Ahead * Service / Limit;
   if (!Server.SameZone)
-    Time += static_cast<double>(ZoneHop.count());
+    Time += static_cast<double>(ZoneHop.count()) +
+            Server.Kilobytes * static_cast<double>(ZoneKilobyte.count());
   if (!Server.Local)
     Time += static_cast<double>(PeerHop.count());
   return Duration(static_cast<std::int64_t>(Time));
@@ -41,12 +57,14 @@
 
 std::optional<std::size_t> choosePlacement(std::span<const Candidate> Servers,
                                            std::minstd_rand &Random) {
+  const Duration Typical = typicalService(Servers);
   std::optional<std::size_t> Best;
   double BestTime = 0;
   std::uniform_real_distribution<double> Factor(1 - Jitter, 1 + Jitter);
   for (std::size_t I = 0; I < Servers.size(); ++I) {
     const double Time =
-        static_cast<double>(expectedTime(Servers[I]).count()) * Factor(Random);
+        static_cast<double>(expectedTime(Servers[I], Typical).count()) *
+        Factor(Random);
     if (Best && Time >= BestTime)
       continue;
     Best = I;
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -26,10 +26,12 @@
   bool SameZone = false;
   bool Local = false; ///< Beside this node: no hop between nodes.
   Duration ColdRemaining{};
+  double Kilobytes = 0; ///< Request and expected answer.
 };
 
-/// Time until the server would answer a call placed there now.
-Duration expectedTime(const Candidate &Server);
+/// Time until the server would answer a call placed there now. `Typical` is
+/// assumed for a server that has not reported how long its calls take.
+Duration expectedTime(const Candidate &Server, Duration Typical);
 
 /// Index of the server with the shortest expected time, with a little
 /// randomness so that nodes with the same reports do not all pick the same
