Plan admission from demand and capacity; empty quota after a restart

Change: share = slots / (demand x calls per request x slot time), corrected by observed against predicted use; new work may wait half its latency target at most; a call that is placed again counts once; buckets begin full only at the first start of the fleet.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -3,6 +3,7 @@
 
 #include <sys/stat.h>
 
+#include <cmath>
 #include <random>
 
 
@@ -19,6 +20,8 @@
 /// Kept back from the drain grace for the end of the process.
 constexpr Duration EndMargin = std::chrono::milliseconds(400);
 constexpr Duration DrainStep = std::chrono::milliseconds(50);
+/// Changes of an admitted share that are worth a line in the log.
+constexpr double LoggedKeepStep = 0.1;
 constexpr std::uint64_t TicksPerSettingsCheck = 4;
 
 std::uint64_t drawStart() {
@@ -169,6 +172,7 @@
   Peers.tick();
   StatusFrame Own = status();
   Fleet.plan(Hosts, Own, Elapsed, Loop.now());
+  logAdmission();
   Peers.broadcast(changesSince(Own, LastSent));
   LastSent = std::move(Own);
   pullFromPeers();
@@ -177,6 +181,30 @@
     watchSettingsFile();
 }
 
+void Agent::logAdmission() {
+  for (const auto &[Service, State] : Fleet.admission().Services) {
+    double &Logged = LoggedKeep.try_emplace(Service, 1.0).first->second;
+    if (std::abs(State.Keep - Logged) < LoggedKeepStep)
+      continue;
+    Logged = State.Keep;
+    const ServiceUse &Use = State.Seen;
+    LogLine Line("admission-changed", Loop.now());
+    Line.field("service", Service)
+        .field("keep_pct", static_cast<std::int64_t>(100 * State.Keep))
+        .field("observed_use_pct",
+               static_cast<std::int64_t>(100 * State.Observed))
+        .field("predicted_use_pct",
+               static_cast<std::int64_t>(100 * State.Predicted))
+        .field("offered_use_pct",
+               static_cast<std::int64_t>(100 * Use.OfferedUse))
+        .field("waiting_pct", static_cast<std::int64_t>(100 * Use.WaitShare));
+    for (const auto &[Callee, Calls] : Use.CallsPerRun)
+      Line.field(concat("calls_", Callee, "_pct"),
+                 static_cast<std::int64_t>(100 * Calls));
+    Log.state(std::move(Line));
+  }
+}
+
 void Agent::onPeerStatus(const std::string &Ip, StatusFrame &&Status) {
   Fleet.takeStatus(Ip, Status, Loop.now());
   if (KnownServer *Server = Hosts.find(Status.ServerId);
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -46,6 +46,7 @@
   void takeChange(const Directory::Change &Change);
   void tick();
   void pullFromPeers();
+  void logAdmission();
   void watchSettingsFile();
   void drainStep();
   StatusFrame status() const;
@@ -73,6 +74,7 @@
   Instant AheadSince;
   bool Ahead = false;
   Instant LastTick;
+  std::map<std::string, double> LoggedKeep;
   StatusFrame LastSent; ///< What the peers know of this node.
   std::uint64_t Ticks = 0;
   std::int64_t SettingsStamp = 0;
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -52,7 +52,8 @@
   ServerLoad Load;
   Load.Running = Queue.Running;
   Load.Waiting = static_cast<std::uint32_t>(Queue.Waiting.size());
-  Load.Limit = Queue.Limit;
+  const bool Serves = Server && Server->State == ServerState::Ready && !Leaving;
+  Load.Limit = Serves ? Queue.Limit : 0;
   Load.Service = Queue.Service;
   Load.Leaving = Leaving;
   return Load;
@@ -70,8 +71,10 @@
 
 Backend::CallNumber Backend::submit(CallRequest &&Request, AnswerHandler Done) {
   const CallNumber Number = ++LastNumber;
-  Counts.OfferedMicros += static_cast<std::uint64_t>(
-      (Queue.Service.count() > 0 ? Queue.Service : AssumedService).count());
+  // A refused call is placed again elsewhere; it is one call all the same.
+  if (!Request.PlacedAgain)
+    Counts.OfferedMicros += static_cast<std::uint64_t>(
+        (Queue.Service.count() > 0 ? Queue.Service : AssumedService).count());
   if (Leaving) {
     refuse(std::move(Done), "node-leaving");
     return Number;
@@ -89,7 +92,8 @@
   Terms.LatencyTarget = Request.LatencyTarget;
   Terms.Rank = Request.Rank;
   Terms.Nested = Request.Nested;
-  const WaitingCall Waiting{Number, dueTime(Terms), Request.Deadline};
+  const WaitingCall Waiting{Number, dueTime(Terms), Request.Deadline,
+                            latestStart(Terms)};
   const QueueDecision Decision = offerCall(Queue, Waiting, Loop.now());
   if (Decision == QueueDecision::Refuse) {
     refuse(std::move(Done), "queue-too-long");
@@ -127,6 +131,7 @@
 void Backend::dispatch(CallNumber Number) {
   PendingCall &Call = Calls.at(Number);
   Call.Began = Loop.now();
+  ++Counts.Runs;
   BackendConnection *Connection = idleConnection();
   if (!Connection) {
     Loop.atTurnEnd([this, Number] {
@@ -162,10 +167,8 @@
   }
   finishCall(Queue, Loop.now() - Call.Began);
   LastFinished = Loop.now();
-  if (Answer.Outcome == CallOutcome::Complete) {
-    ++Counts.Runs;
+  if (Answer.Outcome == CallOutcome::Complete)
     Reachable = true;
-  }
   if (Call.Connection && Call.Connection->usable(Loop.now()))
     Idle.push_back(Call.Connection);
   dispatchWaiting();
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -21,7 +21,7 @@
 
 /// Totals since the start of the process.
 struct BackendCounts {
-  std::uint64_t Runs = 0;
+  std::uint64_t Runs = 0; ///< Calls that were given a slot.
   std::uint64_t Connections = 0;
   std::uint64_t OfferedMicros = 0; ///< Slot time that the offered calls need.
   std::uint64_t LimitMicros = 0;   ///< Slot time that was there.
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -20,6 +20,7 @@
   int Rank = 0;
   bool Nested = false;
   bool Repeatable = false;
+  bool PlacedAgain = false; ///< Another node has refused the call before.
   std::uint64_t Fingerprint = 0;
   std::string Method;
   std::string Target;
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -5,6 +5,8 @@
 namespace pollenwick::agent {
 namespace {
 
+/// Weight of the newest report interval in the mean demand.
+constexpr double DemandWeight = 0.35;
 /// Reports older than this say nothing about the present.
 constexpr Duration ReportLife = std::chrono::milliseconds(1500);
 
@@ -28,8 +30,15 @@
 FleetState::FleetState(const Settings &TheOptions, std::uint64_t TheStart)
     : Options(TheOptions), Start(TheStart) {}
 
+QuotaBucket &FleetState::bucketOf(const std::string &Customer) {
+  const auto [Found, New] = Quotas.try_emplace(Customer);
+  if (New)
+    Found->second.BeginsFull = Options.FirstStart;
+  return Found->second;
+}
+
 QuotaDecision FleetState::spend(const CustomerRule &Customer, Instant Now) {
-  return spendQuota(Quotas[Customer.Customer.Text],
+  return spendQuota(bucketOf(Customer.Customer.Text),
                     {Customer.RatePerS, Customer.Burst}, Now);
 }
 
@@ -98,7 +107,7 @@
   if (Ip == Options.Ip)
     return;
   for (const NamedCount &Item : Status.Customers)
-    reportQuota(Quotas[Item.Name], Ip, Status.Start, {Item.A, Item.B}, Now);
+    reportQuota(bucketOf(Item.Name), Ip, Status.Start, {Item.A, Item.B}, Now);
   for (const NamedCount &Item : Status.Retries)
     reportRepeats(Budgets[Item.Name], retryTerms(), Ip, Status.Start,
                   {Item.A, Item.B}, Now);
@@ -134,7 +143,7 @@
     return;
   const RouteTable &Rules = *Hosts.rules();
   for (const CustomerRule &Customer : Rules.Source.Customers)
-    planQuota(Quotas[Customer.Customer.Text],
+    planQuota(bucketOf(Customer.Customer.Text),
               {Customer.RatePerS, Customer.Burst}, Interval, Now);
   planAdmission(Rules, Interval, Now);
 }
@@ -145,10 +154,13 @@
   std::map<std::string, double> Offered;
   std::map<std::string, double> There;
   std::map<std::string, double> Slots;
+  std::map<std::string, double> Timed;
   std::map<std::string, double> Waiting;
   std::map<std::string, double> Runs;
   std::map<std::string, std::map<std::string, double>> Calls;
+  std::map<std::string, double> CallsPerS;
   std::map<std::string, double> Demand;
+  std::map<std::string, double> Admitted;
   for (const auto &[Ip, Node] : Reports) {
     if (Now - Node.LatestAt > ReportLife)
       continue;
@@ -160,38 +172,58 @@
     There[Latest.Service] +=
         static_cast<double>(grown(Latest.LimitMicros, Before.LimitMicros));
     Slots[Latest.Service] += Latest.Load.Limit;
+    if (Latest.Load.Service.count() > 0) {
+      Timed[Latest.Service] += Latest.Load.Limit;
+      CallsPerS[Latest.Service] +=
+          Latest.Load.Limit / seconds(Latest.Load.Service);
+    }
     Waiting[Latest.Service] += Latest.Load.Waiting;
     Runs[Latest.Service] += static_cast<double>(Latest.Runs);
     for (const NamedCount &Call : Latest.Calls)
       Calls[Latest.Service][Call.Name] += static_cast<double>(Call.A);
     if (Elapsed <= 0)
       continue;
-    for (const NamedCount &Route : Latest.Routes)
+    for (const NamedCount &Route : Latest.Routes) {
+      Admitted[Route.Name] +=
+          static_cast<double>(
+              grown(Route.A,
+                    countOf(Before.Routes, Route.Name, &NamedCount::A))) /
+          Elapsed;
       Demand[Route.Name] +=
           static_cast<double>(
               grown(Route.B,
                     countOf(Before.Routes, Route.Name, &NamedCount::B))) /
           Elapsed;
+    }
   }
   for (const auto &[Service, Limit] : There) {
     ServiceUse &Use = Uses[Service];
     Use.OfferedUse = Limit > 0 ? Offered[Service] / Limit : 0;
+    Use.Slots = Slots[Service];
+    Use.CallSeconds =
+        CallsPerS[Service] > 0 ? Timed[Service] / CallsPerS[Service] : 0;
     Use.WaitShare = Slots[Service] > 0 ? Waiting[Service] / Slots[Service] : 0;
     if (Runs[Service] > 0)
       for (const auto &[Callee, Count] : Calls[Service])
         Use.CallsPerRun[Callee] = Count / Runs[Service];
   }
-  std::vector<RouteDemand> Routes;
+  std::vector<RouteDemand> Planned;
   for (const RouteRule &Route : Rules.Source.Routes) {
-    const auto Found = Demand.find(Route.Name);
-    if (Found == Demand.end() || Found->second <= 0)
+    if (!Demand.contains(Route.Name) && !Smoothed.contains(Route.Name))
       continue;
+    RouteRate &Rate = Smoothed[Route.Name];
+    Rate.Offered += (Demand[Route.Name] - Rate.Offered) * DemandWeight;
+    Rate.Admitted += (Admitted[Route.Name] - Rate.Admitted) * DemandWeight;
+    double Weights = 0;
     for (const WeightedService &Part : Route.Services)
-      Routes.push_back({Route.Name, Part.Service.Text, Route.Priority,
-                        Found->second / static_cast<double>(
-                                            Route.Services.size())});
+      Weights += Part.Weight;
+    for (const WeightedService &Part : Route.Services) {
+      const double Share = Weights > 0 ? Part.Weight / Weights : 0;
+      Planned.push_back({Route.Name, Part.Service.Text, Route.Priority,
+                         Rate.Offered * Share, Rate.Admitted * Share});
+    }
   }
-  updatePlan(Plan, Routes, Uses, Interval);
+  updatePlan(Plan, Planned, Uses, Interval);
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -65,6 +65,7 @@
     std::uint64_t Offered = 0;
   };
   RetryTerms retryTerms() const;
+  QuotaBucket &bucketOf(const std::string &Customer);
   void planAdmission(const RouteTable &Rules, Duration Interval, Instant Now);
 
   const Settings &Options;
@@ -75,6 +76,11 @@
   std::map<std::string, std::uint64_t> Nested;
   CrashCounts Crashes;
   std::map<std::string, Report> Reports; ///< By node address; own included.
+  struct RouteRate {
+    double Offered = 0;
+    double Admitted = 0;
+  };
+  std::map<std::string, RouteRate> Smoothed; ///< Fleet-wide, by route.
   AdmissionPlan Plan;
 };
 
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -31,7 +31,7 @@
 constexpr Duration AvoidFor = std::chrono::milliseconds(400);
 
 constexpr Duration RetrySoon = std::chrono::milliseconds(300);
-constexpr Duration RetryWhenShed = std::chrono::milliseconds(1000);
+constexpr Duration RetryWhenShed = std::chrono::milliseconds(600);
 constexpr Duration RetryQuarantined = std::chrono::seconds(60);
 
 /// Weight of one answer in the mean size of a route's answers.
@@ -219,6 +219,7 @@
   ++Server.SentSince;
   CallRequest Call = Item.Request;
   Call.ServerId = Item.ServerId;
+  Call.PlacedAgain = Item.Placements > 1;
   auto Done = [this, Id](CallAnswer &&Answer) {
     onAnswer(Id, std::move(Answer));
   };
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -87,6 +87,7 @@
   Out.setRank(static_cast<std::uint16_t>(std::clamp(Request.Rank, 0, 65535)));
   Out.setNested(Request.Nested);
   Out.setRepeatable(Request.Repeatable);
+  Out.setPlacedAgain(Request.PlacedAgain);
   Out.setFingerprint(Request.Fingerprint);
   Out.setMethod(text(Request.Method));
   Out.setTarget(text(Request.Target));
@@ -170,6 +171,7 @@
   Request.Rank = In.getRank();
   Request.Nested = In.getNested();
   Request.Repeatable = In.getRepeatable();
+  Request.PlacedAgain = In.getPlacedAgain();
   Request.Fingerprint = In.getFingerprint();
   Request.Method = toString(In.getMethod());
   Request.Target = toString(In.getTarget());
--- a/src/agent/Settings.cpp
+++ b/src/agent/Settings.cpp
@@ -21,6 +21,9 @@
 DEFINE_string(metrics_address, "",
               "IP:PORT for metrics and the state dump; empty: not served");
 DEFINE_string(source_address, "", "IP:PORT of the configuration service");
+DEFINE_bool(first_start, false,
+            "the whole fleet starts for the first time, so that no customer "
+            "has spent anything");
 DEFINE_int32(drain_grace_s, 6, "seconds from SIGTERM to the forced end");
 DEFINE_double(retry_ratio, 0.2, "repeats allowed for each request");
 DEFINE_double(retry_slack, 10, "repeats allowed besides, in each window");
@@ -88,6 +91,7 @@
   Out.ReadyAddress = FLAGS_ready_address;
   Out.MetricsAddress = FLAGS_metrics_address;
   Out.SourceAddress = FLAGS_source_address;
+  Out.FirstStart = FLAGS_first_start;
   Out.DrainGrace = std::chrono::seconds(FLAGS_drain_grace_s);
   Out.RetryRatio = FLAGS_retry_ratio;
   Out.RetrySlack = FLAGS_retry_slack;
--- a/src/agent/Settings.h
+++ b/src/agent/Settings.h
@@ -22,6 +22,7 @@
   std::string ReadyAddress;   ///< Readiness checks.
   std::string MetricsAddress; ///< Counters and histograms.
   std::string SourceAddress;  ///< Configuration service.
+  bool FirstStart = false; ///< The whole fleet starts for the first time.
   Duration DrainGrace = std::chrono::seconds(6); ///< From SIGTERM to the end.
   Duration RetryWindow = std::chrono::seconds(10);
   double RetryRatio = 0.2;
--- a/src/core/dispatch/DispatchQueue.cpp
+++ b/src/core/dispatch/DispatchQueue.cpp
@@ -34,6 +34,14 @@
   return Terms.Nested ? Due - NestedLead : Due;
 }
 
+Instant latestStart(const CallTerms &Terms) {
+  if (Terms.Nested || Terms.LatencyTarget.count() == 0)
+    return Terms.Deadline;
+  return std::min(Terms.Deadline,
+                  Terms.Arrival + std::chrono::duration_cast<Duration>(
+                                      Terms.LatencyTarget * WaitShare));
+}
+
 Duration expectedWait(const DispatchQueue &Queue) {
   if (Queue.Running < Queue.Limit && Queue.Waiting.empty())
     return Duration{};
@@ -49,7 +57,7 @@
     ++Queue.Running;
     return QueueDecision::Run;
   }
-  if (Now + expectedWait(Queue) >= Call.Deadline)
+  if (Now + expectedWait(Queue) >= Call.LatestStart)
     return QueueDecision::Refuse;
   Queue.Waiting.insert(Call);
   return QueueDecision::Wait;
--- a/src/core/dispatch/DispatchQueue.h
+++ b/src/core/dispatch/DispatchQueue.h
@@ -13,8 +13,9 @@
 /// A call that waits for a slot of the backend server.
 struct WaitingCall {
   std::uint64_t Id = 0;
-  Instant Due;      ///< Order of dispatch: the earliest first.
-  Instant Deadline; ///< Pointless after this.
+  Instant Due;        ///< Order of dispatch: the earliest first.
+  Instant Deadline;   ///< Pointless after this.
+  Instant LatestStart; ///< Refused when its slot is expected later.
 };
 
 /// Queue in front of the slots of one backend server. The node beside the
@@ -53,10 +54,15 @@
 /// Expected time until a call that arrives now gets a slot.
 Duration expectedWait(const DispatchQueue &Queue);
 
+/// Until when a call may wait for its slot. New work that would start later is
+/// refused at once, while its caller can still go elsewhere; work that has
+/// begun may wait until its deadline.
+Instant latestStart(const CallTerms &Terms);
+
 enum class QueueDecision : std::uint8_t { Run, Wait, Refuse };
 
 /// Decides on a new call and, unless it is refused, counts it. A call is
-/// refused when its slot would come too late for its deadline.
+/// refused when its slot would come after its latest start.
 QueueDecision offerCall(DispatchQueue &Queue, const WaitingCall &Call,
                         Instant Now);
 
--- a/src/core/fleet/FleetQuota.cpp
+++ b/src/core/fleet/FleetQuota.cpp
@@ -25,7 +25,7 @@
   const auto Burst = static_cast<double>(Limit.Burst);
   if (!Bucket.Started) {
     Bucket.Started = true;
-    Bucket.Level = Burst;
+    Bucket.Level = Bucket.BeginsFull ? Burst : 0;
     Bucket.Filled = Now;
   }
   Bucket.Level =
--- a/src/core/fleet/FleetQuota.h
+++ b/src/core/fleet/FleetQuota.h
@@ -37,6 +37,9 @@
   double Level = 0;
   Instant Filled;
   bool Started = false;
+  /// Whether the bucket begins full. When a node restarts, the fleet may have
+  /// spent the burst just before; the bucket then begins empty.
+  bool BeginsFull = false;
   QuotaCounts Own;
   QuotaCounts OwnAtTick;
   double OwnOfferedPerS = 0;
--- a/src/core/shedding/AdmissionPlan.cpp
+++ b/src/core/shedding/AdmissionPlan.cpp
@@ -7,36 +7,72 @@
 namespace {
 
 /// Use of the slots that is aimed at.
-constexpr double TargetUse = 0.93;
+constexpr double TargetUse = 0.95;
 /// Waiting calls per slot lower the target, so that a queue drains.
-constexpr double WaitWeight = 0.35;
-/// Time in which the plan moves most of the way to what the use asks for.
-constexpr Duration Settling = std::chrono::milliseconds(700);
-/// Largest changes in one update: the use is reported with a delay.
-constexpr double LargestCut = 0.7;
-constexpr double LargestRise = 1.25;
-constexpr double SmallestKeep = 0.02;
+constexpr double WaitWeight = 0.5;
+constexpr double SmallestTarget = 0.25;
+/// Time over which observed and predicted use are compared. Nested calls follow
+/// the admission of their request by up to its run time.
+constexpr Duration Comparison = std::chrono::milliseconds(2000);
+/// Bounds of the correction, and a use below which it fades out.
+constexpr double LeastCorrection = 0.4;
+constexpr double MostCorrection = 2.5;
+constexpr double FaintUse = 0.1;
+/// Bounds what a wrong cost, as seen right after a restart, does to the mean.
+constexpr double MostPredicted = 4;
 /// No route is shut completely: what it would do is otherwise never seen.
-constexpr double SmallestShare = 0.03;
+constexpr double SmallestShare = 0.004;
 constexpr int DeepestChain = 32;
 /// Fewer calls per run are stray requests on open routes, not a dependency.
 constexpr double SmallestCalls = 0.05;
 constexpr double LargestReach = 1e4;
 
+using ReachList = std::vector<std::map<std::string, double>>;
+
+double callsAt(const std::map<std::string, double> &Reach,
+               const std::string &Service) {
+  const auto Found = Reach.find(Service);
+  return Found == Reach.end() ? 0.0 : Found->second;
+}
+
+/// Use of a service by one call a second.
+double useOfCall(const ServiceUse &Use) {
+  return Use.Slots > 0 ? Use.CallSeconds / Use.Slots : 0.0;
+}
+
+double correctionOf(const AdmissionPlan::Service &State) {
+  return std::clamp((State.Observed + FaintUse) / (State.Predicted + FaintUse),
+                    LeastCorrection, MostCorrection);
+}
+
+void compareUse(AdmissionPlan::Service &State, const std::string &Name,
+                const ServiceUse &Use,
+                const std::vector<RouteDemand> &ByPriority,
+                const ReachList &Reach, double Step) {
+  double Predicted = 0;
+  for (std::size_t I = 0; I < ByPriority.size(); ++I)
+    Predicted += ByPriority[I].AdmittedPerS * callsAt(Reach[I], Name) *
+                 useOfCall(Use);
+  State.Observed += (Use.OfferedUse - State.Observed) * Step;
+  State.Predicted +=
+      (std::min(Predicted, MostPredicted) - State.Predicted) * Step;
+  State.Seen = Use;
+}
+
 /// Splits what one service may carry over the routes that reach it.
-void capShares(double Keep, const std::string &Service,
+void capShares(AdmissionPlan::Service &State, const std::string &Name,
                const std::vector<RouteDemand> &ByPriority,
-               const std::vector<std::map<std::string, double>> &Reach,
-               std::vector<double> &Shares) {
+               const ReachList &Reach, std::vector<double> &Shares) {
+  const double PerCall = useOfCall(State.Seen) * correctionOf(State);
   const auto Cost = [&](std::size_t I) {
-    const auto Found = Reach[I].find(Service);
-    return Found == Reach[I].end() ? 0.0
-                                   : Found->second * ByPriority[I].OfferedPerS;
+    return ByPriority[I].OfferedPerS * callsAt(Reach[I], Name) * PerCall;
   };
   double Total = 0;
   for (std::size_t I = 0; I < ByPriority.size(); ++I)
     Total += Cost(I);
-  double Left = Keep * Total;
+  double Left = std::max(SmallestTarget,
+                         TargetUse - WaitWeight * State.Seen.WaitShare);
+  State.Keep = Total > 0 ? std::min(1.0, Left / Total) : 1.0;
   for (std::size_t Begin = 0; Begin < ByPriority.size();) {
     std::size_t End = Begin;
     double Level = 0;
@@ -84,22 +120,18 @@
                 Duration Elapsed) {
   const double Step =
       1 - std::exp(-static_cast<double>(Elapsed.count()) /
-                   static_cast<double>(Settling.count()));
-  for (const auto &[Name, Use] : Services) {
-    double &Keep = Plan.KeepByService.try_emplace(Name, 1.0).first->second;
-    const double Target = std::max(0.3, TargetUse - WaitWeight * Use.WaitShare);
-    const double Factor = std::clamp(
-        Target / std::max(Use.OfferedUse, 0.01), LargestCut, LargestRise);
-    Keep = std::clamp(Keep * std::pow(Factor, Step), SmallestKeep, 1.0);
-  }
+                   static_cast<double>(Comparison.count()));
   std::vector<RouteDemand> ByPriority = Demand;
   std::ranges::stable_sort(ByPriority, {}, &RouteDemand::Priority);
-  std::vector<std::map<std::string, double>> Reach;
+  ReachList Reach;
   for (const RouteDemand &Route : ByPriority)
     Reach.push_back(reachOf(Route.Service, Services));
   std::vector<double> Shares(ByPriority.size(), 1.0);
-  for (const auto &[Name, Use] : Services)
-    capShares(Plan.KeepByService[Name], Name, ByPriority, Reach, Shares);
+  for (const auto &[Name, Use] : Services) {
+    AdmissionPlan::Service &State = Plan.Services[Name];
+    compareUse(State, Name, Use, ByPriority, Reach, Step);
+    capShares(State, Name, ByPriority, Reach, Shares);
+  }
   Plan.ShareByRoute.clear();
   for (std::size_t I = 0; I < ByPriority.size(); ++I) {
     const auto [It, New] =
--- a/src/core/shedding/AdmissionPlan.h
+++ b/src/core/shedding/AdmissionPlan.h
@@ -14,14 +14,17 @@
 struct RouteDemand {
   std::string Route;
   std::string Service;
-  int Priority = 0;        ///< 0 is the most important.
+  int Priority = 0; ///< 0 is the most important.
   double OfferedPerS = 0;
+  double AdmittedPerS = 0;
 };
 
 /// One service over the fleet.
 struct ServiceUse {
-  double OfferedUse = 0; ///< Slot time asked for / slot time there.
-  double WaitShare = 0;  ///< Waiting calls / slots.
+  double OfferedUse = 0;  ///< Slot time asked for / slot time there.
+  double WaitShare = 0;   ///< Waiting calls / slots.
+  double Slots = 0;       ///< Calls that run at once, over all servers.
+  double CallSeconds = 0; ///< Mean time that a call holds a slot.
   /// Nested calls that one run causes, by service.
   std::map<std::string, double> CallsPerRun;
 };
@@ -29,7 +32,13 @@
 /// Share of the requests of each route that is admitted. It follows the
 /// services that a request reaches, down to the deepest.
 struct AdmissionPlan {
-  std::map<std::string, double> KeepByService; ///< Of the demand there.
+  struct Service {
+    double Observed = 0;  ///< Smoothed use.
+    double Predicted = 0; ///< Smoothed use that the admitted requests explain.
+    double Keep = 1;      ///< Share of the demand that fits.
+    ServiceUse Seen;
+  };
+  std::map<std::string, Service> Services;
   std::map<std::string, double> ShareByRoute;
 };
 
@@ -38,10 +47,10 @@
 reachOf(const std::string &Service,
         const std::map<std::string, ServiceUse> &Services);
 
-/// Adapts the plan to what was seen since the last update, `Elapsed` ago. A
-/// service that is asked for more than it has gets less; what it can carry is
-/// given to the routes in the order of their priority, and equally to routes
-/// of one priority.
+/// Plans from the demand, what each request costs at each service, and the
+/// slots there; what was observed corrects the prediction. What a service can
+/// carry is given to the routes in the order of their priority, and equally to
+/// routes of one priority.
 void updatePlan(AdmissionPlan &Plan, const std::vector<RouteDemand> &Demand,
                 const std::map<std::string, ServiceUse> &Services,
                 Duration Elapsed);
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -30,6 +30,7 @@
   target @11 :Text;
   head @12 :Data;            # Header lines, each ended by CR LF.
   body @13 :Data;
+  placedAgain @14 :Bool;     # Another node has refused the call before.
 }
 
 enum Outcome { complete @0; notRun @1; unknown @2; }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -351,6 +351,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool getPlacedAgain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -449,6 +451,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool getPlacedAgain();
+  inline void setPlacedAgain(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1792,6 +1797,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Call::Reader::getPlacedAgain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getPlacedAgain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setPlacedAgain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
