--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -13,8 +13,11 @@
 /// Sent bytes may stay unacknowledged for so long; a frozen peer answers when
 /// it wakes up.
 constexpr int UnansweredMs = 8000;
-/// A link without a frame for so long gets no new calls.
-constexpr Duration SilentAfter = std::chrono::milliseconds(1100);
+/// A link without a frame for so long gets no new calls: a status is due every
+/// 250 ms.
+constexpr Duration SilentAfter = std::chrono::milliseconds(800);
+/// Calls that may be repeated are taken back from a link after this silence.
+constexpr Duration ReleaseAfter = std::chrono::milliseconds(1100);
 /// A link is given up after this silence: no call lives longer.
 constexpr Duration DeadAfter = std::chrono::seconds(8);
 constexpr Duration DialTimeout = std::chrono::milliseconds(1000);
@@ -233,7 +236,7 @@
       const Duration Silent = Loop.now() - Link->lastHeard();
       if (Link->connected() ? Silent > DeadAfter : Silent > DialTimeout)
         Dead.push_back(Link);
-      else if (Link->connected() && Silent > SilentAfter)
+      else if (Link->connected() && Silent > ReleaseAfter)
         Link->releaseRepeatable();
     }
   for (const std::shared_ptr<PeerLink> &Link : Dead) {
