Share a customer's rate by the size of the fleet until all nodes were heard of

Change: a node that was not heard of counts as asked for as much as this one; the level is not trusted before all were heard of; what a new peer has admitted empties the bucket but leaves no debt.

--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -140,12 +140,28 @@
   if (!Hosts.rules())
     return;
   const RouteTable &Rules = *Hosts.rules();
-  for (const CustomerRule &Customer : Rules.Source.Customers)
-    planQuota(bucketOf(Customer.Customer.Text),
-              {Customer.RatePerS, Customer.Burst}, Interval, Now);
+  const std::size_t Nodes = Hosts.nodeIps().size();
+  for (const CustomerRule &Customer : Rules.Source.Customers) {
+    QuotaBucket &Bucket = bucketOf(Customer.Customer.Text);
+    hearIdlePeers(Bucket, Customer.Customer.Text, Now);
+    planQuota(Bucket, {Customer.RatePerS, Customer.Burst}, Nodes, Interval,
+              Now);
+  }
   planAdmission(Rules, Interval, Now);
 }
 
+void FleetState::hearIdlePeers(QuotaBucket &Bucket, const std::string &Customer,
+                               Instant Now) const {
+  // A node that had no request of a customer does not list it.
+  for (const auto &[Ip, Node] : Reports)
+    if (Ip != Options.Ip && Now - Node.LatestAt <= ReportLife &&
+        !Bucket.Peers.contains(Ip))
+      reportQuota(Bucket, Ip, Node.Latest.Start,
+                  {countOf(Node.Latest.Customers, Customer, &NamedCount::A),
+                   countOf(Node.Latest.Customers, Customer, &NamedCount::B)},
+                  Node.LatestAt);
+}
+
 void FleetState::planAdmission(const RouteTable &Rules, Duration Interval,
                                Instant Now) {
   std::map<std::string, ServiceUse> Uses;
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -66,6 +66,8 @@
   };
   RetryTerms retryTerms() const;
   QuotaBucket &bucketOf(const std::string &Customer);
+  void hearIdlePeers(QuotaBucket &Bucket, const std::string &Customer,
+                     Instant Now) const;
   void planAdmission(const RouteTable &Rules, Duration Interval, Instant Now);
 
   const Settings &Options;
--- a/src/core/fleet/FleetQuota.cpp
+++ b/src/core/fleet/FleetQuota.cpp
@@ -26,6 +26,7 @@
   if (!Bucket.Started) {
     Bucket.Started = true;
     Bucket.Level = Bucket.BeginsFull ? Burst : 0;
+    Bucket.Scarce = !Bucket.BeginsFull;
     Bucket.Filled = Now;
   }
   Bucket.Level =
@@ -57,15 +58,19 @@
                  std::uint64_t Start, const QuotaCounts &Counts, Instant Now) {
   QuotaBucket::Peer &Peer = Bucket.Peers[Name];
   if (Peer.Start != Start) {
-    // A peer that restarted counts from zero. One that is new to this node
-    // spent its count at an unknown time, mostly long ago.
+    // A peer that restarted counts from zero. One that is new to this node may
+    // have spent its count at any time: it takes what is in the bucket, but
+    // leaves no debt.
     const bool Known = Peer.Start != 0;
     Peer = QuotaBucket::Peer{};
     Peer.Start = Start;
     Peer.Counts = Counts;
     Peer.Reported = Now;
-    if (Known)
-      Bucket.Level -= static_cast<double>(Counts.Admitted);
+    const double Floor =
+        Known ? Bucket.Level - static_cast<double>(Counts.Admitted)
+              : std::min(Bucket.Level, 0.0);
+    Bucket.Level =
+        std::max(Bucket.Level - static_cast<double>(Counts.Admitted), Floor);
     return;
   }
   if (Counts.Offered < Peer.Counts.Offered)
@@ -83,8 +88,8 @@
   Peer.Reported = Now;
 }
 
-void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, Duration Interval,
-               Instant Now) {
+void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, std::size_t Nodes,
+               Duration Interval, Instant Now) {
   refill(Bucket, Limit, Now);
   const double Span = std::max(0.01, seconds(Interval));
   const auto OwnOffered =
@@ -110,18 +115,24 @@
   }
   Bucket.Level =
       std::max(Bucket.Level, -2.0 * static_cast<double>(Limit.RatePerS));
-  Bucket.Scarce = Bucket.Level < ScarceShare * static_cast<double>(Limit.Burst);
+  // The level means little while a part of the fleet was never heard of.
+  const std::size_t Heard = Bucket.Peers.size() + 1;
+  Bucket.Scarce = Heard < Nodes ||
+                  Bucket.Level < ScarceShare * static_cast<double>(Limit.Burst);
   if (!Bucket.Scarce)
     return;
-  const double Nodes = static_cast<double>(Bucket.Peers.size()) + 1;
-  const double Share = Total > 0 ? Bucket.OwnOfferedPerS / Total : 1.0 / Nodes;
+  if (Nodes > Heard)
+    Total += static_cast<double>(Nodes - Heard) * Bucket.OwnOfferedPerS;
+  const double Share = Total > 0
+                           ? Bucket.OwnOfferedPerS / Total
+                           : 1.0 / static_cast<double>(std::max(Heard, Nodes));
   const double There =
       std::max(0.0, Bucket.Level + static_cast<double>(Limit.RatePerS) * Span);
   // A fraction that was not used up carries over, up to one request. While
   // tokens are left, a node with a small share may admit one request: refusing
   // it would be wrong more often than admitting it breaks the limit, and the
   // debt is paid back.
-  const double Least = Bucket.Level >= 1 ? 1.0 : 0.0;
+  const double Least = Bucket.Level >= 1 && Heard >= Nodes ? 1.0 : 0.0;
   Bucket.Allowance =
       std::max(Least, std::clamp(Bucket.Allowance, 0.0, 1.0) + Share * There);
 }
--- a/src/core/fleet/FleetQuota.h
+++ b/src/core/fleet/FleetQuota.h
@@ -58,9 +58,11 @@
 void reportQuota(QuotaBucket &Bucket, const std::string &Peer,
                  std::uint64_t Start, const QuotaCounts &Counts, Instant Now);
 
-/// Plans the admissions until the next tick, `Interval` from now.
-void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, Duration Interval,
-               Instant Now);
+/// Plans the admissions until the next tick, `Interval` from now. `Nodes` is
+/// the size of the fleet: a node that has not reported is taken to be asked for
+/// as much as this one.
+void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, std::size_t Nodes,
+               Duration Interval, Instant Now);
 
 /// Time until a request that was refused now may be admitted.
 Duration quotaRetryAfter(const QuotaBucket &Bucket, const QuotaLimit &Limit);
