--- a/apps/pollenwick-dump/ExitCodes.h
+++ b/apps/pollenwick-dump/ExitCodes.h
@@ -3,7 +3,7 @@
 
 namespace pollenwick {
 
-/// Exit codes of `pollenwick-dump`; listed in docs/operations.md and `--help`.
+/// Exit codes of `pollenwick-dump`; listed in docs/OPERATIONS.md and `--help`.
 enum ExitCode : int {
   ExitOk = 0,
   ExitUsage = 1, ///< Also used by gflags for unknown flags.
--- a/src/agent/EventLoop.cpp
+++ b/src/agent/EventLoop.cpp
@@ -62,7 +62,7 @@
   TurnEnd.push_back(std::move(Task));
 }
 
-TimerId EventLoop::callAt(Instant When, std::function<void()> Task) {
+TimerId EventLoop::callAt(Instant When, std::function<void()> &&Task) {
   const TimerId Id = ++LastTimer;
   Timers.push(Timer{When, Id});
   TimerTasks.emplace(Id, std::move(Task));
--- a/src/agent/EventLoop.h
+++ b/src/agent/EventLoop.h
@@ -53,7 +53,7 @@
   /// Calls `Task` once at the end of the current turn.
   void atTurnEnd(std::function<void()> &&Task);
 
-  TimerId callAt(Instant When, std::function<void()> Task);
+  TimerId callAt(Instant When, std::function<void()> &&Task);
   void cancelTimer(TimerId Id);
 
   /// Runs `Task` on the loop's thread. Safe from any thread.
