Order admission by the customer's priority (try, unfinished)

Cause: the platform's pages put a customer's priority before the route's; the plan orders by route only. Change: demand is counted by route and customer priority, and the rank puts the customer's first.

--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -28,11 +28,12 @@
                     Instant Now);
   bool takeRepeat(const ServiceId &Service, Instant Now);
 
-  void countOffered(const RouteRule &Route, bool Admitted);
+  void countOffered(const RouteRule &Route, int CustomerPriority,
+                    bool Admitted);
   /// Counts a nested call that the local server made.
   void countNested(const ServiceId &Service) { ++Nested[Service.Text]; }
-  double share(const std::string &Route) const {
-    return admittedShare(Plan, Route);
+  double share(const std::string &Route, int CustomerPriority) const {
+    return admittedShare(Plan, planKey(Route, CustomerPriority));
   }
 
   void countCrash(std::uint64_t Fingerprint, Instant Now);
