--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -1,7 +1,6 @@
 #include "agent/FleetState.h"
 
 #include <algorithm>
-#include <set>
 
 namespace pollenwick::agent {
 namespace {
@@ -81,9 +80,8 @@
   return true;
 }
 
-void FleetState::countOffered(const RouteRule &Route, int CustomerPriority,
-                              bool Admitted) {
-  OwnRoute &Counts = Routes[planKey(Route.Name, CustomerPriority)];
+void FleetState::countOffered(const RouteRule &Route, bool Admitted) {
+  OwnRoute &Counts = Routes[Route.Name];
   ++Counts.Offered;
   if (Admitted)
     ++Counts.Admitted;
@@ -221,26 +219,20 @@
       for (const auto &[Callee, Count] : Calls[Service])
         Use.CallsPerRun[Callee] = Count / Runs[Service];
   }
-  std::set<int> Priorities;
-  for (const CustomerRule &Customer : Rules.Source.Customers)
-    Priorities.insert(std::max(Customer.Priority, 0));
-  Priorities.insert(0);
   std::vector<RouteDemand> Planned;
-  for (const RouteRule &Route : Rules.Source.Routes)
-    for (const int Priority : Priorities) {
-      const std::string Key = planKey(Route.Name, Priority);
-      if (!Demand.contains(Key))
-        continue;
-      double Weights = 0;
-      for (const WeightedService &Part : Route.Services)
-        Weights += Part.Weight;
-      for (const WeightedService &Part : Route.Services) {
-        const double Share = Weights > 0 ? Part.Weight / Weights : 0;
-        Planned.push_back({Key, Part.Service.Text,
-                           admissionRank(Priority, Route.Priority),
-                           Demand[Key] * Share, Admitted[Key] * Share});
-      }
+  for (const RouteRule &Route : Rules.Source.Routes) {
+    if (!Demand.contains(Route.Name))
+      continue;
+    double Weights = 0;
+    for (const WeightedService &Part : Route.Services)
+      Weights += Part.Weight;
+    for (const WeightedService &Part : Route.Services) {
+      const double Share = Weights > 0 ? Part.Weight / Weights : 0;
+      Planned.push_back({Route.Name, Part.Service.Text, Route.Priority,
+                         Demand[Route.Name] * Share,
+                         Admitted[Route.Name] * Share});
     }
+  }
   updatePlan(Plan, Planned, Uses, Interval);
 }
 
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -28,12 +28,11 @@
                     Instant Now);
   bool takeRepeat(const ServiceId &Service, Instant Now);
 
-  void countOffered(const RouteRule &Route, int CustomerPriority,
-                    bool Admitted);
+  void countOffered(const RouteRule &Route, bool Admitted);
   /// Counts a nested call that the local server made.
   void countNested(const ServiceId &Service) { ++Nested[Service.Text]; }
-  double share(const std::string &Route, int CustomerPriority) const {
-    return admittedShare(Plan, planKey(Route, CustomerPriority));
+  double share(const std::string &Route) const {
+    return admittedShare(Plan, Route);
   }
 
   void countCrash(std::uint64_t Fingerprint, Instant Now);
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -131,10 +131,8 @@
   }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
   std::uniform_real_distribution<double> Draw(0, 1);
-  const int Priority = Customer ? Customer->Priority : -1;
-  Item.CustomerPriority = Priority;
-  if (Draw(Random) >= Fleet.share(Item.Route->Name, Priority)) {
-    Fleet.countOffered(*Item.Route, Priority, false);
+  if (Draw(Random) >= Fleet.share(Item.Route->Name)) {
+    Fleet.countOffered(*Item.Route, false);
     Why = {503, "overload", spread(RetryWhenShed)};
     return false;
   }
@@ -142,7 +140,7 @@
     Why = {429, "over-rate", spread(Fleet.retryAfter(*Customer))};
     return false;
   }
-  Fleet.countOffered(*Item.Route, Priority, true);
+  Fleet.countOffered(*Item.Route, true);
   return true;
 }
 
@@ -405,8 +403,7 @@
         .field("service", Item.Service.Text)
         .field("customer", Item.Customer)
         .field("admitted_share_pct",
-               static_cast<std::int64_t>(
-                   100 * Fleet.share(Item.Route->Name, Item.CustomerPriority)))
+               static_cast<std::int64_t>(100 * Fleet.share(Item.Route->Name)))
         .field("placements", Item.Placements)
         .field("arrivals", Item.Attempts)
         .field("last_cause", Item.LastCause)
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -41,7 +41,6 @@
     ServiceId Service;
     CallRequest Request; ///< Without the server.
     std::string Customer;
-    int CustomerPriority = -1;
     Instant Began;
     Instant Expiry;
     TimerId ExpiryTimer = 0;
--- a/src/core/shedding/AdmissionPlan.cpp
+++ b/src/core/shedding/AdmissionPlan.cpp
@@ -33,7 +33,6 @@
 constexpr double SmallestShare = 0.004;
 /// A request that costs less than this share of its priority's mean is cheap.
 constexpr double CheapShare = 0.5;
-constexpr int RanksPerCustomerPriority = 1000;
 constexpr int DeepestChain = 32;
 /// Fewer calls per run are stray requests on open routes, not a dependency.
 constexpr double SmallestCalls = 0.05;
@@ -173,15 +172,6 @@
 
 } // namespace
 
-int admissionRank(int CustomerPriority, int RoutePriority) {
-  return std::max(CustomerPriority, 0) * RanksPerCustomerPriority +
-         std::clamp(RoutePriority, 0, RanksPerCustomerPriority - 1);
-}
-
-std::string planKey(const std::string &Route, int CustomerPriority) {
-  return Route + "@" + std::to_string(std::max(CustomerPriority, 0));
-}
-
 std::map<std::string, double>
 reachOf(const std::string &Service,
         const std::map<std::string, ServiceUse> &Services) {
--- a/src/core/shedding/AdmissionPlan.h
+++ b/src/core/shedding/AdmissionPlan.h
@@ -10,19 +10,9 @@
 
 namespace pollenwick {
 
-/// What orders requests when not all of them fit: the customer's priority,
-/// then the route's. Smaller is more important; a customer without a priority
-/// comes with the first.
-int admissionRank(int CustomerPriority, int RoutePriority);
-
-/// Requests that are planned together: those of customers with one priority on
-/// one route.
-std::string planKey(const std::string &Route, int CustomerPriority);
-
-/// Requests of callers with one plan key, over the fleet, since the last
-/// update.
+/// Requests of callers on one route, over the fleet, since the last update.
 struct RouteDemand {
-  std::string Route; ///< Plan key.
+  std::string Route;
   std::string Service;
   int Priority = 0; ///< 0 is the most important.
   double OfferedPerS = 0;
@@ -71,7 +61,7 @@
                 const std::map<std::string, ServiceUse> &Services,
                 Duration Elapsed);
 
-/// Share of the requests with a plan key to admit; 1 without a plan.
+/// Share of a route's requests to admit; 1 for a route without a plan.
 double admittedShare(const AdmissionPlan &Plan, const std::string &Route);
 
 } // namespace pollenwick
--- a/tests/shedding/AdmissionPlanTest.cpp
+++ b/tests/shedding/AdmissionPlanTest.cpp
@@ -75,25 +75,6 @@
   }
 }
 
-TEST_CASE("A customer's priority goes before the route's", "[shedding]") {
-  // Guards against operators' ranks of customers that change nothing.
-  CHECK(admissionRank(0, 2) < admissionRank(1, 0));
-  CHECK(admissionRank(1, 0) < admissionRank(1, 2));
-  CHECK(admissionRank(-1, 1) == admissionRank(0, 1));
-  CHECK(planKey("r", 1) != planKey("r", 0));
-  const std::map<std::string, ServiceUse> Services{{"deep", use(40, 100, {})}};
-  AdmissionPlan Plan;
-  for (int I = 0; I < 20; ++I)
-    updatePlan(Plan,
-               {{planKey("lookup", 0), "deep", admissionRank(0, 2), 200, 200},
-                {planKey("deposit", 1), "deep", admissionRank(1, 0), 200, 200},
-                {planKey("lookup", 1), "deep", admissionRank(1, 2), 400, 400}},
-               Services, Tick);
-  CHECK(admittedShare(Plan, planKey("lookup", 0)) == 1);
-  CHECK(admittedShare(Plan, planKey("deposit", 1)) > 0.9);
-  CHECK(admittedShare(Plan, planKey("lookup", 1)) < 0.1);
-}
-
 TEST_CASE("A queue lowers what is admitted", "[shedding]") {
   // A queue longer than 0.6 calls per slot should drain in 0.2 s: with calls of
   // 0.1 s, half of what is above is kept free.
