--- a/tests/agent/ScriptedServer.cpp
+++ b/tests/agent/ScriptedServer.cpp
@@ -63,7 +63,7 @@
 }
 
 bool ScriptedServer::closedWithin(Poco::Net::StreamSocket &Socket, int Ms) {
-  Socket.setReceiveTimeout(Poco::Timespan(Ms / 1000, (Ms % 1000) * 1000));
+  Socket.setReceiveTimeout(Poco::Timespan(Ms / 1000, (Ms % 1000) * 1000L));
   char Byte = 0;
   try {
     return Socket.receiveBytes(&Byte, 1) == 0;
