--- a/tests/shedding/LoadModel.cpp
+++ b/tests/shedding/LoadModel.cpp
@@ -16,7 +16,7 @@
 
 LoadModel::LoadModel(
     std::map<std::string, ModelClass> TheClasses,
-    std::map<std::string, std::vector<ModelServer>> TheServices,
+    const std::map<std::string, std::vector<ModelServer>> &TheServices,
     bool WithControl, std::uint32_t Seed)
     : Classes(std::move(TheClasses)), Control(WithControl), Random(Seed),
       Now(std::chrono::seconds(1)) {
--- a/tests/shedding/LoadModel.h
+++ b/tests/shedding/LoadModel.h
@@ -46,7 +46,7 @@
 class LoadModel {
 public:
   LoadModel(std::map<std::string, ModelClass> Classes,
-            std::map<std::string, std::vector<ModelServer>> Services,
+            const std::map<std::string, std::vector<ModelServer>> &Services,
             bool Control, std::uint32_t Seed);
 
   std::map<std::string, ModelResult> play(Duration Length);
