Notice a crash whose listener outlives its connections

Cause: the kernel may end the connections of an exiting process before its listener. The probe that tells a crash from a lost connection then still got a connection, the crash was not recorded, and the call, which is idempotent, was sent to the next server, up to four of them. When no server was left, the caller was told "not run" by the last choice, although earlier attempts had run.

Ruled out: a second copy sent by POCO's session (it resends nothing after the first bytes were taken); ports shared between deployments (the crash status proves the marker); the 0.3 s hold of answers.

Change: the probe's connection must stay open for 0.2 s; an earlier attempt that may have run makes the outcome of the whole call "unknown".

Both new tests fail without the change (the one on the outcome does not compile).

--- a/src/core/retry/Retry.cpp
+++ b/src/core/retry/Retry.cpp
@@ -77,6 +77,10 @@
   return RetryVerdict::Retry;
 }
 
+Outcome overallOutcome(bool EarlierMayHaveRun, Outcome Last) {
+  return EarlierMayHaveRun && Last == Outcome::NotRun ? Outcome::Unknown : Last;
+}
+
 Duration remaining(Instant Deadline, Instant Now) {
   return std::max(Duration::zero(), Deadline - Now);
 }
--- a/src/core/retry/Retry.h
+++ b/src/core/retry/Retry.h
@@ -73,6 +73,10 @@
 RetryVerdict mayRetry(RetryAllowance &Held, RetryRatios &Ratios,
                       const FailedAttempt &Attempt, Instant Now);
 
+/// What is known of a whole call after its last attempt. A refusal by the last
+/// host says nothing about an earlier attempt that may have run.
+Outcome overallOutcome(bool EarlierMayHaveRun, Outcome Last);
+
 /// Remaining time, never negative. Deadlines travel in this form because
 /// clocks of hosts are not comparable.
 Duration remaining(Instant Deadline, Instant Now);
--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -23,6 +23,9 @@
 /// the next request is sent; POCO's own servers close after 15 s.
 constexpr Duration MaxIdleTime = std::chrono::seconds(5);
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
+/// The kernel may end the connections of a process that exits before its
+/// listener. A connection that the listener still took is reset when it goes.
+constexpr Duration ListenerEndTime = std::chrono::milliseconds(200);
 /// Longest chunk-size or trailer line of a chunked answer.
 constexpr std::size_t MaxChunkLine = 256;
 
@@ -181,7 +184,7 @@
     Idle.push_back(std::move(Session));
 }
 
-bool BackendClient::hasEnded() { return !isReachable() || hasClosedIdle(); }
+bool BackendClient::hasEnded() { return hasClosedIdle() || !isReachable(); }
 
 bool BackendClient::hasClosedIdle() {
   std::scoped_lock Lock(Mutex);
@@ -203,8 +206,9 @@
     Poco::Net::StreamSocket Socket;
     Socket.connect(Poco::Net::SocketAddress(Server.Address, Server.Port),
                    timespan(ConnectTimeout));
-    Socket.close();
-    return true;
+    // A server sends nothing before a request: what can be read is the end.
+    return !Socket.poll(timespan(ListenerEndTime),
+                        Poco::Net::Socket::SELECT_READ);
   } catch (const Poco::Exception &) {
     return false;
   }
--- a/src/node/BackendClient.h
+++ b/src/node/BackendClient.h
@@ -32,9 +32,10 @@
   /// sent; `Done` only if the whole answer was read.
   BackendResult run(const CallRequest &Call, const std::string &Handle);
 
-  /// Whether the server process has ended: it takes no connection, or it closed
-  /// all idle connections that were in use shortly before. A server that was
-  /// started again at once shows only the latter.
+  /// Whether the server process has ended: it takes no connection, or resets
+  /// the one it took, or it closed all idle connections that were in use
+  /// shortly before. A server that was started again at once shows only the
+  /// last of these. Blocks for up to 0.7 s.
   bool hasEnded();
 
   void limitTo(std::size_t MaxConnections, std::size_t MaxBodyBytes);
--- a/src/node/Forwarder.cpp
+++ b/src/node/Forwarder.cpp
@@ -120,6 +120,14 @@
 
 CallReply Forwarder::forward(CallRequest Call, const ActiveBundle &Active,
                              const RouteEntry &Route) {
+  bool MayHaveRun = false;
+  CallReply Reply = tryHosts(std::move(Call), Active, Route, MayHaveRun);
+  Reply.Result = overallOutcome(MayHaveRun, Reply.Result);
+  return Reply;
+}
+
+CallReply Forwarder::tryHosts(CallRequest Call, const ActiveBundle &Active,
+                              const RouteEntry &Route, bool &MayHaveRun) {
   const RouteSpec &Spec = *Route.Spec;
   RetryAllowance Held{Call.Allowance};
   std::vector<HostId> Tried;
@@ -145,6 +153,7 @@
     Admission.learn(Call.Tenant, Reply.Load);
     if (!Named)
       countReply(Next.Host, Reply);
+    MayHaveRun = MayHaveRun || Reply.Result == Outcome::Unknown;
     Tried.push_back(Next.Host);
     Reply.UnusedAllowance = Held.Left;
     if (Reply.Result == Outcome::Done || isFinal(Reply.Reason) ||
--- a/src/node/Forwarder.h
+++ b/src/node/Forwarder.h
@@ -40,6 +40,9 @@
     RefusalReason Reason = RefusalReason::None;
   };
 
+  /// Sets `MayHaveRun` when an attempt may have run.
+  CallReply tryHosts(CallRequest Call, const ActiveBundle &Bundle,
+                     const RouteEntry &Route, bool &MayHaveRun);
   Choice choose(const ServiceId &Service, const std::vector<HostId> &Tried);
   CallReply attempt(const HostId &Host, const CallRequest &Call,
                     const ActiveBundle &Bundle);
--- a/tests/node/BackendClientTest.cpp
+++ b/tests/node/BackendClientTest.cpp
@@ -86,6 +86,24 @@
   }
 }
 
+TEST_CASE("A server that exits is told from a lost connection", "[node]") {
+  // Guards against a crash that goes unnoticed, after which the request that
+  // caused it is sent to the next server.
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  BackendClient Client({"127.0.0.1", Listener.address().port()}, 4, MaxBody);
+  SECTION("the listener of an exiting process goes after its connections") {
+    std::thread Exit([&] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      Listener.close();
+    });
+    CHECK(Client.hasEnded());
+    Exit.join();
+  }
+  SECTION("a server that runs on keeps a new connection open") {
+    CHECK_FALSE(Client.hasEnded());
+  }
+}
+
 TEST_CASE("A call that reached no server has not run", "[node]") {
   // Guards against "unknown" where a retry would be safe.
   Poco::Net::ServerSocket Unused(Poco::Net::SocketAddress("127.0.0.1", 0));
--- a/tests/retry/RetryTest.cpp
+++ b/tests/retry/RetryTest.cpp
@@ -70,3 +70,13 @@
     CHECK(Held.Left == 2);
   }
 }
+
+TEST_CASE("A refusal after an attempt that may have run promises nothing",
+          "[retry]") {
+  // Guards against a caller that is told "not run" by the last of several
+  // hosts, although the first of them ran the call and lost the answer.
+  CHECK(overallOutcome(false, Outcome::NotRun) == Outcome::NotRun);
+  CHECK(overallOutcome(true, Outcome::NotRun) == Outcome::Unknown);
+  CHECK(overallOutcome(true, Outcome::Unknown) == Outcome::Unknown);
+  CHECK(overallOutcome(true, Outcome::Done) == Outcome::Done);
+}
