Probe idle connections to the store and to the server

Ruled out: shorter watches. They cost a call of the store each and still leave seconds; the system's probes cost none.

Change: keep-alive probes after 1 s, at most 3 s until a silent connection fails, on connections to the store and kept ones to the server.

Both new tests fail without the change.

--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "agent/Backend.h"
+#include "agent/KeepAlive.h"
 #include "agent/Text.h"
 
 namespace pollenwick::agent {
@@ -26,7 +27,10 @@
 
 bool BackendConnection::open(const std::string &Address) {
   Connection = connectStream(Loop, Address, *this, UnansweredMs);
-  return Connection != nullptr;
+  if (!Connection)
+    return false;
+  probeWhileIdle(Connection->socket());
+  return true;
 }
 
 void BackendConnection::close() {
--- /dev/null
+++ b/src/agent/KeepAlive.h
@@ -0,0 +1,14 @@
+#ifndef POLLENWICK_AGENT_KEEPALIVE_H
+#define POLLENWICK_AGENT_KEEPALIVE_H
+
+#include <Poco/Net/Socket.h>
+
+namespace pollenwick::agent {
+
+/// Lets the system probe a connected socket while nothing is in flight, so
+/// that a connection which went silent without a reset fails within 3 s.
+void probeWhileIdle(Poco::Net::Socket &Socket);
+
+} // namespace pollenwick::agent
+
+#endif
--- a/tests/agent/BackendTest.cpp
+++ b/tests/agent/BackendTest.cpp
@@ -3,6 +3,7 @@
 #include <future>
 #include <optional>
 
+#include "../support/SocketTimers.h"
 #include "ScriptedServer.h"
 #include "agent/Backend.h"
 
@@ -243,6 +244,23 @@
   CHECK(Node.Crashed == std::vector<std::uint64_t>{7});
 }
 
+TEST_CASE("A kept connection that went silent is noticed", "[agent]") {
+  // Guards against a call that is sent on a connection which is dead, and then
+  // lost until its deadline.
+  std::promise<std::uint16_t> Port;
+  std::promise<void> Checked;
+  Server Standin({[&](Socket &Peer) {
+    const std::string Id = Server::readRequest(Peer);
+    Server::write(Peer, Server::answer(Id, "whole"));
+    Port.set_value(Peer.peerAddress().port());
+    Checked.get_future().wait();
+  }});
+  Bench Run(Standin.address());
+  CHECK(Run.ask("id-1").Outcome == CallOutcome::Complete);
+  CHECK(becomesProbed(Port.get_future().get()));
+  Checked.set_value();
+}
+
 TEST_CASE("A silent server is given up shortly after the deadline", "[agent]") {
   Server Standin({[](Socket &Peer) {
     Server::readRequest(Peer);
--- /dev/null
+++ b/tests/platform/StoreReaderTest.cpp
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "../support/SocketTimers.h"
+#include "platform/StoreReader.h"
+
+using namespace pollenwick;
+using namespace pollenwick::platform;
+
+namespace {
+
+/// A store that has no items, and never answers a watch.
+class WaitingStore {
+public:
+  WaitingStore()
+      : Listener(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        Thread([this] { serve(); }) {}
+  ~WaitingStore() {
+    Stopping = true;
+    Thread.join();
+  }
+
+  std::string address() const { return Listener.address().toString(); }
+  /// Port of the reader's end of the first watch.
+  std::uint16_t watchPort() { return WatchPort.get_future().get(); }
+
+private:
+  void serve() {
+    while (!Stopping) {
+      if (Listener.poll(Poco::Timespan(20'000), Poco::Net::Socket::SELECT_READ))
+        Peers.push_back(Listener.acceptConnection());
+      for (Poco::Net::StreamSocket &Peer : Peers)
+        if (Peer.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+          answer(Peer);
+    }
+  }
+
+  void answer(Poco::Net::StreamSocket &Peer) {
+    char Buffer[4096];
+    const int Got = Peer.receiveBytes(Buffer, sizeof(Buffer));
+    const std::string Request(Buffer,
+                              static_cast<std::size_t>(std::max(0, Got)));
+    if (Request.find("kv-watch") != std::string::npos) {
+      if (!WatchSeen)
+        WatchPort.set_value(Peer.peerAddress().port());
+      WatchSeen = true;
+      return;
+    }
+    const std::string Body = R"({"items":[],"as_of":7,"has_more":false})";
+    const std::string Text =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+        "\r\n\r\n" + Body;
+    if (Request.find("kv-range") != std::string::npos)
+      Peer.sendBytes(Text.data(), static_cast<int>(Text.size()));
+  }
+
+  Poco::Net::ServerSocket Listener;
+  std::vector<Poco::Net::StreamSocket> Peers;
+  std::promise<std::uint16_t> WatchPort;
+  bool WatchSeen = false;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
+} // namespace
+
+TEST_CASE("A watch notices that its connection went silent", "[platform]") {
+  // Guards against a node that waits half a minute on a dead connection while
+  // configurations come into force elsewhere.
+  WaitingStore Store;
+  auto Reader = std::make_unique<StoreReader>(Store.address());
+  Reader->start([](agent::SourceNews &&) {});
+  CHECK(becomesProbed(Store.watchPort()));
+  // A reader's threads end with the process: one waits for the store.
+  Reader.release();
+}
