Order admission by the customer's priority, then the route's

Change: demand is counted and planned by route and customer priority. Two fifths of what a service carries are given out by the routes' priority alone, so that a customer of the last priority is not left without in a long overload; the rest goes by customer, then route. The queue's rank follows the same order.

--- a/include/pollenwick/Rules.h
+++ b/include/pollenwick/Rules.h
@@ -41,7 +41,7 @@
 struct CustomerRule {
   CustomerId Customer;
   std::vector<std::string> Keys;
-  int Priority = -1;         ///< Negative: the route's priority applies.
+  int Priority = -1;         ///< 0 is the most important; negative: none.
   std::int64_t RatePerS = 0; ///< Zero: no limit.
   std::int64_t Burst = 0;
 };
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -319,8 +319,8 @@
                      ? static_cast<std::int64_t>(Hosts.rules()->Source.Version)
                      : 0);
   Counters.gauge("source_lost", SourceLost ? 1 : 0);
-  for (const auto &[Route, Share] : Fleet.admission().ShareByRoute)
-    Counters.gauge(concat("admitted_share_pct{route=\"", Route, "\"}"),
+  for (const auto &[Key, Share] : Fleet.admission().ShareByKey)
+    Counters.gauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                    static_cast<std::int64_t>(100 * Share));
   return Counters.render();
 }
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -1,6 +1,7 @@
 #include "agent/FleetState.h"
 
 #include <algorithm>
+#include <set>
 
 namespace pollenwick::agent {
 namespace {
@@ -23,6 +24,97 @@
   return Found == Counts.end() ? 0 : (*Found).*Member;
 }
 
+/// Sums over the reports of the nodes beside one service's servers.
+struct ServiceTotals {
+  double OfferedMicros = 0; ///< Slot time that was asked for.
+  double LimitMicros = 0;   ///< Slot time that was there.
+  double Slots = 0;
+  double Waiting = 0;
+  double TimedSlots = 0; ///< Slots of the servers that report a call time.
+  double CallsPerS = 0;  ///< Calls that these can finish.
+  double Runs = 0;
+  std::map<std::string, double> Calls; ///< Nested calls, by service.
+};
+
+/// Requests a second of one plan key.
+struct KeyRates {
+  double AdmittedPerS = 0;
+  double OfferedPerS = 0;
+};
+
+void addServer(ServiceTotals &Total, const StatusFrame &Latest,
+               const StatusFrame &Before) {
+  Total.OfferedMicros +=
+      static_cast<double>(grown(Latest.OfferedMicros, Before.OfferedMicros));
+  Total.LimitMicros +=
+      static_cast<double>(grown(Latest.LimitMicros, Before.LimitMicros));
+  Total.Slots += Latest.Load.Limit;
+  Total.Waiting += Latest.Load.Waiting;
+  if (Latest.Load.Service.count() > 0) {
+    Total.TimedSlots += Latest.Load.Limit;
+    Total.CallsPerS += Latest.Load.Limit / seconds(Latest.Load.Service);
+  }
+  Total.Runs += static_cast<double>(Latest.Runs);
+  for (const NamedCount &Call : Latest.Calls)
+    Total.Calls[Call.Name] += static_cast<double>(Call.A);
+}
+
+void addDemand(std::map<std::string, KeyRates> &Rates,
+               const StatusFrame &Latest, const StatusFrame &Before,
+               double Seconds) {
+  for (const NamedCount &Key : Latest.Routes) {
+    const auto PerSecond = [&](std::uint64_t NamedCount::*Member) {
+      const std::uint64_t Earlier = countOf(Before.Routes, Key.Name, Member);
+      return static_cast<double>(grown(Key.*Member, Earlier)) / Seconds;
+    };
+    KeyRates &Rate = Rates[Key.Name];
+    Rate.AdmittedPerS += PerSecond(&NamedCount::A);
+    Rate.OfferedPerS += PerSecond(&NamedCount::B);
+  }
+}
+
+ServiceUse useOf(const ServiceTotals &Total) {
+  ServiceUse Use;
+  Use.Slots = Total.Slots;
+  if (Total.LimitMicros > 0)
+    Use.OfferedUse = Total.OfferedMicros / Total.LimitMicros;
+  if (Total.CallsPerS > 0)
+    Use.CallSeconds = Total.TimedSlots / Total.CallsPerS;
+  if (Total.Slots > 0)
+    Use.WaitShare = Total.Waiting / Total.Slots;
+  if (Total.Runs > 0)
+    for (const auto &[Callee, Count] : Total.Calls)
+      Use.CallsPerRun[Callee] = Count / Total.Runs;
+  return Use;
+}
+
+/// The demand of each plan key at each service that its route is split over.
+std::vector<RouteDemand>
+demandOf(const RouteTable &Rules,
+         const std::map<std::string, KeyRates> &Rates) {
+  std::set<int> CustomerPriorities{0};
+  for (const CustomerRule &Customer : Rules.Source.Customers)
+    CustomerPriorities.insert(std::max(Customer.Priority, 0));
+  std::vector<RouteDemand> Demand;
+  for (const RouteRule &Route : Rules.Source.Routes) {
+    double Weights = 0;
+    for (const WeightedService &Part : Route.Services)
+      Weights += Part.Weight;
+    for (const int Priority : CustomerPriorities) {
+      const auto Rate = Rates.find(planKey(Route.Name, Priority));
+      if (Rate == Rates.end() || Weights <= 0)
+        continue;
+      for (const WeightedService &Part : Route.Services) {
+        const double Share = Part.Weight / Weights;
+        Demand.push_back({Rate->first, Part.Service.Text, Priority,
+                          Route.Priority, Rate->second.OfferedPerS * Share,
+                          Rate->second.AdmittedPerS * Share});
+      }
+    }
+  }
+  return Demand;
+}
+
 } // namespace
 
 FleetState::FleetState(const Settings &TheOptions, std::uint64_t TheStart)
@@ -80,8 +172,9 @@
   return true;
 }
 
-void FleetState::countOffered(const RouteRule &Route, bool Admitted) {
-  OwnRoute &Counts = Routes[Route.Name];
+void FleetState::countOffered(const RouteRule &Route, int CustomerPriority,
+                              bool Admitted) {
+  OwnRoute &Counts = Routes[planKey(Route.Name, CustomerPriority)];
   ++Counts.Offered;
   if (Admitted)
     ++Counts.Admitted;
@@ -164,76 +257,20 @@
 
 void FleetState::planAdmission(const RouteTable &Rules, Duration Interval,
                                Instant Now) {
-  std::map<std::string, ServiceUse> Uses;
-  std::map<std::string, double> Offered;
-  std::map<std::string, double> There;
-  std::map<std::string, double> Slots;
-  std::map<std::string, double> Timed;
-  std::map<std::string, double> Waiting;
-  std::map<std::string, double> Runs;
-  std::map<std::string, std::map<std::string, double>> Calls;
-  std::map<std::string, double> CallsPerS;
-  std::map<std::string, double> Demand;
-  std::map<std::string, double> Admitted;
+  std::map<std::string, ServiceTotals> Totals;
+  std::map<std::string, KeyRates> Rates;
   for (const auto &[Ip, Node] : Reports) {
     if (Now - Node.LatestAt > ReportLife)
       continue;
-    const StatusFrame &Latest = Node.Latest;
-    const StatusFrame &Before = Node.Before;
-    const double Elapsed = seconds(Node.LatestAt - Node.BeforeAt);
-    Offered[Latest.Service] +=
-        static_cast<double>(grown(Latest.OfferedMicros, Before.OfferedMicros));
-    There[Latest.Service] +=
-        static_cast<double>(grown(Latest.LimitMicros, Before.LimitMicros));
-    Slots[Latest.Service] += Latest.Load.Limit;
-    if (Latest.Load.Service.count() > 0) {
-      Timed[Latest.Service] += Latest.Load.Limit;
-      CallsPerS[Latest.Service] +=
-          Latest.Load.Limit / seconds(Latest.Load.Service);
-    }
-    Waiting[Latest.Service] += Latest.Load.Waiting;
-    Runs[Latest.Service] += static_cast<double>(Latest.Runs);
-    for (const NamedCount &Call : Latest.Calls)
-      Calls[Latest.Service][Call.Name] += static_cast<double>(Call.A);
-    if (Elapsed <= 0)
-      continue;
-    for (const NamedCount &Route : Latest.Routes) {
-      Admitted[Route.Name] +=
-          static_cast<double>(grown(
-              Route.A, countOf(Before.Routes, Route.Name, &NamedCount::A))) /
-          Elapsed;
-      Demand[Route.Name] +=
-          static_cast<double>(grown(
-              Route.B, countOf(Before.Routes, Route.Name, &NamedCount::B))) /
-          Elapsed;
-    }
+    addServer(Totals[Node.Latest.Service], Node.Latest, Node.Before);
+    if (Node.LatestAt > Node.BeforeAt)
+      addDemand(Rates, Node.Latest, Node.Before,
+                seconds(Node.LatestAt - Node.BeforeAt));
   }
-  for (const auto &[Service, Limit] : There) {
-    ServiceUse &Use = Uses[Service];
-    Use.OfferedUse = Limit > 0 ? Offered[Service] / Limit : 0;
-    Use.Slots = Slots[Service];
-    Use.CallSeconds =
-        CallsPerS[Service] > 0 ? Timed[Service] / CallsPerS[Service] : 0;
-    Use.WaitShare = Slots[Service] > 0 ? Waiting[Service] / Slots[Service] : 0;
-    if (Runs[Service] > 0)
-      for (const auto &[Callee, Count] : Calls[Service])
-        Use.CallsPerRun[Callee] = Count / Runs[Service];
-  }
-  std::vector<RouteDemand> Planned;
-  for (const RouteRule &Route : Rules.Source.Routes) {
-    if (!Demand.contains(Route.Name))
-      continue;
-    double Weights = 0;
-    for (const WeightedService &Part : Route.Services)
-      Weights += Part.Weight;
-    for (const WeightedService &Part : Route.Services) {
-      const double Share = Weights > 0 ? Part.Weight / Weights : 0;
-      Planned.push_back({Route.Name, Part.Service.Text, Route.Priority,
-                         Demand[Route.Name] * Share,
-                         Admitted[Route.Name] * Share});
-    }
-  }
-  updatePlan(Plan, Planned, Uses, Interval);
+  std::map<std::string, ServiceUse> Uses;
+  for (const auto &[Service, Total] : Totals)
+    Uses.emplace(Service, useOf(Total));
+  updatePlan(Plan, demandOf(Rules, Rates), Uses, Interval);
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -28,11 +28,12 @@
                     Instant Now);
   bool takeRepeat(const ServiceId &Service, Instant Now);
 
-  void countOffered(const RouteRule &Route, bool Admitted);
+  void countOffered(const RouteRule &Route, int CustomerPriority,
+                    bool Admitted);
   /// Counts a nested call that the local server made.
   void countNested(const ServiceId &Service) { ++Nested[Service.Text]; }
-  double share(const std::string &Route) const {
-    return admittedShare(Plan, Route);
+  double share(const RouteRule &Route, int CustomerPriority) const {
+    return admittedShare(Plan, planKey(Route.Name, CustomerPriority));
   }
 
   void countCrash(std::uint64_t Fingerprint, Instant Now);
@@ -74,7 +75,7 @@
   std::uint64_t Start;
   std::map<std::string, QuotaBucket> Quotas;
   std::map<std::string, RetryBudget> Budgets;
-  std::map<std::string, OwnRoute> Routes;
+  std::map<std::string, OwnRoute> Routes; ///< By plan key.
   std::map<std::string, std::uint64_t> Nested;
   CrashCounts Crashes;
   std::map<std::string, Report> Reports; ///< By node address; own included.
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -101,7 +101,7 @@
   const std::string_view Key = headerValue(Request.Fields, Words.Key);
   // Calls that a server makes carry no key; they use routes open to all.
   Item.Request.Nested = Item.Route->Public && Key.empty();
-  Item.Request.Rank = Item.Route->Priority;
+  Item.Request.Rank = dispatchRank(0, Item.Route->Priority);
   const auto Left = parseNumber(headerValue(Request.Fields, Words.Deadline));
   Duration Time = Left ? Duration(std::chrono::milliseconds(
                              std::clamp<std::int64_t>(*Left, 0, 3'600'000)))
@@ -128,11 +128,13 @@
       return false;
     }
     Item.Customer = Customer->Customer.Text;
+    Item.CustomerPriority = Customer->Priority;
+    Item.Request.Rank = dispatchRank(Customer->Priority, Item.Route->Priority);
   }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
   std::uniform_real_distribution<double> Draw(0, 1);
-  if (Draw(Random) >= Fleet.share(Item.Route->Name)) {
-    Fleet.countOffered(*Item.Route, false);
+  if (Draw(Random) >= Fleet.share(*Item.Route, Item.CustomerPriority)) {
+    Fleet.countOffered(*Item.Route, Item.CustomerPriority, false);
     Why = {503, "overload", spread(RetryWhenShed)};
     return false;
   }
@@ -140,7 +142,7 @@
     Why = {429, "over-rate", spread(Fleet.retryAfter(*Customer))};
     return false;
   }
-  Fleet.countOffered(*Item.Route, true);
+  Fleet.countOffered(*Item.Route, Item.CustomerPriority, true);
   return true;
 }
 
@@ -403,7 +405,8 @@
         .field("service", Item.Service.Text)
         .field("customer", Item.Customer)
         .field("admitted_share_pct",
-               static_cast<std::int64_t>(100 * Fleet.share(Item.Route->Name)))
+               static_cast<std::int64_t>(
+                   100 * Fleet.share(*Item.Route, Item.CustomerPriority)))
         .field("placements", Item.Placements)
         .field("arrivals", Item.Attempts)
         .field("last_cause", Item.LastCause)
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -41,6 +41,7 @@
     ServiceId Service;
     CallRequest Request; ///< Without the server.
     std::string Customer;
+    int CustomerPriority = -1; ///< Negative: none.
     Instant Began;
     Instant Expiry;
     TimerId ExpiryTimer = 0;
--- a/src/core/shedding/AdmissionPlan.cpp
+++ b/src/core/shedding/AdmissionPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <span>
 
 namespace pollenwick {
 namespace {
@@ -33,6 +34,11 @@
 constexpr double SmallestShare = 0.004;
 /// A request that costs less than this share of its priority's mean is cheap.
 constexpr double CheapShare = 0.5;
+/// Part of a service that is given out without regard to customers' priorities.
+/// Customers of the last priority so keep two fifths of an equal share.
+constexpr double EqualPart = 0.4;
+/// Ranks of routes within one customer priority, in front of a server.
+constexpr int RouteRanks = 4;
 constexpr int DeepestChain = 32;
 /// Fewer calls per run are stray requests on open routes, not a dependency.
 constexpr double SmallestCalls = 0.05;
@@ -63,13 +69,12 @@
 }
 
 void compareUse(AdmissionPlan::Service &State, const std::string &Name,
-                const ServiceUse &Use,
-                const std::vector<RouteDemand> &ByPriority,
+                const ServiceUse &Use, const std::vector<RouteDemand> &Demand,
                 const ReachList &Reach, double Step) {
   double Predicted = 0;
-  for (std::size_t I = 0; I < ByPriority.size(); ++I)
+  for (std::size_t I = 0; I < Demand.size(); ++I)
     Predicted +=
-        ByPriority[I].AdmittedPerS * callsAt(Reach[I], Name) * useOfCall(Use);
+        Demand[I].AdmittedPerS * callsAt(Reach[I], Name) * useOfCall(Use);
   State.Observed += (Use.OfferedUse - State.Observed) * Step;
   State.Predicted +=
       (std::min(Predicted, MostPredicted) - State.Predicted) * Step;
@@ -87,7 +92,7 @@
     Rate.AdmittedPerS *= 1 - Step;
   }
   for (RouteDemand &Route : Demand) {
-    AdmissionPlan::Rate &Rate = Plan.Rates[{Route.Route, Route.Service}];
+    AdmissionPlan::Rate &Rate = Plan.Rates[{Route.Key, Route.Service}];
     Rate.OfferedPerS += Route.OfferedPerS * Step;
     Rate.AdmittedPerS += Route.AdmittedPerS * Step;
     Route.OfferedPerS = Rate.OfferedPerS;
@@ -102,76 +107,113 @@
 /// Use of a service by the demand of each route.
 std::vector<double> costsAt(const AdmissionPlan::Service &State,
                             const std::string &Name,
-                            const std::vector<RouteDemand> &ByPriority,
+                            const std::vector<RouteDemand> &Demand,
                             const ReachList &Reach) {
   const double PerCall = useOfCall(State.Seen) * correctionOf(State);
   std::vector<double> Costs;
-  for (std::size_t I = 0; I < ByPriority.size(); ++I)
-    Costs.push_back(ByPriority[I].OfferedPerS * callsAt(Reach[I], Name) *
-                    PerCall);
+  for (std::size_t I = 0; I < Demand.size(); ++I)
+    Costs.push_back(Demand[I].OfferedPerS * callsAt(Reach[I], Name) * PerCall);
   return Costs;
 }
 
-/// One priority's routes, `Begin` to `End`, and what they may use together.
-struct PriorityLevel {
-  std::size_t Begin = 0;
-  std::size_t End = 0;
-  double Cost = 0; ///< Use by their whole demand.
-  double Left = 0;
+/// What one service can carry, as it is given out.
+struct ServiceGrants {
+  std::vector<double> Costs;  ///< Use by the whole demand of each key.
+  std::vector<double> Shares; ///< Share of that demand that fits, so far.
+
+  double missing(std::size_t I) const { return Costs[I] * (1 - Shares[I]); }
 };
 
-/// Splits what is left for one priority. A request that uses the service much
-/// less than the others of its priority is admitted more often: it takes little
-/// from them, and more requests complete.
-void capLevel(const PriorityLevel &Level,
-              const std::vector<RouteDemand> &ByPriority,
-              const std::vector<double> &Costs, std::vector<double> &Shares) {
-  const double Equal = std::clamp(Level.Left / Level.Cost, SmallestShare, 1.0);
+/// Gives `Left` to keys of one rank. A request that uses the service much less
+/// than the others of its rank is admitted more often: it takes little from
+/// them, and more requests complete.
+void grantRank(std::span<const std::size_t> Rank, double Left,
+               const std::vector<RouteDemand> &Demand, ServiceGrants &Grants) {
+  double Cost = 0;
   double Requests = 0;
-  for (std::size_t I = Level.Begin; I < Level.End; ++I)
-    Requests += Costs[I] > 0 ? ByPriority[I].OfferedPerS : 0;
-  const double Mean = Level.Cost / Requests;
+  for (const std::size_t I : Rank) {
+    Cost += Grants.missing(I);
+    Requests += Grants.Costs[I] > 0
+                    ? Demand[I].OfferedPerS * (1 - Grants.Shares[I])
+                    : 0;
+  }
+  if (Cost <= 0)
+    return;
+  const double Mean = Cost / Requests;
   const auto IsCheap = [&](std::size_t I) {
-    return Costs[I] < CheapShare * Mean * ByPriority[I].OfferedPerS;
+    return Grants.Costs[I] < CheapShare * Mean * Demand[I].OfferedPerS;
   };
+  const double Equal = std::clamp(Left / Cost, 0.0, 1.0);
   const double CheapRate = std::sqrt(Equal);
   double Cheap = 0;
-  for (std::size_t I = Level.Begin; I < Level.End; ++I)
-    Cheap += IsCheap(I) ? Costs[I] : 0;
+  for (const std::size_t I : Rank)
+    Cheap += IsCheap(I) ? Grants.missing(I) : 0;
   const double Other =
-      Cheap < Level.Cost
-          ? std::clamp((Level.Left - Cheap * CheapRate) / (Level.Cost - Cheap),
-                       SmallestShare, 1.0)
+      Cheap < Cost
+          ? std::clamp((Left - Cheap * CheapRate) / (Cost - Cheap), 0.0, 1.0)
           : Equal;
-  for (std::size_t I = Level.Begin; I < Level.End; ++I)
-    if (Costs[I] > 0)
-      Shares[I] = std::min(Shares[I], IsCheap(I) ? CheapRate : Other);
+  for (const std::size_t I : Rank)
+    Grants.Shares[I] +=
+        (1 - Grants.Shares[I]) * (IsCheap(I) ? CheapRate : Other);
 }
 
-/// Splits what one service may carry over the routes that reach it.
-void capShares(AdmissionPlan::Service &State, const std::string &Name,
-               const std::vector<RouteDemand> &ByPriority,
-               const ReachList &Reach, std::vector<double> &Shares) {
-  const std::vector<double> Costs = costsAt(State, Name, ByPriority, Reach);
-  const double Total = std::accumulate(Costs.begin(), Costs.end(), 0.0);
-  double Left = std::max(SmallestTarget, TargetUse - drainUse(State.Seen));
-  State.Keep = Total > 0 ? std::min(1.0, Left / Total) : 1.0;
-  for (PriorityLevel Level; Level.Begin < ByPriority.size();
-       Level.Begin = Level.End) {
-    Level.End = Level.Begin;
-    Level.Cost = 0;
-    Level.Left = Left;
-    while (Level.End < ByPriority.size() &&
-           ByPriority[Level.End].Priority == ByPriority[Level.Begin].Priority)
-      Level.Cost += Costs[Level.End++];
-    if (Level.Cost > 0)
-      capLevel(Level, ByPriority, Costs, Shares);
-    Left = std::max(0.0, Left - Level.Cost);
+/// Gives out `Capacity` rank after rank. `Order` holds the keys, the most
+/// important first; keys for which `RankOf` is equal share.
+template <typename Rank>
+void grantInOrder(std::vector<std::size_t> Order, double Capacity, Rank RankOf,
+                  const std::vector<RouteDemand> &Demand,
+                  ServiceGrants &Grants) {
+  std::ranges::stable_sort(Order, {}, RankOf);
+  double Left = Capacity;
+  for (std::size_t Begin = 0; Begin < Order.size();) {
+    std::size_t End = Begin;
+    double Cost = 0;
+    while (End < Order.size() && RankOf(Order[End]) == RankOf(Order[Begin]))
+      Cost += Grants.missing(Order[End++]);
+    grantRank(std::span(Order).subspan(Begin, End - Begin), Left, Demand,
+              Grants);
+    Left = std::max(0.0, Left - Cost);
+    Begin = End;
   }
 }
 
+/// Splits what one service may carry over the keys that reach it.
+void capShares(AdmissionPlan::Service &State, const std::string &Name,
+               const std::vector<RouteDemand> &Demand, const ReachList &Reach,
+               std::vector<double> &Shares) {
+  ServiceGrants Grants{costsAt(State, Name, Demand, Reach),
+                       std::vector<double>(Demand.size(), 0.0)};
+  const double Total =
+      std::accumulate(Grants.Costs.begin(), Grants.Costs.end(), 0.0);
+  const double Capacity =
+      std::max(SmallestTarget, TargetUse - drainUse(State.Seen));
+  State.Keep = Total > 0 ? std::min(1.0, Capacity / Total) : 1.0;
+  std::vector<std::size_t> Order(Demand.size());
+  std::iota(Order.begin(), Order.end(), std::size_t{0});
+  const auto ByRoute = [&](std::size_t I) { return Demand[I].RoutePriority; };
+  const auto ByCustomer = [&](std::size_t I) {
+    return std::pair(std::max(Demand[I].CustomerPriority, 0),
+                     Demand[I].RoutePriority);
+  };
+  grantInOrder(Order, Capacity * EqualPart, ByRoute, Demand, Grants);
+  grantInOrder(Order, Capacity * (1 - EqualPart), ByCustomer, Demand, Grants);
+  for (std::size_t I = 0; I < Demand.size(); ++I)
+    if (Grants.Costs[I] > 0)
+      Shares[I] =
+          std::min(Shares[I], std::max(SmallestShare, Grants.Shares[I]));
+}
+
 } // namespace
 
+std::string planKey(const std::string &Route, int CustomerPriority) {
+  return Route + "@" + std::to_string(std::max(CustomerPriority, 0));
+}
+
+int dispatchRank(int CustomerPriority, int RoutePriority) {
+  return std::max(CustomerPriority, 0) * RouteRanks +
+         std::clamp(RoutePriority, 0, RouteRanks - 1);
+}
+
 std::map<std::string, double>
 reachOf(const std::string &Service,
         const std::map<std::string, ServiceUse> &Services) {
@@ -196,34 +238,33 @@
   return Result;
 }
 
-void updatePlan(AdmissionPlan &Plan, const std::vector<RouteDemand> &Demand,
+void updatePlan(AdmissionPlan &Plan, const std::vector<RouteDemand> &Offered,
                 const std::map<std::string, ServiceUse> &Services,
                 Duration Elapsed) {
   const double Step = 1 - std::exp(-static_cast<double>(Elapsed.count()) /
                                    static_cast<double>(Comparison.count()));
-  std::vector<RouteDemand> ByPriority = smoothDemand(Plan, Demand, Elapsed);
-  std::ranges::stable_sort(ByPriority, {}, &RouteDemand::Priority);
+  const std::vector<RouteDemand> Demand = smoothDemand(Plan, Offered, Elapsed);
   ReachList Reach;
-  for (const RouteDemand &Route : ByPriority)
+  for (const RouteDemand &Route : Demand)
     Reach.push_back(reachOf(Route.Service, Services));
-  std::vector<double> Shares(ByPriority.size(), 1.0);
+  std::vector<double> Shares(Demand.size(), 1.0);
   for (const auto &[Name, Use] : Services) {
     AdmissionPlan::Service &State = Plan.Services[Name];
-    compareUse(State, Name, Use, ByPriority, Reach, Step);
-    capShares(State, Name, ByPriority, Reach, Shares);
+    compareUse(State, Name, Use, Demand, Reach, Step);
+    capShares(State, Name, Demand, Reach, Shares);
   }
-  Plan.ShareByRoute.clear();
-  for (std::size_t I = 0; I < ByPriority.size(); ++I) {
+  Plan.ShareByKey.clear();
+  for (std::size_t I = 0; I < Demand.size(); ++I) {
     const auto [It, New] =
-        Plan.ShareByRoute.try_emplace(ByPriority[I].Route, Shares[I]);
+        Plan.ShareByKey.try_emplace(Demand[I].Key, Shares[I]);
     if (!New)
       It->second = std::min(It->second, Shares[I]);
   }
 }
 
-double admittedShare(const AdmissionPlan &Plan, const std::string &Route) {
-  const auto Found = Plan.ShareByRoute.find(Route);
-  return Found == Plan.ShareByRoute.end() ? 1.0 : Found->second;
+double admittedShare(const AdmissionPlan &Plan, const std::string &Key) {
+  const auto Found = Plan.ShareByKey.find(Key);
+  return Found == Plan.ShareByKey.end() ? 1.0 : Found->second;
 }
 
 } // namespace pollenwick
--- a/src/core/shedding/AdmissionPlan.h
+++ b/src/core/shedding/AdmissionPlan.h
@@ -10,11 +10,21 @@
 
 namespace pollenwick {
 
-/// Requests of callers on one route, over the fleet, since the last update.
+/// Names the requests that are planned together: those of customers of one
+/// priority on one route.
+std::string planKey(const std::string &Route, int CustomerPriority);
+
+/// Place of a request in front of a server: its customer's priority goes before
+/// its route's. 0 is the most important.
+int dispatchRank(int CustomerPriority, int RoutePriority);
+
+/// Requests of callers with one plan key, over the fleet, since the last
+/// update.
 struct RouteDemand {
-  std::string Route;
+  std::string Key; ///< See `planKey`.
   std::string Service;
-  int Priority = 0; ///< 0 is the most important.
+  int CustomerPriority = 0; ///< 0 is the most important; below 0 counts as 0.
+  int RoutePriority = 0;    ///< 0 is the most important.
   double OfferedPerS = 0;
   double AdmittedPerS = 0;
 };
@@ -29,7 +39,7 @@
   std::map<std::string, double> CallsPerRun;
 };
 
-/// Share of the requests of each route that is admitted. It follows the
+/// Share of the requests of each plan key that is admitted. It follows the
 /// services that a request reaches, down to the deepest.
 struct AdmissionPlan {
   struct Service {
@@ -43,8 +53,8 @@
     double AdmittedPerS = 0;
   };
   std::map<std::string, Service> Services;
-  std::map<std::string, double> ShareByRoute;
-  /// Smoothed, by route and service.
+  std::map<std::string, double> ShareByKey;
+  /// Smoothed, by plan key and service.
   std::map<std::pair<std::string, std::string>, Rate> Rates;
 };
 
@@ -54,15 +64,16 @@
         const std::map<std::string, ServiceUse> &Services);
 
 /// Plans from the demand, what each request costs at each service, and the
-/// slots there; what was observed corrects the prediction. What a service can
-/// carry is given to the routes in the order of their priority, and equally to
-/// routes of one priority.
+/// slots there; what was observed corrects the prediction. A part of what a
+/// service can carry is given out by the routes' priority alone, so that no
+/// customer is left without; the rest by the customer's priority, then the
+/// route's. Requests of one rank share equally.
 void updatePlan(AdmissionPlan &Plan, const std::vector<RouteDemand> &Demand,
                 const std::map<std::string, ServiceUse> &Services,
                 Duration Elapsed);
 
-/// Share of a route's requests to admit; 1 for a route without a plan.
-double admittedShare(const AdmissionPlan &Plan, const std::string &Route);
+/// Share of the requests with a plan key to admit; 1 for one without a plan.
+double admittedShare(const AdmissionPlan &Plan, const std::string &Key);
 
 } // namespace pollenwick
 
--- a/tests/shedding/AdmissionPlanTest.cpp
+++ b/tests/shedding/AdmissionPlanTest.cpp
@@ -46,9 +46,9 @@
           "[shedding]") {
   std::map<std::string, ServiceUse> Services{
       {"front", use(1000, 100, {{"deep", 4}})}, {"deep", use(40, 100, {})}};
-  const std::vector<RouteDemand> Demand{{"lookup", "front", 2, 100, 100},
-                                        {"deposit", "front", 0, 50, 50},
-                                        {"photo", "other", 1, 500, 500}};
+  const std::vector<RouteDemand> Demand{{"lookup", "front", 0, 2, 100, 100},
+                                        {"deposit", "front", 0, 0, 50, 50},
+                                        {"photo", "other", 0, 1, 500, 500}};
   AdmissionPlan Plan;
   Services["deep"].OfferedUse = 1.5;
   for (int I = 0; I < 40; ++I)
@@ -63,7 +63,7 @@
     // Guards against a recovery that takes as long as the overload did.
     Services["deep"].OfferedUse = 0.2;
     for (int I = 0; I < 4; ++I)
-      updatePlan(Plan, {{"lookup", "front", 2, 20, 20}}, Services, Tick);
+      updatePlan(Plan, {{"lookup", "front", 0, 2, 20, 20}}, Services, Tick);
     CHECK(admittedShare(Plan, "lookup") == 1);
   }
   SECTION("slots that have gone count at once") {
@@ -75,6 +75,44 @@
   }
 }
 
+TEST_CASE("A customer's priority goes before the route's", "[shedding]") {
+  // Guards against customers' priorities that change nothing, and against a
+  // customer of the last priority who gets nothing at all.
+  std::map<std::string, ServiceUse> Services{{"deep", use(40, 100, {})}};
+  // Four times what the slots carry, half of it by either customer.
+  Services["deep"].OfferedUse = 4;
+  const std::vector<RouteDemand> Demand{
+      {planKey("lookup", 0), "deep", 0, 2, 400, 400},
+      {planKey("deposit", 0), "deep", 0, 0, 400, 400},
+      {planKey("lookup", 1), "deep", 1, 2, 400, 400},
+      {planKey("deposit", 1), "deep", 1, 0, 400, 400}};
+  AdmissionPlan Plan;
+  for (int I = 0; I < 40; ++I)
+    updatePlan(Plan, Demand, Services, Tick);
+  const auto Share = [&](const char *Route, int Customer) {
+    return admittedShare(Plan, planKey(Route, Customer));
+  };
+  // 412 of 1600 a second fit: two fifths by the routes' priority alone.
+  CHECK(Share("deposit", 0) == Approx(0.2 + 0.6).margin(0.05));
+  CHECK(Share("deposit", 1) == Approx(0.2).margin(0.05));
+  CHECK(Share("lookup", 0) < 0.05);
+  CHECK(Share("lookup", 1) <= Share("lookup", 0));
+
+  SECTION("without an overload all are admitted") {
+    Services["deep"].OfferedUse = 0.5;
+    for (int I = 0; I < 20; ++I)
+      updatePlan(Plan, {{planKey("lookup", 1), "deep", 1, 2, 200, 200}},
+                 Services, Tick);
+    CHECK(Share("lookup", 1) == 1);
+  }
+  SECTION("in front of a server too") {
+    CHECK(dispatchRank(0, 2) < dispatchRank(1, 0));
+    CHECK(dispatchRank(1, 0) < dispatchRank(1, 2));
+    CHECK(dispatchRank(-1, 1) == dispatchRank(0, 1));
+    CHECK(dispatchRank(0, 9) < dispatchRank(1, 0));
+  }
+}
+
 TEST_CASE("A queue lowers what is admitted", "[shedding]") {
   // A queue longer than 0.6 calls per slot should drain in 0.2 s: with calls of
   // 0.1 s, half of what is above is kept free.
@@ -84,7 +122,7 @@
     Services["deep"].WaitShare = WaitShare;
     AdmissionPlan Plan;
     for (int I = 0; I < 20; ++I)
-      updatePlan(Plan, {{"lookup", "deep", 2, 390, 390}}, Services, Tick);
+      updatePlan(Plan, {{"lookup", "deep", 0, 2, 390, 390}}, Services, Tick);
     return admittedShare(Plan, "lookup");
   };
   CHECK(ShareWith(0) == 1);
--- a/tests/shedding/HeaviestDayTest.cpp
+++ b/tests/shedding/HeaviestDayTest.cpp
@@ -37,6 +37,21 @@
           {"workshop", {{25, 0.7}, {25, 0.7}, {25, 1.6}}}};
 }
 
+/// The same load by two customers of which one goes before the other. Names of
+/// the second one's classes end in "-second".
+Classes byTwoCustomers(const Classes &Kinds) {
+  Classes Result;
+  for (auto [Name, Class] : Kinds) {
+    Class.PerS /= 2;
+    Result[Name] = Class;
+    if (Class.PerS <= 0)
+      continue;
+    Class.CustomerPriority = 1;
+    Result[Name + "-second"] = Class;
+  }
+  return Result;
+}
+
 /// The lantern deployment on its heaviest day: 152 requests a second.
 Classes lanternClasses(double Burst) {
   const double PerS = 152 * Burst / 9.32;
@@ -114,6 +129,27 @@
     CHECK(served(With.at("pledge")) >= served(With.at("lookup")));
     CHECK(served(With.at("photo")) > 0.9);
   }
+  SECTION("pier, by two customers of which one goes before the other") {
+    // Guards against a customer's priority without effect, and against a
+    // customer who is served less than a quarter as often as all.
+    const Classes Kinds = byTwoCustomers(pierClasses(1.7));
+    const auto With = LoadModel(Kinds, pierServices(), true, Seed).play(Length);
+    double First = 0;
+    double Second = 0;
+    double Asked = 0;
+    for (const auto &[Name, Result] : With) {
+      (Kinds.at(Name).CustomerPriority == 0 ? First : Second) +=
+          static_cast<double>(Result.InTarget);
+      Asked += static_cast<double>(Result.Asked);
+    }
+    CAPTURE(First, Second, Asked, served(With.at("lookup")),
+            served(With.at("lookup-second")), served(With.at("pledge")),
+            served(With.at("pledge-second")));
+    CHECK(served(With.at("lookup")) > 1.2 * served(With.at("lookup-second")));
+    CHECK(served(With.at("pledge-second")) >= served(With.at("lookup-second")));
+    CHECK(Second / (Asked / 2) > 0.25 * (First + Second) / Asked);
+    CHECK(served(With.at("pledge")) > 0.95);
+  }
   SECTION("lantern, a third more than cereria carries") {
     const Classes Kinds = lanternClasses(2.7);
     const auto Without =
--- a/tests/shedding/LoadModel.cpp
+++ b/tests/shedding/LoadModel.cpp
@@ -71,8 +71,10 @@
   DispatchQueue &Queue = Item->At->Queue;
   OfferedSeconds[Item->Class->Service] +=
       std::chrono::duration<double>(Queue.Service).count();
-  const CallTerms Terms{Now, Item->Deadline, millis(Item->Class->TargetMs),
-                        Item->Class->Priority, Item->Nested};
+  const CallTerms Terms{
+      Now, Item->Deadline, millis(Item->Class->TargetMs),
+      dispatchRank(Item->Class->CustomerPriority, Item->Class->Priority),
+      Item->Nested};
   const std::uint64_t Id = ++LastId;
   // Without control a call waits as long as it may.
   const Instant Latest = Control ? latestStart(Terms) : Item->Deadline;
@@ -174,7 +176,8 @@
   std::vector<RouteDemand> Demand;
   for (const auto &[Name, Class] : Classes)
     if (Class.PerS > 0)
-      Demand.push_back({Name, Class.Service, Class.Priority,
+      Demand.push_back({Name, Class.Service, Class.CustomerPriority,
+                        Class.Priority,
                         static_cast<double>(Offered[Name]) / Seconds,
                         static_cast<double>(Admitted[Name]) / Seconds});
   updatePlan(Plan, Demand, Uses, TickEvery);
--- a/tests/shedding/LoadModel.h
+++ b/tests/shedding/LoadModel.h
@@ -27,6 +27,7 @@
   std::string Callee; ///< Class of the nested calls.
   int Calls = 0;
   bool Together = false;
+  int CustomerPriority = 0;
 };
 
 struct ModelServer {
