--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -168,7 +168,12 @@
   } else if (Answer.Cause == "server-connection-lost") {
     onLostCall(Call);
   }
-  freeSlot(Call, Answer);
+  countEnd(Failures,
+           Answer.Outcome != CallOutcome::Complete ||
+               isServerFailure(Answer.Status),
+           Loop.now());
+  finishCall(Queue, Loop.now() - Call.Began);
+  LastFinished = Loop.now();
   if (Answer.Outcome == CallOutcome::Complete)
     Reachable = true;
   if (Call.Connection && Call.Connection->usable(Loop.now()))
@@ -180,19 +185,6 @@
   Call.Done(std::move(Answer));
 }
 
-void Backend::freeSlot(const PendingCall &Call, const CallAnswer &Answer) {
-  const bool Failed =
-      Answer.Outcome != CallOutcome::Complete || isServerFailure(Answer.Status);
-  countEnd(Failures, Failed, Loop.now());
-  const Duration Held = Loop.now() - Call.Began;
-  if (Failed) {
-    failCall(Queue, Held);
-    return;
-  }
-  finishCall(Queue, Held);
-  LastFinished = Loop.now();
-}
-
 void Backend::onLostCall(const PendingCall &Call) {
   Lost.push_back({Loop.now(), Call.Request.Fingerprint});
 }
@@ -242,7 +234,7 @@
   BackendConnection *Connection = Call.Connection;
   const Duration Held = Loop.now() - Call.Began;
   Calls.erase(Found);
-  failCall(Queue, Held);
+  finishCall(Queue, Held);
   if (Connection) {
     Connection->close();
     onConnectionEnd(*Connection, true);
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -74,7 +74,6 @@
   BackendConnection *idleConnection();
   void answer(CallNumber Number, CallAnswer &&Answer);
   void onConnectionEnd(BackendConnection &Connection, bool WasConnected);
-  void freeSlot(const PendingCall &Call, const CallAnswer &Answer);
   void onLostCall(const PendingCall &Call);
   void confirmCrash();
   void sweep();
--- a/src/core/dispatch/DispatchQueue.cpp
+++ b/src/core/dispatch/DispatchQueue.cpp
@@ -97,9 +97,4 @@
                                                         ServiceWeight);
 }
 
-void failCall(DispatchQueue &Queue, Duration Held) {
-  const bool Slow = Queue.Service.count() > 0 && Held > Queue.Service;
-  finishCall(Queue, Slow ? Held : Queue.Service);
-}
-
 } // namespace pollenwick
--- a/src/core/dispatch/DispatchQueue.h
+++ b/src/core/dispatch/DispatchQueue.h
@@ -75,14 +75,9 @@
 /// Takes a waiting call out. Returns whether it was waiting.
 bool withdrawCall(DispatchQueue &Queue, const WaitingCall &Call);
 
-/// Frees the slot of a call that was answered after it held it for `Held`.
+/// Frees the slot of a call that held it for `Held`, however the call ended.
 void finishCall(DispatchQueue &Queue, Duration Held);
 
-/// Frees the slot of a call that failed or was given up. The time counts only
-/// when it is above the mean: a server that fails calls at once would otherwise
-/// look like the fastest.
-void failCall(DispatchQueue &Queue, Duration Held);
-
 } // namespace pollenwick
 
 #endif
