Count a caller's time from the first byte of its request

Cause: an upload that arrives slowly was passed on with the caller's whole time, although a part of it was spent. The line about a lost store did not say which records it was about, and two readers shared one state, so that one regained what the other had lost.

Change: the request carries when its first byte was read, and its deadline and the route's timeout run from there; a lost store is kept and logged for rules and servers each.

The new test fails without the change.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -28,6 +28,10 @@
   return (static_cast<std::uint64_t>(Device()) << 32) | Device();
 }
 
+std::string_view kindName(RecordKind Kind) {
+  return Kind == RecordKind::Rules ? "rules" : "servers";
+}
+
 std::int64_t fileStamp(const std::string &Path) {
   struct stat Info {};
   if (Path.empty() || ::stat(Path.c_str(), &Info) != 0)
@@ -110,17 +114,17 @@
 
 void Agent::takeNews(SourceNews &&News) {
   if (News.Lost) {
-    if (!SourceLost)
-      Log.state(std::move(
-          LogLine("source-lost", Loop.now()).field("reason", News.Reason)));
-    SourceLost = true;
+    if (LostKinds.insert(News.Kind).second)
+      Log.state(std::move(LogLine("source-lost", Loop.now())
+                              .field("records", kindName(News.Kind))
+                              .field("reason", News.Reason)));
     return;
   }
-  if (SourceLost)
+  if (LostKinds.erase(News.Kind) > 0)
     Log.state(
         std::move(LogLine("source-regained", Loop.now())
+                      .field("records", kindName(News.Kind))
                       .field("as_of", static_cast<std::int64_t>(News.AsOf))));
-  SourceLost = false;
   Directory::Change Change;
   if (News.FullList) {
     Change = Hosts.applyFullList(News.Kind, News.Records, News.AsOf,
@@ -318,7 +322,7 @@
                  Hosts.rules()
                      ? static_cast<std::int64_t>(Hosts.rules()->Source.Version)
                      : 0);
-  Counters.gauge("source_lost", SourceLost ? 1 : 0);
+  Counters.gauge("source_lost", LostKinds.empty() ? 0 : 1);
   for (const auto &[Key, Share] : Fleet.admission().ShareByKey)
     Counters.gauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                    static_cast<std::int64_t>(100 * Share));
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_AGENT_AGENT_H
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "agent/Backend.h"
@@ -69,8 +70,8 @@
   std::unique_ptr<Source> Reader;
   bool Draining = false;
   Instant DrainBegan;
-  bool SourceLost = false;
-  std::string AheadPeer; ///< A peer that knows newer records.
+  std::set<RecordKind> LostKinds; ///< Records that the source does not give.
+  std::string AheadPeer;          ///< A peer that knows newer records.
   Instant AheadSince;
   bool Ahead = false;
   Instant LastTick;
--- a/src/agent/CallerPort.cpp
+++ b/src/agent/CallerPort.cpp
@@ -49,6 +49,7 @@
           static_cast<std::uint32_t>(Port.limits().HeaderBytes));
       Parser->body_limit(Port.limits().BodyBytes);
       Waiting = Loop.now();
+      RequestBegan = Loop.now();
       Continued = false;
     }
     boost::system::error_code Error;
@@ -102,6 +103,7 @@
   Result.Body = std::move(Request.body());
   Result.Fields = std::move(Request.base());
   Result.PeerIp = PeerIp;
+  Result.Began = RequestBegan;
   Port.Events.onRequest(shared_from_this(), std::move(Result));
 }
 
--- a/src/agent/CallerPort.h
+++ b/src/agent/CallerPort.h
@@ -25,6 +25,7 @@
   HeaderFields Fields;
   std::string Body;
   std::string PeerIp;
+  Instant Began; ///< When its first byte was read: the caller waits since then.
 };
 
 class CallerConnection;
@@ -81,6 +82,7 @@
   bool Continued = false;
   bool Closing = false;
   Instant Waiting; ///< Since when nothing happened.
+  Instant RequestBegan;
 };
 
 /// Accepts callers on one address.
@@ -96,6 +98,7 @@
   void stopListening();
   bool leaving() const { return Leaving; }
   std::size_t busyCount() const;
+  std::uint16_t port() const { return Listener.address().port(); }
   std::size_t connectionCount() const { return Connections.size(); }
 
   void onReady(const Readiness &State) override;
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -62,7 +62,7 @@
   Exchanges.emplace(Id, std::move(Owned));
   Item.From = From;
   Item.Rules = Hosts.rules();
-  Item.Began = Loop.now();
+  Item.Began = Request.Began;
   Item.Request.RequestId =
       std::string(headerValue(Request.Fields, Words.RequestId));
   Refusal Why;
@@ -106,7 +106,7 @@
                        : DefaultTimeout;
   if (Item.Route->Timeout.count() > 0)
     Time = std::min(Time, Item.Route->Timeout);
-  Item.Expiry = Loop.now() + Time;
+  Item.Expiry = Item.Began + Time;
   Item.Service = Split.next(*Item.Route);
   if (Item.Request.Nested) {
     Fleet.countNested(Item.Service);
--- /dev/null
+++ b/tests/agent/CallerPortTest.cpp
@@ -0,0 +1,63 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <thread>
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "agent/CallerPort.h"
+
+using namespace pollenwick;
+using namespace pollenwick::agent;
+
+namespace {
+
+/// Answers each request and keeps the last one.
+struct Recorder : CallerEvents {
+  EventLoop &Loop;
+  std::optional<CallerRequest> Last;
+  Instant ReadAt;
+
+  explicit Recorder(EventLoop &TheLoop) : Loop(TheLoop) {}
+
+  void onRequest(const std::shared_ptr<CallerConnection> &From,
+                 CallerRequest &&Request) override {
+    Last = std::move(Request);
+    ReadAt = Loop.now();
+    From->respond(ownAnswer(200, "", "", true), true);
+    Loop.stop();
+  }
+  void onCallerLeft(CallerConnection & /*From*/) override {}
+};
+
+} // namespace
+
+TEST_CASE("A caller's time runs from the first byte of its request",
+          "[agent]") {
+  // Guards against an upload that takes a second to arrive and is passed on
+  // with all of its caller's time still to spend.
+  EventLoop Loop;
+  Recorder Events(Loop);
+  CallerPort Port(Loop, Events, "127.0.0.1:0");
+  constexpr auto Pause = std::chrono::milliseconds(150);
+  std::thread Caller([&] {
+    Poco::Net::StreamSocket Socket{
+        Poco::Net::SocketAddress("127.0.0.1", Port.port())};
+    const std::string Head = "POST /x/ HTTP/1.1\r\nHost: h\r\n"
+                             "Content-Length: 4\r\n\r\nbo";
+    Socket.sendBytes(Head.data(), static_cast<int>(Head.size()));
+    std::this_thread::sleep_for(Pause);
+    Socket.sendBytes("dy", 2);
+    char Buffer[256];
+    Socket.receiveBytes(Buffer, sizeof(Buffer));
+  });
+  Loop.run();
+  Loop.resume();
+  Loop.callAt(Loop.now() + std::chrono::milliseconds(20), [&] { Loop.stop(); });
+  Loop.run();
+  Caller.join();
+  REQUIRE(Events.Last.has_value());
+  CHECK(Events.Last->Body == "body");
+  CHECK(Events.ReadAt - Events.Last->Began >= Pause / 2);
+}
