Write the last lines of the log before the process ends

Cause: an agent ended with _exit while its last lines were still in the ring, so drain-finished and stopped never appeared.

Not a fault of the drain.

Change: the agent waits for the writer, for 0.2 s at most, since standard output may be blocked. test_sigterm_answers_what_has_begun checks the last two events; it failed before.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -18,6 +18,8 @@
 constexpr Duration ListenWhileDraining = std::chrono::milliseconds(2600);
 /// Kept back from the drain grace for the end of the process.
 constexpr Duration EndMargin = std::chrono::milliseconds(400);
+/// Time for the last lines of the log, part of the margin.
+constexpr std::chrono::milliseconds LogEnd{200};
 constexpr Duration DrainStep = std::chrono::milliseconds(50);
 /// Changes of an admitted share that are worth a line in the log.
 constexpr double LoggedKeepStep = 0.1;
@@ -108,8 +110,9 @@
   });
   Loop.callAt(Loop.now() + TickEvery, [this] { tick(); });
   Loop.run();
-  Log.state(LogLine("stopped", Loop.now()));
   Reader->stop();
+  Log.state(LogLine("stopped", Loop.now()));
+  Log.finish(Loop.now(), LogEnd);
 }
 
 void Agent::takeNews(SourceNews &&News) {
--- a/src/agent/Log.cpp
+++ b/src/agent/Log.cpp
@@ -56,6 +56,14 @@
   Writer.join();
 }
 
+void LogWriter::finish(Instant Now, std::chrono::milliseconds Limit) {
+  tick(Now);
+  std::unique_lock Lock(Mutex);
+  Stopping = true;
+  Wake.notify_one();
+  Written.wait_for(Lock, Limit, [this] { return Ended; });
+}
+
 void LogWriter::push(std::string &&Line) {
   const std::scoped_lock Lock(Mutex);
   if (Ring.size() >= RingLines) {
@@ -126,9 +134,12 @@
         break;
       At += static_cast<std::size_t>(Put);
     }
-    if (Last)
-      return;
     Lock.lock();
+    if (!Last)
+      continue;
+    Ended = true;
+    Written.notify_one();
+    return;
   }
 }
 
--- a/src/agent/Log.h
+++ b/src/agent/Log.h
@@ -42,6 +42,9 @@
   void state(LogLine &&Line);
   /// Reports what was summed or dropped, and wakes the writer.
   void tick(Instant Now);
+  /// Ends the writer once all lines are written, or after `Limit`: standard
+  /// output may be blocked.
+  void finish(Instant Now, std::chrono::milliseconds Limit);
 
 private:
   void push(std::string &&Line);
@@ -53,9 +56,11 @@
   std::map<std::string, std::uint64_t, std::less<>> Summed;
   std::mutex Mutex;
   std::condition_variable Wake;
+  std::condition_variable Written;
   std::deque<std::string> Ring;
   std::uint64_t Dropped = 0;
   bool Stopping = false;
+  bool Ended = false; ///< The writer has written its last line.
   std::thread Writer;
 };
 
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -1,6 +1,7 @@
 """Two agents on loopback addresses, with stand-ins for the users' platform."""
 
 import http.client
+import json
 import os
 import pathlib
 import random
@@ -173,6 +174,9 @@
         thread.join()
         self.assertEqual(results, [200])
         self.assertEqual(self.agents[0].wait(timeout=5), 0)
+        # Guards against a process that ends before its last lines are written.
+        events = [json.loads(line)["event"] for line in self.agents[0].stdout]
+        self.assertEqual(events[-2:], ["drain-finished", "stopped"])
 
     def test_lost_connection_is_no_promise(self):
         """Guards against "not run" for a request that a server began to run
