Take calls up again when the connection between two nodes is lost

Cause: when a connection between nodes was reset or went silent, every call on it ended with 502 or 504, although most ran on at sound servers or had never arrived. A caller may not repeat an unsafe request after that.

The next connection names the lost one and its open calls; the callee node closes the lost one, then says of each call whether it runs on, its answer, "not run" or unknown. A connection is used after the peer's greeting only: the system accepts for frozen processes too. PeerLink takes each kind of frame in a function of its own.

One found a fault while this was made: a connection whose greeting was still on its way counted as silent and was closed.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -75,7 +75,7 @@
               for (const std::uint64_t Print : Prints)
                 Fleet.countCrash(Print, Loop.now());
             }),
-      Peers(Loop, Log, *this, Options.PeerAddress),
+      Peers(Loop, Log, *this, Options.PeerAddress, Fleet.start()),
       Requests(Loop, Words, Options, Log, Counters, Hosts, Fleet, Local, Peers,
                Fleet.start()),
       Callers(Loop, Requests, Options.CallerAddress),
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -227,9 +227,9 @@
     Item.LocalNumber = Local.submit(std::move(Call), std::move(Done));
     return;
   }
-  PeerLink *Link = Peers.find(Server.NodeIp);
-  Item.Link = Link->weak_from_this();
-  Item.LinkId = Link->call(std::move(Call), std::move(Done));
+  Item.PeerIp = Server.NodeIp;
+  Item.PeerCall =
+      Peers.find(Item.PeerIp)->call(std::move(Call), std::move(Done));
 }
 
 void Ingress::withdraw(Exchange &Item) {
@@ -237,8 +237,8 @@
     return;
   if (Item.AtLocal)
     Local.cancel(Item.LocalNumber);
-  else if (const auto Link = Item.Link.lock())
-    Link->cancel(Item.LinkId);
+  else
+    Peers.cancel(Item.PeerIp, Item.PeerCall);
   Item.ServerId.clear();
 }
 
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -54,9 +54,8 @@
     std::string ServerId;     ///< Where it is now.
     bool AtLocal = false;
     std::uint64_t LocalNumber = 0;
-    std::string LinkIp;
-    std::weak_ptr<PeerLink> Link;
-    std::uint64_t LinkId = 0;
+    std::string PeerIp;
+    std::uint64_t PeerCall = 0;
     std::string LastCause;
     std::string LastServer; ///< For the log: where it was sent last.
     Duration LoadAge{};     ///< Age of the load report that chose it.
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -27,9 +27,10 @@
 
 } // namespace
 
-PeerLink::PeerLink(EventLoop &TheLoop, PeerLinks &TheLinks, std::string TheIp)
+PeerLink::PeerLink(EventLoop &TheLoop, PeerLinks &TheLinks, std::string TheIp,
+                   std::uint64_t TheNumber)
     : Loop(TheLoop), Links(TheLinks), Ip(std::move(TheIp)),
-      Heard(TheLoop.now()), Began(TheLoop.now()) {}
+      Number(TheNumber), PeerName{Ip, 0, 0}, Heard(TheLoop.now()) {}
 
 bool PeerLink::dial(const std::string &Address) {
   Connection = connectStream(Loop, Address, *this, UnansweredMs);
@@ -44,7 +45,9 @@
 
 void PeerLink::onConnected() {
   Connected = true;
+  WasConnected = true;
   Heard = Loop.now();
+  send(HelloFrame{Links.Start, Number});
   Links.Events.onPeerConnected(*this);
 }
 
@@ -55,15 +58,18 @@
 }
 
 std::uint64_t PeerLink::call(CallRequest &&Request, AnswerHandler Done) {
-  const std::uint64_t Id = ++LastId;
+  const std::uint64_t Id = ++Links.LastCall;
   Sent.emplace(Id, SentCall{std::move(Done), Request.Repeatable});
   send(CallFrame{Id, std::move(Request)});
   return Id;
 }
 
-void PeerLink::cancel(std::uint64_t Id) {
-  if (Sent.erase(Id) > 0 && !Closed)
+bool PeerLink::cancel(std::uint64_t Id) {
+  if (Sent.erase(Id) == 0)
+    return false;
+  if (!Closed)
     send(CancelFrame{Id});
+  return true;
 }
 
 void PeerLink::onData(std::string_view Bytes) {
@@ -71,41 +77,9 @@
   const std::shared_ptr<PeerLink> Self = shared_from_this();
   const absl::Status Result =
       Reader.feed(Bytes, Loop.now(), [this](PeerFrame &&Frame) {
-        if (Closed)
-          return;
-        if (auto *Call = std::get_if<CallFrame>(&Frame)) {
-          const std::uint64_t Id = Call->Id;
-          const std::uint64_t Number = Links.Events.onPeerCall(
-              std::move(Call->Request),
-              [Weak = weak_from_this(), Id](CallAnswer &&Answer) {
-                const auto Link = Weak.lock();
-                if (!Link || Link->Closed)
-                  return;
-                Link->Received.erase(Id);
-                Link->send(AnswerFrame{Id, std::move(Answer)});
-              });
-          Received.emplace(Id, Number);
-        } else if (auto *Answer = std::get_if<AnswerFrame>(&Frame)) {
-          const auto Found = Sent.find(Answer->Id);
-          if (Found == Sent.end())
-            return;
-          const AnswerHandler Done = std::move(Found->second.Done);
-          Sent.erase(Found);
-          Done(std::move(Answer->Answer));
-        } else if (auto *Cancel = std::get_if<CancelFrame>(&Frame)) {
-          const auto Found = Received.find(Cancel->Id);
-          if (Found == Received.end())
-            return;
-          const std::uint64_t Number = Found->second;
-          Received.erase(Found);
-          Links.Events.onPeerCancel(Number);
-        } else if (auto *Status = std::get_if<StatusFrame>(&Frame)) {
-          Links.Events.onPeerStatus(Ip, std::move(*Status));
-        } else if (auto *Pull = std::get_if<PullFrame>(&Frame)) {
-          Links.Events.onPeerPull(*this, *Pull);
-        } else if (auto *Records = std::get_if<RecordsFrame>(&Frame)) {
-          Links.Events.onPeerRecords(std::move(*Records));
-        }
+        if (!Closed)
+          std::visit([this](auto &&Kind) { take(std::move(Kind)); },
+                     std::move(Frame));
       });
   if (Result.ok())
     return;
@@ -114,61 +88,107 @@
                     .field("peer", Ip)
                     .field("error", standardView(Result.message()))));
   close();
-  Links.drop(*this);
 }
 
-void PeerLink::failAll(const std::string &Cause) {
-  // Whatever was written to the connection may have arrived and run.
-  std::vector<AnswerHandler> Handlers;
-  for (auto &[Id, Call] : Sent)
-    Handlers.push_back(std::move(Call.Done));
-  Sent.clear();
-  for (const AnswerHandler &Done : Handlers) {
-    CallAnswer Answer;
-    Answer.Cause = Cause;
-    Answer.Arrived = true;
-    Done(std::move(Answer));
+void PeerLink::take(HelloFrame &&Frame) {
+  PeerName.Start = Frame.Start;
+  PeerName.Number = Frame.Link;
+  if (Links.Recovery.isFenced(PeerName))
+    close();
+  else
+    Links.resumeOn(*this);
+}
+
+void PeerLink::take(CallFrame &&Frame) {
+  const bool Repeatable = Frame.Request.Repeatable;
+  const std::uint64_t CallNumber = Links.Events.onPeerCall(
+      std::move(Frame.Request),
+      [&Owner = Links, From = PeerName, Id = Frame.Id](CallAnswer &&Answer) {
+        Owner.answerCall(From, Id, std::move(Answer));
+      });
+  receiveCall(Ledger, Frame.Id, {CallNumber, Repeatable});
+}
+
+void PeerLink::take(AnswerFrame &&Frame) {
+  const auto Found = Sent.find(Frame.Id);
+  if (Found == Sent.end())
+    return;
+  const AnswerHandler Done = std::move(Found->second.Done);
+  Sent.erase(Found);
+  Done(std::move(Frame.Answer));
+}
+
+void PeerLink::take(CancelFrame &&Frame) {
+  const auto Found = Ledger.Running.find(Frame.Id);
+  if (Found == Ledger.Running.end())
+    return;
+  const std::uint64_t CallNumber = Found->second.Number;
+  Ledger.Running.erase(Found);
+  Links.Events.onPeerCancel(CallNumber);
+}
+
+void PeerLink::take(StatusFrame &&Frame) {
+  Links.Events.onPeerStatus(Ip, std::move(Frame));
+}
+
+void PeerLink::take(PullFrame &&Frame) {
+  Links.Events.onPeerPull(*this, Frame);
+}
+
+void PeerLink::take(RecordsFrame &&Frame) {
+  Links.Events.onPeerRecords(std::move(Frame));
+}
+
+void PeerLink::take(ResumeFrame &&Frame) { Links.takeUp(*this, Frame); }
+
+void PeerLink::answer(std::uint64_t Id, CallAnswer &&Answer) {
+  const bool Keep = keepsAnswer(Ledger, Id);
+  endCall(Ledger, Id);
+  std::string Bytes;
+  encodeFrame(AnswerFrame{Id, std::move(Answer)}, Loop.now(), Bytes);
+  if (!Keep) {
+    Connection->send(std::move(Bytes));
+    return;
   }
-  std::vector<std::uint64_t> Numbers;
-  for (const auto &[Id, Number] : Received)
-    Numbers.push_back(Number);
-  Received.clear();
-  for (const std::uint64_t Number : Numbers)
-    Links.Events.onPeerCancel(Number);
+  Connection->send(std::string_view(Bytes));
+  keepAnswer(Ledger, Id, std::move(Bytes), Loop.now());
 }
 
 void PeerLink::releaseRepeatable() {
-  std::vector<std::pair<std::uint64_t, AnswerHandler>> Released;
+  std::vector<SentCall> Released;
+  std::vector<std::uint64_t> Ids;
   for (auto &[Id, Call] : Sent)
-    if (Call.Repeatable)
-      Released.emplace_back(Id, std::move(Call.Done));
-  for (auto &[Id, Done] : Released) {
+    if (Call.Repeatable) {
+      Ids.push_back(Id);
+      Released.push_back(std::move(Call));
+    }
+  for (const std::uint64_t Id : Ids)
     cancel(Id);
+  for (const SentCall &Call : Released) {
     CallAnswer Answer;
     Answer.Cause = "peer-silent";
     Answer.Arrived = true;
-    Done(std::move(Answer));
+    Call.Done(std::move(Answer));
   }
 }
 
 void PeerLink::close() {
   if (Closed)
     return;
+  const std::shared_ptr<PeerLink> Self = shared_from_this();
   Closed = true;
   Connected = false;
   if (Connection)
     Connection->close();
-  failAll("peer-connection-lost");
+  Links.onLinkLost(*this);
 }
 
-void PeerLink::onEnd(StreamEnd /*End*/) {
-  close();
-  Links.drop(*this);
-}
+void PeerLink::onEnd(StreamEnd /*End*/) { close(); }
 
 PeerLinks::PeerLinks(EventLoop &TheLoop, LogWriter &TheLog,
-                     PeerEvents &TheEvents, const std::string &ListenAddress)
-    : Loop(TheLoop), Log(TheLog), Events(TheEvents) {
+                     PeerEvents &TheEvents, const std::string &ListenAddress,
+                     std::uint64_t TheStart)
+    : Loop(TheLoop), Log(TheLog), Events(TheEvents), Start(TheStart) {
   const Poco::Net::SocketAddress Address(ListenAddress);
   OwnIp = Address.host().toString();
   Port = Address.port();
@@ -187,10 +207,7 @@
       Poco::Net::StreamSocket Socket = Listener.acceptConnection(From);
       Socket.setBlocking(false);
       Socket.setNoDelay(true);
-      auto Link =
-          std::make_shared<PeerLink>(Loop, *this, From.host().toString());
-      ByIp[Link->ip()].push_back(Link);
-      Link->accept(Socket);
+      addLink(From.host().toString())->accept(Socket);
     }
   } catch (const Poco::Exception &) {
     // No further connection waits.
@@ -203,21 +220,46 @@
   tick();
 }
 
+std::shared_ptr<PeerLink> PeerLinks::addLink(const std::string &Ip) {
+  auto Link = std::make_shared<PeerLink>(Loop, *this, Ip, ++LastLink);
+  ByIp[Ip].push_back(Link);
+  return Link;
+}
+
 void PeerLinks::dial(const std::string &Ip) {
-  auto Link = std::make_shared<PeerLink>(Loop, *this, Ip);
+  const std::shared_ptr<PeerLink> Link = addLink(Ip);
   if (!Link->dial(Ip + ":" + std::to_string(Port)))
-    return;
-  ByIp[Ip].push_back(std::move(Link));
+    Link->close();
+}
+
+bool PeerLinks::isSilent(const PeerLink &Link) const {
+  return Link.connected() && Loop.now() - Link.lastHeard() >= SilentAfter;
+}
+
+bool PeerLinks::isLive(const PeerLink &Link) const {
+  // The system accepts connections for a process that is frozen: only its
+  // greeting shows that the peer is there.
+  return Link.connected() && Link.PeerName.Start != 0 && !isSilent(Link);
 }
 
 PeerLink *PeerLinks::find(const std::string &Ip) {
   const auto Found = ByIp.find(Ip);
   if (Found == ByIp.end())
     return nullptr;
+  const auto Live = std::ranges::find_if(
+      Found->second, [this](const auto &Link) { return isLive(*Link); });
+  return Live == Found->second.end() ? nullptr : Live->get();
+}
+
+void PeerLinks::cancel(const std::string &Ip, std::uint64_t Id) {
+  if (Recovery.cancelOrphan(Ip, Id))
+    return;
+  const auto Found = ByIp.find(Ip);
+  if (Found == ByIp.end())
+    return;
   for (const std::shared_ptr<PeerLink> &Link : Found->second)
-    if (Link->connected() && Loop.now() - Link->lastHeard() < SilentAfter)
-      return Link.get();
-  return nullptr;
+    if (Link->cancel(Id))
+      return;
 }
 
 void PeerLinks::broadcast(const PeerFrame &Frame) {
@@ -229,25 +271,146 @@
         Link->Connection->send(std::string_view(Bytes));
 }
 
+void PeerLinks::onLinkLost(PeerLink &Link) {
+  const std::string Ip = Link.Ip;
+  const bool Unfinished = !Link.Sent.empty() || !Link.Ledger.Running.empty();
+  Recovery.addOrphans(Ip, {Link.Number, Loop.now(), std::move(Link.Sent)});
+  Link.Sent.clear();
+  if (Link.PeerName.Start != 0)
+    Recovery.keepLedger(Link.PeerName, std::move(Link.Ledger), Loop.now());
+  drop(Link);
+  if (PeerLink *Other = find(Ip)) {
+    resumeOn(*Other);
+  } else if (!Link.WasConnected) {
+    // A peer that takes no connection has ended, and its calls with it.
+    failOrphans(Ip);
+    cancelRunning(Recovery.takeRunning(Ip));
+  } else if (Unfinished) {
+    dial(Ip);
+  }
+}
+
+void PeerLinks::resumeOn(PeerLink &Link) {
+  std::vector<std::shared_ptr<PeerLink>> Silent;
+  std::ranges::copy_if(ByIp[Link.Ip], std::back_inserter(Silent),
+                       [this](const auto &Other) { return isSilent(*Other); });
+  for (const std::shared_ptr<PeerLink> &Other : Silent)
+    Other->close();
+  for (LinkRecovery::Orphans &Group : Recovery.takeOrphans(Link.Ip)) {
+    ResumeFrame Frame{Group.LinkNumber, {}};
+    for (auto &[Id, Call] : Group.Calls) {
+      Frame.Calls.push_back(Id);
+      Link.Sent.emplace(Id, std::move(Call));
+    }
+    Link.send(Frame);
+  }
+}
+
+void PeerLinks::takeUp(PeerLink &Link, const ResumeFrame &Frame) {
+  LinkName Lost = Link.PeerName;
+  Lost.Number = Frame.Link;
+  // The peer has given the connection up, although it may still be open here.
+  const std::vector<std::shared_ptr<PeerLink>> All = ByIp[Link.Ip];
+  for (const std::shared_ptr<PeerLink> &Other : All)
+    if (Other.get() != &Link && Other->PeerName == Lost)
+      Other->close();
+  std::optional<CallLedger> Ledger = Recovery.takeLedger(Lost);
+  for (const std::uint64_t Id : Frame.Calls) {
+    const CallFate Fate = Ledger ? fateOf(*Ledger, Id) : CallFate::Unknown;
+    if (Fate == CallFate::Running) {
+      Link.Ledger.Running.emplace(Id, Ledger->Running.at(Id));
+      Ledger->Running.erase(Id);
+    } else if (Fate == CallFate::Answered) {
+      Link.Connection->send(std::string_view(*heldAnswer(*Ledger, Id)));
+    } else {
+      CallAnswer Answer;
+      Answer.Cause = "peer-connection-lost";
+      Answer.Arrived = Fate != CallFate::NeverReceived;
+      if (Fate == CallFate::NeverReceived)
+        Answer.Outcome = CallOutcome::NotRun;
+      Link.answer(Id, std::move(Answer));
+    }
+  }
+  if (!Ledger)
+    return;
+  for (const auto &[Id, Call] : Ledger->Running)
+    Events.onPeerCancel(Call.Number);
+}
+
+void PeerLinks::answerCall(const LinkName &From, std::uint64_t Id,
+                           CallAnswer &&Answer) {
+  const auto Found = ByIp.find(From.Ip);
+  if (Found != ByIp.end())
+    for (const std::shared_ptr<PeerLink> &Link : Found->second)
+      if (Link->PeerName.Start == From.Start &&
+          Link->Ledger.Running.contains(Id)) {
+        Link->answer(Id, std::move(Answer));
+        return;
+      }
+  if (CallLedger *Ledger = Recovery.findRunning(From.Ip, From.Start, Id)) {
+    std::string Bytes;
+    encodeFrame(AnswerFrame{Id, std::move(Answer)}, Loop.now(), Bytes);
+    endCall(*Ledger, Id);
+    keepAnswer(*Ledger, Id, std::move(Bytes), Loop.now());
+  }
+}
+
+void PeerLinks::fail(std::vector<SentCall> &&Calls) {
+  // Whatever was written to a connection may have arrived and run.
+  for (const SentCall &Call : Calls) {
+    CallAnswer Answer;
+    Answer.Cause = "peer-connection-lost";
+    Answer.Arrived = true;
+    Call.Done(std::move(Answer));
+  }
+}
+
+void PeerLinks::failOrphans(const std::string &Ip) {
+  std::vector<SentCall> Calls;
+  for (LinkRecovery::Orphans &Group : Recovery.takeOrphans(Ip))
+    for (auto &[Id, Call] : Group.Calls)
+      Calls.push_back(std::move(Call));
+  fail(std::move(Calls));
+}
+
+void PeerLinks::cancelRunning(const std::vector<std::uint64_t> &Numbers) {
+  for (const std::uint64_t Number : Numbers)
+    Events.onPeerCancel(Number);
+}
+
 void PeerLinks::tick() {
+  giveUpDead();
+  fail(Recovery.takeExpired(Loop.now()));
+  cancelRunning(Recovery.expireLedgers(Loop.now()));
+  dialMissing();
+}
+
+void PeerLinks::giveUpDead() {
   std::vector<std::shared_ptr<PeerLink>> Dead;
+  std::vector<std::shared_ptr<PeerLink>> Silent;
   for (const auto &[Ip, Links] : ByIp)
     for (const std::shared_ptr<PeerLink> &Link : Links) {
-      const Duration Silent = Loop.now() - Link->lastHeard();
-      if (Link->connected() ? Silent > DeadAfter : Silent > DialTimeout)
+      const Duration Quiet = Loop.now() - Link->lastHeard();
+      forgetAnswers(Link->Ledger, Loop.now());
+      if (Quiet > (Link->connected() ? DeadAfter : DialTimeout))
         Dead.push_back(Link);
-      else if (Link->connected() && Silent > ReleaseAfter)
-        Link->releaseRepeatable();
+      else if (Link->connected() && Quiet > ReleaseAfter)
+        Silent.push_back(Link);
     }
-  for (const std::shared_ptr<PeerLink> &Link : Dead) {
+  for (const std::shared_ptr<PeerLink> &Link : Silent)
+    Link->releaseRepeatable();
+  for (const std::shared_ptr<PeerLink> &Link : Dead)
     Link->close();
-    drop(*Link);
-  }
+}
+
+void PeerLinks::dialMissing() {
   for (const std::string &Ip : Wanted) {
-    const bool Dialing = ByIp.contains(Ip) &&
-                         std::ranges::any_of(ByIp[Ip], [](const auto &Link) {
-                           return !Link->connected();
-                         });
+    const bool Dialing =
+        ByIp.contains(Ip) &&
+        std::ranges::any_of(ByIp[Ip], [this](const auto &Link) {
+          return Link->PeerName.Start == 0 &&
+                 Loop.now() - Link->lastHeard() < DialTimeout;
+        });
     if (find(Ip) || Dialing) {
       MissingSince.erase(Ip);
       continue;
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -163,6 +163,20 @@
   }
 }
 
+void put(mesh::wire::Frame::Builder Root, const HelloFrame &Frame, Instant) {
+  auto Out = Root.initHello();
+  Out.setStart(Frame.Start);
+  Out.setLink(Frame.Link);
+}
+
+void put(mesh::wire::Frame::Builder Root, const ResumeFrame &Frame, Instant) {
+  auto Out = Root.initResume();
+  Out.setLink(Frame.Link);
+  auto Calls = Out.initCalls(static_cast<unsigned>(Frame.Calls.size()));
+  for (unsigned I = 0; I < Frame.Calls.size(); ++I)
+    Calls.set(I, Frame.Calls[I]);
+}
+
 CallFrame readCall(mesh::wire::Call::Reader In, Instant Now) {
   CallFrame Frame;
   CallRequest &Request = Frame.Request;
@@ -236,6 +250,14 @@
   return Frame;
 }
 
+ResumeFrame readResume(mesh::wire::Resume::Reader In) {
+  ResumeFrame Frame;
+  Frame.Link = In.getLink();
+  for (const std::uint64_t Call : In.getCalls())
+    Frame.Calls.push_back(Call);
+  return Frame;
+}
+
 std::vector<NamedCount> changedCounts(const std::vector<NamedCount> &Latest,
                                       const std::vector<NamedCount> &Sent) {
   std::vector<NamedCount> Changed;
@@ -273,6 +295,10 @@
                      Root.getPull().getServersRevision()};
   case mesh::wire::Frame::RECORDS:
     return readRecords(Root.getRecords());
+  case mesh::wire::Frame::HELLO:
+    return HelloFrame{Root.getHello().getStart(), Root.getHello().getLink()};
+  case mesh::wire::Frame::RESUME:
+    return readResume(Root.getResume());
   }
   return absl::InvalidArgumentError(
       "frame of an unknown kind; run the same release on all nodes");
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -68,8 +68,19 @@
   std::vector<Record> Records;
 };
 
-using PeerFrame = std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame,
-                               PullFrame, RecordsFrame>;
+struct HelloFrame {
+  std::uint64_t Start = 0; ///< Of the sender's process.
+  std::uint64_t Link = 0;  ///< The sender's number of the connection.
+};
+
+struct ResumeFrame {
+  std::uint64_t Link = 0; ///< The sender's number of the lost connection.
+  std::vector<std::uint64_t> Calls;
+};
+
+using PeerFrame =
+    std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame, PullFrame,
+                 RecordsFrame, HelloFrame, ResumeFrame>;
 
 /// The counts of `Latest` that differ from those of `Sent`; everything else is
 /// kept. Counts are totals, so that a peer which knows `Sent` misses nothing.
--- /dev/null
+++ b/src/core/resume/CallLedger.h
@@ -0,0 +1,65 @@
+#ifndef POLLENWICK_CORE_RESUME_CALLLEDGER_H
+#define POLLENWICK_CORE_RESUME_CALLLEDGER_H
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "pollenwick/Time.h"
+
+namespace pollenwick {
+
+/// What one node received from another on one connection. It outlives the
+/// connection for a moment, so that the sender can learn what became of calls
+/// whose answers did not arrive.
+struct CallLedger {
+  struct RunningCall {
+    std::uint64_t Number = 0; ///< Under which it runs here.
+    bool Repeatable = false;
+  };
+  struct SentAnswer {
+    std::uint64_t Id = 0;
+    Instant At;
+    std::string Bytes; ///< The encoded answer.
+  };
+  /// Calls arrive on a connection in the order of their ids.
+  std::uint64_t HighestId = 0;
+  std::map<std::uint64_t, RunningCall> Running; ///< Not answered yet, by id.
+  std::deque<SentAnswer> Answers;               ///< The newest last.
+  std::size_t AnswerBytes = 0;
+};
+
+enum class CallFate : std::uint8_t {
+  NeverReceived, ///< Did not run, and will not once the connection is closed.
+  Running,
+  Answered, ///< The answer is still held.
+  Unknown,  ///< It was received; its answer is no longer held.
+};
+
+void receiveCall(CallLedger &Ledger, std::uint64_t Id,
+                 const CallLedger::RunningCall &Call);
+
+/// Whether the answer to a running call should be kept: what was written to a
+/// connection may be lost with it. A repeatable call is rather run once more.
+bool keepsAnswer(const CallLedger &Ledger, std::uint64_t Id);
+
+/// The call has been answered.
+void endCall(CallLedger &Ledger, std::uint64_t Id);
+
+/// Holds an answer for a moment.
+void keepAnswer(CallLedger &Ledger, std::uint64_t Id, std::string Bytes,
+                Instant Now);
+
+/// Forgets answers that were sent long ago.
+void forgetAnswers(CallLedger &Ledger, Instant Now);
+
+CallFate fateOf(const CallLedger &Ledger, std::uint64_t Id);
+
+/// The held answer to a call; null if there is none.
+const std::string *heldAnswer(const CallLedger &Ledger, std::uint64_t Id);
+
+} // namespace pollenwick
+
+#endif
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -89,6 +89,20 @@
 
 struct Pull { rulesRevision @0 :UInt64; serversRevision @1 :UInt64; }
 
+# The first frame on a connection, from both ends.
+struct Hello {
+  start @0 :UInt64;          # Of the sender's process.
+  link @1 :UInt64;           # The sender's number of this connection.
+}
+
+# A connection of the sender was lost or went silent. What the receiver still
+# has unread of it must not run. It says on this connection what became of the
+# calls; those that are not named are cancelled.
+struct Resume {
+  link @0 :UInt64;           # The sender's number of the lost connection.
+  calls @1 :List(UInt64);
+}
+
 struct Frame {
   union {
     call @0 :Call;
@@ -97,5 +111,7 @@
     status @3 :Status;
     pull @4 :Pull;
     records @5 :RecordSet;
+    hello @6 :Hello;
+    resume @7 :Resume;
   }
 }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -32,6 +32,8 @@
 CAPNP_DECLARE_SCHEMA(cec2487e922e5afc);
 CAPNP_DECLARE_SCHEMA(94bea7cda8fd0117);
 CAPNP_DECLARE_SCHEMA(e723f5ca65d57945);
+CAPNP_DECLARE_SCHEMA(c4daffdf94dd594a);
+CAPNP_DECLARE_SCHEMA(bac0802e7590af29);
 CAPNP_DECLARE_SCHEMA(bc5ea9fd2a99eb17);
 
 }  // namespace schemas
@@ -178,6 +180,36 @@
   };
 };
 
+struct Hello {
+  Hello() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4daffdf94dd594a, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Resume {
+  Resume() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bac0802e7590af29, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -191,6 +223,8 @@
     STATUS,
     PULL,
     RECORDS,
+    HELLO,
+    RESUME,
   };
 
   struct _capnpPrivate {
@@ -1254,6 +1288,174 @@
 };
 #endif  // !CAPNP_LITE
 
+class Hello::Reader {
+public:
+  typedef Hello Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStart() const;
+
+  inline  ::uint64_t getLink() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Hello::Builder {
+public:
+  typedef Hello Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStart();
+  inline void setStart( ::uint64_t value);
+
+  inline  ::uint64_t getLink();
+  inline void setLink( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Hello::Pipeline {
+public:
+  typedef Hello Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Resume::Reader {
+public:
+  typedef Resume Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLink() const;
+
+  inline bool hasCalls() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCalls() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Resume::Builder {
+public:
+  typedef Resume Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLink();
+  inline void setLink( ::uint64_t value);
+
+  inline bool hasCalls();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCalls();
+  inline void setCalls( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCalls(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCalls(unsigned int size);
+  inline void adoptCalls(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCalls();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Resume::Pipeline {
+public:
+  typedef Resume Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -1295,6 +1497,14 @@
   inline bool hasRecords() const;
   inline  ::pollenwick::mesh::wire::RecordSet::Reader getRecords() const;
 
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::pollenwick::mesh::wire::Hello::Reader getHello() const;
+
+  inline bool isResume() const;
+  inline bool hasResume() const;
+  inline  ::pollenwick::mesh::wire::Resume::Reader getResume() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1368,6 +1578,22 @@
   inline void adoptRecords(::capnp::Orphan< ::pollenwick::mesh::wire::RecordSet>&& value);
   inline ::capnp::Orphan< ::pollenwick::mesh::wire::RecordSet> disownRecords();
 
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::pollenwick::mesh::wire::Hello::Builder getHello();
+  inline void setHello( ::pollenwick::mesh::wire::Hello::Reader value);
+  inline  ::pollenwick::mesh::wire::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::pollenwick::mesh::wire::Hello>&& value);
+  inline ::capnp::Orphan< ::pollenwick::mesh::wire::Hello> disownHello();
+
+  inline bool isResume();
+  inline bool hasResume();
+  inline  ::pollenwick::mesh::wire::Resume::Builder getResume();
+  inline void setResume( ::pollenwick::mesh::wire::Resume::Reader value);
+  inline  ::pollenwick::mesh::wire::Resume::Builder initResume();
+  inline void adoptResume(::capnp::Orphan< ::pollenwick::mesh::wire::Resume>&& value);
+  inline ::capnp::Orphan< ::pollenwick::mesh::wire::Resume> disownResume();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2692,6 +2918,86 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Hello::Reader::getStart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getStart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setStart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Hello::Reader::getLink() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getLink() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setLink( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Resume::Reader::getLink() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Resume::Builder::getLink() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Resume::Builder::setLink( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Resume::Reader::hasCalls() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Resume::Builder::hasCalls() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Resume::Reader::getCalls() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Resume::Builder::getCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Resume::Builder::setCalls( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Resume::Builder::setCalls(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Resume::Builder::initCalls(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Resume::Builder::adoptCalls(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Resume::Builder::disownCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::pollenwick::mesh::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2997,6 +3303,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isHello() const {
+  return which() == Frame::HELLO;
+}
+inline bool Frame::Builder::isHello() {
+  return which() == Frame::HELLO;
+}
+inline bool Frame::Reader::hasHello() const {
+  if (which() != Frame::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasHello() {
+  if (which() != Frame::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenwick::mesh::wire::Hello::Reader Frame::Reader::getHello() const {
+  KJ_IREQUIRE((which() == Frame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Hello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenwick::mesh::wire::Hello::Builder Frame::Builder::getHello() {
+  KJ_IREQUIRE((which() == Frame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Hello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setHello( ::pollenwick::mesh::wire::Hello::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
+  ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Hello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenwick::mesh::wire::Hello::Builder Frame::Builder::initHello() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Hello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptHello(
+    ::capnp::Orphan< ::pollenwick::mesh::wire::Hello>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
+  ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Hello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenwick::mesh::wire::Hello> Frame::Builder::disownHello() {
+  KJ_IREQUIRE((which() == Frame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Hello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isResume() const {
+  return which() == Frame::RESUME;
+}
+inline bool Frame::Builder::isResume() {
+  return which() == Frame::RESUME;
+}
+inline bool Frame::Reader::hasResume() const {
+  if (which() != Frame::RESUME) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasResume() {
+  if (which() != Frame::RESUME) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenwick::mesh::wire::Resume::Reader Frame::Reader::getResume() const {
+  KJ_IREQUIRE((which() == Frame::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Resume>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenwick::mesh::wire::Resume::Builder Frame::Builder::getResume() {
+  KJ_IREQUIRE((which() == Frame::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Resume>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setResume( ::pollenwick::mesh::wire::Resume::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESUME);
+  ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Resume>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenwick::mesh::wire::Resume::Builder Frame::Builder::initResume() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESUME);
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Resume>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptResume(
+    ::capnp::Orphan< ::pollenwick::mesh::wire::Resume>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESUME);
+  ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Resume>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenwick::mesh::wire::Resume> Frame::Builder::disownResume() {
+  KJ_IREQUIRE((which() == Frame::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::Resume>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- /dev/null
+++ b/tests/agent/PeerLinksTest.cpp
@@ -0,0 +1,159 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <optional>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include "agent/PeerLinks.h"
+
+using namespace pollenwick;
+using namespace pollenwick::agent;
+
+namespace {
+
+/// A port that is free on all loopback addresses that the tests use.
+std::uint16_t freePort() {
+  Poco::Net::ServerSocket Probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+  return Probe.address().port();
+}
+
+/// One node. It keeps the calls that it receives until the test answers them.
+struct Node : PeerEvents {
+  LogWriter Log{"test"};
+  std::map<std::uint64_t, AnswerHandler> Running;
+  std::vector<std::uint64_t> Cancelled;
+  std::uint64_t Received = 0;
+  PeerLinks Links;
+
+  Node(EventLoop &Loop, const std::string &Address, std::uint64_t Start)
+      : Links(Loop, Log, *this, Address, Start) {}
+
+  std::uint64_t onPeerCall(CallRequest && /*Request*/,
+                           AnswerHandler Done) override {
+    Running.emplace(++Received, std::move(Done));
+    return Received;
+  }
+  void onPeerCancel(std::uint64_t Number) override {
+    Cancelled.push_back(Number);
+  }
+  void onPeerStatus(const std::string &, StatusFrame &&) override {}
+  void onPeerPull(PeerLink &, const PullFrame &) override {}
+  void onPeerRecords(RecordsFrame &&) override {}
+  void onPeerConnected(PeerLink &) override {}
+
+  void answer(std::uint64_t Number, const std::string &Body) {
+    CallAnswer Answer;
+    Answer.Outcome = CallOutcome::Complete;
+    Answer.Status = 200;
+    Answer.Body = Body;
+    Running.at(Number)(std::move(Answer));
+  }
+};
+
+struct Pair {
+  static constexpr const char *FirstIp = "127.0.0.1";
+  static constexpr const char *SecondIp = "127.0.0.2";
+  EventLoop Loop;
+  std::string Port = ":" + std::to_string(freePort());
+  std::optional<Node> Caller{std::in_place, Loop, FirstIp + Port, 11};
+  std::optional<Node> Callee{std::in_place, Loop, SecondIp + Port, 22};
+  std::optional<CallAnswer> Got;
+  std::uint64_t Id = 0;
+
+  Pair() {
+    Caller->Links.setPeers({SecondIp});
+    runFor(50);
+    REQUIRE(Caller->Links.find(SecondIp));
+  }
+  void runFor(int Ms) {
+    // A first turn at once sends what was written outside the loop.
+    Loop.callAt(Loop.now(), [] {});
+    Loop.callAt(Loop.now() + std::chrono::milliseconds(Ms),
+                [&] { Loop.stop(); });
+    Loop.run();
+    Loop.resume();
+  }
+  void call() {
+    CallRequest Request;
+    Request.Deadline = Loop.now() + std::chrono::seconds(5);
+    Id = Caller->Links.find(SecondIp)->call(
+        std::move(Request),
+        [this](CallAnswer &&Answer) { Got = std::move(Answer); });
+  }
+  /// The caller's end learns of the loss when the loop runs.
+  void loseAtCallee() { Callee->Links.find(FirstIp)->close(); }
+};
+
+} // namespace
+
+TEST_CASE("A call outlives the connection between two nodes", "[agent]") {
+  Pair Nodes;
+  SECTION("while it runs") {
+    // Guards against 502 for requests that go on at a sound server.
+    Nodes.call();
+    Nodes.runFor(20);
+    REQUIRE(Nodes.Callee->Received == 1);
+    Nodes.loseAtCallee();
+    Nodes.runFor(50);
+    CHECK_FALSE(Nodes.Got.has_value());
+    Nodes.Callee->answer(1, "whole");
+    Nodes.runFor(20);
+    REQUIRE(Nodes.Got.has_value());
+    CHECK(Nodes.Got->Outcome == CallOutcome::Complete);
+    CHECK(Nodes.Got->Body == "whole");
+    CHECK(Nodes.Callee->Received == 1);
+    CHECK(Nodes.Callee->Cancelled.empty());
+  }
+  SECTION("when its answer is lost on the way") {
+    Nodes.call();
+    Nodes.runFor(20);
+    Nodes.Callee->answer(1, "whole");
+    Nodes.loseAtCallee(); // Before the answer has left.
+    Nodes.runFor(50);
+    REQUIRE(Nodes.Got.has_value());
+    CHECK(Nodes.Got->Body == "whole");
+  }
+  SECTION("when it is answered before the next connection is there") {
+    Nodes.call();
+    Nodes.runFor(20);
+    Nodes.loseAtCallee();
+    Nodes.Callee->answer(1, "whole");
+    Nodes.runFor(50);
+    REQUIRE(Nodes.Got.has_value());
+    CHECK(Nodes.Got->Body == "whole");
+  }
+  SECTION("one that was never received is told so, and has not run") {
+    // Guards against requests that reached no server and that callers may not
+    // repeat.
+    Nodes.loseAtCallee();
+    Nodes.call();
+    Nodes.runFor(50);
+    REQUIRE(Nodes.Got.has_value());
+    CHECK(Nodes.Got->Outcome == CallOutcome::NotRun);
+    CHECK(Nodes.Callee->Received == 0);
+  }
+  SECTION("one whose caller left meanwhile is cancelled") {
+    Nodes.call();
+    Nodes.runFor(20);
+    Nodes.call();
+    Nodes.runFor(20);
+    Nodes.loseAtCallee();
+    Nodes.Caller->Links.cancel(Pair::SecondIp, Nodes.Id);
+    Nodes.runFor(50);
+    Nodes.Callee->Links.tick();
+    Nodes.runFor(1000);
+    Nodes.Callee->Links.tick();
+    CHECK(Nodes.Callee->Cancelled == std::vector<std::uint64_t>{2});
+  }
+  SECTION("a peer that has ended leaves the outcome unknown, at once") {
+    // Guards against "not run" for a call that a killed node had passed on.
+    Nodes.call();
+    Nodes.runFor(20);
+    Nodes.Callee->Links.shutDown();
+    Nodes.loseAtCallee();
+    Nodes.runFor(50);
+    REQUIRE(Nodes.Got.has_value());
+    CHECK(Nodes.Got->Outcome == CallOutcome::Unknown);
+  }
+}
--- a/tests/agent/PeerWireTest.cpp
+++ b/tests/agent/PeerWireTest.cpp
@@ -39,11 +39,14 @@
   Answer.Answer.Cause = "queue-too-long";
   std::string Bytes;
   encodeFrame(Call, Now, Bytes);
+  Answer.Answer.Load.FailureShare = 0.25;
   encodeFrame(Answer, Now, Bytes);
+  encodeFrame(HelloFrame{77, 3}, Now, Bytes);
+  encodeFrame(ResumeFrame{3, {8, 9}}, Now, Bytes);
   for (const std::size_t Step :
        {std::size_t{1000}, std::size_t{7}, Bytes.size()}) {
     const auto Frames = decodeAll(Bytes, Step);
-    REQUIRE(Frames.size() == 2);
+    REQUIRE(Frames.size() == 4);
     const auto &First = std::get<CallFrame>(Frames[0]);
     CHECK(First.Request.Body == Call.Request.Body);
     CHECK(First.Request.Deadline == Call.Request.Deadline);
@@ -51,6 +54,12 @@
     const auto &Second = std::get<AnswerFrame>(Frames[1]);
     CHECK(Second.Answer.Outcome == CallOutcome::NotRun);
     CHECK(Second.Answer.Cause == "queue-too-long");
+    CHECK(Second.Answer.Load.FailureShare == Approx(0.25));
+    CHECK(std::get<HelloFrame>(Frames[2]).Start == 77);
+    CHECK(std::get<HelloFrame>(Frames[2]).Link == 3);
+    CHECK(std::get<ResumeFrame>(Frames[3]).Link == 3);
+    CHECK(std::get<ResumeFrame>(Frames[3]).Calls ==
+          std::vector<std::uint64_t>{8, 9});
   }
 }
 
