--- a/apps/pollenwick-bundle/Author.cpp
+++ b/apps/pollenwick-bundle/Author.cpp
@@ -50,8 +50,8 @@
                             static_cast<std::uint16_t>(20401 + I)});
     Result.Rules.Witnesses.emplace_back(Name);
   }
-  Result.Tenants = {
-      {TenantId("first"), MicroTokens{100'000'000}, MicroTokens{30'000'000}}};
+  Result.Customers = {
+      {CustomerId("first"), MicroTokens{100'000'000}, MicroTokens{30'000'000}}};
   Result.Classes = {{ClassId("payment"), 0}, {ClassId("lookup"), 1}};
   RouteSpec Lookup;
   Lookup.Id = RouteId("shop/lookup");
@@ -87,7 +87,7 @@
   Entries Out;
   addEntries(Out, "service", writeServices(Source.Services), "id");
   addEntries(Out, "host", writeHosts(Source.Hosts), "id");
-  addEntries(Out, "tenant", writeTenants(Source.Tenants), "id");
+  addEntries(Out, "tenant", writeCustomers(Source.Customers), "id");
   addEntries(Out, "key", writeKeys(Source.Keys), "sha256");
   addEntries(Out, "class", writeClasses(Source.Classes), "id");
   addEntries(Out, "route", writeRoutes(Source.Routes), "id");
@@ -134,7 +134,7 @@
   std::cout << "revision  " << Source->Number.Value << "\nparent    "
             << digestText(Source->Parent) << "\nservices  "
             << Source->Services.size() << "\nhosts     " << Source->Hosts.size()
-            << "\ntenants   " << Source->Tenants.size() << "\nkeys      "
+            << "\ntenants   " << Source->Customers.size() << "\nkeys      "
             << Source->Keys.size() << "\nclasses   " << Source->Classes.size()
             << "\nroutes    " << Source->Routes.size() << '\n';
   return ExitOk;
@@ -158,17 +158,17 @@
 
 ExitCode runKeygen(const Arguments &Args) {
   if (Args.size() == 1 && Args[0] == "tenant") {
-    absl::StatusOr<std::string> Key = generateTenantKey();
+    absl::StatusOr<std::string> Key = generateCustomerKey();
     if (!Key.ok())
       return fail(ExitInput, textOf(Key.status()));
     const std::string Sum = digestText(keyDigest(*Key).Bytes);
     std::cout << "key     " << *Key << "\nsha256  " << Sum << '\n';
     if (!FLAGS_tenant.empty())
-      std::cout
-          << "entry   "
-          << compact(
-                 writeKeys({{keyDigest(*Key), TenantId(FLAGS_tenant)}})->get(0))
-          << '\n';
+      std::cout << "entry   "
+                << compact(
+                       writeKeys({{keyDigest(*Key), CustomerId(FLAGS_tenant)}})
+                           ->get(0))
+                << '\n';
     return ExitOk;
   }
   if (Args.size() != 1 || Args[0] != "operator" || FLAGS_out.empty())
--- a/apps/pollenwick-bundle/Explain.cpp
+++ b/apps/pollenwick-bundle/Explain.cpp
@@ -83,20 +83,21 @@
 }
 
 void explainQuota(const Bundle &Source, const RouteSpec &Route,
-                  const TenantSpec &Tenant) {
-  const bool Allowed = Route.Open || Route.Tenants.empty() ||
-                       std::find(Route.Tenants.begin(), Route.Tenants.end(),
-                                 Tenant.Id) != Route.Tenants.end();
-  std::cout << "tenant     " << Tenant.Id.Text << ", weight " << Tenant.Weight
+                  const CustomerSpec &Customer) {
+  const bool Allowed = Route.Open || Route.Customers.empty() ||
+                       std::find(Route.Customers.begin(), Route.Customers.end(),
+                                 Customer.Id) != Route.Customers.end();
+  std::cout << "tenant     " << Customer.Id.Text << ", weight "
+            << Customer.Weight
             << (Allowed ? "" : "; not allowed on this route: 403") << '\n';
   if (Route.Open || Route.Internal)
     return;
-  std::cout << "quota      " << tokensText(Tenant.RatePerSecond)
-            << " per second, burst " << tokensText(Tenant.Burst)
+  std::cout << "quota      " << tokensText(Customer.RatePerSecond)
+            << " per second, burst " << tokensText(Customer.Burst)
             << " over the whole fleet; 429 beyond\n";
   const std::vector<ZoneId> Zones = zonesOf(Source);
   for (std::size_t I = 0; I < Zones.size(); ++I) {
-    const ShardShare Share = shareOf(Tenant, I, Zones.size());
+    const ShardShare Share = shareOf(Customer, I, Zones.size());
     std::cout << "  zone " << Zones[I].Text << ": "
               << tokensText(Share.RatePerSecond) << " per second, burst "
               << tokensText(Share.Burst) << '\n';
@@ -149,8 +150,8 @@
   if (Class == nullptr)
     return fail(ExitInput, "unknown class \"" + Wanted.Text +
                                "\"; give one of the bundle's classes");
-  const auto *Tenant = findById(Source->Tenants, TenantId(FLAGS_tenant));
-  if (Tenant == nullptr && !FLAGS_tenant.empty())
+  const auto *Customer = findById(Source->Customers, CustomerId(FLAGS_tenant));
+  if (Customer == nullptr && !FLAGS_tenant.empty())
     return fail(ExitInput, "unknown tenant \"" + FLAGS_tenant +
                                "\"; give one of the bundle's tenants");
   std::cout << "route      " << Route.Id.Text << ", served by "
@@ -160,8 +161,8 @@
                              })
             << " hosts of " << Route.Service.Text << '\n';
   explainAdmission(*Source, Route, *Class);
-  if (Tenant != nullptr)
-    explainQuota(*Source, Route, *Tenant);
+  if (Customer != nullptr)
+    explainQuota(*Source, Route, *Customer);
   explainCalls(*Source, Graph, *At);
   return ExitOk;
 }
--- a/apps/pollenwick-dump/Format.cpp
+++ b/apps/pollenwick-dump/Format.cpp
@@ -154,7 +154,7 @@
     Out += wrap(absl::StrCat(Row.When, " ", Row.Reason, " (", Row.Outcome,
                              ") at ", Row.Host),
                 0);
-    Out += wrap(absl::StrCat("tenant ", orDash(Row.Tenant), ", route ",
+    Out += wrap(absl::StrCat("tenant ", orDash(Row.Customer), ", route ",
                              orDash(Row.Route)),
                 2);
     Out += wrap(Row.Message, 2);
@@ -201,7 +201,7 @@
     One->set("when", Row.When);
     One->set("reason", Row.Reason);
     One->set("outcome", Row.Outcome);
-    One->set("tenant", Row.Tenant);
+    One->set("tenant", Row.Customer);
     One->set("route", Row.Route);
     One->set("message", Row.Message);
     Refusals->add(One);
--- a/apps/pollenwick-dump/Main.cpp
+++ b/apps/pollenwick-dump/Main.cpp
@@ -138,7 +138,7 @@
     return usageError("--timeout_ms must be 1 to 60000");
   const RefusalFilter Wanted{FLAGS_tenant, FLAGS_route, FLAGS_reason};
   if (!FLAGS_refusals &&
-      !(Wanted.Tenant + Wanted.Route + Wanted.Reason).empty())
+      !(Wanted.Customer + Wanted.Route + Wanted.Reason).empty())
     return usageError("--tenant, --route and --reason need --refusals");
   if (!Wanted.Reason.empty() && !isReason(Wanted.Reason))
     return usageError("--reason is \"" + Wanted.Reason +
--- a/apps/pollenwick-dump/State.cpp
+++ b/apps/pollenwick-dump/State.cpp
@@ -63,7 +63,7 @@
   const auto Same = [](const std::string &Filter, const std::string &Value) {
     return Filter.empty() || Filter == Value;
   };
-  return Same(Wanted.Tenant, Row.Tenant) && Same(Wanted.Route, Row.Route) &&
+  return Same(Wanted.Customer, Row.Customer) && Same(Wanted.Route, Row.Route) &&
          Same(Wanted.Reason, Row.Reason);
 }
 
--- a/apps/pollenwick-dump/State.h
+++ b/apps/pollenwick-dump/State.h
@@ -18,8 +18,8 @@
   std::string When; ///< UTC, ISO 8601.
   std::string Reason;
   std::string Outcome;
-  std::string Tenant; ///< Empty: the key was not resolved.
-  std::string Route;  ///< Empty: no route has the path.
+  std::string Customer; ///< Empty: the key was not resolved.
+  std::string Route;    ///< Empty: no route has the path.
   std::string Message;
 };
 
@@ -54,7 +54,7 @@
 
 /// Empty fields match everything.
 struct RefusalFilter {
-  std::string Tenant;
+  std::string Customer;
   std::string Route;
   std::string Reason;
 };
--- a/bench/AdmissionBench.cpp
+++ b/bench/AdmissionBench.cpp
@@ -16,7 +16,7 @@
 /// Routes per service, each calling one route of the next three services.
 constexpr int RoutesPerService = 4;
 
-Bundle makeBundle(int Hosts, int Services, int Tenants) {
+Bundle makeBundle(int Hosts, int Services, int Customers) {
   Bundle Rules;
   Rules.Classes = {{ClassId("a"), 0}, {ClassId("b"), 1}, {ClassId("c"), 2}};
   auto Name = [&](int Service) { return "s" + std::to_string(Service); };
@@ -41,10 +41,10 @@
     Spec.Zone = ZoneId("z" + std::to_string(Host / Services % 9));
     Rules.Hosts.push_back(Spec);
   }
-  for (int Tenant = 0; Tenant < Tenants; ++Tenant) {
-    TenantSpec Spec;
-    Spec.Id = TenantId("t" + std::to_string(Tenant));
-    Rules.Tenants.push_back(Spec);
+  for (int Customer = 0; Customer < Customers; ++Customer) {
+    CustomerSpec Spec;
+    Spec.Id = CustomerId("t" + std::to_string(Customer));
+    Rules.Customers.push_back(Spec);
   }
   return Rules;
 }
@@ -66,12 +66,12 @@
     Now += Duration{20};
     OfferedCall Call;
     Call.Id = CallId(++Id);
-    Call.Tenant = static_cast<TenantIndex>(Id % 8);
+    Call.Customer = static_cast<CustomerIndex>(Id % 8);
     Call.Hash = Random();
     Call.Deadline = Now + std::chrono::seconds(2);
     Call.ArrivedAt = Now;
     const AdmitResult Verdict =
-        admit(Ingress, Reach, {0, Call.Tenant, Call.Hash}, Now);
+        admit(Ingress, Reach, {0, Call.Customer, Call.Hash}, Now);
     benchmark::DoNotOptimize(Verdict);
     const HostChoice Choice = chooseHost(Table, {0, 0, {}}, Random, Now);
     if (offerCall(Callee, Reach, Call, Now).Verdict == OfferVerdict::Run) {
@@ -81,10 +81,10 @@
       releaseSlot(Callee, Done, Now);
     }
     benchmark::DoNotOptimize(takeCall(Callee, Now));
-    const CalleeReport Report = reportFor(Callee, Call.Tenant, Now);
+    const CalleeReport Report = reportFor(Callee, Call.Customer, Now);
     Reports.assign(1, Report.Threshold);
-    relayReports(Ingress, Reach, 0, Call.Tenant, Now, Reports);
-    onReply(Ingress, Reach, Call.Tenant, Reports, Now);
+    relayReports(Ingress, Reach, 0, Call.Customer, Now, Reports);
+    onReply(Ingress, Reach, Call.Customer, Reports, Now);
     onHostReply(Table, *Choice.Host, {HostReplyKind::Answered, Report.InFlight},
                 Now);
   }
--- a/bench/BundleBench.cpp
+++ b/bench/BundleBench.cpp
@@ -18,7 +18,7 @@
   std::size_t Hosts;
   std::size_t Services;
   std::size_t Routes;
-  std::size_t Tenants;
+  std::size_t Customers;
   std::size_t Keys;
 };
 
@@ -47,13 +47,13 @@
     if (I < WitnessCount)
       Result.Rules.Witnesses.push_back(Host.Id);
   }
-  for (std::size_t I = 0; I < Wanted.Tenants; ++I)
-    Result.Tenants.push_back({TenantId(Name("tenant", I)),
-                              MicroTokens{1'000'000'000},
-                              MicroTokens{300'000'000}});
+  for (std::size_t I = 0; I < Wanted.Customers; ++I)
+    Result.Customers.push_back({CustomerId(Name("tenant", I)),
+                                MicroTokens{1'000'000'000},
+                                MicroTokens{300'000'000}});
   for (std::size_t I = 0; I < Wanted.Keys; ++I)
     Result.Keys.push_back({keyDigest(Name("key", I)),
-                           TenantId(Name("tenant", I % Wanted.Tenants))});
+                           CustomerId(Name("tenant", I % Wanted.Customers))});
   Result.Classes = {{ClassId("payment"), 0}, {ClassId("lookup"), 1}};
   for (std::size_t I = 0; I < Wanted.Routes; ++I) {
     RouteSpec Route;
@@ -118,14 +118,14 @@
 }
 BENCHMARK(verifyPointerAt)->DenseRange(0, 2)->Unit(benchmark::kMicrosecond);
 
-// Memory of one further host, route, tenant and key in a large bundle.
+// Memory of one further host, route, customer and key in a large bundle.
 void memoryPerEntry(benchmark::State &State) {
   const Size Base = Sizes[2];
   Size More = Base;
   constexpr std::size_t Added = 1000;
   (State.range(0) == 0   ? More.Hosts
    : State.range(0) == 1 ? More.Routes
-   : State.range(0) == 2 ? More.Tenants
+   : State.range(0) == 2 ? More.Customers
                          : More.Keys) += Added;
   const std::size_t Small = bytesOf(Base);
   const std::size_t Large = bytesOf(More);
--- a/bench/OnceBench.cpp
+++ b/bench/OnceBench.cpp
@@ -12,7 +12,7 @@
 namespace pollenwick {
 namespace {
 
-const TenantId Payer("tenant-1");
+const CustomerId Payer("tenant-1");
 const RouteId Deposit("cobros/deposit");
 constexpr Duration Lifetime = std::chrono::seconds(60);
 
@@ -28,7 +28,7 @@
   TicketBook Book;
   Book.Self = {HostId("host-0001"), StartId(1)};
   Book.Limits.MaxTickets = 1U << 20;
-  Book.Limits.MaxTicketsPerTenant = 1U << 20;
+  Book.Limits.MaxTicketsPerCustomer = 1U << 20;
   Book.Limits.MaxAnswerTotal = 1U << 30;
   for (std::int64_t I = 0; I < Tickets; ++I) {
     const auto Minted =
@@ -47,7 +47,7 @@
 void mintAndClaim(benchmark::State &State) {
   TicketBook Book = makeBook(State.range(0), 0);
   Book.Limits.MaxTickets = 1U << 30;
-  Book.Limits.MaxTicketsPerTenant = 1U << 30;
+  Book.Limits.MaxTicketsPerCustomer = 1U << 30;
   Instant Now;
   for (auto _ : State) {
     // A ticket per millisecond, forgotten after its time.
@@ -96,7 +96,7 @@
   Running.MaxCalls = 1U << 20;
   RetryRatios Ratios;
   CallContext Context;
-  Context.Tenant = Payer;
+  Context.Customer = Payer;
   Context.Route = Root.Id;
   Context.Deadline = Instant() + Lifetime;
   const auto Handle = [](std::int64_t I) {
@@ -126,15 +126,15 @@
 void resolve(benchmark::State &State) {
   Bundle Rules;
   for (int I = 0; I < 8; ++I)
-    Rules.Tenants.push_back(
-        {TenantId("tenant-" + std::to_string(I)), {}, {}, 1});
+    Rules.Customers.push_back(
+        {CustomerId("tenant-" + std::to_string(I)), {}, {}, 1});
   for (std::int64_t I = 0; I < State.range(0); ++I)
     Rules.Keys.push_back({KeyDigest{digestOf(static_cast<std::uint64_t>(I))},
-                          Rules.Tenants[static_cast<std::size_t>(I % 8)].Id});
+                          Rules.Customers[static_cast<std::size_t>(I % 8)].Id});
   const KeyIndex Index =
       indexKeys(std::make_shared<const Bundle>(std::move(Rules)));
   RouteSpec Route;
-  Route.Tenants = {TenantId("tenant-1"), TenantId("tenant-7")};
+  Route.Customers = {CustomerId("tenant-1"), CustomerId("tenant-7")};
   std::uint64_t Next = 0;
   for (auto _ : State) {
     const KeyDigest Key{
--- a/bench/QuotaBench.cpp
+++ b/bench/QuotaBench.cpp
@@ -36,7 +36,7 @@
 
 namespace {
 
-Bundle bundleOf(int Tenants) {
+Bundle bundleOf(int Customers) {
   Bundle Rules;
   Rules.Number = Revision(1);
   for (int I = 0; I < 3; ++I) {
@@ -45,10 +45,10 @@
     Host.Zone = ZoneId("zone-" + std::to_string(I));
     Rules.Hosts.push_back(Host);
   }
-  for (int I = 0; I < Tenants; ++I)
-    Rules.Tenants.push_back({TenantId("tenant-" + std::to_string(I)),
-                             MicroTokens{200 * OneToken.Value},
-                             MicroTokens{40 * OneToken.Value}, 1});
+  for (int I = 0; I < Customers; ++I)
+    Rules.Customers.push_back({CustomerId("tenant-" + std::to_string(I)),
+                               MicroTokens{200 * OneToken.Value},
+                               MicroTokens{40 * OneToken.Value}, 1});
   return Rules;
 }
 
@@ -67,11 +67,11 @@
   LeaseTable State = makeLeaseTable(Self, ZoneId("zone-0"));
   const Bundle Rules = bundleOf(static_cast<int>(Run.range(0)));
   adoptBundle(State, Rules);
-  const TenantId &Tenant = Rules.Tenants.back().Id;
+  const CustomerId &Customer = Rules.Customers.back().Id;
   const Instant Now{};
   const ViewLease Lease = wideLease(Now);
   BorrowSearch Search;
-  Search.Tenant = Tenant;
+  Search.Customer = Customer;
   const BorrowStep Step = nextStep(State, Search, OneToken, 1, Now);
   BorrowReply Reply;
   Reply.Shard = Step.Request.Shard;
@@ -84,7 +84,7 @@
   acceptLease(State, Reply, Now);
   const std::size_t Before = Allocations;
   for (auto Step : Run) {
-    SpendResult Result = spend(State, Tenant, Lease, Now);
+    SpendResult Result = spend(State, Customer, Lease, Now);
     benchmark::DoNotOptimize(Result);
   }
   Run.counters["allocations"] = static_cast<double>(Allocations - Before);
@@ -101,7 +101,7 @@
   const ViewLease Lease = wideLease(Now);
   tickHolder(State, Lease, Now);
   BorrowRequest Request;
-  Request.Shard = {Rules.Tenants[0].Id, ZoneId("zone-0")};
+  Request.Shard = {Rules.Customers[0].Id, ZoneId("zone-0")};
   Request.Borrower = {HostId("10.0.0.1"), StartId(1)};
   Request.Needed = Request.Wanted = OneToken;
   Settlement Report{Request.Shard, Self, Request.Borrower, {{}}};
@@ -114,9 +114,9 @@
 }
 BENCHMARK(lendOne);
 
-/// Bytes in use on the heap per tenant.
+/// Bytes in use on the heap per customer.
 template <typename Make>
-void memoryPerTenant(benchmark::State &Run, Make MakeState) {
+void memoryPerCustomer(benchmark::State &Run, Make MakeState) {
   const Bundle Rules = bundleOf(static_cast<int>(Run.range(0)));
   double Bytes = 0;
   for (auto Step : Run) {
@@ -130,7 +130,7 @@
 }
 
 void holderMemory(benchmark::State &Run) {
-  memoryPerTenant(Run, [](const Bundle &Rules) {
+  memoryPerCustomer(Run, [](const Bundle &Rules) {
     HolderState State = makeHolder(Self, ZoneId("zone-0"), Instant{});
     const RevisionKey Key{Revision(1), {}};
     adoptBundle(State, Rules, Key, {Key, {}}, nullptr, Instant{});
@@ -140,7 +140,7 @@
 BENCHMARK(holderMemory)->Arg(8)->Arg(80)->Arg(800);
 
 void ingressMemory(benchmark::State &Run) {
-  memoryPerTenant(Run, [](const Bundle &Rules) {
+  memoryPerCustomer(Run, [](const Bundle &Rules) {
     LeaseTable State = makeLeaseTable(Self, ZoneId("zone-0"));
     adoptBundle(State, Rules);
     return State;
--- a/bench/compare/QuotaCompare.cpp
+++ b/bench/compare/QuotaCompare.cpp
@@ -26,7 +26,7 @@
 
 struct Schedule {
   const char *Name;
-  double Load;      ///< Part of the tenant's rate.
+  double Load;      ///< Part of the customer's rate.
   bool OneNode;     ///< All load on one node.
   bool SkewedZones; ///< 80 % of the load in one zone.
   std::vector<Fault> Faults;
@@ -70,7 +70,7 @@
 }
 
 std::uint32_t holderIndex(const Fleet &F) {
-  return F.indexOf(holdersOf(F.Chain[0].Rules, F.Tenant)[0].Host);
+  return F.indexOf(holdersOf(F.Chain[0].Rules, F.Customer)[0].Host);
 }
 
 struct Result {
@@ -93,7 +93,7 @@
   // One node that holds no shard, as the worst case for all load on one node.
   std::uint32_t Busy = 0;
   for (std::uint32_t I = 0; I < Hosts; ++I)
-    if (std::ranges::none_of(holdersOf(F.Chain[0].Rules, F.Tenant),
+    if (std::ranges::none_of(holdersOf(F.Chain[0].Rules, F.Customer),
                              [&](auto &H) { return H.Host == F.Nodes[I].Id; }))
       Busy = I;
   std::mt19937 Random(Seed);
--- a/bench/model/Deployment.cpp
+++ b/bench/model/Deployment.cpp
@@ -22,16 +22,16 @@
 
 constexpr std::uint16_t FirstPort = 20000;
 
-void addTenants(Deployment &Made) {
-  // Two large tenants and six small ones; weights follow the bought rates.
+void addCustomers(Deployment &Made) {
+  // Two large customers and six small ones; weights follow the bought rates.
   constexpr int Large = 2;
   constexpr int All = 8;
   for (int Index = 0; Index < All; ++Index) {
-    TenantSpec Tenant;
-    Tenant.Id = TenantId("tenant-" + std::to_string(Index));
-    Tenant.Weight = Index < Large ? 3 : 1;
-    Made.Rules.Tenants.push_back(Tenant);
-    Made.TenantShare.push_back(Tenant.Weight / 12.0);
+    CustomerSpec Customer;
+    Customer.Id = CustomerId("tenant-" + std::to_string(Index));
+    Customer.Weight = Index < Large ? 3 : 1;
+    Made.Rules.Customers.push_back(Customer);
+    Made.CustomerShare.push_back(Customer.Weight / 12.0);
   }
 }
 
@@ -69,7 +69,7 @@
     Made.Share.push_back(Spec.Share);
     Made.OwnTime.push_back(std::chrono::milliseconds(Spec.OwnMilliseconds));
   }
-  addTenants(Made);
+  addCustomers(Made);
   Made.Reach = buildReachTable(Made.Rules);
   Made.FromClient = std::chrono::milliseconds(1);
   Made.Deep = Made.Reach.ServiceByName.at(ServiceId(Deep));
--- a/bench/model/Deployment.h
+++ b/bench/model/Deployment.h
@@ -14,12 +14,13 @@
   std::string Name;
   Bundle Rules;
   ReachTable Reach;
-  std::vector<double> Share;       ///< Of root traffic, by route; sums to 1.
-  std::vector<Duration> OwnTime;   ///< Mean, by route.
-  std::vector<double> TenantShare; ///< Of root traffic, by tenant; sums to 1.
-  Duration BetweenZones{};         ///< One way.
-  Duration FromClient{};           ///< One way.
-  ServiceIndex Deep = 0;           ///< Service that the scenarios slow down.
+  std::vector<double> Share;     ///< Of root traffic, by route; sums to 1.
+  std::vector<Duration> OwnTime; ///< Mean, by route.
+  std::vector<double>
+      CustomerShare;       ///< Of root traffic, by customer; sums to 1.
+  Duration BetweenZones{}; ///< One way.
+  Duration FromClient{};   ///< One way.
+  ServiceIndex Deep = 0;   ///< Service that the scenarios slow down.
 };
 
 Deployment lantern();
--- a/bench/model/Optimum.cpp
+++ b/bench/model/Optimum.cpp
@@ -18,8 +18,9 @@
   Optimum Result;
 };
 
-bool isFrozen(const Filling &Fill, RouteIndex Route, TenantIndex Tenant) {
-  if (Fill.Result.Served[Route][Tenant] >= Fill.Demand[Route][Tenant] - Tiny)
+bool isFrozen(const Filling &Fill, RouteIndex Route, CustomerIndex Customer) {
+  if (Fill.Result.Served[Route][Customer] >=
+      Fill.Demand[Route][Customer] - Tiny)
     return true;
   for (ServiceIndex S = 0; S < Fill.Free.size(); ++S)
     if (Fill.Result.Saturated[S] && Fill.Held[Route][S] > 0)
@@ -27,15 +28,15 @@
   return false;
 }
 
-/// Speed at which a cell fills: a tenant's speed is its weight, divided among
+/// Speed at which a cell fills: a customer's speed is its weight, divided among
 /// its routes in proportion to what they ask for.
-double speedOf(const Filling &Fill, RouteIndex Route, TenantIndex Tenant) {
+double speedOf(const Filling &Fill, RouteIndex Route, CustomerIndex Customer) {
   double Asked = 0;
   for (RouteIndex R = 0; R < Fill.Demand.size(); ++R)
     if (Fill.Fleet.Reach.Routes[R].Rank == Fill.Fleet.Reach.Routes[Route].Rank)
-      Asked += Fill.Demand[R][Tenant];
-  return Asked > 0 ? Fill.Fleet.Reach.Weights[Tenant] *
-                         Fill.Demand[Route][Tenant] / Asked
+      Asked += Fill.Demand[R][Customer];
+  return Asked > 0 ? Fill.Fleet.Reach.Weights[Customer] *
+                         Fill.Demand[Route][Customer] / Asked
                    : 0;
 }
 
@@ -49,7 +50,7 @@
     Speed[R].resize(Fill.Demand[R].size());
     if (Fill.Fleet.Reach.Routes[R].Rank != Rank)
       continue;
-    for (TenantIndex T = 0; T < Speed[R].size(); ++T) {
+    for (CustomerIndex T = 0; T < Speed[R].size(); ++T) {
       if (isFrozen(Fill, R, T))
         continue;
       Speed[R][T] = speedOf(Fill, R, T);
@@ -65,7 +66,7 @@
     if (Use[S] > 0)
       Step = std::min(Step, Fill.Free[S] / Use[S]);
   for (RouteIndex R = 0; R < Speed.size(); ++R)
-    for (TenantIndex T = 0; T < Speed[R].size(); ++T)
+    for (CustomerIndex T = 0; T < Speed[R].size(); ++T)
       Fill.Result.Served[R][T] += Step * Speed[R][T];
   for (ServiceIndex S = 0; S < Use.size(); ++S) {
     Fill.Free[S] -= Step * Use[S];
@@ -80,7 +81,7 @@
                   const Matrix &Held, const std::vector<double> &Slots) {
   Filling Fill{Fleet, Demand, Held, Slots, {}};
   Fill.Result.Served = Matrix(
-      Demand.size(), std::vector<double>(Fleet.Reach.Tenants.size(), 0.0));
+      Demand.size(), std::vector<double>(Fleet.Reach.Customers.size(), 0.0));
   Fill.Result.Saturated.resize(Slots.size());
   for (std::uint32_t Rank = 0; Rank < Fleet.Reach.Ranks; ++Rank)
     while (fillStep(Fill, Rank)) {
--- a/bench/model/Optimum.h
+++ b/bench/model/Optimum.h
@@ -11,13 +11,13 @@
 using Matrix = std::vector<std::vector<double>>;
 
 struct Optimum {
-  Matrix Served;               ///< By root route and tenant, requests/s.
+  Matrix Served;               ///< By root route and customer, requests/s.
   std::vector<bool> Saturated; ///< By service.
 };
 
 /// Class-first, weighted max-min allocation of the slots by progressive
-/// filling. `Demand`: by root route and tenant, requests/s. `Held`: seconds of
-/// a slot by root route and service. `Slots`: by service.
+/// filling. `Demand`: by root route and customer, requests/s. `Held`: seconds
+/// of a slot by root route and service. `Slots`: by service.
 Optimum fillSlots(const Deployment &Fleet, const Matrix &Demand,
                   const Matrix &Held, const std::vector<double> &Slots);
 
--- a/bench/model/Scenario.cpp
+++ b/bench/model/Scenario.cpp
@@ -39,32 +39,32 @@
   return Slots;
 }
 
-Matrix routesByTenants(const Deployment &Fleet) {
+Matrix routesByCustomers(const Deployment &Fleet) {
   return Matrix(Fleet.Reach.Routes.size(),
-                std::vector<double>(Fleet.Reach.Tenants.size(), 0.0));
+                std::vector<double>(Fleet.Reach.Customers.size(), 0.0));
 }
 
 struct Shares {
   double Goodput = 0;
-  double WorstTenant = 0;
+  double WorstCustomer = 0;
   double WorstWithinRate = 0;
   std::vector<double> ByService;
 };
 
-bool isOverRate(const Scenario &Story, TenantIndex Tenant) {
-  return Story.Surge > 0 || (Story.HotTenant > 1 && Tenant == 0);
+bool isOverRate(const Scenario &Story, CustomerIndex Customer) {
+  return Story.Surge > 0 || (Story.HotCustomer > 1 && Customer == 0);
 }
 
 Shares sharesIn(const Deployment &Fleet, const Scenario &Story,
                 const Calibration &Overloaded, const Counters &Count,
                 const Window &Span) {
-  Matrix Demand = routesByTenants(Fleet);
+  Matrix Demand = routesByCustomers(Fleet);
   Matrix Done = Demand;
   for (const UserRecord &User : Count.Users) {
     if (Span.holds(User.ArrivedAt))
-      Demand[User.Route][User.Tenant] += 1 / Span.length();
+      Demand[User.Route][User.Customer] += 1 / Span.length();
     if (User.DoneAt && Span.holds(*User.DoneAt))
-      Done[User.Route][User.Tenant] += 1 / Span.length();
+      Done[User.Route][User.Customer] += 1 / Span.length();
   }
   const Optimum Best =
       fillSlots(Fleet, Demand, Overloaded.Held, slotsOf(Fleet));
@@ -74,7 +74,7 @@
   auto Use = [&](const Matrix &Rates, auto Weight) {
     double Sum = 0;
     for (RouteIndex R = 0; R < Rates.size(); ++R)
-      for (TenantIndex T = 0; T < Rates[R].size(); ++T)
+      for (CustomerIndex T = 0; T < Rates[R].size(); ++T)
         Sum += Rates[R][T] * Weight(R, T);
     return Sum;
   };
@@ -83,22 +83,23 @@
     if (!Best.Saturated[S])
       continue;
     AnyFull = true;
-    auto Held = [&](RouteIndex R, TenantIndex) {
+    auto Held = [&](RouteIndex R, CustomerIndex) {
       return Overloaded.Held[R][S];
     };
     Result.ByService[S] = Use(Done, Held) / Use(Best.Served, Held);
     Result.Goodput = std::min(Result.Goodput, Result.ByService[S]);
   }
-  auto One = [](RouteIndex, TenantIndex) { return 1.0; };
+  auto One = [](RouteIndex, CustomerIndex) { return 1.0; };
   if (!AnyFull)
     Result.Goodput = Use(Done, One) / Use(Best.Served, One);
-  for (TenantIndex Tenant = 0; Tenant < Fleet.Reach.Tenants.size(); ++Tenant) {
-    auto Mine = [&](RouteIndex, TenantIndex T) {
-      return T == Tenant ? 1.0 : 0.0;
+  for (CustomerIndex Customer = 0; Customer < Fleet.Reach.Customers.size();
+       ++Customer) {
+    auto Mine = [&](RouteIndex, CustomerIndex T) {
+      return T == Customer ? 1.0 : 0.0;
     };
     const double Share = Use(Done, Mine) / Use(Best.Served, Mine);
-    Result.WorstTenant = std::min(Result.WorstTenant, Share);
-    if (!isOverRate(Story, Tenant))
+    Result.WorstCustomer = std::min(Result.WorstCustomer, Share);
+    if (!isOverRate(Story, Customer))
       Result.WorstWithinRate = std::min(Result.WorstWithinRate, Share);
   }
   return Result;
@@ -148,8 +149,8 @@
   Phase Quiet;
   Quiet.End = Instant{} + CalibrationTime;
   Quiet.DeepSlowdown = DeepSlowdown;
-  for (double Share : Fleet.TenantShare)
-    Quiet.TenantRate.push_back(Share * CalibrationRate);
+  for (double Share : Fleet.CustomerShare)
+    Quiet.CustomerRate.push_back(Share * CalibrationRate);
   Rules.Phases = {Quiet};
   Simulation Run(Fleet, Rules);
   Run.run();
@@ -171,15 +172,15 @@
   Rules.Seed = Seed;
   Phase Normal;
   Normal.End = Instant{} + Times.Before;
-  for (double Share : Fleet.TenantShare)
-    Normal.TenantRate.push_back(Share * NormalLoad * Capacity);
+  for (double Share : Fleet.CustomerShare)
+    Normal.CustomerRate.push_back(Share * NormalLoad * Capacity);
   Phase Overload = Normal;
   Overload.End += Times.Overload;
   Overload.DeepSlowdown = Story.DeepSlowdown;
   if (Story.Surge > 0)
-    for (double &Rate : Overload.TenantRate)
+    for (double &Rate : Overload.CustomerRate)
       Rate *= Story.Surge / NormalLoad;
-  Overload.TenantRate[0] *= Story.HotTenant;
+  Overload.CustomerRate[0] *= Story.HotCustomer;
   if (Story.HardRetries) {
     Overload.CallerRetries = 8;
     Overload.CallerBackoff = std::chrono::milliseconds(20);
@@ -199,7 +200,7 @@
   const Shares Steady =
       sharesIn(Fleet, Story, Overloaded, Count, {Start + Times.Onset, End});
   Result.Goodput = Steady.Goodput;
-  Result.WorstTenant = Steady.WorstTenant;
+  Result.WorstCustomer = Steady.WorstCustomer;
   Result.WorstWithinRate = Steady.WorstWithinRate;
   Result.ServiceGoodput = Steady.ByService;
   Result.GoodputOnset =
@@ -208,8 +209,8 @@
   std::uint64_t WithinRate = 0;
   for (const UserRecord &User : Count.Users) {
     const bool OverRate =
-        Story.Surge > 0 || (Story.HotTenant > 1 && User.Tenant == 0);
-    // Outside the overload all tenants are within their rate.
+        Story.Surge > 0 || (Story.HotCustomer > 1 && User.Customer == 0);
+    // Outside the overload all customers are within their rate.
     const bool During = User.ArrivedAt >= Start && User.ArrivedAt < End;
     if (During && OverRate)
       continue;
--- a/bench/model/Scenario.h
+++ b/bench/model/Scenario.h
@@ -14,7 +14,7 @@
   double Surge = 0; ///< Offered load against the capacity; 0: normal traffic.
   double DeepSlowdown = 1;
   bool HardRetries = false;
-  double HotTenant = 1; ///< Factor on the rate of the first tenant.
+  double HotCustomer = 1; ///< Factor on the rate of the first customer.
 };
 
 std::vector<Scenario> allScenarios();
@@ -39,10 +39,10 @@
   double Goodput = 0; ///< Of the best allocation, at its worst full service.
   double GoodputOnset = 0;    ///< The same over the whole overload.
   double Recovery = 0;        ///< Seconds; negative if not within `After`.
-  double WorstTenant = 0;     ///< Served, of its weighted max-min fair share.
-  double WorstWithinRate = 0; ///< The same over tenants at their rate.
+  double WorstCustomer = 0;   ///< Served, of its weighted max-min fair share.
+  double WorstWithinRate = 0; ///< The same over customers at their rate.
   std::vector<double> ServiceGoodput;  ///< By full service; else negative.
-  std::uint64_t RefusedWithinRate = 0; ///< Requests of tenants at their rate.
+  std::uint64_t RefusedWithinRate = 0; ///< Requests of customers at their rate.
   double RefusedWithinRateShare = 0;
   std::uint64_t MoneyShed = 0;
   std::uint64_t MoneyShedBesideWorse = 0;
--- a/bench/model/Simulation.cpp
+++ b/bench/model/Simulation.cpp
@@ -34,7 +34,8 @@
   }
   Count.HeldSeconds = Matrix(Reach.Routes.size(),
                              std::vector<double>(Reach.Services.size(), 0.0));
-  Count.RefusedBy = Matrix(Reach.Tenants.size(), std::vector<double>(32, 0.0));
+  Count.RefusedBy =
+      Matrix(Reach.Customers.size(), std::vector<double>(32, 0.0));
   Count.Answered.resize(Reach.Routes.size());
   Count.HostRuns.resize(Hosts.size());
 }
@@ -47,8 +48,9 @@
 }
 
 void Simulation::run() {
-  for (TenantIndex Tenant = 0; Tenant < Fleet.Reach.Tenants.size(); ++Tenant)
-    schedule(Now, [this, Tenant] { arrive(Tenant); });
+  for (CustomerIndex Customer = 0; Customer < Fleet.Reach.Customers.size();
+       ++Customer)
+    schedule(Now, [this, Customer] { arrive(Customer); });
   schedule(Now, [this] { tick(); });
   const Instant End = Rules.Phases.back().End + RunOut;
   while (!Events.empty() && Events.front().At <= End) {
@@ -106,20 +108,20 @@
   schedule(Now + TickTime, [this] { tick(); });
 }
 
-void Simulation::arrive(TenantIndex Tenant) {
+void Simulation::arrive(CustomerIndex Customer) {
   const Phase *Current = phase();
   if (!Current)
     return;
-  const double Rate = Current->TenantRate[Tenant];
-  // A tenant without traffic is looked at again when the phase may change.
+  const double Rate = Current->CustomerRate[Customer];
+  // A customer without traffic is looked at again when the phase may change.
   const double Gap = Rate > 0 ? exponential(1 / Rate) : 0.05;
   schedule(Now + Duration{static_cast<std::int64_t>(Gap * 1e6) + 1},
-           [this, Tenant] { arrive(Tenant); });
+           [this, Customer] { arrive(Customer); });
   if (Rate <= 0)
     return;
   UserRecord User;
   User.ArrivedAt = Now;
-  User.Tenant = Tenant;
+  User.Customer = Customer;
   User.Route = drawRoute();
   Count.Users.push_back(User);
   attempt(Count.Users.size() - 1);
@@ -131,7 +133,7 @@
   auto Root = std::make_shared<RootState>();
   Root->User = UserNumber;
   Root->Route = User.Route;
-  Root->Tenant = User.Tenant;
+  Root->Customer = User.Customer;
   Root->Rank = Fleet.Reach.Routes[User.Route].Rank;
   Root->Hash = Random();
   Root->Ingress = static_cast<HostIndex>(Random() % Hosts.size());
@@ -146,10 +148,10 @@
   if (full()) {
     const AdmitResult Verdict =
         Rules.Admit(Hosts[Root->Ingress].Ingress, Fleet.Reach,
-                    {Root->Route, Root->Tenant, Root->Hash}, Now);
+                    {Root->Route, Root->Customer, Root->Hash}, Now);
     if (!Verdict.Admitted) {
       ++Count.Refusals;
-      ++Count.RefusedBy[Root->Tenant][0];
+      ++Count.RefusedBy[Root->Customer][0];
       noteMoneyShed(Root, Verdict.Limiting);
       closeRoot(Root, false);
       return;
--- a/bench/model/Simulation.h
+++ b/bench/model/Simulation.h
@@ -26,8 +26,8 @@
 /// Traffic until `End`; the phases of a run follow each other.
 struct Phase {
   Instant End{};
-  std::vector<double> TenantRate; ///< Root requests/s, by tenant.
-  double DeepSlowdown = 1;        ///< Factor on own times of the deep service.
+  std::vector<double> CustomerRate; ///< Root requests/s, by customer.
+  double DeepSlowdown = 1; ///< Factor on own times of the deep service.
   std::uint32_t CallerRetries = 2;
   Duration CallerBackoff = std::chrono::milliseconds(200);
 };
@@ -44,7 +44,7 @@
 /// What became of one request of a caller, over all its attempts.
 struct UserRecord {
   Instant ArrivedAt{};
-  TenantIndex Tenant = 0;
+  CustomerIndex Customer = 0;
   RouteIndex Route = 0;
   std::uint32_t Attempts = 0;
   bool FirstTry = false; ///< The first attempt succeeded.
@@ -54,7 +54,7 @@
 struct Counters {
   std::vector<UserRecord> Users;
   std::uint64_t Refusals = 0; ///< Attempts, by any decision.
-  Matrix RefusedBy; ///< By tenant, then reason; ingress refusals are first.
+  Matrix RefusedBy; ///< By customer, then reason; ingress refusals are first.
   std::uint64_t MoneyShed = 0;            ///< Refused calls of rank 0.
   std::uint64_t MoneyShedBesideWorse = 0; ///< A worse class ran at the service.
   std::uint64_t DeadRuns = 0;     ///< Calls started for roots known to fail.
@@ -125,7 +125,7 @@
   Duration between(HostIndex From, HostIndex To) const;
   RouteIndex drawRoute();
 
-  void arrive(TenantIndex Tenant);
+  void arrive(CustomerIndex Customer);
   void attempt(std::size_t User);
   void ingress(const RootPtr &Root);
   void closeRoot(const RootPtr &Root, bool Answered);
--- a/bench/model/SimulationCalls.cpp
+++ b/bench/model/SimulationCalls.cpp
@@ -49,7 +49,7 @@
   OfferedCall Offer;
   Offer.Id = Call->Id;
   Offer.Route = Call->Route;
-  Offer.Tenant = Root->Tenant;
+  Offer.Customer = Root->Customer;
   Offer.Rank = Root->Rank;
   Offer.Hash = Root->Hash;
   Offer.WorkDone = Call->Parent != nullptr;
@@ -217,7 +217,7 @@
 void Simulation::reply(const CallPtr &Call, RefusalReason Reason) {
   Call->Ended = true;
   if (Reason != RefusalReason::None)
-    ++Count.RefusedBy[Call->Root->Tenant][static_cast<std::size_t>(Reason)];
+    ++Count.RefusedBy[Call->Root->Customer][static_cast<std::size_t>(Reason)];
   std::erase_if(Call->Root->Open, [&](const std::weak_ptr<CallState> &Open) {
     return Open.lock() == Call;
   });
@@ -229,10 +229,11 @@
   } else if (Reason == RefusalReason::BackendServerLost) {
     Reply.Kind = HostReplyKind::Failed;
   } else {
-    const CalleeReport Report = reportFor(Host.Callee, Call->Root->Tenant, Now);
+    const CalleeReport Report =
+        reportFor(Host.Callee, Call->Root->Customer, Now);
     Reply.InFlight = Report.InFlight;
     Reports.push_back(Report.Threshold);
-    relayReports(Host.Ingress, Fleet.Reach, Call->Route, Call->Root->Tenant,
+    relayReports(Host.Ingress, Fleet.Reach, Call->Route, Call->Root->Customer,
                  Now, Reports);
   }
   schedule(Now + between(Call->Host, Call->From),
@@ -246,8 +247,8 @@
                          const std::vector<ThresholdReport> &Reports) {
   if (full()) {
     onHostReply(Hosts[Call->From].Table, Call->Host, Reply, Now);
-    onReply(Hosts[Call->From].Ingress, Fleet.Reach, Call->Root->Tenant, Reports,
-            Now);
+    onReply(Hosts[Call->From].Ingress, Fleet.Reach, Call->Root->Customer,
+            Reports, Now);
   }
   const CallPtr &Parent = Call->Parent;
   if (Reason != RefusalReason::None) {
--- a/bench/model/SimulationState.h
+++ b/bench/model/SimulationState.h
@@ -9,7 +9,7 @@
 struct RootState {
   std::size_t User = 0;
   RouteIndex Route = 0;
-  TenantIndex Tenant = 0;
+  CustomerIndex Customer = 0;
   std::uint32_t Rank = 0;
   std::uint64_t Hash = 0;
   HostIndex Ingress = 0;
--- a/bench/overload_model.cpp
+++ b/bench/overload_model.cpp
@@ -40,8 +40,8 @@
   Object->set("goodput", Result.Goodput);
   Object->set("goodput_with_onset", Result.GoodputOnset);
   Object->set("recovery_seconds", Result.Recovery);
-  Object->set("worst_tenant_of_fair_share", Result.WorstTenant);
-  // Absent when no tenant keeps to its rate.
+  Object->set("worst_tenant_of_fair_share", Result.WorstCustomer);
+  // Absent when no customer keeps to its rate.
   if (std::isfinite(Result.WorstWithinRate))
     Object->set("worst_tenant_within_rate", Result.WorstWithinRate);
   Object->set("refused_within_rate", Result.RefusedWithinRate);
@@ -59,8 +59,8 @@
       "%-8s %-24s %-12s %7.3f %7.3f %7.2f %7.3f %7.3f %8llu %7.4f %8llu %6llu "
       "%6.3f %7llu\n",
       Line.Fleet->Name.c_str(), Line.Story.Name.c_str(), Line.Variant,
-      Result.Goodput, Result.GoodputOnset, Result.Recovery, Result.WorstTenant,
-      Result.WorstWithinRate,
+      Result.Goodput, Result.GoodputOnset, Result.Recovery,
+      Result.WorstCustomer, Result.WorstWithinRate,
       static_cast<unsigned long long>(Result.RefusedWithinRate),
       Result.RefusedWithinRateShare,
       static_cast<unsigned long long>(Result.MoneyShed),
--- a/include/pollenwick/Bundle.h
+++ b/include/pollenwick/Bundle.h
@@ -28,8 +28,8 @@
   std::uint16_t MembershipPort = 0;
 };
 
-struct TenantSpec {
-  TenantId Id;
+struct CustomerSpec {
+  CustomerId Id;
   MicroTokens RatePerSecond; ///< Over the whole fleet.
   MicroTokens Burst;         ///< Over the whole fleet.
   std::uint32_t Weight = 1;  ///< Share under overload, 1 to 1000.
@@ -37,7 +37,7 @@
 
 struct KeySpec {
   KeyDigest Key;
-  TenantId Tenant;
+  CustomerId Customer;
 };
 
 struct ClassSpec {
@@ -56,9 +56,9 @@
   ServiceId Service;
   ClassId Class;
   bool Idempotent = true;
-  bool Open = false;             ///< Served without a key.
-  bool Internal = false;         ///< Only reachable as a sub-call.
-  std::vector<TenantId> Tenants; ///< Empty: all tenants.
+  bool Open = false;                 ///< Served without a key.
+  bool Internal = false;             ///< Only reachable as a sub-call.
+  std::vector<CustomerId> Customers; ///< Empty: all customers.
   std::vector<EdgeSpec> Calls;
   Duration Deadline = std::chrono::seconds(2);
 };
@@ -82,7 +82,7 @@
       Parent{}; ///< Root digest of the revision it follows; zero for the first.
   std::vector<ServiceSpec> Services;
   std::vector<HostSpec> Hosts;
-  std::vector<TenantSpec> Tenants;
+  std::vector<CustomerSpec> Customers;
   std::vector<KeySpec> Keys;
   std::vector<ClassSpec> Classes;
   std::vector<RouteSpec> Routes;
--- a/include/pollenwick/Ids.h
+++ b/include/pollenwick/Ids.h
@@ -45,7 +45,7 @@
   }
 };
 
-using TenantId = TextId<struct TenantTag>;
+using CustomerId = TextId<struct CustomerTag>;
 using HostId = TextId<struct HostTag>;
 using ServiceId = TextId<struct ServiceTag>;
 using ZoneId = TextId<struct ZoneTag>;
--- a/include/pollenwick/Rules.h
+++ b/include/pollenwick/Rules.h
@@ -11,8 +11,6 @@
 
 namespace pollenwick {
 
-using CustomerId = TextId<struct CustomerTag>;
-
 /// What may be repeated after it may have run.
 enum class Repeat : std::uint8_t {
   Safe,   ///< May run more than once.
--- a/include/pollenwick/Tokens.h
+++ b/include/pollenwick/Tokens.h
@@ -7,7 +7,7 @@
 namespace pollenwick {
 
 /// Amount of quota. One admission costs `OneToken`; integers make the shares
-/// of a tenant sum exactly to the whole.
+/// of a customer sum exactly to the whole.
 struct MicroTokens {
   std::int64_t Value = 0;
 
--- a/src/bundle/Check.cpp
+++ b/src/bundle/Check.cpp
@@ -43,7 +43,7 @@
     checkRevision(Current);
     checkNames();
     checkHosts();
-    checkTenants();
+    checkCustomers();
     checkKeys();
     checkRoutes();
     checkGraph();
@@ -100,7 +100,8 @@
   void checkNames() {
     Services = names("service", Source.Services, false, ProblemKind::Duplicate);
     Hosts = names("host", Source.Hosts, false, ProblemKind::HostTwice);
-    Tenants = names("tenant", Source.Tenants, false, ProblemKind::Duplicate);
+    Customers =
+        names("tenant", Source.Customers, false, ProblemKind::Duplicate);
     Classes = names("class", Source.Classes, false, ProblemKind::Duplicate);
     Routes = names("route", Source.Routes, true, ProblemKind::Duplicate);
     std::map<std::uint32_t, ClassId> Ranks;
@@ -145,42 +146,43 @@
             " has no host; add one or remove the service");
   }
 
-  void checkTenants() {
+  void checkCustomers() {
     const auto Zones = static_cast<std::int64_t>(zonesOf(Source).size());
-    if (Source.Tenants.empty())
+    if (Source.Customers.empty())
       add(ProblemKind::BadValue, "bundle has no tenant; add at least one");
-    for (const TenantSpec &Tenant : Source.Tenants) {
-      if (Tenant.RatePerSecond > MaxRatePerSecond)
-        add(ProblemKind::BadValue, "tenant ", quoted(Tenant.Id.Text),
-            " has a rate of ", Tenant.RatePerSecond.Value,
+    for (const CustomerSpec &Customer : Source.Customers) {
+      if (Customer.RatePerSecond > MaxRatePerSecond)
+        add(ProblemKind::BadValue, "tenant ", quoted(Customer.Id.Text),
+            " has a rate of ", Customer.RatePerSecond.Value,
             " micro-tokens per second; use at most ", MaxRatePerSecond.Value);
       // A shard lends whole tokens, so that a share below one token would
       // never admit anything.
-      if (Tenant.Burst.Value < Zones * OneToken.Value)
-        add(ProblemKind::NotSplittable, "tenant ", quoted(Tenant.Id.Text),
-            " has a burst of ", Tenant.Burst.Value, " micro-tokens, less than ",
-            "one token for each of ", Zones, " zones; give at least ", Zones);
-      if (Tenant.RatePerSecond.Value < std::max<std::int64_t>(Zones, 1))
-        add(ProblemKind::NotSplittable, "tenant ", quoted(Tenant.Id.Text),
-            " has a rate of ", Tenant.RatePerSecond.Value,
+      if (Customer.Burst.Value < Zones * OneToken.Value)
+        add(ProblemKind::NotSplittable, "tenant ", quoted(Customer.Id.Text),
+            " has a burst of ", Customer.Burst.Value,
+            " micro-tokens, less than ", "one token for each of ", Zones,
+            " zones; give at least ", Zones);
+      if (Customer.RatePerSecond.Value < std::max<std::int64_t>(Zones, 1))
+        add(ProblemKind::NotSplittable, "tenant ", quoted(Customer.Id.Text),
+            " has a rate of ", Customer.RatePerSecond.Value,
             " micro-tokens per second, which cannot be split over ", Zones,
             " zones; raise the rate");
-      if (Tenant.Weight < 1 || Tenant.Weight > 1000)
-        add(ProblemKind::BadValue, "tenant ", quoted(Tenant.Id.Text),
-            " has the weight ", Tenant.Weight, "; use 1 to 1000");
+      if (Customer.Weight < 1 || Customer.Weight > 1000)
+        add(ProblemKind::BadValue, "tenant ", quoted(Customer.Id.Text),
+            " has the weight ", Customer.Weight, "; use 1 to 1000");
     }
   }
 
   void checkKeys() {
-    std::map<KeyDigest, TenantId> Known;
+    std::map<KeyDigest, CustomerId> Known;
     for (const KeySpec &Key : Source.Keys) {
       const std::string Text = digestText(Key.Key.Bytes);
-      expectKnown(Tenants, Key.Tenant, "tenant", "key " + Text);
-      if (const auto [Other, Fresh] = Known.emplace(Key.Key, Key.Tenant);
+      expectKnown(Customers, Key.Customer, "tenant", "key " + Text);
+      if (const auto [Other, Fresh] = Known.emplace(Key.Key, Key.Customer);
           !Fresh)
         add(ProblemKind::KeyUsedTwice, "key digest ", Text,
             " is used for tenant ", quoted(Other->second.Text),
-            " and for tenant ", quoted(Key.Tenant.Text),
+            " and for tenant ", quoted(Key.Customer.Text),
             "; make a new key with `pollenwick-bundle keygen`");
     }
   }
@@ -202,8 +204,8 @@
             " has no class; name one of the classes");
       else
         expectKnown(Classes, Route.Class, "class", User);
-      for (const TenantId &Tenant : Route.Tenants)
-        expectKnown(Tenants, Tenant, "tenant", User);
+      for (const CustomerId &Customer : Route.Customers)
+        expectKnown(Customers, Customer, "tenant", User);
       std::unordered_set<RouteId> Callees;
       for (const EdgeSpec &Edge : Route.Calls) {
         expectKnown(Routes, Edge.Route, "route", User);
@@ -217,7 +219,7 @@
       if (Route.Open && Route.Internal)
         add(ProblemKind::Contradiction, User,
             " is both open and internal; keep one of the two");
-      if (Route.Open && !Route.Tenants.empty())
+      if (Route.Open && !Route.Customers.empty())
         add(ProblemKind::Contradiction, User,
             " is open and lists tenants; remove the list or `open`");
       if (Route.Deadline <= Duration::zero())
@@ -290,7 +292,7 @@
   std::map<ProblemKind, std::size_t> Counts;
   std::unordered_set<ServiceId> Services;
   std::unordered_set<HostId> Hosts;
-  std::unordered_set<TenantId> Tenants;
+  std::unordered_set<CustomerId> Customers;
   std::unordered_set<ClassId> Classes;
   std::unordered_set<RouteId> Routes;
 };
--- a/src/bundle/Check.h
+++ b/src/bundle/Check.h
@@ -47,7 +47,7 @@
 /// Hosts whose majority keeps the view lease when the service is down.
 inline constexpr std::size_t WitnessCount = 5;
 
-/// Highest rate of a tenant. The accrual of a shard is computed in 64 bits.
+/// Highest rate of a customer. The accrual of a shard is computed in 64 bits.
 inline constexpr MicroTokens MaxRatePerSecond{1'000'000'000'000};
 
 /// Everything that is wrong with a bundle, up to 100 problems of each kind.
--- a/src/bundle/Published.cpp
+++ b/src/bundle/Published.cpp
@@ -75,7 +75,8 @@
   for (std::size_t I = 0; I < Count; ++I) {
     std::sort(Groups[I].begin(), Groups[I].end(),
               [](const KeySpec &A, const KeySpec &B) {
-                return std::tie(A.Key, A.Tenant) < std::tie(B.Key, B.Tenant);
+                return std::tie(A.Key, A.Customer) <
+                       std::tie(B.Key, B.Customer);
               });
     Poco::JSON::Object::Ptr Content = newObject();
     Content->set("keys", writeKeys(Groups[I]));
@@ -95,7 +96,7 @@
   Writer.add("services", *Content);
   addHosts(Source, Writer);
   Content = newObject();
-  Content->set("tenants", writeTenants(sortedById(Source.Tenants)));
+  Content->set("tenants", writeCustomers(sortedById(Source.Customers)));
   Writer.add("tenants", *Content);
   addKeys(Source, Writer);
   Content = newObject();
--- a/src/bundle/Sections.cpp
+++ b/src/bundle/Sections.cpp
@@ -43,7 +43,7 @@
 
 KeySpec readKey(ObjectReader &Reader) {
   KeySpec Key;
-  Key.Tenant = TenantId(Reader.text("tenant"));
+  Key.Customer = CustomerId(Reader.text("tenant"));
   const std::string Text = Reader.text("sha256");
   if (absl::StatusOr<Digest> Sum = parseDigest(Text); Sum.ok())
     Key.Key = KeyDigest{*Sum};
@@ -62,7 +62,7 @@
   Route.Idempotent = Reader.flag("idempotent", true);
   Route.Open = Reader.flag("open", false);
   Route.Internal = Reader.flag("internal", false);
-  Route.Tenants = idsOf<TenantId>(Reader.texts("tenants"));
+  Route.Customers = idsOf<CustomerId>(Reader.texts("tenants"));
   Reader.each("calls", [&](ObjectReader &Edge) {
     Route.Calls.push_back(
         {RouteId(Edge.text("route")), count32(Edge, "count", 1, 1000, 1)});
@@ -131,12 +131,12 @@
   Reader.each("hosts",
               [&](ObjectReader &Item) { Out.Hosts.push_back(readHost(Item)); });
   Reader.each("tenants", [&](ObjectReader &Item) {
-    TenantSpec Tenant;
-    Tenant.Id = TenantId(Item.text("id"));
-    Tenant.RatePerSecond = Item.tokens("rate");
-    Tenant.Burst = Item.tokens("burst");
-    Tenant.Weight = count32(Item, "weight", 1, MaxWeight, 1);
-    Out.Tenants.push_back(std::move(Tenant));
+    CustomerSpec Customer;
+    Customer.Id = CustomerId(Item.text("id"));
+    Customer.RatePerSecond = Item.tokens("rate");
+    Customer.Burst = Item.tokens("burst");
+    Customer.Weight = count32(Item, "weight", 1, MaxWeight, 1);
+    Out.Customers.push_back(std::move(Customer));
   });
   Reader.each("keys",
               [&](ObjectReader &Item) { Out.Keys.push_back(readKey(Item)); });
@@ -175,18 +175,18 @@
   });
 }
 
-Poco::JSON::Array::Ptr writeTenants(const std::vector<TenantSpec> &List) {
-  return writeList(List, [](auto &Out, const TenantSpec &Tenant) {
-    Out.set("id", Tenant.Id.Text);
-    Out.set("rate", tokensVar(Tenant.RatePerSecond));
-    Out.set("burst", tokensVar(Tenant.Burst));
-    Out.set("weight", Tenant.Weight);
+Poco::JSON::Array::Ptr writeCustomers(const std::vector<CustomerSpec> &List) {
+  return writeList(List, [](auto &Out, const CustomerSpec &Customer) {
+    Out.set("id", Customer.Id.Text);
+    Out.set("rate", tokensVar(Customer.RatePerSecond));
+    Out.set("burst", tokensVar(Customer.Burst));
+    Out.set("weight", Customer.Weight);
   });
 }
 
 Poco::JSON::Array::Ptr writeKeys(const std::vector<KeySpec> &List) {
   return writeList(List, [](auto &Out, const KeySpec &Key) {
-    Out.set("tenant", Key.Tenant.Text);
+    Out.set("tenant", Key.Customer.Text);
     Out.set("sha256", digestText(Key.Key.Bytes));
   });
 }
@@ -206,7 +206,7 @@
     Out.set("idempotent", Route.Idempotent);
     Out.set("open", Route.Open);
     Out.set("internal", Route.Internal);
-    Out.set("tenants", textList(Route.Tenants));
+    Out.set("tenants", textList(Route.Customers));
     Out.set("calls", writeList(Route.Calls, [](auto &Item, const EdgeSpec &E) {
               Item.set("route", E.Route.Text);
               Item.set("count", E.Count);
--- a/src/bundle/Sections.h
+++ b/src/bundle/Sections.h
@@ -16,7 +16,7 @@
 Poco::JSON::Object::Ptr newObject();
 Poco::JSON::Array::Ptr writeServices(const std::vector<ServiceSpec> &List);
 Poco::JSON::Array::Ptr writeHosts(const std::vector<HostSpec> &List);
-Poco::JSON::Array::Ptr writeTenants(const std::vector<TenantSpec> &List);
+Poco::JSON::Array::Ptr writeCustomers(const std::vector<CustomerSpec> &List);
 Poco::JSON::Array::Ptr writeKeys(const std::vector<KeySpec> &List);
 Poco::JSON::Array::Ptr writeClasses(const std::vector<ClassSpec> &List);
 Poco::JSON::Array::Ptr writeRoutes(const std::vector<RouteSpec> &List);
--- a/src/bundle/Signing.cpp
+++ b/src/bundle/Signing.cpp
@@ -83,7 +83,7 @@
   return Pair;
 }
 
-absl::StatusOr<std::string> generateTenantKey() {
+absl::StatusOr<std::string> generateCustomerKey() {
   std::array<std::uint8_t, 24> Bytes{};
   if (RAND_priv_bytes(Bytes.data(), static_cast<int>(Bytes.size())) != 1)
     return absl::UnavailableError("the system's random source gave no bytes; "
--- a/src/bundle/Signing.h
+++ b/src/bundle/Signing.h
@@ -34,8 +34,8 @@
 std::string keyText(const PublicKey &Key);
 std::string keyText(const PrivateKey &Key);
 
-/// Text from the system's random source, for a tenant's key.
-absl::StatusOr<std::string> generateTenantKey();
+/// Text from the system's random source, for a customer's key.
+absl::StatusOr<std::string> generateCustomerKey();
 
 /// Sets `Root` and the signature of the pointer.
 absl::Status signPointer(Pointer &Head, const PrivateKey &Key);
--- a/src/bundle/Source.cpp
+++ b/src/bundle/Source.cpp
@@ -44,7 +44,7 @@
   Root->set("parent", digestText(Source.Parent));
   Root->set("services", writeServices(Source.Services));
   Root->set("hosts", writeHosts(Source.Hosts));
-  Root->set("tenants", writeTenants(Source.Tenants));
+  Root->set("tenants", writeCustomers(Source.Customers));
   Root->set("keys", writeKeys(Source.Keys));
   Root->set("classes", writeClasses(Source.Classes));
   Root->set("routes", writeRoutes(Source.Routes));
--- a/src/core/admission/CallQueue.h
+++ b/src/core/admission/CallQueue.h
@@ -16,7 +16,7 @@
 struct OfferedCall {
   CallId Id; ///< Unique at this callee node.
   RouteIndex Route = 0;
-  TenantIndex Tenant = 0;
+  CustomerIndex Customer = 0;
   std::uint32_t Rank = 0;
   std::uint64_t Hash = 0;
   bool WorkDone = false;  ///< A sub-call: work was done for its root.
--- a/src/core/admission/Callee.cpp
+++ b/src/core/admission/Callee.cpp
@@ -104,7 +104,7 @@
   if (Call.Rank == 0 && worseClassesActive(State))
     return false;
   const Level Allowed =
-      std::min(State.Threshold.Levels[Call.Tenant], State.Threshold.Common);
+      std::min(State.Threshold.Levels[Call.Customer], State.Threshold.Common);
   return positionOf(Call.Rank, Call.Hash) >= Allowed;
 }
 
@@ -128,7 +128,7 @@
                       const OfferedCall &Call, Instant Now) {
   assert(Call.Rank < State.Running.size());
   refreshThreshold(State, Reach, Now);
-  recordOffered(State.Threshold, Call.Rank, Call.Tenant);
+  recordOffered(State.Threshold, Call.Rank, Call.Customer);
   if (!meetsDeadline(State, Call, Now))
     return refuse(RefusalReason::DeadlineExceeded);
   if (beyondLevel(State, Call))
@@ -207,11 +207,11 @@
   State.DelaySamples = 0;
 }
 
-CalleeReport reportFor(const CalleeState &State, TenantIndex Tenant,
+CalleeReport reportFor(const CalleeState &State, CustomerIndex Customer,
                        Instant Now) {
   CalleeReport Report;
   Report.Threshold.Service = State.Service;
-  Report.Threshold.Tenant = State.Threshold.Levels[Tenant];
+  Report.Threshold.Customer = State.Threshold.Levels[Customer];
   Report.Threshold.Common = State.Threshold.Common;
   Report.Threshold.Age = Now - State.Threshold.ComputedAt;
   Report.QueueDelay = Duration{static_cast<std::int64_t>(State.QueueDelay)};
--- a/src/core/admission/Callee.h
+++ b/src/core/admission/Callee.h
@@ -89,7 +89,7 @@
   std::uint32_t InFlight = 0; ///< In slots and waiting.
 };
 
-CalleeReport reportFor(const CalleeState &State, TenantIndex Tenant,
+CalleeReport reportFor(const CalleeState &State, CustomerIndex Customer,
                        Instant Now);
 
 } // namespace pollenwick
--- a/src/core/admission/Ingress.cpp
+++ b/src/core/admission/Ingress.cpp
@@ -63,8 +63,8 @@
 }
 
 std::size_t cellOf(const ReachTable &Reach, ServiceIndex Service,
-                   TenantIndex Tenant) {
-  return std::size_t{Tenant} * Reach.Services.size() + Service;
+                   CustomerIndex Customer) {
+  return std::size_t{Customer} * Reach.Services.size() + Service;
 }
 
 } // namespace
@@ -73,15 +73,15 @@
   IngressState State;
   State.Tuning = Tuning;
   State.Common.resize(Reach.Services.size());
-  State.PerTenant.resize(Reach.Services.size() * Reach.Tenants.size());
-  State.Use.resize(Reach.Tenants.size());
+  State.PerCustomer.resize(Reach.Services.size() * Reach.Customers.size());
+  State.Use.resize(Reach.Customers.size());
   return State;
 }
 
 Level levelOf(const IngressState &State, const ReachTable &Reach,
-              ServiceIndex Service, TenantIndex Tenant, Instant Now) {
+              ServiceIndex Service, CustomerIndex Customer, Instant Now) {
   const std::uint32_t Top = admitAll(Reach.Ranks).Value;
-  const HeldLevel &Own = State.PerTenant[cellOf(Reach, Service, Tenant)];
+  const HeldLevel &Own = State.PerCustomer[cellOf(Reach, Service, Customer)];
   return {std::min(relaxed(State.Common[Service], State.Tuning, Top, Now),
                    relaxed(Own, State.Tuning, Top, Now))};
 }
@@ -89,13 +89,13 @@
 AdmitResult admit(IngressState &State, const ReachTable &Reach,
                   const RootRequest &Request, Instant Now) {
   assert(Request.Route < Reach.Routes.size());
-  assert(Request.Tenant < Reach.Tenants.size());
+  assert(Request.Customer < Reach.Customers.size());
   const RouteReach &Route = Reach.Routes[Request.Route];
   AdmitResult Result;
   Result.Applied = admitAll(Reach.Ranks);
   Result.Limiting = Route.Service;
   for (ServiceIndex Service : Route.Services) {
-    Level Held = levelOf(State, Reach, Service, Request.Tenant, Now);
+    Level Held = levelOf(State, Reach, Service, Request.Customer, Now);
     if (Held.Value < LevelUnit && servesWorseClasses(State, Service))
       Held.Value = LevelUnit;
     if (Held < Result.Applied) {
@@ -106,10 +106,10 @@
   const Level Position = positionOf(Route.Rank, Request.Hash);
   Result.Admitted = Position < Result.Applied;
   if (Result.Admitted) {
-    ++State.Use[Request.Tenant].Admitted;
+    ++State.Use[Request.Customer].Admitted;
     return Result;
   }
-  ++State.Use[Request.Tenant].Shed;
+  ++State.Use[Request.Customer].Shed;
   Result.Reason = RefusalReason::Shed;
   const double Distance =
       static_cast<double>(Position.Value - Result.Applied.Value) / LevelUnit;
@@ -119,21 +119,22 @@
   return Result;
 }
 
-void onReply(IngressState &State, const ReachTable &Reach, TenantIndex Tenant,
-             std::span<const ThresholdReport> Reports, Instant Now) {
+void onReply(IngressState &State, const ReachTable &Reach,
+             CustomerIndex Customer, std::span<const ThresholdReport> Reports,
+             Instant Now) {
   const std::uint32_t Top = admitAll(Reach.Ranks).Value;
   for (const ThresholdReport &Report : Reports) {
     if (Report.Service >= Reach.Services.size())
       continue; // The sender has another bundle.
     learn(State.Common[Report.Service], Report.Common, State.Tuning, Top,
           Report.Age, Now);
-    learn(State.PerTenant[cellOf(Reach, Report.Service, Tenant)], Report.Tenant,
-          State.Tuning, Top, Report.Age, Now);
+    learn(State.PerCustomer[cellOf(Reach, Report.Service, Customer)],
+          Report.Customer, State.Tuning, Top, Report.Age, Now);
   }
 }
 
 void relayReports(const IngressState &State, const ReachTable &Reach,
-                  RouteIndex Route, TenantIndex Tenant, Instant Now,
+                  RouteIndex Route, CustomerIndex Customer, Instant Now,
                   std::vector<ThresholdReport> &Reports) {
   const std::uint32_t Top = admitAll(Reach.Ranks).Value;
   const RouteReach &Reached = Reach.Routes[Route];
@@ -141,7 +142,7 @@
     if (Service == Reached.Service)
       continue;
     const HeldLevel &Common = State.Common[Service];
-    const HeldLevel &Own = State.PerTenant[cellOf(Reach, Service, Tenant)];
+    const HeldLevel &Own = State.PerCustomer[cellOf(Reach, Service, Customer)];
     if (Common.Value >= Top && Own.Value >= Top)
       continue;
     // The caller relaxes the level by the age itself.
--- a/src/core/admission/Ingress.h
+++ b/src/core/admission/Ingress.h
@@ -16,9 +16,9 @@
 /// report of its own callee node and those it relays for deeper services.
 struct ThresholdReport {
   ServiceIndex Service = 0;
-  Level Tenant = AdmitAll; ///< For the tenant of the call.
-  Level Common = AdmitAll; ///< Upper bound for any tenant.
-  Duration Age{};          ///< Since the callee node computed it.
+  Level Customer = AdmitAll; ///< For the customer of the call.
+  Level Common = AdmitAll;   ///< Upper bound for any customer.
+  Duration Age{};            ///< Since the callee node computed it.
 };
 
 struct IngressTuning {
@@ -37,7 +37,7 @@
   std::uint32_t AtMilliseconds = 0;
 };
 
-struct TenantUse {
+struct CustomerUse {
   std::uint64_t Admitted = 0;
   std::uint64_t Shed = 0;
 };
@@ -45,16 +45,16 @@
 /// Admission state of one ingress. Owner: the request path, under one mutex.
 struct IngressState {
   IngressTuning Tuning;
-  std::vector<HeldLevel> Common;    ///< By service.
-  std::vector<HeldLevel> PerTenant; ///< By tenant, then service.
-  std::vector<TenantUse> Use;       ///< By tenant.
+  std::vector<HeldLevel> Common;      ///< By service.
+  std::vector<HeldLevel> PerCustomer; ///< By customer, then service.
+  std::vector<CustomerUse> Use;       ///< By customer.
 };
 
 IngressState makeIngress(const ReachTable &Reach, IngressTuning Tuning = {});
 
 struct RootRequest {
   RouteIndex Route = 0;
-  TenantIndex Tenant = 0;
+  CustomerIndex Customer = 0;
   std::uint64_t Hash = 0; ///< The same for all calls of the root request.
 };
 
@@ -71,18 +71,19 @@
 AdmitResult admit(IngressState &State, const ReachTable &Reach,
                   const RootRequest &Request, Instant Now);
 
-/// Learns the levels that a reply carries for the tenant of the call.
-void onReply(IngressState &State, const ReachTable &Reach, TenantIndex Tenant,
-             std::span<const ThresholdReport> Reports, Instant Now);
+/// Learns the levels that a reply carries for the customer of the call.
+void onReply(IngressState &State, const ReachTable &Reach,
+             CustomerIndex Customer, std::span<const ThresholdReport> Reports,
+             Instant Now);
 
-/// Level in force for a service and a tenant, after relaxation.
+/// Level in force for a service and a customer, after relaxation.
 Level levelOf(const IngressState &State, const ReachTable &Reach,
-              ServiceIndex Service, TenantIndex Tenant, Instant Now);
+              ServiceIndex Service, CustomerIndex Customer, Instant Now);
 
 /// Appends the levels of the services below `Route` that cut any request, for
 /// the reply of a callee node to its caller.
 void relayReports(const IngressState &State, const ReachTable &Reach,
-                  RouteIndex Route, TenantIndex Tenant, Instant Now,
+                  RouteIndex Route, CustomerIndex Customer, Instant Now,
                   std::vector<ThresholdReport> &Reports);
 
 } // namespace pollenwick
--- a/src/core/admission/OfferedLoad.cpp
+++ b/src/core/admission/OfferedLoad.cpp
@@ -38,8 +38,8 @@
 constexpr double MaxTrimError = 0.3;
 
 LoadCell &cellAt(ThresholdState &State, std::uint32_t Rank,
-                 TenantIndex Tenant) {
-  return State.Cells[std::size_t{Rank} * State.Tenants + Tenant];
+                 CustomerIndex Customer) {
+  return State.Cells[std::size_t{Rank} * State.Customers + Customer];
 }
 
 double weightOf(const ThresholdTuning &Tuning, double Received, double Expected,
@@ -51,16 +51,16 @@
 
 /// Infers the load of one class before shedding: each call counts by the
 /// inverse of the share that let it through. The class follows a change fast;
-/// the tenants' parts of it are averaged longer, because a window holds only a
-/// few calls of a small tenant.
+/// the customers' parts of it are averaged longer, because a window holds only
+/// a few calls of a small customer.
 void estimateClass(ThresholdState &State, std::uint32_t Rank, double Seconds) {
   const ThresholdTuning &Tuning = State.Tuning;
   double Received = 0;
   double Expected = 0;
   double Estimate = 0;
   double Sum = 0;
-  for (TenantIndex Tenant = 0; Tenant < State.Tenants; ++Tenant) {
-    LoadCell &Cell = cellAt(State, Rank, Tenant);
+  for (CustomerIndex Customer = 0; Customer < State.Customers; ++Customer) {
+    LoadCell &Cell = cellAt(State, Rank, Customer);
     if (Cell.Applied <= VisibleShare) {
       Cell.Offered *= Tuning.Forget;
       Estimate += Cell.Offered;
@@ -68,7 +68,7 @@
       const double Seen = Cell.Received / Seconds / Cell.Applied;
       const double Usual = Cell.Offered * Cell.Applied * Seconds;
       Cell.Offered +=
-          weightOf(Tuning, Cell.Received, Usual, Tuning.TenantSmoothing) *
+          weightOf(Tuning, Cell.Received, Usual, Tuning.CustomerSmoothing) *
           (Seen - Cell.Offered);
       Received += Cell.Received;
       Expected += Usual;
@@ -81,8 +81,8 @@
   Total += weightOf(Tuning, Received, Expected, Tuning.ClassSmoothing) *
            (Estimate - Total);
   if (Sum > 0)
-    for (TenantIndex Tenant = 0; Tenant < State.Tenants; ++Tenant)
-      cellAt(State, Rank, Tenant).Offered *= Total / Sum;
+    for (CustomerIndex Customer = 0; Customer < State.Customers; ++Customer)
+      cellAt(State, Rank, Customer).Offered *= Total / Sum;
 }
 
 /// Free slots while a class is cut prove that its load is overestimated: the
@@ -94,8 +94,8 @@
   const double Keep = 1 - UnderuseGain * std::min(1.0, Free);
   for (std::uint32_t Rank = 0; Rank < State.ClassOffered.size(); ++Rank) {
     const auto First =
-        State.Cells.begin() + std::ptrdiff_t{Rank} * State.Tenants;
-    const auto Last = First + State.Tenants;
+        State.Cells.begin() + std::ptrdiff_t{Rank} * State.Customers;
+    const auto Last = First + State.Customers;
     if (std::none_of(First, Last,
                      [](const LoadCell &Cell) { return Cell.Share < 1; }))
       continue;
@@ -132,26 +132,26 @@
                     MaxBudget * Capacity);
 }
 
-/// Rate per unit of weight at which `Budget` is used up by tenants that offer
+/// Rate per unit of weight at which `Budget` is used up by customers that offer
 /// more than their share (weighted max-min fairness).
 double fairLevel(const ThresholdState &State, const ReachTable &Reach,
                  std::uint32_t Rank, double Budget) {
-  std::vector<TenantIndex> Order(State.Tenants);
+  std::vector<CustomerIndex> Order(State.Customers);
   std::iota(Order.begin(), Order.end(), 0U);
-  const LoadCell *Cells = &State.Cells[std::size_t{Rank} * State.Tenants];
-  auto PerWeight = [&](TenantIndex T) {
+  const LoadCell *Cells = &State.Cells[std::size_t{Rank} * State.Customers];
+  auto PerWeight = [&](CustomerIndex T) {
     return Cells[T].Offered / Reach.Weights[T];
   };
-  std::sort(Order.begin(), Order.end(), [&](TenantIndex A, TenantIndex B) {
+  std::sort(Order.begin(), Order.end(), [&](CustomerIndex A, CustomerIndex B) {
     return PerWeight(A) < PerWeight(B);
   });
   double Weight =
       std::accumulate(Reach.Weights.begin(), Reach.Weights.end(), 0.0);
-  for (TenantIndex Tenant : Order) {
-    if (PerWeight(Tenant) * Weight >= Budget)
+  for (CustomerIndex Customer : Order) {
+    if (PerWeight(Customer) * Weight >= Budget)
       return Budget / Weight;
-    Budget -= Cells[Tenant].Offered;
-    Weight -= Reach.Weights[Tenant];
+    Budget -= Cells[Customer].Offered;
+    Weight -= Reach.Weights[Customer];
   }
   return PerWeight(Order.back());
 }
@@ -166,12 +166,12 @@
 bool shareClass(ThresholdState &State, const ReachTable &Reach,
                 std::uint32_t Rank, double &Budget) {
   double Total = 0;
-  for (TenantIndex T = 0; T < State.Tenants; ++T)
+  for (CustomerIndex T = 0; T < State.Customers; ++T)
     Total += cellAt(State, Rank, T).Offered;
   const bool Fits = Total <= Budget;
   const double Fair = Fits ? 0 : fairLevel(State, Reach, Rank, Budget);
   bool Open = true;
-  for (TenantIndex T = 0; T < State.Tenants; ++T) {
+  for (CustomerIndex T = 0; T < State.Customers; ++T) {
     LoadCell &Cell = cellAt(State, Rank, T);
     const double Entitled = Fair * Reach.Weights[T];
     const double Wanted =
@@ -185,7 +185,7 @@
 
 void publish(ThresholdState &State, const ReachTable &Reach) {
   State.Common = admitAll(Reach.Ranks);
-  for (TenantIndex T = 0; T < State.Tenants; ++T) {
+  for (CustomerIndex T = 0; T < State.Customers; ++T) {
     State.Levels[T] = admitAll(Reach.Ranks);
     for (std::uint32_t Rank = 0; Rank < Reach.Ranks; ++Rank) {
       const double Share = cellAt(State, Rank, T).Share;
@@ -206,18 +206,18 @@
                              ThresholdTuning Tuning) {
   ThresholdState State;
   State.Tuning = Tuning;
-  State.Tenants = static_cast<std::uint32_t>(Reach.Tenants.size());
-  State.Cells.resize(std::size_t{Reach.Ranks} * State.Tenants);
+  State.Customers = static_cast<std::uint32_t>(Reach.Customers.size());
+  State.Cells.resize(std::size_t{Reach.Ranks} * State.Customers);
   State.ClassOffered.resize(Reach.Ranks);
-  State.Levels.assign(State.Tenants, admitAll(Reach.Ranks));
+  State.Levels.assign(State.Customers, admitAll(Reach.Ranks));
   State.Common = admitAll(Reach.Ranks);
   State.ComputedAt = Now;
   return State;
 }
 
 void recordOffered(ThresholdState &State, std::uint32_t Rank,
-                   TenantIndex Tenant) {
-  ++cellAt(State, Rank, Tenant).Received;
+                   CustomerIndex Customer) {
+  ++cellAt(State, Rank, Customer).Received;
 }
 
 bool thresholdDue(const ThresholdState &State, Instant Now) {
@@ -228,7 +228,7 @@
                      const WindowMeasure &Measure, Instant Now) {
   const double Seconds =
       std::chrono::duration<double>(Now - State.ComputedAt).count();
-  if (Seconds <= 0 || State.Tenants == 0)
+  if (Seconds <= 0 || State.Customers == 0)
     return;
   State.ComputedAt = Now;
   for (std::uint32_t Rank = 0; Rank < Reach.Ranks; ++Rank)
@@ -242,7 +242,7 @@
     if (Rank == 0 && Measure.WorseClassesActive) {
       double Unlimited = std::numeric_limits<double>::infinity();
       double Total = 0;
-      for (TenantIndex T = 0; T < State.Tenants; ++T)
+      for (CustomerIndex T = 0; T < State.Customers; ++T)
         Total += cellAt(State, 0, T).Offered;
       const bool Overloaded = Total > Budget;
       Open = shareClass(State, Reach, 0, Unlimited) && !Overloaded;
@@ -253,7 +253,7 @@
       Open = shareClass(State, Reach, Rank, Budget);
       continue;
     }
-    for (TenantIndex T = 0; T < State.Tenants; ++T)
+    for (CustomerIndex T = 0; T < State.Customers; ++T)
       cellAt(State, Rank, T).Share = 0;
   }
   publish(State, Reach);
--- a/src/core/admission/OfferedLoad.h
+++ b/src/core/admission/OfferedLoad.h
@@ -18,15 +18,15 @@
   /// Time in which the budget removes a deviation of the queue. Longer than
   /// the delay between a level and its effect, or the loop oscillates.
   Duration Horizon = std::chrono::milliseconds(500);
-  double ClassSmoothing = 0.1;    ///< Weight of one window in a class's load.
-  double TenantSmoothing = 0.03;  ///< The same for a tenant's part of it.
-  double SurpriseSmoothing = 0.5; ///< For a count beyond chance.
-  double GrowFactor = 1.5;        ///< Largest growth of a share per window.
-  double GrowStep = 0.05;         ///< Growth of a share that was near zero.
-  double Forget = 0.97;           ///< Per window, for load that is not visible.
+  double ClassSmoothing = 0.1;     ///< Weight of one window in a class's load.
+  double CustomerSmoothing = 0.03; ///< The same for a customer's part of it.
+  double SurpriseSmoothing = 0.5;  ///< For a count beyond chance.
+  double GrowFactor = 1.5;         ///< Largest growth of a share per window.
+  double GrowStep = 0.05;          ///< Growth of a share that was near zero.
+  double Forget = 0.97; ///< Per window, for load that is not visible.
 };
 
-/// Load of one class and tenant at a callee node.
+/// Load of one class and customer at a callee node.
 struct LoadCell {
   std::uint32_t Received = 0; ///< In the running window.
   double Offered = 0;         ///< Calls/s before shedding at ingress nodes.
@@ -37,10 +37,10 @@
 /// Offered load and the levels that follow from it.
 struct ThresholdState {
   ThresholdTuning Tuning;
-  std::uint32_t Tenants = 0;
-  std::vector<LoadCell> Cells;      ///< By rank, then tenant.
+  std::uint32_t Customers = 0;
+  std::vector<LoadCell> Cells;      ///< By rank, then customer.
   std::vector<double> ClassOffered; ///< Calls/s by rank.
-  std::vector<Level> Levels;        ///< By tenant.
+  std::vector<Level> Levels;        ///< By customer.
   Level Common = AdmitAll;
   bool Overloaded = false;
   double Trim = 1; ///< Slow correction of the capacity estimate.
@@ -59,11 +59,11 @@
                              ThresholdTuning Tuning = {});
 
 void recordOffered(ThresholdState &State, std::uint32_t Rank,
-                   TenantIndex Tenant);
+                   CustomerIndex Customer);
 
 bool thresholdDue(const ThresholdState &State, Instant Now);
 
-/// Ends the window: class first, then weighted max-min between tenants.
+/// Ends the window: class first, then weighted max-min between customers.
 void updateThreshold(ThresholdState &State, const ReachTable &Reach,
                      const WindowMeasure &Measure, Instant Now);
 
--- a/src/core/admission/ReachTable.cpp
+++ b/src/core/admission/ReachTable.cpp
@@ -41,11 +41,11 @@
     Table.Services.push_back(Service.Id);
     Table.Slots.push_back(std::max(1U, Service.Slots));
   }
-  for (const TenantSpec &Tenant : Rules.Tenants) {
-    Table.TenantByName[Tenant.Id] =
-        static_cast<TenantIndex>(Table.Tenants.size());
-    Table.Tenants.push_back(Tenant.Id);
-    Table.Weights.push_back(std::max(1U, Tenant.Weight));
+  for (const CustomerSpec &Customer : Rules.Customers) {
+    Table.CustomerByName[Customer.Id] =
+        static_cast<CustomerIndex>(Table.Customers.size());
+    Table.Customers.push_back(Customer.Id);
+    Table.Weights.push_back(std::max(1U, Customer.Weight));
   }
   const std::unordered_map<ClassId, std::uint32_t> Ranks = denseRanks(Rules);
   for (const auto &[Class, Rank] : Ranks)
--- a/src/core/admission/ReachTable.h
+++ b/src/core/admission/ReachTable.h
@@ -12,7 +12,7 @@
 
 /// Positions in the vectors of a `ReachTable`; valid for one bundle only.
 using ServiceIndex = std::uint32_t;
-using TenantIndex = std::uint32_t;
+using CustomerIndex = std::uint32_t;
 using RouteIndex = std::uint32_t;
 
 struct RouteReach {
@@ -25,12 +25,12 @@
 struct ReachTable {
   std::vector<ServiceId> Services;
   std::vector<std::uint32_t> Slots; ///< Per backend server, by service.
-  std::vector<TenantId> Tenants;
-  std::vector<std::uint32_t> Weights; ///< By tenant, at least 1.
+  std::vector<CustomerId> Customers;
+  std::vector<std::uint32_t> Weights; ///< By customer, at least 1.
   std::vector<RouteReach> Routes;
   std::uint32_t Ranks = 1; ///< Number of distinct ranks.
   std::unordered_map<ServiceId, ServiceIndex> ServiceByName;
-  std::unordered_map<TenantId, TenantIndex> TenantByName;
+  std::unordered_map<CustomerId, CustomerIndex> CustomerByName;
   std::unordered_map<RouteId, RouteIndex> RouteByName;
 };
 
--- a/src/core/calls/RunningCalls.cpp
+++ b/src/core/calls/RunningCalls.cpp
@@ -115,7 +115,7 @@
   Call.Context.Allowance.Left -= Cost;
   SubCall Result;
   Result.Number = ++Call.LastSubCall;
-  Result.Tenant = Context.Tenant;
+  Result.Customer = Context.Customer;
   Result.Class = Context.Class;
   Result.Root = Context.Root;
   Result.Deadline = std::min(Context.Deadline, Now + Callee->Spec->Deadline);
--- a/src/core/calls/RunningCalls.h
+++ b/src/core/calls/RunningCalls.h
@@ -34,7 +34,7 @@
 
 /// What a call brings along from the node that sent it.
 struct CallContext {
-  TenantId Tenant;
+  CustomerId Customer;
   RouteId Route;
   ClassId Class;
   RootId Root;
@@ -78,7 +78,7 @@
 /// What a sub-call takes along.
 struct SubCall {
   std::uint32_t Number = 0;
-  TenantId Tenant;
+  CustomerId Customer;
   ClassId Class;
   RootId Root;
   Instant Deadline;            ///< Earlier of parent's and route's deadline.
--- a/src/core/keys/Keys.cpp
+++ b/src/core/keys/Keys.cpp
@@ -24,12 +24,13 @@
   KeyIndex Index;
   Index.Rules = std::move(Rules);
   absl::flat_hash_map<std::string_view, std::uint32_t> Positions;
-  for (const TenantSpec &Tenant : Index.Rules->Tenants)
-    Positions.try_emplace(Tenant.Id.Text, Positions.size());
-  Index.Tenants.reserve(Index.Rules->Keys.size());
+  for (const CustomerSpec &Customer : Index.Rules->Customers)
+    Positions.try_emplace(Customer.Id.Text, Positions.size());
+  Index.Customers.reserve(Index.Rules->Keys.size());
   for (const KeySpec &Key : Index.Rules->Keys)
-    if (const auto It = Positions.find(Key.Tenant.Text); It != Positions.end())
-      Index.Tenants.try_emplace(Key.Key, It->second);
+    if (const auto It = Positions.find(Key.Customer.Text);
+        It != Positions.end())
+      Index.Customers.try_emplace(Key.Key, It->second);
   return Index;
 }
 
@@ -39,21 +40,21 @@
   if (Route.Internal)
     return refuse(RefusalReason::RouteNotAllowed,
                   "route " + Route.Id.Text + " takes no calls from callers");
-  const auto It = Key ? Index.Tenants.find(*Key) : Index.Tenants.end();
-  if (It == Index.Tenants.end()) {
+  const auto It = Key ? Index.Customers.find(*Key) : Index.Customers.end();
+  if (It == Index.Customers.end()) {
     if (Route.Open)
       return Permission{};
     return refuse(RefusalReason::UnknownKey,
                   Key ? "the key is unknown or revoked; use a valid key"
                       : "Authorization is missing; send a bearer key");
   }
-  const TenantId &Tenant = Index.Rules->Tenants[It->second].Id;
-  if (!Route.Open && !Route.Tenants.empty() &&
-      std::ranges::find(Route.Tenants, Tenant) == Route.Tenants.end())
+  const CustomerId &Customer = Index.Rules->Customers[It->second].Id;
+  if (!Route.Open && !Route.Customers.empty() &&
+      std::ranges::find(Route.Customers, Customer) == Route.Customers.end())
     return refuse(RefusalReason::RouteNotAllowed,
                   "route " + Route.Id.Text + " is not allowed for tenant " +
-                      Tenant.Text);
-  return Permission{Tenant};
+                      Customer.Text);
+  return Permission{Customer};
 }
 
 std::optional<Refusal> recheckKey(const KeyIndex &Index, const RouteSpec &Route,
@@ -65,13 +66,13 @@
   if (std::get<Permission>(Again) == Granted || Route.Open)
     return std::nullopt;
   return refuse(RefusalReason::UnknownKey,
-                "the key no longer belongs to tenant " + Granted.Tenant.Text +
+                "the key no longer belongs to tenant " + Granted.Customer.Text +
                     "; send the request again");
 }
 
 std::size_t memoryOf(const KeyIndex &Index) {
   using Slot = std::pair<const KeyDigest, std::uint32_t>;
-  return Index.Tenants.capacity() * (sizeof(Slot) + 1);
+  return Index.Customers.capacity() * (sizeof(Slot) + 1);
 }
 
 } // namespace pollenwick
--- a/src/core/keys/Keys.h
+++ b/src/core/keys/Keys.h
@@ -20,28 +20,28 @@
 /// Keys of one bundle. Immutable, shared between threads.
 struct KeyIndex {
   std::shared_ptr<const Bundle> Rules;
-  /// Position of the tenant in `Bundle::Tenants`.
-  absl::flat_hash_map<KeyDigest, std::uint32_t, KeyDigestHash> Tenants;
+  /// Position of the customer in `Bundle::Customers`.
+  absl::flat_hash_map<KeyDigest, std::uint32_t, KeyDigestHash> Customers;
 };
 
-/// Keys of tenants that the bundle does not list are left out.
+/// Keys of customers that the bundle does not list are left out.
 KeyIndex indexKeys(std::shared_ptr<const Bundle> Rules);
 
 /// Whom a request runs for.
 struct Permission {
-  TenantId Tenant; ///< Empty on an open route without a valid key.
+  CustomerId Customer; ///< Empty on an open route without a valid key.
   friend bool operator==(const Permission &, const Permission &) = default;
 };
 
 /// Decides for whom a request from the caller port may run. 401 without a
-/// known key, 403 if the route is not for the tenant or is internal. An open
+/// known key, 403 if the route is not for the customer or is internal. An open
 /// route needs no key; an unknown key on it counts as none.
 std::variant<Permission, Refusal> resolveKey(const KeyIndex &Index,
                                              const RouteSpec &Route,
                                              const std::optional<KeyDigest> &);
 
 /// Repeats the check immediately before dispatch, with the newest bundle.
-/// Refuses if the key now belongs to another tenant as well.
+/// Refuses if the key now belongs to another customer as well.
 std::optional<Refusal> recheckKey(const KeyIndex &Index, const RouteSpec &Route,
                                   const std::optional<KeyDigest> &Key,
                                   const Permission &Granted);
--- a/src/core/once/Ticket.cpp
+++ b/src/core/once/Ticket.cpp
@@ -31,7 +31,7 @@
   putText(Out, Subject.Issuer.Host.Text);
   putNumber(Out, Subject.Issuer.Start.Value, 8);
   putNumber(Out, Subject.Sequence, 8);
-  putText(Out, Subject.Tenant.Text);
+  putText(Out, Subject.Customer.Text);
   putText(Out, Subject.Route.Text);
   const std::int64_t Expiry = Subject.Expiry.time_since_epoch().count();
   putNumber(Out, static_cast<std::uint64_t>(Expiry), 8);
@@ -97,7 +97,7 @@
   Result.Issuer.Host = HostId(In.text());
   Result.Issuer.Start = StartId(In.number(8));
   Result.Sequence = In.number(8);
-  Result.Tenant = TenantId(In.text());
+  Result.Customer = CustomerId(In.text());
   Result.Route = RouteId(In.text());
   const auto Expiry = static_cast<std::int64_t>(In.number(8));
   Result.Expiry = Instant(Duration(Expiry));
--- a/src/core/once/Ticket.h
+++ b/src/core/once/Ticket.h
@@ -20,7 +20,7 @@
 struct Ticket {
   IncarnationId Issuer;
   std::uint64_t Sequence = 0; ///< Unique within the issuer, from 1.
-  TenantId Tenant;
+  CustomerId Customer;
   RouteId Route;
   Instant Expiry; ///< On the issuer's clock; meaningless to other nodes.
   Mac Code{};     ///< HMAC-SHA256 over all other fields.
--- a/src/core/once/TicketBook.cpp
+++ b/src/core/once/TicketBook.cpp
@@ -14,22 +14,22 @@
   return {Result, Reason, std::nullopt, std::move(Message)};
 }
 
-std::uint32_t slotOf(TicketBook &Book, const TenantId &Tenant) {
-  const auto It =
-      std::ranges::find(Book.Tenants, Tenant, &TicketBook::TenantUse::Tenant);
-  const auto Slot = static_cast<std::uint32_t>(It - Book.Tenants.begin());
-  if (It == Book.Tenants.end())
-    Book.Tenants.push_back({Tenant, 0});
+std::uint32_t slotOf(TicketBook &Book, const CustomerId &Customer) {
+  const auto It = std::ranges::find(Book.Customers, Customer,
+                                    &TicketBook::CustomerUse::Customer);
+  const auto Slot = static_cast<std::uint32_t>(It - Book.Customers.begin());
+  if (It == Book.Customers.end())
+    Book.Customers.push_back({Customer, 0});
   return Slot;
 }
 
-bool isFull(const TicketBook &Book, const TenantId &Tenant) {
+bool isFull(const TicketBook &Book, const CustomerId &Customer) {
   if (Book.Used.size() >= Book.Limits.MaxTickets)
     return true;
-  const auto It =
-      std::ranges::find(Book.Tenants, Tenant, &TicketBook::TenantUse::Tenant);
-  return It != Book.Tenants.end() &&
-         It->Tickets >= Book.Limits.MaxTicketsPerTenant;
+  const auto It = std::ranges::find(Book.Customers, Customer,
+                                    &TicketBook::CustomerUse::Customer);
+  return It != Book.Customers.end() &&
+         It->Tickets >= Book.Limits.MaxTicketsPerCustomer;
 }
 
 std::size_t bytesOf(const TicketAnswer &Answer) {
@@ -77,18 +77,18 @@
 } // namespace
 
 std::variant<Ticket, Refusal> mintTicket(TicketBook &Book,
-                                         const TenantId &Tenant,
+                                         const CustomerId &Customer,
                                          const RouteId &Route,
                                          Duration Lifetime, Instant Now) {
-  if (isFull(Book, Tenant)) {
+  if (isFull(Book, Customer)) {
     Refusal Full =
         refuse(Outcome::NotRun, RefusalReason::QueueFull,
-               "no ticket for tenant " + Tenant.Text +
+               "no ticket for tenant " + Customer.Text +
                    ": the limit of remembered tickets is reached; retry later");
     Full.RetryAfter = FullRetryAfter;
     return Full;
   }
-  Ticket Minted{Book.Self, ++Book.LastSequence, Tenant,
+  Ticket Minted{Book.Self, ++Book.LastSequence, Customer,
                 Route,     Now + Lifetime,      {}};
   Minted.Code = ticketMac(Book.Key, Minted);
   return Minted;
@@ -103,9 +103,9 @@
     return refuse(
         Outcome::Unknown, RefusalReason::TicketInvalid,
         "Pollenwick-Ticket is malformed; resend the ticket as issued");
-  if (Presented->Tenant != Claim.Tenant || Presented->Route != Claim.Route)
+  if (Presented->Customer != Claim.Customer || Presented->Route != Claim.Route)
     return refuse(Outcome::Unknown, RefusalReason::TicketInvalid,
-                  "ticket is for tenant " + Presented->Tenant.Text +
+                  "ticket is for tenant " + Presented->Customer.Text +
                       " and route " + Presented->Route.Text +
                       "; use it with these only");
   if (Presented->Issuer.Host != Book.Self.Host)
@@ -122,7 +122,7 @@
     return judgeUsed(Used->second, Claim);
   if (Now >= Presented->Expiry)
     return judgeExpired(Book, *Presented, Now);
-  if (isFull(Book, Claim.Tenant)) {
+  if (isFull(Book, Claim.Customer)) {
     // The ticket stays usable, hence not "not run".
     Refusal Full = refuse(Outcome::Unknown, RefusalReason::QueueFull,
                           "the limit of remembered tickets is reached; resend "
@@ -132,8 +132,8 @@
   }
   UsedTicket First;
   First.Body = Claim.Body;
-  First.TenantSlot = slotOf(Book, Claim.Tenant);
-  ++Book.Tenants[First.TenantSlot].Tickets;
+  First.CustomerSlot = slotOf(Book, Claim.Customer);
+  ++Book.Customers[First.CustomerSlot].Tickets;
   Book.Used.emplace(Presented->Sequence, std::move(First));
   Book.ForgetQueue.push(
       {Presented->Expiry + Book.Limits.Grace, Presented->Sequence});
@@ -177,7 +177,7 @@
     assert(It != Book.Used.end());
     if (It->second.Answer)
       Book.AnswerBytes -= bytesOf(*It->second.Answer);
-    --Book.Tenants[It->second.TenantSlot].Tickets;
+    --Book.Customers[It->second.CustomerSlot].Tickets;
     Book.Used.erase(It);
     ++Forgotten;
   }
@@ -189,7 +189,7 @@
   // One control byte per slot; the forget queue doubles its storage.
   return Book.Used.capacity() * (sizeof(Slot) + 1) +
          2 * Book.ForgetQueue.size() * sizeof(TicketBook::Forget) +
-         Book.Tenants.capacity() * sizeof(TicketBook::TenantUse) +
+         Book.Customers.capacity() * sizeof(TicketBook::CustomerUse) +
          Book.AnswerBytes;
 }
 
--- a/src/core/once/TicketBook.h
+++ b/src/core/once/TicketBook.h
@@ -19,10 +19,10 @@
 namespace pollenwick {
 
 struct TicketLimits {
-  std::size_t MaxTickets = 16'384;         ///< Remembered tickets.
-  std::size_t MaxTicketsPerTenant = 8'192; ///< Of them, for one tenant.
-  std::size_t MaxAnswerBytes = 4'096;      ///< Largest answer kept.
-  std::size_t MaxAnswerTotal = 4U << 20;   ///< Bytes of all answers kept.
+  std::size_t MaxTickets = 16'384;           ///< Remembered tickets.
+  std::size_t MaxTicketsPerCustomer = 8'192; ///< Of them, for one customer.
+  std::size_t MaxAnswerBytes = 4'096;        ///< Largest answer kept.
+  std::size_t MaxAnswerTotal = 4U << 20;     ///< Bytes of all answers kept.
   /// How long a used ticket is remembered after it expired. Within this time
   /// an expired ticket that is not remembered certainly has not run.
   Duration Grace = std::chrono::seconds(30);
@@ -45,7 +45,7 @@
 /// What the issuer remembers of a used ticket.
 struct UsedTicket {
   Digest Body{}; ///< Digest of the body at first use.
-  std::uint32_t TenantSlot = 0;
+  std::uint32_t CustomerSlot = 0;
   Outcome Result = Outcome::Unknown;
   RefusalReason Reason = RefusalReason::None;
   bool Running = true;
@@ -59,8 +59,8 @@
   TicketLimits Limits;
   std::uint64_t LastSequence = 0;
 
-  struct TenantUse {
-    TenantId Tenant;
+  struct CustomerUse {
+    CustomerId Customer;
     std::size_t Tickets = 0;
   };
   /// When to forget which sequence.
@@ -68,7 +68,7 @@
 
   absl::flat_hash_map<std::uint64_t, UsedTicket> Used; ///< By sequence.
   std::priority_queue<Forget, std::vector<Forget>, std::greater<>> ForgetQueue;
-  std::vector<TenantUse> Tenants;
+  std::vector<CustomerUse> Customers;
   std::size_t AnswerBytes = 0;
 };
 
@@ -93,13 +93,13 @@
 /// A request that presents a ticket.
 struct TicketClaim {
   std::string_view TicketHeader;
-  TenantId Tenant; ///< Resolved from the request's own key.
+  CustomerId Customer; ///< Resolved from the request's own key.
   RouteId Route;
   Digest Body{};
 };
 
 /// Refuses with `QueueFull`, not run, while no further use can be remembered.
-std::variant<Ticket, Refusal> mintTicket(TicketBook &Book, const TenantId &,
+std::variant<Ticket, Refusal> mintTicket(TicketBook &Book, const CustomerId &,
                                          const RouteId &, Duration Lifetime,
                                          Instant Now);
 
--- a/src/core/quarantine/Quarantine.cpp
+++ b/src/core/quarantine/Quarantine.cpp
@@ -139,10 +139,10 @@
 
 } // namespace
 
-Fingerprint fingerprintOf(const RouteId &Route, const TenantId &Tenant,
+Fingerprint fingerprintOf(const RouteId &Route, const CustomerId &Customer,
                           const Digest &Body) {
   // Ids contain no NUL, so the separators keep different inputs different.
-  std::string Input = Route.Text + '\0' + Tenant.Text + '\0';
+  std::string Input = Route.Text + '\0' + Customer.Text + '\0';
   Input.append(Body.begin(), Body.end());
   Digest Hash{};
   unsigned Size = Hash.size();
--- a/src/core/quarantine/Quarantine.h
+++ b/src/core/quarantine/Quarantine.h
@@ -16,7 +16,7 @@
 
 namespace pollenwick {
 
-/// First 16 bytes of SHA-256 over route, tenant and digest of the body.
+/// First 16 bytes of SHA-256 over route, customer and digest of the body.
 struct Fingerprint {
   std::array<std::uint8_t, 16> Bytes{};
   friend bool operator==(const Fingerprint &, const Fingerprint &) = default;
@@ -29,7 +29,7 @@
   }
 };
 
-Fingerprint fingerprintOf(const RouteId &Route, const TenantId &Tenant,
+Fingerprint fingerprintOf(const RouteId &Route, const CustomerId &Customer,
                           const Digest &Body);
 
 /// One crash of a backend server.
--- a/src/core/quota/Holder.cpp
+++ b/src/core/quota/Holder.cpp
@@ -61,7 +61,7 @@
 Shard *findShard(HolderState &State, const ShardId &Id) {
   if (Id.Zone != State.Zone)
     return nullptr;
-  auto Found = State.Shards.find(Id.Tenant);
+  auto Found = State.Shards.find(Id.Customer);
   return Found == State.Shards.end() ? nullptr : &Found->second;
 }
 
@@ -165,7 +165,7 @@
       recallIdle(*Kept, Request, State.Self, Lifetime, Now, Reply.AskAgain);
   if (Request.Gather) {
     Result.Pulls =
-        pullFromOthers(State, Request.Shard.Tenant, *Kept, true, Now);
+        pullFromOthers(State, Request.Shard.Customer, *Kept, true, Now);
     Reply.AskAgain =
         Reply.AskAgain || std::ranges::any_of(Kept->Pulls, [&](auto &Entry) {
           return Now - Entry.second.SentAt < AskAgainWait;
--- a/src/core/quota/Holder.h
+++ b/src/core/quota/Holder.h
@@ -69,9 +69,9 @@
   RevisionKey Held;       ///< Of the bundle; number 0: none yet.
   RevisionKey HostsSince; ///< First revision of the present host list.
   Policy Rules;
-  std::unordered_map<TenantId, Shard> Shards;
-  /// Holders of all shards of the tenants whose shard is kept here.
-  std::unordered_map<TenantId, std::vector<ShardHolder>> Others;
+  std::unordered_map<CustomerId, Shard> Shards;
+  /// Holders of all shards of the customers whose shard is kept here.
+  std::unordered_map<CustomerId, std::vector<ShardHolder>> Others;
   std::uint64_t NextLease = 1;
   std::uint64_t NextPull = 1;
 };
@@ -138,7 +138,7 @@
 /// Sets room aside in a shard for tokens of the other zones and returns the
 /// requests, except to zones that have not answered yet.
 std::vector<PullRequest> pullFromOthers(HolderState &State,
-                                        const TenantId &Tenant, Shard &Kept,
+                                        const CustomerId &Customer, Shard &Kept,
                                         bool All, Instant Now);
 
 /// True while every shard is active and full and nothing of it is lent or on
--- a/src/core/quota/Ingress.cpp
+++ b/src/core/quota/Ingress.cpp
@@ -9,7 +9,7 @@
 /// Time without use after which a lease goes back. Shorter than a lease, so
 /// that its tokens do not expire; recalls cover urgent need.
 constexpr Duration IdleReturn = std::chrono::milliseconds(100);
-/// Time between prefetches of a tenant whose shard had nothing to spare.
+/// Time between prefetches of a customer whose shard had nothing to spare.
 constexpr Duration PrefetchRetry = std::chrono::milliseconds(50);
 constexpr std::uint32_t MaxPrefetch = 16;
 /// A reply after this time is useless: every lease has ended.
@@ -20,25 +20,25 @@
 }
 
 void addReport(std::vector<Settlement> &Messages, const LeaseTable &State,
-               const TenantId &Tenant, const HeldLease &Lease,
+               const CustomerId &Customer, const HeldLease &Lease,
                const LeaseReport &Report) {
   auto Found = std::ranges::find_if(Messages, [&](const Settlement &Message) {
-    return Message.Shard.Tenant == Tenant && Message.Shard.Zone == Lease.Zone &&
-           Message.Holder == Lease.Holder;
+    return Message.Shard.Customer == Customer &&
+           Message.Shard.Zone == Lease.Zone && Message.Holder == Lease.Holder;
   });
   if (Found == Messages.end()) {
-    Messages.push_back({{Tenant, Lease.Zone}, Lease.Holder, State.Self, {}});
+    Messages.push_back({{Customer, Lease.Zone}, Lease.Holder, State.Self, {}});
     Found = std::prev(Messages.end());
   }
   Found->Reports.push_back(Report);
 }
 
 /// Moves a lease behind the ones that can be spent from.
-void putAside(TenantLeases &Held, std::size_t Index) {
+void putAside(CustomerLeases &Held, std::size_t Index) {
   std::swap(Held.Leases[Index], Held.Leases[--Held.Live]);
 }
 
-void dropExpired(TenantLeases &Held, Instant Now) {
+void dropExpired(CustomerLeases &Held, Instant Now) {
   for (std::size_t I = 0; I < Held.Live;) {
     if (Now < Held.Leases[I].Expiry) {
       ++I;
@@ -59,31 +59,31 @@
 }
 
 void adoptBundle(LeaseTable &State, const Bundle &Rules) {
-  std::unordered_map<TenantId, TenantLeases> Tenants;
-  for (const TenantSpec &Tenant : Rules.Tenants) {
-    TenantLeases Held;
-    if (auto Found = State.Tenants.find(Tenant.Id);
-        Found != State.Tenants.end())
+  std::unordered_map<CustomerId, CustomerLeases> Customers;
+  for (const CustomerSpec &Customer : Rules.Customers) {
+    CustomerLeases Held;
+    if (auto Found = State.Customers.find(Customer.Id);
+        Found != State.Customers.end())
       Held = std::move(Found->second);
-    Held.Holders = holdersOf(Rules, Tenant.Id);
+    Held.Holders = holdersOf(Rules, Customer.Id);
     Held.Collectors = Held.Holders;
     std::ranges::sort(Held.Collectors, {}, &ShardHolder::Host);
     std::stable_partition(
         Held.Holders.begin(), Held.Holders.end(),
         [&](const ShardHolder &H) { return H.Zone == State.Zone; });
-    Tenants.emplace(Tenant.Id, std::move(Held));
+    Customers.emplace(Customer.Id, std::move(Held));
   }
-  State.Tenants = std::move(Tenants);
+  State.Customers = std::move(Customers);
 }
 
-SpendResult spend(LeaseTable &State, const TenantId &Tenant,
+SpendResult spend(LeaseTable &State, const CustomerId &Customer,
                   const ViewLease &View, Instant Now) {
-  auto Found = State.Tenants.find(Tenant);
-  if (Found == State.Tenants.end())
+  auto Found = State.Customers.find(Customer);
+  if (Found == State.Customers.end())
     return {};
   if (!View.validAt(Now))
     return {SpendStatus::NoViewLease, {}};
-  TenantLeases &Held = Found->second;
+  CustomerLeases &Held = Found->second;
   dropExpired(Held, Now);
   MicroTokens Sum;
   std::size_t Enough = 0;
@@ -109,18 +109,19 @@
 
 namespace {
 
-BorrowRequest beginBorrow(LeaseTable &State, const TenantId &Tenant,
+BorrowRequest beginBorrow(LeaseTable &State, const CustomerId &Customer,
                           const ShardHolder &Holder, MicroTokens Needed,
                           std::uint32_t Batch, Instant Now) {
   BorrowRequest Request;
-  Request.Shard = {Tenant, Holder.Zone};
+  Request.Shard = {Customer, Holder.Zone};
   Request.Holder = Holder.Host;
   Request.Borrower = State.Self;
   Request.Sequence = State.NextSequence++;
   Request.Needed = Needed;
   Request.Wanted =
       std::max(Needed, MicroTokens{std::int64_t{Batch} * OneToken.Value});
-  if (auto Found = State.Tenants.find(Tenant); Found != State.Tenants.end())
+  if (auto Found = State.Customers.find(Customer);
+      Found != State.Customers.end())
     Found->second.Pending.push_back(
         {Request.Sequence, Holder.Zone, Holder.Host, Now});
   return Request;
@@ -132,14 +133,14 @@
                     MicroTokens Lacking, std::uint32_t Batch, Instant Now) {
   using Stage = BorrowSearch::Stage;
   BorrowStep Step;
-  auto Found = State.Tenants.find(Search.Tenant);
-  if (Found == State.Tenants.end())
+  auto Found = State.Customers.find(Search.Customer);
+  if (Found == State.Customers.end())
     return Step;
-  const TenantLeases &Held = Found->second;
+  const CustomerLeases &Held = Found->second;
   auto Ask = [&](const ShardHolder &Holder, bool Gather) {
     Step.What = BorrowStep::Kind::Ask;
     Step.Request =
-        beginBorrow(State, Search.Tenant, Holder, Lacking, Batch, Now);
+        beginBorrow(State, Search.Customer, Holder, Lacking, Batch, Now);
     Step.Request.Gather = Gather;
     Search.Unanswered = false;
     return Step;
@@ -178,10 +179,10 @@
 }
 
 bool acceptLease(LeaseTable &State, const BorrowReply &Reply, Instant Now) {
-  auto Found = State.Tenants.find(Reply.Shard.Tenant);
-  if (Found == State.Tenants.end() || Reply.Borrower != State.Self)
+  auto Found = State.Customers.find(Reply.Shard.Customer);
+  if (Found == State.Customers.end() || Reply.Borrower != State.Self)
     return false;
-  TenantLeases &Held = Found->second;
+  CustomerLeases &Held = Found->second;
   auto Asked = std::ranges::find_if(Held.Pending, [&](const auto &Entry) {
     return Entry.Sequence == Reply.Sequence && Entry.Zone == Reply.Shard.Zone &&
            Entry.Holder == Reply.Holder.Host;
@@ -202,10 +203,10 @@
 }
 
 std::optional<Settlement> onRecall(LeaseTable &State, const Recall &Message) {
-  auto Found = State.Tenants.find(Message.Shard.Tenant);
-  if (Found == State.Tenants.end() || Message.Borrower != State.Self)
+  auto Found = State.Customers.find(Message.Shard.Customer);
+  if (Found == State.Customers.end() || Message.Borrower != State.Self)
     return std::nullopt;
-  TenantLeases &Held = Found->second;
+  CustomerLeases &Held = Found->second;
   for (std::size_t I = 0; I < Held.Live; ++I) {
     if (Held.Leases[I].Id != Message.Lease ||
         Held.Leases[I].Holder != Message.Holder)
@@ -224,11 +225,11 @@
 
 namespace {
 
-/// Reports and removes what is due of one tenant. A lease is closed when it is
-/// used up, or unused since `IdleSince`.
-void settleTenant(const LeaseTable &State, const TenantId &Tenant,
-                  TenantLeases &Held, Instant IdleSince, Instant Now,
-                  std::vector<Settlement> &Messages) {
+/// Reports and removes what is due of one customer. A lease is closed when it
+/// is used up, or unused since `IdleSince`.
+void settleCustomer(const LeaseTable &State, const CustomerId &Customer,
+                    CustomerLeases &Held, Instant IdleSince, Instant Now,
+                    std::vector<Settlement> &Messages) {
   dropExpired(Held, Now);
   for (std::size_t I = 0; I < Held.Live;) {
     HeldLease &Lease = Held.Leases[I];
@@ -237,14 +238,14 @@
       continue;
     }
     if (Lease.Spent != Lease.Reported)
-      addReport(Messages, State, Tenant, Lease,
+      addReport(Messages, State, Customer, Lease,
                 {Lease.Id, Lease.Spent, {}, false});
     Lease.Reported = Lease.Spent;
     ++I;
   }
   for (std::size_t I = Held.Live; I < Held.Leases.size(); ++I)
     if (Now < Held.Leases[I].Expiry)
-      addReport(Messages, State, Tenant, Held.Leases[I],
+      addReport(Messages, State, Customer, Held.Leases[I],
                 closeLease(Held.Leases[I]));
   Held.Leases.erase(Held.Leases.begin() +
                         static_cast<std::ptrdiff_t>(Held.Live),
@@ -256,19 +257,19 @@
 std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now, bool All) {
   std::vector<Settlement> Messages;
   const Instant IdleSince = All ? Now : Now - IdleReturn;
-  for (auto &[Tenant, Held] : State.Tenants) {
+  for (auto &[Customer, Held] : State.Customers) {
     std::erase_if(Held.Pending, [&](const PendingBorrow &Entry) {
       return Now - Entry.SentAt >= PendingLimit;
     });
     if (!Held.Leases.empty())
-      settleTenant(State, Tenant, Held, IdleSince, Now, Messages);
+      settleCustomer(State, Customer, Held, IdleSince, Now, Messages);
   }
   return Messages;
 }
 
 bool isIdle(const LeaseTable &State, Instant Now) {
-  return std::ranges::all_of(State.Tenants, [&](const auto &Entry) {
-    const TenantLeases &Held = Entry.second;
+  return std::ranges::all_of(State.Customers, [&](const auto &Entry) {
+    const CustomerLeases &Held = Entry.second;
     return Held.Leases.empty() && Held.Pending.empty() &&
            Now - Held.SpentAt >= IdleReturn;
   });
@@ -276,7 +277,7 @@
 
 std::vector<BorrowRequest> prefetch(LeaseTable &State, Instant Now) {
   std::vector<BorrowRequest> Requests;
-  for (auto &[Tenant, Held] : State.Tenants) {
+  for (auto &[Customer, Held] : State.Customers) {
     const std::uint32_t Spent = std::exchange(Held.SpentInTick, 0);
     // Tokens for a rarer caller would be returned unused.
     if (Held.Holders.empty() || !Held.Pending.empty() ||
@@ -289,7 +290,7 @@
     const std::uint32_t Target = std::clamp(2 * Spent, 1U, MaxPrefetch);
     if (Left >= MicroTokens{std::int64_t{std::max(Spent, 1U)} * OneToken.Value})
       continue;
-    Requests.push_back(beginBorrow(State, Tenant, Held.Holders.front(),
+    Requests.push_back(beginBorrow(State, Customer, Held.Holders.front(),
                                    MicroTokens{}, Target, Now));
   }
   return Requests;
--- a/src/core/quota/Ingress.h
+++ b/src/core/quota/Ingress.h
@@ -32,8 +32,8 @@
   Instant SentAt{};
 };
 
-/// Leases of one tenant at one ingress.
-struct TenantLeases {
+/// Leases of one customer at one ingress.
+struct CustomerLeases {
   std::vector<ShardHolder> Holders; ///< To ask, the own zone's first.
   /// Holders that collect fractions of a token, in the same order on every
   /// node; a later one is asked only if the ones before do not answer.
@@ -51,26 +51,26 @@
 struct LeaseTable {
   IncarnationId Self;
   ZoneId Zone;
-  std::unordered_map<TenantId, TenantLeases> Tenants;
+  std::unordered_map<CustomerId, CustomerLeases> Customers;
   std::uint64_t NextSequence = 1;
 };
 
 enum class SpendStatus : std::uint8_t {
   Spent,
-  Ask,           ///< Borrow first, then try again.
-  NoViewLease,   ///< Refuse; no holder would help.
-  UnknownTenant, ///< Not in the bundle.
+  Ask,             ///< Borrow first, then try again.
+  NoViewLease,     ///< Refuse; no holder would help.
+  UnknownCustomer, ///< Not in the bundle.
 };
 
 struct SpendResult {
-  SpendStatus Status = SpendStatus::UnknownTenant;
+  SpendStatus Status = SpendStatus::UnknownCustomer;
   MicroTokens Lacking; ///< What is missing for one admission.
 };
 
 /// Progress of one request that waits for a token.
 struct BorrowSearch {
   enum class Stage : std::uint8_t { Round, Gather, Last };
-  TenantId Tenant;
+  CustomerId Customer;
   Stage At = Stage::Round;
   std::size_t Asked = 0;     ///< Holders asked in the round.
   std::size_t Collector = 0; ///< Collectors asked.
@@ -90,13 +90,13 @@
 
 LeaseTable makeLeaseTable(IncarnationId Self, ZoneId Zone);
 
-/// Takes over tenants and holders of an accepted bundle. Leases are kept; they
-/// end by themselves.
+/// Takes over customers and holders of an accepted bundle. Leases are kept;
+/// they end by themselves.
 void adoptBundle(LeaseTable &State, const Bundle &Rules);
 
 /// Spends one token from the leases that are held. Does not allocate. The
 /// admission counts at `Now`; read the clock immediately before the call.
-SpendResult spend(LeaseTable &State, const TenantId &Tenant,
+SpendResult spend(LeaseTable &State, const CustomerId &Customer,
                   const ViewLease &View, Instant Now);
 
 /// Next step of a request for which `spend` answered `Ask`: the holder of the
@@ -120,14 +120,14 @@
 std::vector<Settlement> tickIngress(LeaseTable &State, Instant Now,
                                     bool All = false);
 
-/// Requests for tokens that the next admissions will need, for tenants in
+/// Requests for tokens that the next admissions will need, for customers in
 /// steady use. Holders answer them only from the upper half of a shard. The
 /// replies go to `acceptLease`. Call it every `IngressTick`, after
 /// `tickIngress`.
 std::vector<BorrowRequest> prefetch(LeaseTable &State, Instant Now);
 
-/// True while no lease and no answer is outstanding and no tenant is in steady
-/// use, so that neither a settlement nor a prefetch is due.
+/// True while no lease and no answer is outstanding and no customer is in
+/// steady use, so that neither a settlement nor a prefetch is due.
 bool isIdle(const LeaseTable &State, Instant Now);
 
 inline constexpr Duration IngressTick = std::chrono::milliseconds(2);
--- a/src/core/quota/Ownership.cpp
+++ b/src/core/quota/Ownership.cpp
@@ -32,13 +32,13 @@
   }
 }
 
-/// Share of a zone, zero if the bundle does not know tenant or zone.
-ShardShare shareIn(const Bundle &Rules, const TenantId &Tenant,
+/// Share of a zone, zero if the bundle does not know customer or zone.
+ShardShare shareIn(const Bundle &Rules, const CustomerId &Customer,
                    const ZoneId &Zone) {
   const std::vector<ZoneId> Zones = zonesOf(Rules);
   auto Place = std::ranges::find(Zones, Zone);
-  auto Spec = std::ranges::find(Rules.Tenants, Tenant, &TenantSpec::Id);
-  if (Place == Zones.end() || Spec == Rules.Tenants.end())
+  auto Spec = std::ranges::find(Rules.Customers, Customer, &CustomerSpec::Id);
+  if (Place == Zones.end() || Spec == Rules.Customers.end())
     return {};
   return shareOf(*Spec, static_cast<std::size_t>(Place - Zones.begin()),
                  Zones.size());
@@ -87,7 +87,7 @@
   Kept.PreviousHolder = HostId();
 }
 
-void duePulls(HolderState &State, const TenantId &Tenant, Shard &Kept,
+void duePulls(HolderState &State, const CustomerId &Customer, Shard &Kept,
               Instant Now, std::vector<PullRequest> &Pulls) {
   std::erase_if(Kept.Pulls, [&](const auto &Entry) {
     if (Now - Entry.second.SentAt < PullDeadline)
@@ -101,7 +101,7 @@
   Kept.PullInterval =
       std::clamp(Kept.PullInterval * 2, ShortestPull, LongestPull);
   Kept.NextPull = Now + Kept.PullInterval;
-  std::ranges::move(pullFromOthers(State, Tenant, Kept, false, Now),
+  std::ranges::move(pullFromOthers(State, Customer, Kept, false, Now),
                     std::back_inserter(Pulls));
 }
 
@@ -119,21 +119,21 @@
   const bool Successor = !First && !SameHosts && Previous != nullptr &&
                          Hosts.PreviousHostsSince.Number.Value != 0 &&
                          State.Held >= Hosts.PreviousHostsSince;
-  std::unordered_map<TenantId, Shard> Shards;
+  std::unordered_map<CustomerId, Shard> Shards;
   State.Others.clear();
-  for (const TenantSpec &Tenant : Rules.Tenants) {
-    std::vector<ShardHolder> Holders = holdersOf(Rules, Tenant.Id);
+  for (const CustomerSpec &Customer : Rules.Customers) {
+    std::vector<ShardHolder> Holders = holdersOf(Rules, Customer.Id);
     if (holderIn(Holders, State.Zone) != State.Self.Host)
       continue;
-    const ShardShare Share = shareIn(Rules, Tenant.Id, State.Zone);
-    auto Old = State.Shards.find(Tenant.Id);
+    const ShardShare Share = shareIn(Rules, Customer.Id, State.Zone);
+    auto Old = State.Shards.find(Customer.Id);
     const bool Known = Old != State.Shards.end() && !Old->second.Retired;
     // Released to the holder of a host list that is still ahead: kept as
     // released, whatever the lists on the way say.
     const bool Ahead = Known && Old->second.Released &&
                        Old->second.Released->HostsSince > Hosts.HostsSince;
     if (Ahead) {
-      Shards.emplace(Tenant.Id, std::move(Old->second));
+      Shards.emplace(Customer.Id, std::move(Old->second));
     } else if (Known && !Old->second.Released && (SameHosts || Successor)) {
       Shard &Same = Old->second;
       accrue(Same, Now);
@@ -146,27 +146,28 @@
       if (!SameHosts)
         Same.PreviousHolder = HostId();
       applyShare(Same, Fenced ? smaller(Same.Share, Share) : Share);
-      Shards.emplace(Tenant.Id, std::move(Same));
+      Shards.emplace(Customer.Id, std::move(Same));
     } else {
       Shard Fresh = waitingShard(State, Now);
       Fresh.Share = Share;
       if (Successor) {
         Fresh.PreviousHolder =
-            holderIn(holdersOf(*Previous, Tenant.Id), State.Zone);
-        Fresh.Share = smaller(shareIn(*Previous, Tenant.Id, State.Zone), Share);
+            holderIn(holdersOf(*Previous, Customer.Id), State.Zone);
+        Fresh.Share =
+            smaller(shareIn(*Previous, Customer.Id, State.Zone), Share);
         Fresh.Raise = Share;
       }
-      Shards.emplace(Tenant.Id, std::move(Fresh));
+      Shards.emplace(Customer.Id, std::move(Fresh));
     }
-    State.Others.emplace(Tenant.Id, std::move(Holders));
+    State.Others.emplace(Customer.Id, std::move(Holders));
   }
   // Shards that moved away stay for their new holder to claim.
   if (SameHosts || Successor)
-    for (auto &[Tenant, Old] : State.Shards)
-      if (!Shards.contains(Tenant) && (Old.Active || Old.Retired)) {
+    for (auto &[Customer, Old] : State.Shards)
+      if (!Shards.contains(Customer) && (Old.Active || Old.Retired)) {
         retire(Old, Now);
         Old.WaitUntil = Now + fenceWait(State.Rules);
-        Shards.emplace(Tenant, std::move(Old));
+        Shards.emplace(Customer, std::move(Old));
       }
   State.Shards = std::move(Shards);
   State.Held = Key;
@@ -175,7 +176,7 @@
 
 std::optional<Handover> release(HolderState &State, const Claim &Message,
                                 Instant Now) {
-  auto Found = State.Shards.find(Message.Shard.Tenant);
+  auto Found = State.Shards.find(Message.Shard.Customer);
   if (Found == State.Shards.end() || Message.Shard.Zone != State.Zone)
     return std::nullopt;
   Shard &Kept = Found->second;
@@ -214,7 +215,7 @@
 
 void adopt(HolderState &State, const Handover &Message, const ViewLease &View,
            Instant Now) {
-  auto Found = State.Shards.find(Message.Shard.Tenant);
+  auto Found = State.Shards.find(Message.Shard.Customer);
   if (Found == State.Shards.end() || Message.Shard.Zone != State.Zone ||
       Message.To != State.Self || Message.HostsSince != State.HostsSince)
     return;
@@ -238,7 +239,7 @@
   std::erase_if(State.Shards, [&](const auto &Entry) {
     return Entry.second.Retired && Now >= Entry.second.WaitUntil;
   });
-  for (auto &[Tenant, Kept] : State.Shards) {
+  for (auto &[Customer, Kept] : State.Shards) {
     accrue(Kept, Now);
     if (Kept.Retired || Kept.Released || !confirmedSinceStart(State, View, Now))
       continue;
@@ -249,11 +250,11 @@
         activate(Kept, Now);
     }
     if (Kept.Active) {
-      duePulls(State, Tenant, Kept, Now, Due.Pulls);
+      duePulls(State, Customer, Kept, Now, Due.Pulls);
     } else if (!Kept.PreviousHolder.empty() && View.AnchoredAt &&
                Now >= Kept.NextClaim) {
       Kept.NextClaim = Now + ClaimInterval;
-      Due.Claims.push_back({{Tenant, State.Zone},
+      Due.Claims.push_back({{Customer, State.Zone},
                             Kept.PreviousHolder,
                             State.HostsSince,
                             State.Self});
@@ -272,10 +273,10 @@
 }
 
 std::vector<PullRequest> pullFromOthers(HolderState &State,
-                                        const TenantId &Tenant, Shard &Kept,
+                                        const CustomerId &Customer, Shard &Kept,
                                         bool All, Instant Now) {
   std::vector<PullRequest> Requests;
-  const std::vector<ShardHolder> &Holders = State.Others[Tenant];
+  const std::vector<ShardHolder> &Holders = State.Others[Customer];
   const MicroTokens Room = Kept.Share.Burst - Kept.Balance - Kept.Outstanding -
                            Kept.Inherited - Kept.Reserved;
   // A quarter of the room stays for the accrual of the shard itself: an answer
@@ -293,9 +294,9 @@
     const std::uint64_t Sequence = State.NextPull++;
     Kept.Pulls[Sequence] = {Other.Zone, Each, Now};
     Kept.Reserved += Each;
-    Requests.push_back({{Tenant, Other.Zone},
+    Requests.push_back({{Customer, Other.Zone},
                         Other.Host,
-                        {Tenant, State.Zone},
+                        {Customer, State.Zone},
                         State.Self,
                         Sequence,
                         Each,
--- a/src/core/quota/Shares.cpp
+++ b/src/core/quota/Shares.cpp
@@ -45,25 +45,25 @@
   return Zones;
 }
 
-ShardShare shareOf(const TenantSpec &Tenant, std::size_t Index,
+ShardShare shareOf(const CustomerSpec &Customer, std::size_t Index,
                    std::size_t Zones) {
   // A shard with a burst below one token could never lend. A small burst goes
   // to as many zones as it has tokens.
   const auto Tokens = static_cast<std::size_t>(
-      std::max<std::int64_t>(Tenant.Burst.Value / OneToken.Value, 1));
+      std::max<std::int64_t>(Customer.Burst.Value / OneToken.Value, 1));
   Zones = std::min(Zones, Tokens);
   if (Index >= Zones)
     return {};
-  return {part(Tenant.RatePerSecond, Index, Zones),
-          part(Tenant.Burst, Index, Zones)};
+  return {part(Customer.RatePerSecond, Index, Zones),
+          part(Customer.Burst, Index, Zones)};
 }
 
 std::vector<ShardHolder> holdersOf(const Bundle &Rules,
-                                   const TenantId &Tenant) {
-  const std::uint64_t TenantHash = hashText(Tenant.Text);
+                                   const CustomerId &Customer) {
+  const std::uint64_t CustomerHash = hashText(Customer.Text);
   std::map<ZoneId, std::pair<std::uint64_t, HostId>> Best;
   for (const HostSpec &Host : Rules.Hosts) {
-    const std::uint64_t Rank = mix(TenantHash ^ hashText(Host.Id.Text));
+    const std::uint64_t Rank = mix(CustomerHash ^ hashText(Host.Id.Text));
     auto [Entry, Added] = Best.try_emplace(Host.Zone, Rank, Host.Id);
     // Equal ranks are decided by the host, so that the order of the list does
     // not matter.
--- a/src/core/quota/Shares.h
+++ b/src/core/quota/Shares.h
@@ -9,9 +9,9 @@
 
 namespace pollenwick {
 
-/// The part of a tenant's token bucket that one zone keeps.
+/// The part of a customer's token bucket that one zone keeps.
 struct ShardId {
-  TenantId Tenant;
+  CustomerId Customer;
   ZoneId Zone;
   // clang-tidy 14 reports the code that the compiler generates here.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
@@ -37,13 +37,14 @@
 
 /// Share of the zone with this index. A burst of fewer tokens than zones leaves
 /// some zones without a share. The shares of all zones sum exactly to
-/// the tenant's rate and burst.
-ShardShare shareOf(const TenantSpec &Tenant, std::size_t Index,
+/// the customer's rate and burst.
+ShardShare shareOf(const CustomerSpec &Customer, std::size_t Index,
                    std::size_t Zones);
 
 /// Holder of each zone's shard, in the order of `zonesOf`, by rendezvous
 /// hashing over the hosts of the zone.
-std::vector<ShardHolder> holdersOf(const Bundle &Rules, const TenantId &Tenant);
+std::vector<ShardHolder> holdersOf(const Bundle &Rules,
+                                   const CustomerId &Customer);
 
 /// Time for which a lender counts a lease after granting it. Exceeds the
 /// borrower's lifetime by more than clocks drift apart within it.
--- a/src/node/AdmissionService.cpp
+++ b/src/node/AdmissionService.cpp
@@ -7,14 +7,15 @@
 
 namespace pollenwick {
 
-TenantIndex tenantIndex(const ReachTable &Reach, const TenantId &Tenant) {
-  const auto It = Reach.TenantByName.find(Tenant);
-  return It == Reach.TenantByName.end() ? 0 : It->second;
+CustomerIndex customerIndex(const ReachTable &Reach,
+                            const CustomerId &Customer) {
+  const auto It = Reach.CustomerByName.find(Customer);
+  return It == Reach.CustomerByName.end() ? 0 : It->second;
 }
 
 NamedThreshold nameThreshold(const ReachTable &Reach,
                              const ThresholdReport &Report) {
-  return {Reach.Services[Report.Service], Report.Tenant.Value,
+  return {Reach.Services[Report.Service], Report.Customer.Value,
           Report.Common.Value, Report.Age};
 }
 
@@ -24,14 +25,14 @@
   // the ingress learns them again from the next replies.
   const bool SameIndexes = Bundle &&
                            Bundle->Reach.Services == New->Reach.Services &&
-                           Bundle->Reach.Tenants == New->Reach.Tenants;
+                           Bundle->Reach.Customers == New->Reach.Customers;
   Bundle = New;
   if (!SameIndexes)
     State = makeIngress(New->Reach);
 }
 
 std::optional<Refusal> AdmissionService::admitRoot(const RouteId &Route,
-                                                   const TenantId &Tenant,
+                                                   const CustomerId &Customer,
                                                    std::uint64_t Hash) {
   std::scoped_lock Lock(Mutex);
   Refusal Out;
@@ -41,9 +42,10 @@
     return Out;
   }
   const ReachTable &Reach = Bundle->Reach;
-  const AdmitResult Result = admit(
-      State, Reach,
-      {Reach.RouteByName.at(Route), tenantIndex(Reach, Tenant), Hash}, now());
+  const AdmitResult Result =
+      admit(State, Reach,
+            {Reach.RouteByName.at(Route), customerIndex(Reach, Customer), Hash},
+            now());
   if (Result.Admitted)
     return std::nullopt;
   Out.Reason = Result.Reason;
@@ -53,7 +55,8 @@
   return Out;
 }
 
-void AdmissionService::learn(const TenantId &Tenant, const LoadReport &Load) {
+void AdmissionService::learn(const CustomerId &Customer,
+                             const LoadReport &Load) {
   std::scoped_lock Lock(Mutex);
   if (!Bundle || !Load.Known)
     return;
@@ -62,13 +65,14 @@
   for (const NamedThreshold &Threshold : Load.Thresholds)
     if (const auto It = Reach.ServiceByName.find(Threshold.Service);
         It != Reach.ServiceByName.end())
-      Reports.push_back({It->second, Level{Threshold.TenantLevel},
+      Reports.push_back({It->second, Level{Threshold.CustomerLevel},
                          Level{Threshold.CommonLevel}, Threshold.Age});
-  onReply(State, Reach, tenantIndex(Reach, Tenant), Reports, now());
+  onReply(State, Reach, customerIndex(Reach, Customer), Reports, now());
 }
 
 std::vector<NamedThreshold>
-AdmissionService::relay(const RouteId &Route, const TenantId &Tenant) const {
+AdmissionService::relay(const RouteId &Route,
+                        const CustomerId &Customer) const {
   std::scoped_lock Lock(Mutex);
   std::vector<NamedThreshold> Out;
   if (!Bundle)
@@ -78,7 +82,7 @@
   if (It == Reach.RouteByName.end())
     return Out;
   std::vector<ThresholdReport> Reports;
-  relayReports(State, Reach, It->second, tenantIndex(Reach, Tenant), now(),
+  relayReports(State, Reach, It->second, customerIndex(Reach, Customer), now(),
                Reports);
   std::ranges::transform(Reports, std::back_inserter(Out),
                          [&](const ThresholdReport &Report) {
@@ -92,14 +96,14 @@
   if (!Bundle)
     return;
   const ReachTable &Reach = Bundle->Reach;
-  Poco::JSON::Object::Ptr Tenants = new Poco::JSON::Object;
-  for (TenantIndex I = 0; I < State.Use.size(); ++I) {
+  Poco::JSON::Object::Ptr Customers = new Poco::JSON::Object;
+  for (CustomerIndex I = 0; I < State.Use.size(); ++I) {
     Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
     One->set("admitted", State.Use[I].Admitted);
     One->set("shed", State.Use[I].Shed);
-    Tenants->set(Reach.Tenants[I].Text, One);
+    Customers->set(Reach.Customers[I].Text, One);
   }
-  Out.set("tenants", Tenants);
+  Out.set("tenants", Customers);
 }
 
 } // namespace pollenwick
--- a/src/node/AdmissionService.h
+++ b/src/node/AdmissionService.h
@@ -19,12 +19,13 @@
   void onBundle(const BundlePtr &New);
 
   /// Empty when admitted; otherwise the refusal, which is always "not run".
-  std::optional<Refusal> admitRoot(const RouteId &Route, const TenantId &Tenant,
+  std::optional<Refusal> admitRoot(const RouteId &Route,
+                                   const CustomerId &Customer,
                                    std::uint64_t Hash);
-  void learn(const TenantId &Tenant, const LoadReport &Load);
+  void learn(const CustomerId &Customer, const LoadReport &Load);
   /// Levels of the services below a route, for a reply to the caller's node.
   std::vector<NamedThreshold> relay(const RouteId &Route,
-                                    const TenantId &Tenant) const;
+                                    const CustomerId &Customer) const;
   void dump(Poco::JSON::Object &Out) const;
 
 private:
@@ -33,8 +34,9 @@
   IngressState State;
 };
 
-/// Index of a tenant in the table; open routes without a key use the first.
-TenantIndex tenantIndex(const ReachTable &Reach, const TenantId &Tenant);
+/// Index of a customer in the table; open routes without a key use the first.
+CustomerIndex customerIndex(const ReachTable &Reach,
+                            const CustomerId &Customer);
 
 NamedThreshold nameThreshold(const ReachTable &Reach,
                              const ThresholdReport &Report);
--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -110,8 +110,8 @@
   for (const HeaderField &Field : Call.Headers)
     if (!isHopHeader(Field.Name))
       Request.add(Field.Name, Field.Value);
-  if (!Call.Tenant.empty())
-    Request.set("Pollenwick-Tenant", Call.Tenant.Text);
+  if (!Call.Customer.empty())
+    Request.set("Pollenwick-Tenant", Call.Customer.Text);
   Request.set("Pollenwick-Call", Handle);
   Request.set("Pollenwick-Deadline-Ms", std::to_string(std::max<std::int64_t>(
                                             Remaining.count() / 1000, 1)));
--- a/src/node/Callee.cpp
+++ b/src/node/Callee.cpp
@@ -43,7 +43,7 @@
       Backend(Registry.find<BackendClient>("backend")),
       Workers(MaxWorkers, RingCapacity) {}
 
-// A new bundle may number services, tenants and routes differently. Waiting
+// A new bundle may number services, customers and routes differently. Waiting
 // calls move to the new state by name; calls in slots are counted anew.
 void Callee::onBundle(const BundlePtr &New) {
   const HostSpec *Here = findHost(*New, Self);
@@ -53,7 +53,7 @@
     const bool SameIndexes =
         HasState && Here && Bundle->Reach.Services == New->Reach.Services &&
         Bundle->Reach.Slots == New->Reach.Slots &&
-        Bundle->Reach.Tenants == New->Reach.Tenants &&
+        Bundle->Reach.Customers == New->Reach.Customers &&
         Bundle->Reach.RouteByName == New->Reach.RouteByName &&
         Bundle->Ranks == New->Ranks;
     Bundle = New;
@@ -76,7 +76,7 @@
       if (HasState && It != Reach.RouteByName.end()) {
         Call.Route = It->second;
         Call.Rank = rankOf(*New, Entry.Class);
-        Call.Tenant = tenantIndex(Reach, Entry.Tenant);
+        Call.Customer = customerIndex(Reach, Entry.Customer);
         pushCall(State.Queue, Call);
         continue;
       }
@@ -108,10 +108,10 @@
     Checked.Internal = false;
   const std::optional<KeyDigest> Key =
       Call.HasKey ? std::optional(Call.Key) : std::nullopt;
-  if (Call.SubCall && !Call.HasKey && Call.Tenant.empty())
+  if (Call.SubCall && !Call.HasKey && Call.Customer.empty())
     return std::nullopt; // The root was on an open route.
   if (auto Refused =
-          recheckKey(Active.Keys, Checked, Key, Permission{Call.Tenant}))
+          recheckKey(Active.Keys, Checked, Key, Permission{Call.Customer}))
     return refuse(*Refused);
   return std::nullopt;
 }
@@ -138,7 +138,7 @@
       const Instant Now = now();
       const OfferedCall Offered{Id,
                                 It->second,
-                                tenantIndex(Reach, Call.Tenant),
+                                customerIndex(Reach, Call.Customer),
                                 rankOf(*Bundle, Call.Class),
                                 Call.Hash,
                                 Call.SubCall,
@@ -156,7 +156,7 @@
         Out.Run.push_back(std::move(Callback));
         break;
       case OfferVerdict::Queued:
-        Waiting.emplace(Id, Waiter{Call.Route, Call.Tenant, Call.Class,
+        Waiting.emplace(Id, Waiter{Call.Route, Call.Customer, Call.Class,
                                    std::move(Callback)});
         break;
       case OfferVerdict::Refused:
@@ -281,7 +281,7 @@
     Reply = std::move(*Refused);
   } else {
     const Fingerprint Subject =
-        fingerprintOf(Call.Route, Call.Tenant, Call.BodyDigest);
+        fingerprintOf(Call.Route, Call.Customer, Call.BodyDigest);
     if (auto Barred = enterServer(Call, Subject)) {
       Reply = std::move(*Barred);
     } else {
@@ -360,7 +360,7 @@
   if (!HasState)
     return Out;
   const CalleeReport Made =
-      reportFor(State, tenantIndex(Bundle->Reach, Call.Tenant), now());
+      reportFor(State, customerIndex(Bundle->Reach, Call.Customer), now());
   Out.Known = true;
   Out.InFlight = Made.InFlight;
   Out.QueueDelay = Made.QueueDelay;
@@ -370,7 +370,7 @@
 
 CallReply Callee::withLoad(CallReply Reply, const CallRequest &Call) const {
   Reply.Load = report(Call);
-  const auto Deeper = Admission.relay(Call.Route, Call.Tenant);
+  const auto Deeper = Admission.relay(Call.Route, Call.Customer);
   Reply.Load.Thresholds.insert(Reply.Load.Thresholds.end(), Deeper.begin(),
                                Deeper.end());
   return Reply;
--- a/src/node/Callee.h
+++ b/src/node/Callee.h
@@ -51,7 +51,7 @@
 
   struct Waiter {
     RouteId Route;
-    TenantId Tenant;
+    CustomerId Customer;
     ClassId Class; ///< Of the root request.
     SlotCallback Callback;
   };
--- a/src/node/CallerPort.cpp
+++ b/src/node/CallerPort.cpp
@@ -110,7 +110,7 @@
   Call.Method = Request.getMethod();
   Call.PathAndQuery = Request.getURI();
   Call.Headers = passedHeaders(Request);
-  Call.Tenant = Sub.Grant.Tenant;
+  Call.Customer = Sub.Grant.Customer;
   // The class of the root decides for the whole tree.
   Call.Class = Sub.Grant.Class;
   Call.Root = Sub.Grant.Root;
--- a/src/node/Counters.cpp
+++ b/src/node/Counters.cpp
@@ -178,7 +178,7 @@
     One->set("when", Record.When);
     One->set("reason", std::string(reasonText(Record.Reason)));
     One->set("outcome", std::string(outcomeText(Record.Result)));
-    One->set("tenant", Record.Tenant.Text);
+    One->set("tenant", Record.Customer.Text);
     One->set("route", Record.Route.Text);
     One->set("message", Record.Message);
     Recent->add(One);
--- a/src/node/Counters.h
+++ b/src/node/Counters.h
@@ -61,7 +61,7 @@
   std::string When; ///< UTC.
   RefusalReason Reason;
   Outcome Result;
-  TenantId Tenant;
+  CustomerId Customer;
   RouteId Route;
   std::string Message;
 };
--- a/src/node/Forwarder.cpp
+++ b/src/node/Forwarder.cpp
@@ -150,7 +150,7 @@
     Call.Allowance = delegate(Held);
     CallReply Reply = attempt(Next.Host, Call, Active);
     giveBack(Held, Call.Allowance, unusedAfter(Reply, Call));
-    Admission.learn(Call.Tenant, Reply.Load);
+    Admission.learn(Call.Customer, Reply.Load);
     if (!Named)
       countReply(Next.Host, Reply);
     MayHaveRun = MayHaveRun || Reply.Result == Outcome::Unknown;
--- a/src/node/Ingress.cpp
+++ b/src/node/Ingress.cpp
@@ -69,13 +69,13 @@
       Active.Keys, Spec, Call.HasKey ? std::optional(Call.Key) : std::nullopt);
   if (const auto *Refused = std::get_if<Refusal>(&Permitted))
     return refuse(*Refused);
-  Call.Tenant = std::get<Permission>(Permitted).Tenant;
+  Call.Customer = std::get<Permission>(Permitted).Customer;
   if (!Spec.Open && !View.holdsLease())
     return refuse(Outcome::NotRun, RefusalReason::NoViewLease,
                   "this node cannot confirm its configuration; use another",
                   std::chrono::seconds(1));
   if (Crashes.quarantined(
-          fingerprintOf(Call.Route, Call.Tenant, Call.BodyDigest))) {
+          fingerprintOf(Call.Route, Call.Customer, Call.BodyDigest))) {
     Count.add(Counter::SuspectsRefused);
     return refuse(Outcome::NotRun, RefusalReason::Quarantined,
                   "this request crashed backend servers; send another");
@@ -157,7 +157,7 @@
     return refuse(Outcome::NotRun, RefusalReason::Draining,
                   "this node is stopping; send the request to another");
   std::scoped_lock Lock(Mutex);
-  const auto Minted = mintTicket(Tickets, Call.Tenant, Call.Route,
+  const auto Minted = mintTicket(Tickets, Call.Customer, Call.Route,
                                  Active.Rules->Rules.TicketLifetime, now());
   if (const auto *Full = std::get_if<Refusal>(&Minted))
     return refuse(*Full);
@@ -174,7 +174,7 @@
   {
     std::scoped_lock Lock(Mutex);
     Claimed = claimTicket(
-        Tickets, {Text, Call.Tenant, Call.Route, Call.BodyDigest}, now());
+        Tickets, {Text, Call.Customer, Call.Route, Call.BodyDigest}, now());
   }
   if (const auto *Elsewhere = std::get_if<ForwardTo>(&Claimed))
     return forwardClaim(Elsewhere->Issuer, Text, Call, Active);
@@ -255,10 +255,10 @@
 CallReply Ingress::admitAndRun(const CallRequest &Call,
                                const ActiveBundle &Active,
                                const RouteEntry &Route) {
-  if (auto Refused = Admission.admitRoot(Call.Route, Call.Tenant, Call.Hash))
+  if (auto Refused = Admission.admitRoot(Call.Route, Call.Customer, Call.Hash))
     return refuse(*Refused);
-  if (!Call.Tenant.empty())
-    if (auto Refused = Quota.spendOne(Call.Tenant, Call.Deadline))
+  if (!Call.Customer.empty())
+    if (auto Refused = Quota.spendOne(Call.Customer, Call.Deadline))
       return refuse(*Refused);
   return Calls.forward(Call, Active, Route);
 }
@@ -268,8 +268,8 @@
     Count.add(Counter::RootAnswered);
     return;
   }
-  Count.refused({utcNow(), Reply.Reason, Reply.Result, Call.Tenant, Call.Route,
-                 Reply.Message});
+  Count.refused({utcNow(), Reply.Reason, Reply.Result, Call.Customer,
+                 Call.Route, Reply.Message});
 }
 
 void Ingress::tick() {
--- a/src/node/QuotaService.cpp
+++ b/src/node/QuotaService.cpp
@@ -20,11 +20,11 @@
 /// 2 ms all the time took 0.3 % of a core, half of the use of an idle node.
 constexpr Duration IdleTick = std::chrono::milliseconds(100);
 
-Refusal overRate(const TenantId &Tenant) {
+Refusal overRate(const CustomerId &Customer) {
   Refusal Out;
   Out.Reason = RefusalReason::OverRate;
   Out.RetryAfter = std::chrono::seconds(1);
-  Out.Message = "tenant \"" + Tenant.Text +
+  Out.Message = "tenant \"" + Customer.Text +
                 "\" is over its rate; send fewer requests or raise its rate";
   return Out;
 }
@@ -56,7 +56,7 @@
   wake();
   if (Thread.joinable())
     Thread.join();
-  // Unspent tokens go back, so that a planned stop costs no tenant anything.
+  // Unspent tokens go back, so that a planned stop costs no customer anything.
   std::vector<Settlement> Last;
   {
     std::scoped_lock Lock(TableMutex);
@@ -93,10 +93,10 @@
   return peerAddress(*Spec);
 }
 
-SpendResult QuotaService::trySpend(const TenantId &Tenant) {
+SpendResult QuotaService::trySpend(const CustomerId &Customer) {
   const ViewLease Lease = View.lease();
   std::scoped_lock Lock(TableMutex);
-  return spend(Table, Tenant, Lease, now());
+  return spend(Table, Customer, Lease, now());
 }
 
 BorrowReply QuotaService::lendHere(const BorrowRequest &Request) {
@@ -132,16 +132,16 @@
   return Reply;
 }
 
-SpendResult QuotaService::borrowAndSpend(const TenantId &Tenant,
+SpendResult QuotaService::borrowAndSpend(const CustomerId &Customer,
                                          SpendResult Result, Instant Deadline) {
   BorrowSearch Search;
-  Search.Tenant = Tenant;
+  Search.Customer = Customer;
   while (Result.Status == SpendStatus::Ask && now() < Deadline) {
     BorrowStep Step;
     {
       std::scoped_lock Lock(TableMutex);
       Step = nextStep(Table, Search, Result.Lacking,
-                      std::min(Waiting[Tenant], MaxBatch), now());
+                      std::min(Waiting[Customer], MaxBatch), now());
     }
     switch (Step.What) {
     case BorrowStep::Kind::Refuse:
@@ -161,26 +161,26 @@
       break;
     }
     }
-    Result = trySpend(Tenant);
+    Result = trySpend(Customer);
   }
   return Result;
 }
 
-std::optional<Refusal> QuotaService::spendOne(const TenantId &Tenant,
+std::optional<Refusal> QuotaService::spendOne(const CustomerId &Customer,
                                               Instant Deadline) {
-  SpendResult Result = trySpend(Tenant);
+  SpendResult Result = trySpend(Customer);
   if (Result.Status == SpendStatus::Spent) {
     Count.add(Counter::QuotaCachedSpends);
     return std::nullopt;
   }
   {
     std::scoped_lock Lock(TableMutex);
-    ++Waiting[Tenant];
+    ++Waiting[Customer];
   }
-  Result = borrowAndSpend(Tenant, Result, Deadline);
+  Result = borrowAndSpend(Customer, Result, Deadline);
   {
     std::scoped_lock Lock(TableMutex);
-    --Waiting[Tenant];
+    --Waiting[Customer];
   }
   switch (Result.Status) {
   case SpendStatus::Spent:
@@ -188,10 +188,10 @@
   case SpendStatus::NoViewLease:
     return noLease();
   case SpendStatus::Ask:
-  case SpendStatus::UnknownTenant:
+  case SpendStatus::UnknownCustomer:
     break;
   }
-  return overRate(Tenant);
+  return overRate(Customer);
 }
 
 void QuotaService::wake() {
@@ -388,9 +388,9 @@
   Poco::JSON::Array::Ptr Shards = new Poco::JSON::Array;
   {
     std::scoped_lock Lock(HolderMutex);
-    for (const auto &[Tenant, Kept] : Holder.Shards) {
+    for (const auto &[Customer, Kept] : Holder.Shards) {
       Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
-      One->set("tenant", Tenant.Text);
+      One->set("tenant", Customer.Text);
       One->set("active", Kept.Active);
       One->set("balance_micro", Kept.Balance.Value);
       One->set("outstanding_micro", Kept.Outstanding.Value);
@@ -402,9 +402,9 @@
   Out.set("shards", Shards);
   Poco::JSON::Array::Ptr Leases = new Poco::JSON::Array;
   std::scoped_lock Lock(TableMutex);
-  for (const auto &[Tenant, Held] : Table.Tenants) {
+  for (const auto &[Customer, Held] : Table.Customers) {
     Poco::JSON::Object::Ptr One = new Poco::JSON::Object;
-    One->set("tenant", Tenant.Text);
+    One->set("tenant", Customer.Text);
     One->set("leases", Held.Leases.size());
     Leases->add(One);
   }
--- a/src/node/QuotaService.h
+++ b/src/node/QuotaService.h
@@ -30,10 +30,10 @@
   void stop() override;
   void dump(Poco::JSON::Object &Out) const override;
 
-  /// Spends one token of the tenant, borrowing when none is held. Blocks for
+  /// Spends one token of the customer, borrowing when none is held. Blocks for
   /// at most a few round trips to the holders, and not past `Deadline`. Empty
   /// when spent; otherwise the refusal, which is always "not run".
-  std::optional<Refusal> spendOne(const TenantId &Tenant, Instant Deadline);
+  std::optional<Refusal> spendOne(const CustomerId &Customer, Instant Deadline);
 
   /// True when every shard held here accrues and lends.
   bool allShardsActive() const;
@@ -55,8 +55,8 @@
   void pause();
   /// Ends a long wait. Any thread.
   void wake();
-  SpendResult trySpend(const TenantId &Tenant);
-  SpendResult borrowAndSpend(const TenantId &Tenant, SpendResult First,
+  SpendResult trySpend(const CustomerId &Customer);
+  SpendResult borrowAndSpend(const CustomerId &Customer, SpendResult First,
                              Instant Deadline);
   std::optional<BorrowReply> ask(const BorrowRequest &Request);
   BorrowReply lendHere(const BorrowRequest &Request);
@@ -77,7 +77,8 @@
   HolderState Holder;
   mutable std::mutex TableMutex;
   LeaseTable Table;
-  std::unordered_map<TenantId, std::uint32_t> Waiting; ///< Spenders, by tenant.
+  std::unordered_map<CustomerId, std::uint32_t>
+      Waiting; ///< Spenders, by customer.
 
   std::mutex WakeMutex;
   std::condition_variable Wake;
--- a/src/node/RunningService.cpp
+++ b/src/node/RunningService.cpp
@@ -29,9 +29,10 @@
     return Out;
   }
   std::scoped_lock Lock(Mutex);
-  if (auto Refused = beginCall(Running, Handle,
-                               {Call.Tenant, Call.Route, Call.Class, Call.Root,
-                                Call.Deadline, RetryAllowance{Call.Allowance}}))
+  if (auto Refused =
+          beginCall(Running, Handle,
+                    {Call.Customer, Call.Route, Call.Class, Call.Root,
+                     Call.Deadline, RetryAllowance{Call.Allowance}}))
     return *Refused;
   Origins[Handle] = {Call.Caller, Call.Hash,   Call.AdmittedAt,
                      Call.Key,    Call.HasKey, Duration::zero()};
--- a/src/peer/Calls.h
+++ b/src/peer/Calls.h
@@ -22,7 +22,7 @@
 /// services differ between bundles, so it goes by name.
 struct NamedThreshold {
   ServiceId Service;
-  std::uint32_t TenantLevel = 0;
+  std::uint32_t CustomerLevel = 0;
   std::uint32_t CommonLevel = 0;
   Duration Age{};
 };
@@ -43,7 +43,7 @@
   RouteId Route;
   std::string Method;
   std::string PathAndQuery;
-  TenantId Tenant; ///< Empty on open routes without a key.
+  CustomerId Customer; ///< Empty on open routes without a key.
   ClassId Class;
   RootId Root;
   std::uint64_t Hash = 0; ///< Same for all calls of one root request.
--- a/src/peer/Peer.capnp
+++ b/src/peer/Peer.capnp
@@ -12,7 +12,7 @@
 
 struct Header { name @0 :Text; value @1 :Text; }
 
-# A call on its way to a callee node. The tenant and the class were resolved at
+# A call on its way to a callee node. The customer and the class were resolved at
 # the ingress of the root request.
 struct Call {
   caller @0 :Incarnation;
@@ -20,7 +20,7 @@
   route @2 :Text;
   pathAndQuery @3 :Text;
   method @4 :Text;
-  tenant @5 :Text;
+  customer @5 :Text;
   class @6 :Text;
   rootId @7 :UInt64;
   requestHash @8 :UInt64;
@@ -37,7 +37,7 @@
 
 struct ThresholdReport {
   service @0 :Text;
-  tenantLevel @1 :UInt32;
+  customerLevel @1 :UInt32;
   commonLevel @2 :UInt32;
   ageMicros @3 :Int64;
 }
@@ -66,7 +66,7 @@
   tryHost @11 :Text;         # Only this host may run the call now.
 }
 
-struct Shard { tenant @0 :Text; zone @1 :Text; }
+struct Shard { customer @0 :Text; zone @1 :Text; }
 
 struct BorrowRequest {
   shard @0 :Shard;
--- a/src/peer/Peer.capnp.h
+++ b/src/peer/Peer.capnp.h
@@ -1033,8 +1033,8 @@
   inline bool hasMethod() const;
   inline  ::capnp::Text::Reader getMethod() const;
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
   inline bool hasClass() const;
   inline  ::capnp::Text::Reader getClass() const;
@@ -1124,12 +1124,12 @@
   inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownMethod();
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
   inline bool hasClass();
   inline  ::capnp::Text::Builder getClass();
@@ -1234,7 +1234,7 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getTenantLevel() const;
+  inline  ::uint32_t getCustomerLevel() const;
 
   inline  ::uint32_t getCommonLevel() const;
 
@@ -1275,8 +1275,8 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint32_t getTenantLevel();
-  inline void setTenantLevel( ::uint32_t value);
+  inline  ::uint32_t getCustomerLevel();
+  inline void setCustomerLevel( ::uint32_t value);
 
   inline  ::uint32_t getCommonLevel();
   inline void setCommonLevel( ::uint32_t value);
@@ -1590,8 +1590,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
 
   inline bool hasZone() const;
   inline  ::capnp::Text::Reader getZone() const;
@@ -1624,12 +1624,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
   inline bool hasZone();
   inline  ::capnp::Text::Builder getZone();
@@ -5662,36 +5662,36 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Call::Reader::hasTenant() const {
+inline bool Call::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Call::Builder::hasTenant() {
+inline bool Call::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Call::Reader::getTenant() const {
+inline  ::capnp::Text::Reader Call::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Call::Builder::getTenant() {
+inline  ::capnp::Text::Builder Call::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Call::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void Call::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Call::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder Call::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Call::Builder::adoptTenant(
+inline void Call::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
@@ -5998,16 +5998,16 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ThresholdReport::Reader::getTenantLevel() const {
+inline  ::uint32_t ThresholdReport::Reader::getCustomerLevel() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ThresholdReport::Builder::getTenantLevel() {
+inline  ::uint32_t ThresholdReport::Builder::getCustomerLevel() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ThresholdReport::Builder::setTenantLevel( ::uint32_t value) {
+inline void ThresholdReport::Builder::setCustomerLevel( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -6417,36 +6417,36 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Shard::Reader::hasTenant() const {
+inline bool Shard::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Shard::Builder::hasTenant() {
+inline bool Shard::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Shard::Reader::getTenant() const {
+inline  ::capnp::Text::Reader Shard::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Shard::Builder::getTenant() {
+inline  ::capnp::Text::Builder Shard::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Shard::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void Shard::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Shard::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder Shard::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Shard::Builder::adoptTenant(
+inline void Shard::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Shard::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> Shard::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/src/peer/QuotaWire.cpp
+++ b/src/peer/QuotaWire.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 void writeShard(wire::Shard::Builder Out, const ShardId &In) {
-  Out.setTenant(In.Tenant.Text);
+  Out.setCustomer(In.Customer.Text);
   Out.setZone(In.Zone.Text);
 }
 
 ShardId readShard(wire::Shard::Reader In) {
-  return {TenantId(textOf(In.getTenant())), ZoneId(textOf(In.getZone()))};
+  return {CustomerId(textOf(In.getCustomer())), ZoneId(textOf(In.getZone()))};
 }
 
 } // namespace
--- a/src/peer/Wire.cpp
+++ b/src/peer/Wire.cpp
@@ -60,9 +60,9 @@
   Out.InFlight = In.getInFlight();
   Out.QueueDelay = Duration(In.getQueueDelayMicros());
   for (auto Report : In.getThresholds())
-    Out.Thresholds.push_back({ServiceId(textOf(Report.getService())),
-                              Report.getTenantLevel(), Report.getCommonLevel(),
-                              Duration(Report.getAgeMicros())});
+    Out.Thresholds.push_back(
+        {ServiceId(textOf(Report.getService())), Report.getCustomerLevel(),
+         Report.getCommonLevel(), Duration(Report.getAgeMicros())});
   return Out;
 }
 
@@ -75,7 +75,7 @@
   for (unsigned I = 0; I < List.size(); ++I) {
     const NamedThreshold &Threshold = Load.Thresholds[I];
     List[I].setService(Threshold.Service.Text);
-    List[I].setTenantLevel(Threshold.TenantLevel);
+    List[I].setCustomerLevel(Threshold.CustomerLevel);
     List[I].setCommonLevel(Threshold.CommonLevel);
     List[I].setAgeMicros(Threshold.Age.count());
   }
@@ -109,7 +109,7 @@
   Out.setRoute(Call.Route.Text);
   Out.setPathAndQuery(Call.PathAndQuery);
   Out.setMethod(Call.Method);
-  Out.setTenant(Call.Tenant.Text);
+  Out.setCustomer(Call.Customer.Text);
   Out.setClass(Call.Class.Text);
   Out.setRootId(Call.Root.Value);
   Out.setRequestHash(Call.Hash);
@@ -133,7 +133,7 @@
   Call.Route = RouteId(textOf(In.getRoute()));
   Call.PathAndQuery = textOf(In.getPathAndQuery());
   Call.Method = textOf(In.getMethod());
-  Call.Tenant = TenantId(textOf(In.getTenant()));
+  Call.Customer = CustomerId(textOf(In.getCustomer()));
   Call.Class = ClassId(textOf(In.getClass()));
   Call.Root = RootId(In.getRootId());
   Call.Hash = In.getRequestHash();
--- a/tests/admission/AdmissionTest.cpp
+++ b/tests/admission/AdmissionTest.cpp
@@ -53,7 +53,8 @@
   CHECK(fleet().Reach.Ranks == 3);
 }
 
-TEST_CASE("The ingress sheds by class, then tenant, then hash", "[admission]") {
+TEST_CASE("The ingress sheds by class, then customer, then hash",
+          "[admission]") {
   rc::prop(
       "a request that is refused implies refusal of all that rank worse", [] {
         // Guards against a better class being shed before a worse one.
@@ -201,16 +202,16 @@
 
 TEST_CASE("Levels share a class by weighted max-min fairness", "[admission]") {
   rc::prop("a tenant below its fair share is not cut by another's surge", [] {
-    // Guards against a surge of one tenant that lowers another's share.
+    // Guards against a surge of one customer that lowers another's share.
     ThresholdState State = makeThreshold(fleet().Reach, at(0));
-    const auto Hot = *rc::gen::inRange<TenantIndex>(0, 8);
+    const auto Hot = *rc::gen::inRange<CustomerIndex>(0, 8);
     const auto Factor = *rc::gen::inRange(5, 50);
     WindowMeasure Full;
     Full.CapacityPerSecond = 4000;
     Full.Limit = 100;
     Full.Backlog = 100;
     for (int Window = 1; Window <= 60; ++Window) {
-      for (TenantIndex T = 0; T < 8; ++T) {
+      for (CustomerIndex T = 0; T < 8; ++T) {
         const double Rate = 10.0 * (T == Hot ? Factor : 1) * (T < 2 ? 3 : 1);
         const double Through =
             Rate * State.Cells[std::size_t{2} * 8 + T].Applied;
@@ -219,7 +220,7 @@
       }
       updateThreshold(State, fleet().Reach, Full, at(50L * Window));
     }
-    for (TenantIndex T = 0; T < 8; ++T)
+    for (CustomerIndex T = 0; T < 8; ++T)
       if (T != Hot)
         RC_ASSERT(State.Levels[T] == admitAll(3));
   });
--- a/tests/admission/OverloadTest.cpp
+++ b/tests/admission/OverloadTest.cpp
@@ -57,11 +57,11 @@
   }
 }
 
-TEST_CASE("One tenant's surge does not lower another's share",
+TEST_CASE("One customer's surge does not lower another's share",
           "[admission][model]") {
   const Measures Result =
       run(lantern(), {"hot", 0, 1, false, 10}, Variant::Full);
-  // 3 s of traffic of a small tenant are some 500 requests.
+  // 3 s of traffic of a small customer are some 500 requests.
   CHECK(Result.WorstWithinRate > 0.95);
   CHECK(Result.Recovery < 2);
   CHECK(Result.MoneyShed == 0);
--- a/tests/bundle/CheckTest.cpp
+++ b/tests/bundle/CheckTest.cpp
@@ -46,13 +46,13 @@
 
   SECTION("what would end a node is found before and after it is signed") {
     // Guards against a rate beyond the arithmetic of the shards and against
-    // tables without a tenant: both ended a node by an assertion.
-    Source.Tenants[0].RatePerSecond = MicroTokens{2'000'000'000'000};
+    // tables without a customer: both ended a node by an assertion.
+    Source.Customers[0].RatePerSecond = MicroTokens{2'000'000'000'000};
     CHECK(reports(Source, ProblemKind::BadValue, "2000000000000"));
     const PublishedBundle Published = encodeBundle(Source).value();
     CHECK(assembleBundle(Published.Head, Published.Chunks).ok());
     CHECK_FALSE(assembleUsable(Published.Head, Published.Chunks).ok());
-    Source.Tenants.clear();
+    Source.Customers.clear();
     CHECK(reports(Source, ProblemKind::BadValue, "no tenant"));
   }
 
@@ -71,9 +71,9 @@
     // Guards against references that a node could not resolve.
     Source.Routes[0].Service = ServiceId("shopp");
     Source.Routes[0].Class = ClassId("lookups");
-    Source.Routes[0].Tenants = {TenantId("frist")};
+    Source.Routes[0].Customers = {CustomerId("frist")};
     Source.Routes[1].Calls = {{RouteId("shop/look"), 1}};
-    Source.Keys[0].Tenant = TenantId("third");
+    Source.Keys[0].Customer = CustomerId("third");
     Source.Rules.Witnesses[0] = HostId("shop-99");
     for (const char *Value :
          {"shopp", "lookups", "frist", "shop/look", "third", "shop-99"})
@@ -82,7 +82,7 @@
 
   SECTION("names must be plain, and routes are named after their service") {
     // Guards against names that break paths, logs or chunk names.
-    Source.Tenants[0].Id = TenantId("First Tenant");
+    Source.Customers[0].Id = CustomerId("First Tenant");
     Source.Hosts[0].Zone = ZoneId("zone/0");
     CHECK(reports(Source, ProblemKind::BadName, "First Tenant"));
     CHECK(reports(Source, ProblemKind::BadName, "zone/0"));
@@ -97,7 +97,7 @@
     Source.Hosts.push_back(Source.Hosts[2]);
     Source.Hosts[1].PeerPort = Source.Hosts[0].CallerPort;
     Source.Classes[1].Rank = 0;
-    Source.Tenants.push_back(Source.Tenants[0]);
+    Source.Customers.push_back(Source.Customers[0]);
     Source.Routes[1].Calls.push_back(Source.Routes[1].Calls[0]);
     Source.Rules.Witnesses[1] = Source.Rules.Witnesses[0];
     CHECK(reports(Source, ProblemKind::HostTwice, "shop-2"));
@@ -110,12 +110,12 @@
 
   SECTION("rate and burst reach every zone") {
     // Guards against a shard that could never lend one whole token.
-    Source.Tenants[0].Burst = MicroTokens{2'999'999};
-    Source.Tenants[1].RatePerSecond = MicroTokens{2};
+    Source.Customers[0].Burst = MicroTokens{2'999'999};
+    Source.Customers[1].RatePerSecond = MicroTokens{2};
     CHECK(reports(Source, ProblemKind::NotSplittable, "2999999"));
     CHECK(reports(Source, ProblemKind::NotSplittable, "rate of 2 "));
-    Source.Tenants[0].Burst = MicroTokens{3'000'000};
-    Source.Tenants[1].RatePerSecond = MicroTokens{3};
+    Source.Customers[0].Burst = MicroTokens{3'000'000};
+    Source.Customers[1].RatePerSecond = MicroTokens{3};
     CHECK_FALSE(reports(Source, ProblemKind::NotSplittable, ""));
   }
 
@@ -140,7 +140,7 @@
   }
 
   SECTION("open routes stay open all the way") {
-    // Guards against a closed route that runs without a tenant's key.
+    // Guards against a closed route that runs without a customer's key.
     Source.Routes[1].Open = true;
     CHECK(reports(Source, ProblemKind::OpenReachesClosed, "shop/lookup"));
     Source.Routes[0].Open = true;
@@ -187,11 +187,11 @@
   // Guards against rounding that adds or loses quota (G6).
   for (const std::int64_t Total : {0L, 1L, 2L, 1'000'000L, 99'999'999L})
     for (const std::size_t Count : {1U, 2U, 3U, 9U}) {
-      TenantSpec Tenant;
-      Tenant.RatePerSecond = Tenant.Burst = MicroTokens{Total};
+      CustomerSpec Customer;
+      Customer.RatePerSecond = Customer.Burst = MicroTokens{Total};
       ShardShare Sum;
       for (std::size_t I = 0; I < Count; ++I) {
-        const ShardShare Share = shareOf(Tenant, I, Count);
+        const ShardShare Share = shareOf(Customer, I, Count);
         Sum.RatePerSecond += Share.RatePerSecond;
         Sum.Burst += Share.Burst;
       }
--- a/tests/bundle/FuzzTest.cpp
+++ b/tests/bundle/FuzzTest.cpp
@@ -93,12 +93,12 @@
           "true", "[]", "{}", "18446744073709551615", "1e308"}) {
       feed("{\"revision\":" + Value + "}");
       CHECK_FALSE(parseBundle("{\"revision\":" + Value + "}").ok());
-      const std::string Tenant =
+      const std::string Customer =
           R"({"revision":1,"tenants":[{"id":"a","burst":1,"rate":)" + Value +
           "}]}";
-      feed(Tenant);
+      feed(Customer);
       if (Value != "1.5")
-        CHECK(parseBundle(Tenant).status().ok() == false);
+        CHECK(parseBundle(Customer).status().ok() == false);
     }
     CHECK(messageOf("{\"revision\":0}").find("revision is 0") !=
           std::string::npos);
--- a/tests/bundle/PublishedTest.cpp
+++ b/tests/bundle/PublishedTest.cpp
@@ -25,7 +25,8 @@
     CHECK(checkBundle(Result).empty());
     CHECK(encodeBundle(Result)->Head.Root == Published.Head.Root);
     CHECK(Result.Hosts.size() == Source.Hosts.size());
-    CHECK(Result.Tenants[0].RatePerSecond == Source.Tenants[0].RatePerSecond);
+    CHECK(Result.Customers[0].RatePerSecond ==
+          Source.Customers[0].RatePerSecond);
     CHECK(Result.Routes[0].Calls[0].Count == 2);
   }
 
@@ -46,7 +47,7 @@
   SECTION("one new key changes one chunk") {
     // Guards against a full bundle per change.
     Bundle Next = Source;
-    Next.Keys.push_back({keyDigest("another"), TenantId("first")});
+    Next.Keys.push_back({keyDigest("another"), CustomerId("first")});
     const PublishedBundle Changed = encodeBundle(Next).value();
     std::size_t Fresh = 0;
     for (const auto &[Sum, Text] : Changed.Chunks)
--- a/tests/bundle/SampleBundle.h
+++ b/tests/bundle/SampleBundle.h
@@ -28,17 +28,18 @@
     if (I < 5)
       Result.Rules.Witnesses.push_back(Host.Id);
   }
-  Result.Tenants = {
-      {TenantId("first"), MicroTokens{100'500'000}, MicroTokens{30'000'000}},
-      {TenantId("second"), MicroTokens{50'000'000}, MicroTokens{9'000'000}, 3}};
-  Result.Keys = {{keyDigest("dev-first"), TenantId("first")},
-                 {keyDigest("dev-second"), TenantId("second")}};
+  Result.Customers = {
+      {CustomerId("first"), MicroTokens{100'500'000}, MicroTokens{30'000'000}},
+      {CustomerId("second"), MicroTokens{50'000'000}, MicroTokens{9'000'000},
+       3}};
+  Result.Keys = {{keyDigest("dev-first"), CustomerId("first")},
+                 {keyDigest("dev-second"), CustomerId("second")}};
   Result.Classes = {{ClassId("payment"), 0}, {ClassId("lookup"), 1}};
   RouteSpec Lookup;
   Lookup.Id = RouteId("shop/lookup");
   Lookup.Service = ServiceId("shop");
   Lookup.Class = ClassId("lookup");
-  Lookup.Tenants = {TenantId("first")};
+  Lookup.Customers = {CustomerId("first")};
   RouteSpec Order;
   Order.Id = RouteId("bank/order");
   Order.Service = ServiceId("bank");
--- a/tests/keys/KeysTest.cpp
+++ b/tests/keys/KeysTest.cpp
@@ -4,18 +4,18 @@
 
 using namespace pollenwick;
 
-TEST_CASE("A request runs only for the tenant of its key", "[keys]") {
+TEST_CASE("A request runs only for the customer of its key", "[keys]") {
   Bundle Rules;
-  Rules.Tenants.push_back({TenantId("a"), {}, {}, 1});
-  Rules.Tenants.push_back({TenantId("b"), {}, {}, 1});
+  Rules.Customers.push_back({CustomerId("a"), {}, {}, 1});
+  Rules.Customers.push_back({CustomerId("b"), {}, {}, 1});
   const KeyDigest KeyA{{1}};
   const KeyDigest KeyB{{2}};
   const KeyDigest Stray{{3}};
-  Rules.Keys = {{KeyA, TenantId("a")}, {KeyB, TenantId("b")}};
-  Rules.Keys.push_back({Stray, TenantId("nobody")});
+  Rules.Keys = {{KeyA, CustomerId("a")}, {KeyB, CustomerId("b")}};
+  Rules.Keys.push_back({Stray, CustomerId("nobody")});
   RouteSpec Route;
   Route.Id = RouteId("cobros/deposit");
-  Route.Tenants = {TenantId("a")};
+  Route.Customers = {CustomerId("a")};
   const auto IndexOf = [](const Bundle &Source) {
     return indexKeys(std::make_shared<const Bundle>(Source));
   };
@@ -40,10 +40,10 @@
     CHECK(Reason(KeyA) == RefusalReason::RouteNotAllowed);
   }
   SECTION("a key revoked or moved before dispatch no longer counts") {
-    const Permission Granted{TenantId("a")};
+    const Permission Granted{CustomerId("a")};
     CHECK(!recheckKey(Index, Route, KeyA, Granted));
-    Rules.Keys[0].Tenant = TenantId("b");
-    Route.Tenants.clear();
+    Rules.Keys[0].Customer = CustomerId("b");
+    Route.Customers.clear();
     CHECK(recheckKey(IndexOf(Rules), Route, KeyA, Granted));
     Rules.Keys.clear();
     CHECK(recheckKey(IndexOf(Rules), Route, KeyA, Granted));
--- a/tests/node/CalleeTest.cpp
+++ b/tests/node/CalleeTest.cpp
@@ -33,7 +33,7 @@
   Rules.Services = {{ServiceId("cobros"), 4, 4}};
   Rules.Hosts = {{HostId("cobros-1"), ServiceId("cobros"), ZoneId("heredia"),
                   "127.0.0.1", 1, 2, 3}};
-  Rules.Tenants = {{TenantId("casa-azul"), OneToken, OneToken, 1}};
+  Rules.Customers = {{CustomerId("casa-azul"), OneToken, OneToken, 1}};
   Rules.Classes = {{ClassId("deposit"), Deposits},
                    {ClassId("lookup"), Lookups}};
   Rules.Routes = {openRoute("deposit", "deposit"), openRoute("list", "lookup")};
--- a/tests/once/TicketBookTest.cpp
+++ b/tests/once/TicketBookTest.cpp
@@ -136,8 +136,8 @@
               claimTicket(Book, Claim, Now + Lifetime + Book.Limits.Grace)) ==
           Outcome::Unknown);
   }
-  SECTION("refuses other tenants, routes and damaged tickets as unknown") {
-    CHECK(outcomeOf(claimTicket(Book, {Text, TenantId("x"), Deposit, {}},
+  SECTION("refuses other customers, routes and damaged tickets as unknown") {
+    CHECK(outcomeOf(claimTicket(Book, {Text, CustomerId("x"), Deposit, {}},
                                 Now)) == Outcome::Unknown);
     CHECK(outcomeOf(claimTicket(Book, {Text, Payer, RouteId("a/b"), {}},
                                 Now)) == Outcome::Unknown);
@@ -155,17 +155,17 @@
     }));
   }
   SECTION("refuses new tickets at the limits and forgets none") {
-    Book.Limits.MaxTicketsPerTenant = 1;
+    Book.Limits.MaxTicketsPerCustomer = 1;
     claimTicket(Book, Claim, Now);
     CHECK(std::holds_alternative<Refusal>(
         mintTicket(Book, Payer, Deposit, Lifetime, Now)));
     const auto Other =
-        mintTicket(Book, TenantId("other"), Deposit, Lifetime, Now);
+        mintTicket(Book, CustomerId("other"), Deposit, Lifetime, Now);
     REQUIRE(std::holds_alternative<Ticket>(Other));
     Book.Limits.MaxTickets = 1;
     const std::string OtherText = ticketText(std::get<Ticket>(Other));
     const auto Full =
-        claimTicket(Book, {OtherText, TenantId("other"), Deposit, {}}, Now);
+        claimTicket(Book, {OtherText, CustomerId("other"), Deposit, {}}, Now);
     CHECK(reasonOf(Full) == RefusalReason::QueueFull);
     CHECK(outcomeOf(Full) == Outcome::Unknown);
     CHECK(std::holds_alternative<InProgress>(claimTicket(Book, Claim, Now)));
--- a/tests/once/TicketFleet.h
+++ b/tests/once/TicketFleet.h
@@ -12,7 +12,7 @@
 
 namespace pollenwick {
 
-inline const TenantId Payer("payer");
+inline const CustomerId Payer("payer");
 inline const RouteId Deposit("cobros/deposit");
 
 /// Three nodes that serve one non-idempotent route, under one virtual clock.
--- a/tests/once/TicketTextTest.cpp
+++ b/tests/once/TicketTextTest.cpp
@@ -15,7 +15,7 @@
   Ticket Sample;
   Sample.Issuer = {HostId("catalogo-1"), StartId(7)};
   Sample.Sequence = 3;
-  Sample.Tenant = TenantId("casa-azul");
+  Sample.Customer = CustomerId("casa-azul");
   Sample.Route = RouteId("cobros/deposit");
   Sample.Expiry = Instant(std::chrono::seconds(60));
   const MacKey Key{1, 2, 3};
--- a/tests/quarantine/CrashFleet.h
+++ b/tests/quarantine/CrashFleet.h
@@ -55,7 +55,7 @@
 
   static unsigned nodeOf(const HostId &Host) { return Host.Text.back() - '0'; }
   static Fingerprint print(std::uint8_t Request) {
-    return fingerprintOf(RouteId("s/r"), TenantId("t"), Digest{{Request}});
+    return fingerprintOf(RouteId("s/r"), CustomerId("t"), Digest{{Request}});
   }
 
   void start(unsigned N) {
--- a/tests/quota/PrefetchTest.cpp
+++ b/tests/quota/PrefetchTest.cpp
@@ -13,7 +13,7 @@
 
 /// Requests of an ingress without tokens whose last two spends are `Gap` apart.
 std::vector<BorrowRequest> afterSpends(Fleet &F, Duration Gap) {
-  TenantLeases &Held = F.Nodes[0].Ingress.Tenants.at(F.Tenant);
+  CustomerLeases &Held = F.Nodes[0].Ingress.Customers.at(F.Customer);
   Held.SpentAt = F.now();
   Held.SpentBefore = F.now() - Gap;
   Held.SpentInTick = 1;
@@ -26,7 +26,7 @@
   Fleet F(FleetOptions{});
   F.run(Instant{} + WarmUp);
   // Guards against a round trip to the holder on each request.
-  SECTION("for a tenant in steady use, with one question at a time") {
+  SECTION("for a customer in steady use, with one question at a time") {
     const auto First = afterSpends(F, milliseconds(20));
     REQUIRE(First.size() == 1);
     REQUIRE(First[0].Needed == MicroTokens{});
@@ -43,13 +43,13 @@
 TEST_CASE("A holder answers a prefetch from the upper half of its shard") {
   Fleet F(FleetOptions{});
   F.run(Instant{} + WarmUp);
-  const ShardHolder Holder = holdersOf(F.Chain[0].Rules, F.Tenant)[0];
+  const ShardHolder Holder = holdersOf(F.Chain[0].Rules, F.Customer)[0];
   FleetNode &N = F.Nodes[F.indexOf(Holder.Host)];
-  Shard &Kept = N.Holder.Shards.at(F.Tenant);
+  Shard &Kept = N.Holder.Shards.at(F.Customer);
   Kept.AccruedAt = F.now();
   const MicroTokens Half{Kept.Share.Burst.Value / 2};
   BorrowRequest Request;
-  Request.Shard = {F.Tenant, Holder.Zone};
+  Request.Shard = {F.Customer, Holder.Zone};
   Request.Borrower = {F.Nodes[0].Id, StartId(1)};
   Request.Wanted = MicroTokens{4 * OneToken.Value};
   auto Lent = [&] {
--- a/tests/quota/QuotaBoundTest.cpp
+++ b/tests/quota/QuotaBoundTest.cpp
@@ -68,7 +68,7 @@
 
 } // namespace
 
-TEST_CASE("No tenant gets more than rate and burst over the fleet") {
+TEST_CASE("No customer gets more than rate and burst over the fleet") {
   SECTION("without a fault there is load, and all of it is within the bound") {
     const Tally F = runWith({}, 7, 4);
     REQUIRE(F.Excess == 0);
--- a/tests/quota/QuotaIdleTest.cpp
+++ b/tests/quota/QuotaIdleTest.cpp
@@ -8,16 +8,16 @@
 TEST_CASE("Quota needs no ticks only while nothing is due", "[quota]") {
   // Guards against a duty that sleeps long while a lease has to be settled, a
   // shard has to be filled, or room that was set aside has to be freed.
-  const TenantId Tenant("casa-azul");
+  const CustomerId Customer("casa-azul");
 
   SECTION("an ingress is idle without leases and questions") {
     const Instant Now{std::chrono::seconds(10)};
     LeaseTable Table;
-    TenantLeases &Held = Table.Tenants[Tenant];
+    CustomerLeases &Held = Table.Customers[Customer];
     CHECK(isIdle(Table, Now));
     SECTION("a question without an answer") { Held.Pending.emplace_back(); }
     SECTION("a lease") { Held.Leases.emplace_back(); }
-    SECTION("a tenant in use, for which tokens are fetched ahead") {
+    SECTION("a customer in use, for which tokens are fetched ahead") {
       Held.SpentAt = Now - std::chrono::milliseconds(20);
     }
     CHECK_FALSE(isIdle(Table, Now));
@@ -26,7 +26,7 @@
   SECTION("a holder is idle while its shards are full and at rest") {
     HolderState Holder;
     CHECK(isIdle(Holder));
-    Shard &Kept = Holder.Shards[Tenant];
+    Shard &Kept = Holder.Shards[Customer];
     Kept.Active = true;
     Kept.Share.Burst = Kept.Balance = MicroTokens{5'000'000};
     CHECK(isIdle(Holder));
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -137,8 +137,8 @@
   model::Settings Rules;
   model::Phase Quiet;
   Quiet.End = at(8000);
-  for (double Share : fleet().TenantShare)
-    Quiet.TenantRate.push_back(Share * 600);
+  for (double Share : fleet().CustomerShare)
+    Quiet.CustomerRate.push_back(Share * 600);
   Rules.Phases = {Quiet};
   model::Simulation Run(fleet(), Rules);
   Run.schedule(at(2000), [&] { Run.hosts()[0].Draining = true; });
--- a/tests/support/Faults.h
+++ b/tests/support/Faults.h
@@ -57,9 +57,9 @@
     if (I + 5 >= Hosts)
       Out.Rules.Witnesses.push_back(Host.Id);
   }
-  Out.Tenants.push_back({TenantId("lantern"),
-                         MicroTokens{Rate * OneToken.Value},
-                         MicroTokens{Burst * OneToken.Value}, 1});
+  Out.Customers.push_back({CustomerId("lantern"),
+                           MicroTokens{Rate * OneToken.Value},
+                           MicroTokens{Burst * OneToken.Value}, 1});
   return Out;
 }
 
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -24,7 +24,7 @@
                      {Revision(1), {}},
                      {{Revision(1), {}}, {}},
                      Now});
-    Tenant = Chain[0].Rules.Tenants[0].Id;
+    Customer = Chain[0].Rules.Customers[0].Id;
     for (const HostSpec &Host : Chain[0].Rules.Hosts)
       Nodes.push_back({Host.Id, Host.Zone, true, {}, 0, 0, {}, {}, {}});
     for (std::uint32_t I = 0; I < Options.Hosts; ++I)
@@ -66,7 +66,7 @@
       Calls.push_back({Now, Index, Answer::None});
       at(Now, static_cast<int>(Index), [this, Index, Call] {
         BorrowSearch Search;
-        Search.Tenant = Tenant;
+        Search.Customer = Customer;
         attempt(Index, Call, Search);
       });
     });
@@ -150,7 +150,7 @@
   FleetOptions Options;
   std::vector<Node> Nodes;
   std::vector<Published> Chain; ///< Bundles, in order of publication.
-  TenantId Tenant;
+  CustomerId Customer;
   std::vector<Arrival> Calls; ///< In order of arrival.
   std::function<void()> OnRefusal;
   std::uint64_t Admissions = 0, Refusals = 0, LeaseRefusals = 0, Unserved = 0;
@@ -329,7 +329,7 @@
       return;
     }
     Node &N = Nodes[I];
-    const SpendResult Result = spend(N.Ingress, Tenant, lease(N), Now);
+    const SpendResult Result = spend(N.Ingress, Customer, lease(N), Now);
     if (Result.Status == SpendStatus::Spent) {
       admit(Call);
       return;
--- a/tests/tools/LoadgenTest.cpp
+++ b/tests/tools/LoadgenTest.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 Plan planOf(double Rate, double Seconds) {
-  TenantLoad Load;
-  Load.Tenant = "casa-azul";
+  CustomerLoad Load;
+  Load.Customer = "casa-azul";
   Load.Rate = Rate;
   Load.LimitRate = 50;
   Load.LimitBurst = 10;
@@ -48,16 +48,16 @@
     CHECK(std::ranges::equal(All, Again, {}, &Arrival::At, &Arrival::At));
     CHECK(std::ranges::equal(All, Again, {}, &Arrival::Spec, &Arrival::Spec));
   }
-  SECTION("a tenant far over its rate has no requests within it") {
+  SECTION("a customer far over its rate has no requests within it") {
     // Guards against legal refusals that are reported as wrongful.
     CHECK(std::ranges::count(All, true, &Arrival::WithinLimit) <= 12);
   }
-  SECTION("a tenant below its rate has nearly all requests within it") {
+  SECTION("a customer below its rate has nearly all requests within it") {
     const std::vector<Arrival> Calm = allOf(planOf(25, 20), 7);
     const auto Over = std::ranges::count(Calm, false, &Arrival::WithinLimit);
     CHECK(Over <= static_cast<std::ptrdiff_t>(Calm.size() / 50));
   }
-  SECTION("a tenant is within its rate again soon after a surge") {
+  SECTION("a customer is within its rate again soon after a surge") {
     Plan Surge = planOf(500, 2);
     Surge.push_back(planOf(25, 5).front());
     const std::vector<Arrival> Mixed = allOf(Surge, 7);
--- a/tools/loadgen/Arrivals.cpp
+++ b/tools/loadgen/Arrivals.cpp
@@ -43,11 +43,11 @@
 void Arrivals::startPhase() {
   if (PhaseIndex >= Source.size())
     return;
-  for (const TenantLoad &Load : Source[PhaseIndex].Tenants)
+  for (const CustomerLoad &Load : Source[PhaseIndex].Customers)
     schedule(Load, PhaseStart);
 }
 
-void Arrivals::schedule(const TenantLoad &Load, microseconds After) {
+void Arrivals::schedule(const CustomerLoad &Load, microseconds After) {
   if (Load.Rate <= 0)
     return;
   std::exponential_distribution<double> Gap(Load.Rate / MicrosPerSecond);
@@ -57,17 +57,17 @@
     Queue.push({At, &Load});
 }
 
-bool Arrivals::conforms(const TenantLoad &Load, microseconds At) {
+bool Arrivals::conforms(const CustomerLoad &Load, microseconds At) {
   if (Load.LimitRate <= 0)
     return false;
   const auto [Entry, New] =
-      Buckets.try_emplace(Load.Tenant, Bucket{Load.LimitBurst, At});
+      Buckets.try_emplace(Load.Customer, Bucket{Load.LimitBurst, At});
   Bucket &Own = Entry->second;
   const double Elapsed = static_cast<double>((At - Own.Filled).count());
   Own.Tokens = std::min(
       Load.LimitBurst, Own.Tokens + Elapsed / MicrosPerSecond * Load.LimitRate);
   Own.Filled = At;
-  // Every arrival is charged: while a tenant is over its rate, which of its
+  // Every arrival is charged: while a customer is over its rate, which of its
   // requests are refused is up to the node, so none of them counts as within.
   // The debt is limited, so that this ends soon after a surge.
   const bool Within = Own.Tokens >= 1;
--- a/tools/loadgen/Arrivals.h
+++ b/tools/loadgen/Arrivals.h
@@ -16,10 +16,10 @@
 struct Arrival {
   std::chrono::microseconds At{0}; ///< Since the start of the run.
   const Phase *Part = nullptr;
-  const TenantLoad *Load = nullptr;
+  const CustomerLoad *Load = nullptr;
   const RequestSpec *Spec = nullptr;
   std::uint64_t Number = 0;
-  bool WithinLimit = false; ///< The tenant is within its rate and burst.
+  bool WithinLimit = false; ///< The customer is within its rate and burst.
 };
 
 /// Poisson arrivals of a plan in the order of time. Not thread-safe.
@@ -37,13 +37,13 @@
   };
   struct Pending {
     std::chrono::microseconds At{0};
-    const TenantLoad *Load = nullptr;
+    const CustomerLoad *Load = nullptr;
     bool operator>(const Pending &Other) const { return At > Other.At; }
   };
 
   void startPhase();
-  void schedule(const TenantLoad &Load, std::chrono::microseconds After);
-  bool conforms(const TenantLoad &Load, std::chrono::microseconds At);
+  void schedule(const CustomerLoad &Load, std::chrono::microseconds After);
+  bool conforms(const CustomerLoad &Load, std::chrono::microseconds At);
 
   const Plan &Source;
   std::mt19937_64 Random;
--- a/tools/loadgen/Compare.cpp
+++ b/tools/loadgen/Compare.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 JsonObject::Ptr compareLatency(const CompareSettings &Settings,
-                               const TenantLoad &Load) {
+                               const CustomerLoad &Load) {
   const RequestSpec &Spec = Load.Mix.front();
   if (Spec.NonIdempotent)
     throw Poco::InvalidArgumentException(
--- a/tools/loadgen/Compare.h
+++ b/tools/loadgen/Compare.h
@@ -19,7 +19,7 @@
 /// returns the latencies and their difference. The request is the first of the
 /// plan. Throws Poco::Exception when one is not answered.
 JsonObject::Ptr compareLatency(const CompareSettings &Settings,
-                               const TenantLoad &Load);
+                               const CustomerLoad &Load);
 
 } // namespace pollenwick::tools
 
--- a/tools/loadgen/Plan.cpp
+++ b/tools/loadgen/Plan.cpp
@@ -30,9 +30,9 @@
   return Spec;
 }
 
-TenantLoad readTenant(const JsonObject::Ptr &Row) {
-  TenantLoad Load;
-  Load.Tenant = Row->getValue<std::string>("tenant");
+CustomerLoad readCustomer(const JsonObject::Ptr &Row) {
+  CustomerLoad Load;
+  Load.Customer = Row->getValue<std::string>("tenant");
   Load.Key = Row->optValue<std::string>("key", "");
   Load.Rate = Row->getValue<double>("rate");
   if (const JsonObject::Ptr Limit = Row->getObject("limit")) {
@@ -61,9 +61,9 @@
     Next.Name = Row->optValue<std::string>("name", std::to_string(At));
     Next.Length = std::chrono::microseconds(static_cast<std::int64_t>(
         Row->getValue<double>("seconds") * MicrosPerSecond));
-    const JsonArray::Ptr Tenants = needArray(Row, "tenants");
-    for (std::size_t T = 0; T < Tenants->size(); ++T)
-      Next.Tenants.push_back(readTenant(Tenants->getObject(T)));
+    const JsonArray::Ptr Customers = needArray(Row, "tenants");
+    for (std::size_t T = 0; T < Customers->size(); ++T)
+      Next.Customers.push_back(readCustomer(Customers->getObject(T)));
     Result.push_back(std::move(Next));
   }
   return Result;
--- a/tools/loadgen/Plan.h
+++ b/tools/loadgen/Plan.h
@@ -19,12 +19,12 @@
   int DeadlineMs = 0; ///< 0: none is sent.
 };
 
-struct TenantLoad {
-  std::string Tenant;
+struct CustomerLoad {
+  std::string Customer;
   std::string Key;
   double Rate = 0;       ///< Requests per second.
-  double LimitRate = 0;  ///< The tenant's rate; 0: refusals are not rated.
-  double LimitBurst = 0; ///< The tenant's burst.
+  double LimitRate = 0;  ///< The customer's rate; 0: refusals are not rated.
+  double LimitBurst = 0; ///< The customer's burst.
   int Retries = 0;
   std::chrono::microseconds RetryDelay{0};
   std::vector<RequestSpec> Mix;
@@ -33,7 +33,7 @@
 struct Phase {
   std::string Name;
   std::chrono::microseconds Length{0};
-  std::vector<TenantLoad> Tenants;
+  std::vector<CustomerLoad> Customers;
 };
 
 using Plan = std::vector<Phase>;
--- a/tools/loadgen/Report.cpp
+++ b/tools/loadgen/Report.cpp
@@ -39,8 +39,8 @@
 }
 
 void printRow(std::ostream &Out, const std::string &Class,
-              const std::string &Tenant, const Row &From) {
-  Out << std::left << std::setw(14) << Class << std::setw(16) << Tenant
+              const std::string &Customer, const Row &From) {
+  Out << std::left << std::setw(14) << Class << std::setw(16) << Customer
       << std::right << std::setw(9) << From.Offered << std::setw(9)
       << From.Answered << std::setw(8) << From.refused() << std::setw(12)
       << From.RefusedWithinRate << std::setw(8) << From.Failed << std::setw(8)
@@ -96,7 +96,8 @@
   if (At >= Seconds.size() && At < MaxSeconds)
     Seconds.resize(At + 1);
   SecondCounts &Second = Seconds[std::min(At, Seconds.size() - 1)];
-  Row &Own = Rows[{Origin.Part->Name, Origin.Spec->Class, Origin.Load->Tenant}];
+  Row &Own =
+      Rows[{Origin.Part->Name, Origin.Spec->Class, Origin.Load->Customer}];
   ++Own.Offered;
   ++Second.Offered;
   Own.Attempts += static_cast<std::uint64_t>(Done.Attempts);
@@ -123,7 +124,7 @@
   Line->set("id", Id);
   Line->set("at_ms", Origin.At.count() / 1000);
   Line->set("route", Origin.Spec->Route);
-  Line->set("tenant", Origin.Load->Tenant);
+  Line->set("tenant", Origin.Load->Customer);
   Line->set("non_idempotent", Origin.Spec->NonIdempotent);
   Line->set("outcome", End.Outcome);
   Line->set("reason", End.Reason);
--- a/tools/loadgen/Report.h
+++ b/tools/loadgen/Report.h
@@ -30,7 +30,7 @@
 
 class LatencyHistogram;
 
-/// Counts of the requests of one class and tenant in one phase.
+/// Counts of the requests of one class and customer in one phase.
 struct Row {
   Row();
   ~Row();
@@ -73,7 +73,7 @@
   void printTable(std::ostream &Out);
 
 private:
-  /// Phase, class, tenant.
+  /// Phase, class, customer.
   using Key = std::tuple<std::string, std::string, std::string>;
 
   std::mutex Mutex;
--- a/tools/loadgen/main.cpp
+++ b/tools/loadgen/main.cpp
@@ -71,7 +71,7 @@
   Settings.Warmup = CompareWarmup;
   Settings.Gap = std::chrono::microseconds(FLAGS_compare_gap_us);
   const JsonObject::Ptr Results =
-      compareLatency(Settings, Source.front().Tenants.front());
+      compareLatency(Settings, Source.front().Customers.front());
   writeOut(Results);
   for (const char *Name : {"node", "direct", "added"}) {
     const JsonObject::Ptr Row = Results->getObject(Name);
--- a/tools/standin-backend/RunRecords.cpp
+++ b/tools/standin-backend/RunRecords.cpp
@@ -3,19 +3,19 @@
 namespace pollenwick::tools {
 namespace {
 
-constexpr std::size_t MaxTenants = 1000;
+constexpr std::size_t MaxCustomers = 1000;
 constexpr std::size_t MaxLeakedHeaders = 100;
 
 } // namespace
 
 void RunRecords::addRun(const std::string &RequestId, const std::string &Route,
-                        const std::string &Tenant) {
+                        const std::string &Customer) {
   const std::lock_guard Lock(Mutex);
   ++Total;
   ++RunsSinceDrain;
   LastRun = Clock::now();
-  if (Tenants.size() < MaxTenants || Tenants.contains(Tenant))
-    ++Tenants[Tenant];
+  if (Customers.size() < MaxCustomers || Customers.contains(Customer))
+    ++Customers[Customer];
   const auto [Entry, New] = Runs.try_emplace(Route + ' ' + RequestId, 0);
   ++Entry->second;
   if (!New)
@@ -52,10 +52,10 @@
            DrainStart == Clock::time_point{} || RunsSinceDrain == 0
                ? -1.0
                : Milliseconds(LastRun - DrainStart).count());
-  JsonObject::Ptr ByTenant = new JsonObject;
-  for (const auto &[Tenant, Count] : Tenants)
-    ByTenant->set(Tenant, Count);
-  Out->set("tenants", ByTenant);
+  JsonObject::Ptr ByCustomer = new JsonObject;
+  for (const auto &[Customer, Count] : Customers)
+    ByCustomer->set(Customer, Count);
+  Out->set("tenants", ByCustomer);
   JsonArray::Ptr Leaked = new JsonArray;
   for (const std::string &Header : LeakedHeaders)
     Leaked->add(Header);
--- a/tools/standin-backend/RunRecords.h
+++ b/tools/standin-backend/RunRecords.h
@@ -21,7 +21,7 @@
   explicit RunRecords(std::size_t MaxRuns) : MaxRuns(MaxRuns) {}
 
   void addRun(const std::string &RequestId, const std::string &Route,
-              const std::string &Tenant);
+              const std::string &Customer);
   void addLeakedHeader(const std::string &Name, const std::string &Value);
   /// Restarts the count of runs since the server began to drain.
   void markDrain();
@@ -34,7 +34,7 @@
   std::mutex Mutex;
   std::unordered_map<std::string, std::uint32_t> Runs; ///< By "route id".
   std::deque<std::string> Order;
-  std::map<std::string, std::uint64_t> Tenants;
+  std::map<std::string, std::uint64_t> Customers;
   std::set<std::string> LeakedHeaders;
   std::uint64_t Total = 0;
   std::uint64_t Dropped = 0;
