Decide what follows an attempt in a function of its own

Cause: whether a request is placed again, repeated, answered or given up was spread over four methods of Ingress, without a test that needs no process. Two answers were not what is known: a safe request that was repeated after a server's failure and then found no server was refused with 503, "not run"; one that had found no server until its time was up got 504, which promises nothing. A repeat was also taken from the budget for calls whose time was up.

Change: src/core/attempts. A property checks that an unsafe request runs at most once, that "not run" is said only of requests that did not run, and that the route's attempts bound the arrivals.

--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "core/attempts/Attempts.h"
 #include "core/placement/Placement.h"
 #include "pollenwick/Time.h"
 
@@ -28,12 +29,6 @@
   std::string Body;
 };
 
-enum class CallOutcome : std::uint8_t {
-  Complete, ///< The server's whole answer.
-  NotRun,   ///< The call has not run and will not run.
-  Unknown,  ///< The call may have run.
-};
-
 struct CallAnswer {
   CallOutcome Outcome = CallOutcome::Unknown;
   int Status = 0; ///< Of the server; 0 when it gave none.
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -20,8 +20,7 @@
 /// The node beside the server reports a passed deadline; the ingress waits a
 /// little longer for that report before it answers by itself.
 constexpr Duration ExpiryGrace = std::chrono::milliseconds(60);
-/// Placements of one request. Refusals by a node cost no repeat.
-constexpr std::uint32_t LargestPlacements = 6;
+constexpr int GatewayTimeout = 504;
 /// Time between two looks for a usable server.
 constexpr Duration PlaceAgain = std::chrono::milliseconds(40);
 /// Part of the latency target for which a request may wait for a server.
@@ -206,7 +205,7 @@
   }
   if (Item.LastCause.empty())
     Item.LastCause = "no-usable-server";
-  refuse(Id, {Item.MayHaveRun ? 502 : 503, Item.LastCause, spread(RetrySoon)});
+  giveUp(Id);
 }
 
 void Ingress::send(Number Id, KnownServer &Server) {
@@ -214,11 +213,11 @@
   Item.ServerId = Server.Entry.Id.Text;
   Item.LastServer = Item.ServerId;
   Item.LoadAge = Loop.now() - Server.LoadAt;
-  ++Item.Placements;
+  ++Item.Known.Placements;
   ++Server.SentSince;
   CallRequest Call = Item.Request;
   Call.ServerId = Item.ServerId;
-  Call.PlacedAgain = Item.Placements > 1;
+  Call.PlacedAgain = Item.Known.Placements > 1;
   auto Done = [this, Id](CallAnswer &&Answer) {
     onAnswer(Id, std::move(Answer));
   };
@@ -247,46 +246,55 @@
   if (Found == Exchanges.end())
     return;
   Exchange &Item = *Found->second;
-  KnownServer *Server = Hosts.find(Item.ServerId);
-  if (Server && Answer.Load.Limit > 0) {
-    Server->Load = Answer.Load;
-    Server->LoadAt = Loop.now();
-    Server->SentSince = 0;
-  }
-  if (Answer.Arrived)
-    ++Item.Attempts;
   Item.Tried.insert(Item.ServerId);
-  switch (Answer.Outcome) {
-  case CallOutcome::Complete:
-    if (isServerFailure(Answer.Status) && Item.Request.Repeatable &&
-        Answer.Status != 504 && mayRepeat(Item)) {
-      Counters.count("repeats_total", "server-failed");
-      Item.ServerId.clear();
-      Item.LastCause = "server-failed";
-      place(Id);
-      return;
-    }
+  noteServer(Item, Answer);
+  Item.ServerId.clear();
+  const AttemptResult Result{Answer.Outcome, Answer.Arrived,
+                             isServerFailure(Answer.Status) &&
+                                 Answer.Status != GatewayTimeout,
+                             Answer.Cause == "deadline-in-queue"};
+  noteAttempt(Item.Known, Result);
+  if (Answer.Outcome != CallOutcome::Complete)
+    Item.LastCause = Answer.Cause;
+  else if (Result.ServerFailed)
+    Item.LastCause = "server-failed";
+  const AttemptLimits Limits{Item.Request.Repeatable, Item.Route->MaxAttempts,
+                             Item.Expiry};
+  NextStep Step = nextStep(Item.Known, Limits, Result, Loop.now());
+  if (Step == NextStep::Repeat && !spendRepeat(Item))
+    Step = withoutBudget(Result);
+  switch (Step) {
+  case NextStep::Deliver:
     deliver(Id, Answer);
     return;
-  case CallOutcome::NotRun:
-    if (Server && !Answer.Arrived)
-      Server->AvoidUntil = Answer.Cause == "server-unreachable"
-                               ? Loop.now() + AvoidFor
-                               : Server->AvoidUntil;
-    Item.ServerId.clear();
-    onNotRun(Id, Answer);
+  case NextStep::PlaceAgain:
+    Counters.count("replacements_total", Item.LastCause);
+    place(Id);
     return;
-  case CallOutcome::Unknown:
-    Item.ServerId.clear();
-    onUnknown(Id, Answer);
+  case NextStep::Repeat:
+    Counters.count("repeats_total", Item.LastCause);
+    place(Id);
+    return;
+  case NextStep::GiveUp:
+    giveUp(Id);
     return;
   }
 }
 
-bool Ingress::mayRepeat(Exchange &Item) {
-  if (Item.Attempts >= Item.Route->MaxAttempts ||
-      Item.Placements >= LargestPlacements || Loop.now() >= Item.Expiry)
-    return false;
+void Ingress::noteServer(const Exchange &Item, const CallAnswer &Answer) {
+  KnownServer *Server = Hosts.find(Item.ServerId);
+  if (!Server)
+    return;
+  if (Answer.Load.Limit > 0) {
+    Server->Load = Answer.Load;
+    Server->LoadAt = Loop.now();
+    Server->SentSince = 0;
+  }
+  if (!Answer.Arrived && Answer.Cause == "server-unreachable")
+    Server->AvoidUntil = Loop.now() + AvoidFor;
+}
+
+bool Ingress::spendRepeat(Exchange &Item) {
   if (Fleet.takeRepeat(Item.Service, Loop.now()))
     return true;
   Item.BudgetSpent = true;
@@ -294,38 +302,25 @@
   return false;
 }
 
-void Ingress::onNotRun(Number Id, const CallAnswer &Answer) {
-  Exchange &Item = *Exchanges.at(Id);
-  Item.LastCause = Answer.Cause;
-  const bool InTime =
-      Item.Placements < LargestPlacements && Loop.now() < Item.Expiry;
-  // A refusal by the server itself used up one of its arrivals.
-  const bool Again = Answer.Arrived ? mayRepeat(Item) : InTime;
-  if (Again && Answer.Cause != "deadline-in-queue") {
-    Counters.count("replacements_total", Answer.Cause);
-    place(Id);
-    return;
-  }
-  refuse(Id, {Item.MayHaveRun ? 502 : 503, Item.LastCause, spread(RetrySoon)});
-}
-
-void Ingress::onUnknown(Number Id, const CallAnswer &Answer) {
-  Exchange &Item = *Exchanges.at(Id);
-  Item.LastCause = Answer.Cause;
-  Item.MayHaveRun = true;
-  if (Item.Request.Repeatable && mayRepeat(Item)) {
-    Counters.count("repeats_total", Answer.Cause);
-    place(Id);
-    return;
-  }
-  refuse(Id, {502, Item.LastCause, {}});
+void Ingress::giveUp(Number Id) {
+  const Exchange &Item = *Exchanges.at(Id);
+  if (mayPromiseNotRun(Item.Known))
+    refuse(Id, {503, Item.LastCause, spread(RetrySoon)});
+  else
+    refuse(Id, {502, Item.LastCause, {}});
 }
 
 void Ingress::onExpiry(Number Id) {
   Exchange &Item = *Exchanges.at(Id);
   Item.ExpiryTimer = 0;
+  Item.LastCause = "deadline-passed";
+  // A call that is on its way may run until it is withdrawn.
+  if (Item.ServerId.empty() && mayPromiseNotRun(Item.Known)) {
+    giveUp(Id);
+    return;
+  }
   withdraw(Item);
-  refuse(Id, {504, "deadline-passed", {}});
+  refuse(Id, {GatewayTimeout, Item.LastCause, {}});
 }
 
 void Ingress::onCallerLeft(CallerConnection &From) {
@@ -405,8 +400,8 @@
         .field("admitted_share_pct",
                static_cast<std::int64_t>(
                    100 * Fleet.share(*Item.Route, Item.CustomerPriority)))
-        .field("placements", Item.Placements)
-        .field("arrivals", Item.Attempts)
+        .field("placements", Item.Known.Placements)
+        .field("arrivals", Item.Known.Arrivals)
         .field("last_cause", Item.LastCause)
         .field("retry_budget_spent", Item.BudgetSpent ? 1 : 0)
         .field("server", Item.LastServer)
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -15,6 +15,7 @@
 #include "agent/Metrics.h"
 #include "agent/PeerLinks.h"
 #include "agent/Settings.h"
+#include "core/attempts/Attempts.h"
 
 namespace pollenwick::agent {
 
@@ -47,9 +48,7 @@
     TimerId ExpiryTimer = 0;
     TimerId PlaceTimer = 0;
     std::set<std::string> Tried;
-    std::uint32_t Attempts = 0; ///< Servers that may have received it.
-    std::uint32_t Placements = 0;
-    bool MayHaveRun = false;
+    Attempts Known;
     bool BudgetSpent = false; ///< A repeat was denied by the fleet's budget.
     std::string ServerId;     ///< Where it is now.
     bool AtLocal = false;
@@ -76,10 +75,10 @@
   void place(Number Id);
   void send(Number Id, KnownServer &Server);
   void onAnswer(Number Id, CallAnswer &&Answer);
-  void onNotRun(Number Id, const CallAnswer &Answer);
-  void onUnknown(Number Id, const CallAnswer &Answer);
+  void noteServer(const Exchange &Item, const CallAnswer &Answer);
+  bool spendRepeat(Exchange &Item);
+  void giveUp(Number Id);
   void onExpiry(Number Id);
-  bool mayRepeat(Exchange &Item);
   void deliver(Number Id, const CallAnswer &Answer);
   void refuse(Number Id, const Refusal &Why);
   void withdraw(Exchange &Item);
