Keep what a resumed call is known by when its next connection breaks too

Connections were reset twice in a row. The ledger of the second one did not know the call: neither its held answer nor that its id had been seen, so that the third was told "never received".

Ruled out: a false "never connected" of the connection to the server (the server had the request, so the connection was up); calls that a closed connection still delivers (frames are passed over once it is closed).

Change: resumeCalls moves what runs and what is held to the new ledger and counts every named id as seen. Asked again, such a call is answered, or unknown.

The property of resume_test now lets connections break before the fates are heard.

--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -315,26 +315,29 @@
     if (Other.get() != &Link && Other->PeerName == Lost)
       Other->close();
   std::optional<CallLedger> Ledger = Recovery.takeLedger(Lost);
-  for (const std::uint64_t Id : Frame.Calls) {
-    const CallFate Fate = Ledger ? fateOf(*Ledger, Id) : CallFate::Unknown;
-    if (Fate == CallFate::Running) {
-      Link.Ledger.Running.emplace(Id, Ledger->Running.at(Id));
-      Ledger->Running.erase(Id);
-    } else if (Fate == CallFate::Answered) {
-      Link.Connection->send(std::string_view(*heldAnswer(*Ledger, Id)));
-    } else {
-      CallAnswer Answer;
-      Answer.Cause = "peer-connection-lost";
-      Answer.Arrived = Fate != CallFate::NeverReceived;
-      if (Fate == CallFate::NeverReceived)
-        Answer.Outcome = CallOutcome::NotRun;
-      Link.answer(Id, std::move(Answer));
-    }
-  }
-  if (!Ledger)
+  const std::vector<CallFate> Fates = resumeCalls(
+      Ledger ? &*Ledger : nullptr, Link.Ledger, Frame.Calls, Loop.now());
+  for (std::size_t I = 0; I < Fates.size(); ++I)
+    tellFate(Link, Frame.Calls[I], Fates[I]);
+  // The sender no longer waits for the others.
+  if (Ledger)
+    for (const auto &[Id, Call] : Ledger->Running)
+      Events.onPeerCancel(Call.Number);
+}
+
+void PeerLinks::tellFate(PeerLink &Link, std::uint64_t Id, CallFate Fate) {
+  if (Fate == CallFate::Running)
     return;
-  for (const auto &[Id, Call] : Ledger->Running)
-    Events.onPeerCancel(Call.Number);
+  if (Fate == CallFate::Answered) {
+    Link.Connection->send(std::string_view(*heldAnswer(Link.Ledger, Id)));
+    return;
+  }
+  CallAnswer Answer;
+  Answer.Cause = "peer-connection-lost";
+  Answer.Arrived = Fate != CallFate::NeverReceived;
+  if (Fate == CallFate::NeverReceived)
+    Answer.Outcome = CallOutcome::NotRun;
+  Link.answer(Id, std::move(Answer));
 }
 
 void PeerLinks::answerCall(const LinkName &From, std::uint64_t Id,
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -121,6 +121,7 @@
   void onLinkLost(PeerLink &Link);
   void resumeOn(PeerLink &Link);
   void takeUp(PeerLink &Link, const ResumeFrame &Frame);
+  void tellFate(PeerLink &Link, std::uint64_t Id, CallFate Fate);
   void answerCall(const LinkName &From, std::uint64_t Id, CallAnswer &&Answer);
   void fail(std::vector<SentCall> &&Calls);
   void failOrphans(const std::string &Ip);
--- a/src/core/resume/CallLedger.cpp
+++ b/src/core/resume/CallLedger.cpp
@@ -41,6 +41,26 @@
   }
 }
 
+std::vector<CallFate> resumeCalls(CallLedger *Lost, CallLedger &Next,
+                                  const std::vector<std::uint64_t> &Ids,
+                                  Instant Now) {
+  std::vector<CallFate> Fates;
+  for (const std::uint64_t Id : Ids) {
+    const CallFate Fate = Lost ? fateOf(*Lost, Id) : CallFate::Unknown;
+    Fates.push_back(Fate);
+    if (Fate == CallFate::Running) {
+      Next.Running.emplace(Id, Lost->Running.at(Id));
+      Lost->Running.erase(Id);
+    } else if (Fate == CallFate::Answered) {
+      keepAnswer(Next, Id, *heldAnswer(*Lost, Id), Now);
+    }
+    // The sender may not hear this fate: when it asks again, the call must not
+    // count as one that never came.
+    Next.HighestId = std::max(Next.HighestId, Id);
+  }
+  return Fates;
+}
+
 CallFate fateOf(const CallLedger &Ledger, std::uint64_t Id) {
   if (Ledger.Running.contains(Id))
     return CallFate::Running;
--- a/src/core/resume/CallLedger.h
+++ b/src/core/resume/CallLedger.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "pollenwick/Time.h"
 
@@ -55,6 +56,15 @@
 /// Forgets answers that were sent long ago.
 void forgetAnswers(CallLedger &Ledger, Instant Now);
 
+/// Calls that the sender names after a connection was lost. `Next` is the
+/// ledger of the connection on which it asks; what runs and what is held moves
+/// there, so that the sender can ask again if that connection is lost too.
+/// `Lost` is null when the lost connection is not known. Returns a fate for
+/// each id.
+std::vector<CallFate> resumeCalls(CallLedger *Lost, CallLedger &Next,
+                                  const std::vector<std::uint64_t> &Ids,
+                                  Instant Now);
+
 CallFate fateOf(const CallLedger &Ledger, std::uint64_t Id);
 
 /// The held answer to a call; null if there is none.
--- a/tests/resume/CallLedgerTest.cpp
+++ b/tests/resume/CallLedgerTest.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "../Choices.h"
@@ -38,41 +38,38 @@
     Waiting.erase(AnswersOnWay.front());
     AnswersOnWay.erase(AnswersOnWay.begin());
   }
-  /// The connection breaks and the sender asks on the next one.
-  void breakAndResume(Instant Now) {
+  /// The connection breaks and the sender asks on the next one. `Heard` is how
+  /// many of the fates it hears before that one breaks too.
+  void breakAndResume(std::size_t Heard, Instant Now) {
     OnWay.clear();
     AnswersOnWay.clear();
+    const std::map<std::uint64_t, std::uint64_t> Asked = Waiting;
+    std::vector<std::uint64_t> Ids;
+    for (const auto &[Id, Call] : Asked)
+      Ids.push_back(Id);
     CallLedger Next;
-    std::vector<std::uint64_t> Again;
-    for (const auto &[Id, Call] : std::map(Waiting)) {
-      switch (fateOf(Ledger, Id)) {
-      case CallFate::Running:
-        Next.Running.emplace(Id, Ledger.Running.at(Id));
-        break;
-      case CallFate::Answered:
-        RC_ASSERT(*heldAnswer(Ledger, Id) == std::to_string(Call));
-        Waiting.erase(Id);
-        break;
-      case CallFate::NeverReceived:
-        RC_ASSERT(Runs[Call] == 0);
-        Waiting.erase(Id);
-        Again.push_back(Call);
-        break;
-      case CallFate::Unknown:
-        Waiting.erase(Id);
-        break;
-      }
-    }
+    const std::vector<CallFate> Fates = resumeCalls(&Ledger, Next, Ids, Now);
     Ledger = std::move(Next);
-    forgetAnswers(Ledger, Now);
-    for (const std::uint64_t Call : Again)
-      send(Call);
+    for (std::size_t I = 0; I < std::min(Heard, Ids.size()); ++I)
+      hear(Ids[I], Asked.at(Ids[I]), Fates[I]);
   }
 
   std::map<std::uint64_t, int> Runs;
   std::map<std::uint64_t, std::uint64_t> Waiting; ///< Call, by id.
 
 private:
+  void hear(std::uint64_t Id, std::uint64_t Call, CallFate Fate) {
+    if (Fate == CallFate::Running)
+      return;
+    Waiting.erase(Id);
+    if (Fate == CallFate::Answered)
+      RC_ASSERT(*heldAnswer(Ledger, Id) == std::to_string(Call));
+    if (Fate != CallFate::NeverReceived)
+      return;
+    RC_ASSERT(Runs[Call] == 0);
+    send(Call);
+  }
+
   struct Sent {
     std::uint64_t Id;
     std::uint64_t Call;
@@ -116,7 +113,7 @@
         break;
       default:
         if (Draw.chance(30))
-          Link.breakAndResume(Now);
+          Link.breakAndResume(Draw.pick(4), Now);
       }
     }
     for (const auto &[Call, Runs] : Link.Runs)
