--- a/src/agent/LinkRecovery.h
+++ b/src/agent/LinkRecovery.h
@@ -1,11 +1,11 @@
 #ifndef POLLENWICK_AGENT_LINKRECOVERY_H
 #define POLLENWICK_AGENT_LINKRECOVERY_H
 
-#include <compare>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -26,7 +26,11 @@
   std::string Ip;
   std::uint64_t Start = 0;  ///< Of the peer's process.
   std::uint64_t Number = 0; ///< Unique within that process.
-  auto operator<=>(const LinkName &) const = default;
+  friend bool operator==(const LinkName &, const LinkName &) = default;
+  friend bool operator<(const LinkName &A, const LinkName &B) {
+    return std::tie(A.Ip, A.Start, A.Number) <
+           std::tie(B.Ip, B.Start, B.Number);
+  }
 };
 
 /// What lost connections leave behind at both ends, until it is taken up on a
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -78,8 +78,9 @@
   const absl::Status Result =
       Reader.feed(Bytes, Loop.now(), [this](PeerFrame &&Frame) {
         if (!Closed)
-          std::visit([this](auto &&Kind) { take(std::move(Kind)); },
-                     std::move(Frame));
+          std::visit(
+              [this](auto &&Kind) { take(std::forward<decltype(Kind)>(Kind)); },
+              std::move(Frame));
       });
   if (Result.ok())
     return;
--- a/tests/platform/StoreReaderTest.cpp
+++ b/tests/platform/StoreReaderTest.cpp
@@ -79,5 +79,5 @@
   Reader->start([](agent::SourceNews &&) {});
   CHECK(becomesProbed(Store.watchPort()));
   // A reader's threads end with the process: one waits for the store.
-  Reader.release();
+  [[maybe_unused]] const StoreReader *Waiting = Reader.release();
 }
--- a/tests/resume/CallLedgerTest.cpp
+++ b/tests/resume/CallLedgerTest.cpp
@@ -45,6 +45,7 @@
     AnswersOnWay.clear();
     const std::map<std::uint64_t, std::uint64_t> Asked = Waiting;
     std::vector<std::uint64_t> Ids;
+    Ids.reserve(Asked.size());
     for (const auto &[Id, Call] : Asked)
       Ids.push_back(Id);
     CallLedger Next;
@@ -149,7 +150,7 @@
     // Guards against uploads and photos that fill the node's memory.
     for (std::uint64_t Id = 10; Id < 30; ++Id)
       keepAnswer(Ledger, Id, std::string(1'000'000, 'x'), Now);
-    CHECK(Ledger.AnswerBytes <= 4 * 1024 * 1024);
+    CHECK(Ledger.AnswerBytes <= std::size_t{4} * 1024 * 1024);
     CHECK(fateOf(Ledger, 29) == CallFate::Answered);
   }
 }
