Log lost and regained peers; give PeerLink a file of its own

Change: PeerLinks reports through PeerEvents when a peer becomes usable or is no longer usable at a tick, and what a peer was told of the calls of its lost connection; the agent writes peer-lost, peer-regained and calls-resumed, and counts calls_resumed_total by fate. PeerLink moved to PeerLink.h and PeerLink.cpp unchanged. Ruled out: noting presence at ticks only; a peer that is lost within the first tick after its greeting had no line (process_agent failed on it). Tests: agent_test 'A peer that is lost and regained', process_agent test_lost_peer_is_logged (no line before).

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -34,6 +34,24 @@
   return Kind == RecordKind::Rules ? "rules" : "servers";
 }
 
+std::string_view fateName(CallFate Fate) {
+  switch (Fate) {
+  case CallFate::NeverReceived:
+    return "not-received";
+  case CallFate::Running:
+    return "running";
+  case CallFate::Answered:
+    return "answered";
+  case CallFate::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::int64_t inMilliseconds(Duration Time) {
+  return std::chrono::floor<std::chrono::milliseconds>(Time).count();
+}
+
 std::int64_t fileStamp(const std::string &Path) {
   struct stat Info {};
   if (Path.empty() || ::stat(Path.c_str(), &Info) != 0)
@@ -210,6 +228,26 @@
   }
 }
 
+void Agent::onPeerPresence(const PeerPresence &Change) {
+  Log.state(std::move(
+      LogLine(Change.Usable ? "peer-regained" : "peer-lost", Loop.now())
+          .field("peer", Change.Ip)
+          .field(Change.Usable ? "lost_ms" : "usable_ms",
+                 inMilliseconds(Change.Before))
+          .field("peers_connected",
+                 static_cast<std::int64_t>(Peers.connectedCount()))));
+}
+
+void Agent::onCallsResumed(const ResumedCalls &Calls) {
+  LogLine Line("calls-resumed", Loop.now());
+  Line.field("peer", Calls.Ip);
+  for (const auto &[Fate, Count] : Calls.Told) {
+    Counters.count("calls_resumed_total", fateName(Fate), Count);
+    Line.field(fateName(Fate), static_cast<std::int64_t>(Count));
+  }
+  Log.state(std::move(Line));
+}
+
 void Agent::onPeerStatus(const std::string &Ip, StatusFrame &&Status) {
   Fleet.takeStatus(Ip, Status, Loop.now());
   if (KnownServer *Server = Hosts.find(Status.ServerId);
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -39,6 +39,8 @@
   void onPeerPull(PeerLink &Link, const PullFrame &Pull) override;
   void onPeerRecords(RecordsFrame &&Records) override;
   void onPeerConnected(PeerLink &Link) override;
+  void onPeerPresence(const PeerPresence &Change) override;
+  void onCallsResumed(const ResumedCalls &Calls) override;
 
 private:
   class StatusPort;
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -9,75 +9,34 @@
 
 #include <Poco/Net/ServerSocket.h>
 
-#include "agent/Call.h"
 #include "agent/EventLoop.h"
 #include "agent/LinkRecovery.h"
 #include "agent/Log.h"
+#include "agent/PeerLink.h"
 #include "agent/PeerWire.h"
-#include "agent/Stream.h"
 
 namespace pollenwick::agent {
 
-class PeerLinks;
-
-/// One connection to another node. Both ends may send calls.
-class PeerLink : public StreamOwner,
-                 public std::enable_shared_from_this<PeerLink> {
-public:
-  PeerLink(EventLoop &Loop, PeerLinks &Links, std::string Ip,
-           std::uint64_t Number);
-
-  bool dial(const std::string &Address);
-  void accept(const Poco::Net::StreamSocket &Socket);
-  void close();
-  void send(const PeerFrame &Frame);
-  /// Returns the id of the call, for `PeerLinks::cancel`.
-  std::uint64_t call(CallRequest &&Request, AnswerHandler Done);
-  /// Gives up the repeatable calls of a peer that has gone silent.
-  void releaseRepeatable();
-
-  const std::string &ip() const { return Ip; }
-  bool connected() const { return Connected; }
-  Instant lastHeard() const { return Heard; }
-  std::size_t pending() const { return Sent.size(); }
-
-  void onConnected() override;
-  void onData(std::string_view Bytes) override;
-  void onEnd(StreamEnd End) override;
-
-private:
-  friend class PeerLinks;
-
-  void take(HelloFrame &&Frame);
-  void take(CallFrame &&Frame);
-  void take(AnswerFrame &&Frame);
-  void take(CancelFrame &&Frame);
-  void take(StatusFrame &&Frame);
-  void take(PullFrame &&Frame);
-  void take(RecordsFrame &&Frame);
-  void take(ResumeFrame &&Frame);
-  void answer(std::uint64_t Id, CallAnswer &&Answer);
-  bool cancel(std::uint64_t Id);
+/// A peer became usable, or was no longer usable at a tick.
+struct PeerPresence {
+  std::string Ip;
+  bool Usable = false;
+  Duration Before{}; ///< How long the other state lasted.
+};
 
-  EventLoop &Loop;
-  PeerLinks &Links;
+/// Calls of a peer's lost connection, by what the peer was told of them.
+struct ResumedCalls {
   std::string Ip;
-  std::uint64_t Number; ///< Unique within this process.
-  LinkName PeerName;    ///< How the peer names the connection; see Hello.
-  std::shared_ptr<Stream> Connection;
-  FrameReader Reader;
-  bool Connected = false;
-  bool WasConnected = false;
-  bool Closed = false;
-  Instant Heard;
-  SentCalls Sent;
-  CallLedger Ledger; ///< Calls of the peer.
+  std::map<CallFate, std::size_t> Told;
 };
 
-/// What happens to frames of peers.
+/// What happens to frames of peers, and to connections.
 class PeerEvents {
 public:
   virtual ~PeerEvents() = default;
+  virtual void onPeerPresence(const PeerPresence &Change) = 0;
+  /// This node told the peer what became of its calls.
+  virtual void onCallsResumed(const ResumedCalls &Calls) = 0;
   /// A call for the server beside this node. Returns a number for `cancel`.
   virtual std::uint64_t onPeerCall(CallRequest &&Request,
                                    AnswerHandler Done) = 0;
@@ -128,6 +87,7 @@
   void cancelRunning(const std::vector<std::uint64_t> &Numbers);
   void giveUpDead();
   void dialMissing();
+  void notePresence(const std::string &Ip);
 
   EventLoop &Loop;
   LogWriter &Log;
@@ -141,6 +101,11 @@
   Poco::Net::ServerSocket Listener;
   std::set<std::string> Wanted;
   std::map<std::string, Instant> MissingSince;
+  struct Presence {
+    bool Usable = false;
+    Instant Since;
+  };
+  std::map<std::string, Presence> Present; ///< Peers that were usable once.
   std::map<std::string, std::vector<std::shared_ptr<PeerLink>>> ByIp;
 };
 
--- a/tests/agent/PeerLinksTest.cpp
+++ b/tests/agent/PeerLinksTest.cpp
@@ -24,6 +24,8 @@
   std::map<std::uint64_t, AnswerHandler> Running;
   std::vector<std::uint64_t> Cancelled;
   std::uint64_t Received = 0;
+  std::vector<bool> Presences; ///< Of the peer, as they were reported.
+  std::map<CallFate, std::size_t> Told;
   PeerLinks Links;
 
   Node(EventLoop &Loop, const std::string &Address, std::uint64_t Start)
@@ -41,6 +43,13 @@
   void onPeerPull(PeerLink &, const PullFrame &) override {}
   void onPeerRecords(RecordsFrame &&) override {}
   void onPeerConnected(PeerLink &) override {}
+  void onPeerPresence(const PeerPresence &Change) override {
+    Presences.push_back(Change.Usable);
+  }
+  void onCallsResumed(const ResumedCalls &Calls) override {
+    for (const auto &[Fate, Count] : Calls.Told)
+      Told[Fate] += Count;
+  }
 
   void answer(std::uint64_t Number, const std::string &Body) {
     CallAnswer Answer;
@@ -104,6 +113,9 @@
     CHECK(Nodes.Got->Body == "whole");
     CHECK(Nodes.Callee->Received == 1);
     CHECK(Nodes.Callee->Cancelled.empty());
+    // Guards against lost connections that no log line explains.
+    CHECK(Nodes.Callee->Told ==
+          std::map<CallFate, std::size_t>{{CallFate::Running, 1}});
   }
   SECTION("when its answer is lost on the way") {
     Nodes.call();
@@ -157,3 +169,23 @@
     CHECK(Nodes.Got->Outcome == CallOutcome::Unknown);
   }
 }
+
+TEST_CASE("A peer that is lost and regained is reported once each", "[agent]") {
+  // Guards against lost dependencies of which the log says nothing.
+  Pair Nodes;
+  Nodes.Caller->Links.tick();
+  CHECK(Nodes.Caller->Presences.empty());
+  Nodes.Callee->Links.shutDown();
+  Nodes.loseAtCallee();
+  Nodes.runFor(50);
+  Nodes.Caller->Links.tick();
+  Nodes.Caller->Links.tick();
+  CHECK(Nodes.Caller->Presences == std::vector<bool>{false});
+  Nodes.Callee.reset();
+  Nodes.Callee.emplace(Nodes.Loop, Pair::SecondIp + Nodes.Port, 33);
+  Nodes.runFor(50);
+  Nodes.Caller->Links.tick();
+  Nodes.runFor(50);
+  Nodes.Caller->Links.tick();
+  CHECK(Nodes.Caller->Presences == std::vector<bool>{false, true});
+}
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -192,6 +192,16 @@
         thread.join()
         self.assertIn(results[0], (502, 504))
 
+    def test_lost_peer_is_logged(self):
+        """Guards against a lost dependency of which the log says nothing."""
+        self.agents[1].kill()
+        time.sleep(1.0)
+        self.agents[0].send_signal(signal.SIGTERM)
+        self.assertEqual(self.agents[0].wait(timeout=5), 0)
+        lines = [json.loads(line) for line in self.agents[0].stdout]
+        lost = [line for line in lines if line["event"] == "peer-lost"]
+        self.assertEqual([line["peer"] for line in lost], [HOSTS[1]])
+
     def test_garbage_on_every_port(self):
         rng = random.Random(SEED)
         for _ in range(GARBAGE_ROUNDS):
