--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -50,8 +50,6 @@
   Queue.Limit = concurrencyLimit(Entry->Slots);
 }
 
-void Backend::noteNestedFailure() { countNestedFailure(Failures, Loop.now()); }
-
 ServerLoad Backend::load() const {
   ServerLoad Load;
   Load.Running = Queue.Running;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -50,9 +50,6 @@
   /// What the server says of itself; null when it is not registered.
   void setServer(const ServerEntry *Entry, std::uint32_t MaxConnections);
 
-  /// A call that the server made has failed for good.
-  void noteNestedFailure();
-
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
   std::size_t pending() const { return Calls.size(); }
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -347,7 +347,6 @@
   Counters.answered(Item.Route->Name, Loop.now() - Item.Began);
   double &Bytes = AnswerBytes[Item.Route->Name];
   Bytes += (static_cast<double>(Message.size()) - Bytes) * AnswerBytesWeight;
-  noteNested(Item, Answer.Status);
   if (isServerFailure(Answer.Status))
     logOutcome(Item, Answer.Status, "server-answer");
   const std::shared_ptr<CallerConnection> From = Item.From;
@@ -358,7 +357,6 @@
 void Ingress::refuse(Number Id, const Refusal &Why) {
   const Exchange &Item = *Exchanges.at(Id);
   Counters.count("answers_total", concat(Why.Status, "-", Why.Reason));
-  noteNested(Item, Why.Status);
   logOutcome(Item, Why.Status, Why.Reason);
   std::string Extra;
   if (Why.RetryAfter.count() > 0)
@@ -373,11 +371,6 @@
   From->respond(std::move(Message), Keep);
 }
 
-void Ingress::noteNested(const Exchange &Item, int Status) {
-  if (Item.Request.Nested && isServerFailure(Status))
-    Local.noteNestedFailure();
-}
-
 void Ingress::finish(Number Id) {
   const auto Found = Exchanges.find(Id);
   if (Found == Exchanges.end())
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -82,8 +82,6 @@
   void deliver(Number Id, const CallAnswer &Answer);
   void refuse(Number Id, const Refusal &Why);
   void withdraw(Exchange &Item);
-  /// Tells a failed call of the local server from a failure of its own.
-  void noteNested(const Exchange &Item, int Status);
   void finish(Number Id);
   void logOutcome(const Exchange &Item, int Status, std::string_view Reason);
   std::vector<KnownServer *> usableServers(const Exchange &Item);
--- a/src/core/placement/FailureShare.cpp
+++ b/src/core/placement/FailureShare.cpp
@@ -1,6 +1,5 @@
 #include "core/placement/FailureShare.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace pollenwick {
@@ -16,31 +15,18 @@
                   static_cast<double>(Memory.count()));
 }
 
-void fade(FailureShare &Share, Instant Now) {
-  const double Kept = fading(Share, Now);
-  Share.Failed *= Kept;
-  Share.NestedFailed *= Kept;
-  Share.Ended *= Kept;
-  Share.FadedAt = Now;
-}
-
 } // namespace
 
 void countEnd(FailureShare &Share, bool Failed, Instant Now) {
-  fade(Share, Now);
-  Share.Failed += Failed ? 1 : 0;
-  Share.Ended += 1;
-}
-
-void countNestedFailure(FailureShare &Share, Instant Now) {
-  fade(Share, Now);
-  Share.NestedFailed += 1;
+  const double Kept = fading(Share, Now);
+  Share.Failed = Share.Failed * Kept + (Failed ? 1 : 0);
+  Share.Ended = Share.Ended * Kept + 1;
+  Share.FadedAt = Now;
 }
 
 double failureShare(const FailureShare &Share, Instant Now) {
   const double Kept = fading(Share, Now);
-  const double Own = std::max(0.0, Share.Failed - Share.NestedFailed);
-  return Own * Kept / (Share.Ended * Kept + AssumedEnds);
+  return Share.Failed * Kept / (Share.Ended * Kept + AssumedEnds);
 }
 
 } // namespace pollenwick
--- a/src/core/placement/FailureShare.h
+++ b/src/core/placement/FailureShare.h
@@ -9,7 +9,6 @@
 /// server which gets fewer calls is tried again.
 struct FailureShare {
   double Failed = 0;
-  double NestedFailed = 0; ///< Calls that the server made and that failed.
   double Ended = 0;
   Instant FadedAt;
 };
@@ -17,10 +16,6 @@
 /// Counts a call that has ended; one that its caller gave up is not counted.
 void countEnd(FailureShare &Share, bool Failed, Instant Now);
 
-/// Counts a failed call that the server made. It explains one failure of the
-/// server's own, so that the blame goes to the deeper server alone.
-void countNestedFailure(FailureShare &Share, Instant Now);
-
 /// 0 to 1. Few calls say little: a single failure is no large share.
 double failureShare(const FailureShare &Share, Instant Now);
 
