Let failures fade in a time without calls

Cause: both counts behind a server's share of failures fade alike, so their quotient stays until hundreds of counted calls have faded. Change: beyond five times the mean gap of its rate, a server has no calls, and failures fade once more over that time.

--- a/src/core/placement/FailureShare.cpp
+++ b/src/core/placement/FailureShare.cpp
@@ -1,5 +1,6 @@
 #include "core/placement/FailureShare.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace pollenwick {
@@ -10,23 +11,44 @@
 /// Successful calls that are assumed besides.
 constexpr double AssumedEnds = 4;
 
-double fading(const FailureShare &Share, Instant Now) {
-  return std::exp(-static_cast<double>((Now - Share.FadedAt).count()) /
+/// A gap between two calls that is so many times the mean one is a time without
+/// calls.
+constexpr double UsualGaps = 5;
+
+double fadingOver(Duration Time) {
+  return std::exp(-static_cast<double>(Time.count()) /
                   static_cast<double>(Memory.count()));
 }
 
+/// How long the server has had no calls, beyond the gaps that its rate of late
+/// explains.
+Duration idleTime(const FailureShare &Share, Instant Now) {
+  const auto MeanGap = Memory / std::max(Share.Ended, 1.0);
+  return std::max(Duration{},
+                  std::chrono::duration_cast<Duration>((Now - Share.CountedAt) -
+                                                       UsualGaps * MeanGap));
+}
+
+/// Both counts fade alike with time. In a time without calls failures fade
+/// besides: with many calls a second both counts stay large for long, and their
+/// quotient would stay with them.
+FailureShare faded(const FailureShare &Share, Instant Now) {
+  const double Kept = fadingOver(Now - Share.CountedAt);
+  const double Trusted = fadingOver(idleTime(Share, Now));
+  return {Share.Failed * Kept * Trusted, Share.Ended * Kept, Now};
+}
+
 } // namespace
 
 void countEnd(FailureShare &Share, bool Failed, Instant Now) {
-  const double Kept = fading(Share, Now);
-  Share.Failed = Share.Failed * Kept + (Failed ? 1 : 0);
-  Share.Ended = Share.Ended * Kept + 1;
-  Share.FadedAt = Now;
+  Share = faded(Share, Now);
+  Share.Failed += Failed ? 1 : 0;
+  Share.Ended += 1;
 }
 
 double failureShare(const FailureShare &Share, Instant Now) {
-  const double Kept = fading(Share, Now);
-  return Share.Failed * Kept / (Share.Ended * Kept + AssumedEnds);
+  const FailureShare Seen = faded(Share, Now);
+  return Seen.Failed / (Seen.Ended + AssumedEnds);
 }
 
 } // namespace pollenwick
--- a/src/core/placement/FailureShare.h
+++ b/src/core/placement/FailureShare.h
@@ -5,12 +5,13 @@
 
 namespace pollenwick {
 
-/// How often the calls of one server failed of late. Both sums fade, so that a
-/// server which gets fewer calls is tried again.
+/// How often the calls of one server failed of late. Both counts fade,
+/// and the share fades in a time without calls, so that the server is tried
+/// again.
 struct FailureShare {
   double Failed = 0;
   double Ended = 0;
-  Instant FadedAt;
+  Instant CountedAt;
 };
 
 /// Counts a call that has ended; one that its caller gave up is not counted.
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -109,3 +109,18 @@
   CHECK(failureShare(Share, Now) == Approx(0.4).margin(0.04));
   CHECK(failureShare(Share, Now + std::chrono::seconds(10)) < 0.03);
 }
+
+TEST_CASE("A share of failures fades as fast under a high rate",
+          "[placement]") {
+  // Guards against a server that is avoided for many seconds after its faults
+  // have ended, because it failed many calls a second before (bangkal-mesh
+  // scale-1).
+  FailureShare Share;
+  Instant Now(std::chrono::seconds(1));
+  for (int I = 0; I < 2000; ++I) {
+    Now += std::chrono::milliseconds(2);
+    countEnd(Share, true, Now);
+  }
+  CHECK(failureShare(Share, Now) > 0.95);
+  CHECK(failureShare(Share, Now + std::chrono::seconds(3)) < 0.2);
+}
--- a/tests/shedding/HeaviestDayTest.cpp
+++ b/tests/shedding/HeaviestDayTest.cpp
@@ -204,3 +204,23 @@
   CHECK(worth(Kinds, Without) < 0.7);
   CHECK(worth(Kinds, With) > 0.95);
 }
+
+TEST_CASE("Requests complete again once servers have ceased to fail",
+          "[shedding]") {
+  // Guards against calls that crowd on the first server that answers again
+  // while the others are still avoided: its queue then stands for an overload,
+  // and callers are refused for seconds (bangkal-mesh scale-1).
+  constexpr Duration FaultsEnd = std::chrono::seconds(6);
+  constexpr Duration CountFrom = FaultsEnd + std::chrono::seconds(2);
+  Services Faulty = pierServices();
+  for (ModelServer &One : Faulty.at("workshop")) {
+    One.Loses = 0.6;
+    One.LosesUntil = FaultsEnd;
+  }
+  const Classes Kinds = pierClasses(0.8);
+  const auto With =
+      LoadModel(Kinds, Faulty, true, Seed).play(Length, CountFrom);
+  CAPTURE(worth(Kinds, With), With.at("lookup").Refused,
+          served(With.at("lookup")), served(With.at("pledge")));
+  CHECK(worth(Kinds, With) > 0.95);
+}
--- a/tests/shedding/LoadModel.cpp
+++ b/tests/shedding/LoadModel.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Duration TickEvery = std::chrono::milliseconds(250);
-constexpr Duration WarmUp = std::chrono::seconds(3);
+constexpr Instant Start{std::chrono::seconds(1)};
 constexpr Duration FailsAfter = std::chrono::milliseconds(2);
 
 Duration millis(double Value) {
@@ -20,7 +20,7 @@
     const std::map<std::string, std::vector<ModelServer>> &TheServices,
     bool WithControl, std::uint32_t Seed)
     : Classes(std::move(TheClasses)), Control(WithControl), Random(Seed),
-      Now(std::chrono::seconds(1)) {
+      Now(Start) {
   for (const auto &[Name, Servers] : TheServices)
     for (const ModelServer &Terms : Servers) {
       Server New{Terms, {}, {}};
@@ -40,7 +40,7 @@
   at(Now + millis(Gap(Random) * 1000), [this, &Name, &Class, End] {
     if (Now < End)
       arrive(Name, End);
-    const bool Counts = Now >= Instant(std::chrono::seconds(1)) + WarmUp;
+    const bool Counts = Now >= CountedFrom;
     ModelResult &Result = Results[Name];
     Result.Asked += Counts ? 1 : 0;
     ++Offered[Name];
@@ -115,7 +115,9 @@
   ++Runs[Item->Class->Service];
   const double Mean = Item->Class->WorkMs * Item->At->Terms.Factor;
   std::uniform_real_distribution<double> Draw(0, 1);
-  if (Item->At->Terms.Loses > 0 && Draw(Random) < Item->At->Terms.Loses) {
+  const ModelServer &Terms = Item->At->Terms;
+  if (Now - Start < Terms.LosesUntil && Terms.Loses > 0 &&
+      Draw(Random) < Terms.Loses) {
     Item->Failed = true;
     at(Now + FailsAfter, [this, Item] { finish(Item); });
     return;
@@ -210,7 +212,9 @@
   OfferedSeconds.clear();
 }
 
-std::map<std::string, ModelResult> LoadModel::play(Duration Length) {
+std::map<std::string, ModelResult> LoadModel::play(Duration Length,
+                                                   Duration CountFrom) {
+  CountedFrom = Now + CountFrom;
   const Instant End = Now + Length;
   for (const auto &[Name, Class] : Classes)
     if (Class.PerS > 0)
--- a/tests/shedding/LoadModel.h
+++ b/tests/shedding/LoadModel.h
@@ -36,6 +36,7 @@
   std::uint32_t Slots = 1;
   double Factor = 1; ///< Work takes so many times as long.
   double Loses = 0;  ///< Part of its calls that it fails at once.
+  Duration LosesUntil = Duration::max(); ///< From the start.
 };
 
 /// What the callers of one class got.
@@ -53,7 +54,9 @@
             const std::map<std::string, std::vector<ModelServer>> &Services,
             bool Control, std::uint32_t Seed);
 
-  std::map<std::string, ModelResult> play(Duration Length);
+  /// Counts the requests that arrive after `CountFrom`.
+  std::map<std::string, ModelResult>
+  play(Duration Length, Duration CountFrom = std::chrono::seconds(3));
 
 private:
   struct Server {
@@ -90,6 +93,7 @@
   std::mt19937 Random;
   std::minstd_rand PlacementRandom{1};
   Instant Now;
+  Instant CountedFrom;
   std::uint64_t LastId = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
   std::map<std::uint64_t, std::function<void()>> Tasks;
