--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -2,21 +2,12 @@
 
 #include <algorithm>
 
-#include "absl/hash/hash.h"
 #include "absl/strings/str_format.h"
 #include "agent/Text.h"
 
 namespace pollenwick::agent {
-
-std::vector<std::string> ownedRequestHeaders(const Dialect &Words) {
-  return {Words.Deadline, Words.Key, Words.Customer, Words.CallerService,
-          Words.ExpectedServer};
-}
-
 namespace {
 
-/// Used when neither the caller nor the route bounds the time.
-constexpr Duration DefaultTimeout = std::chrono::seconds(10);
 /// The node beside the server reports a passed deadline; the ingress waits a
 /// little longer for that report before it answers by itself.
 constexpr Duration ExpiryGrace = std::chrono::milliseconds(60);
@@ -30,16 +21,11 @@
 constexpr Duration AvoidFor = std::chrono::milliseconds(400);
 
 constexpr Duration RetrySoon = std::chrono::milliseconds(300);
-constexpr Duration RetryWhenShed = std::chrono::milliseconds(600);
 constexpr Duration RetryQuarantined = std::chrono::seconds(60);
 
 /// Weight of one answer in the mean size of a route's answers.
 constexpr double AnswerBytesWeight = 0.1;
 
-std::uint64_t fingerprintOf(const CallRequest &Request) {
-  return absl::HashOf(Request.Method, Request.Target, Request.Body);
-}
-
 } // namespace
 
 Ingress::Ingress(EventLoop &TheLoop, const Dialect &TheWords,
@@ -79,86 +65,6 @@
   place(Id);
 }
 
-bool Ingress::admit(Exchange &Item, const CallerRequest &Request,
-                    Refusal &Why) {
-  if (!Item.Rules) {
-    Why = {503, "no-configuration-yet", spread(RetrySoon)};
-    return false;
-  }
-  const std::string_view Host = headerValue(Request.Fields, "Host");
-  Item.Route = findRoute(*Item.Rules, Host, Request.Target);
-  if (!Item.Route || Item.Route->Services.empty()) {
-    Why = {404, "no-route", {}};
-    return false;
-  }
-  if (Item.Request.RequestId.empty()) {
-    Why = {400, "no-request-id", {}};
-    return false;
-  }
-  const std::string_view Key = headerValue(Request.Fields, Words.Key);
-  // Calls that a server makes carry no key; they use routes open to all.
-  Item.Request.Nested = Item.Route->Public && Key.empty();
-  Item.Request.Rank = dispatchRank(0, Item.Route->Priority);
-  const auto Left = parseNumber(headerValue(Request.Fields, Words.Deadline));
-  Duration Time = Left ? Duration(std::chrono::milliseconds(
-                             std::clamp<std::int64_t>(*Left, 0, 3'600'000)))
-                       : DefaultTimeout;
-  if (Item.Route->Timeout.count() > 0)
-    Time = std::min(Time, Item.Route->Timeout);
-  Item.Expiry = Item.Began + Time;
-  Item.Service = Split.next(*Item.Route);
-  if (Item.Request.Nested) {
-    Fleet.countNested(Item.Service);
-    return true;
-  }
-  return admitCustomer(Item, Request, Why);
-}
-
-bool Ingress::admitCustomer(Exchange &Item, const CallerRequest &Request,
-                            Refusal &Why) {
-  const CustomerRule *Customer = nullptr;
-  if (!Item.Route->Public && !Item.Rules->Source.Customers.empty()) {
-    const std::string_view Key = headerValue(Request.Fields, Words.Key);
-    Customer = Key.empty() ? nullptr : findCustomer(*Item.Rules, Key);
-    if (!Customer) {
-      Why = {401, "unknown-key", {}};
-      return false;
-    }
-    Item.Customer = Customer->Customer.Text;
-    Item.CustomerPriority = Customer->Priority;
-    Item.Request.Rank = dispatchRank(Customer->Priority, Item.Route->Priority);
-  }
-  Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
-  std::uniform_real_distribution<double> Draw(0, 1);
-  if (Draw(Random) >= Fleet.share(*Item.Route, Item.CustomerPriority)) {
-    Fleet.countOffered(*Item.Route, Item.CustomerPriority, false);
-    Why = {503, "overload", spread(RetryWhenShed)};
-    return false;
-  }
-  if (Customer && Fleet.spend(*Customer, Loop.now()) == QuotaDecision::Refuse) {
-    Why = {429, "over-rate", spread(Fleet.retryAfter(*Customer))};
-    return false;
-  }
-  Fleet.countOffered(*Item.Route, Item.CustomerPriority, true);
-  return true;
-}
-
-void Ingress::buildCall(Exchange &Item, CallerRequest &&Request) {
-  CallRequest &Call = Item.Request;
-  Call.Route = Item.Route->Name;
-  Call.Deadline = Item.Expiry;
-  Call.LatencyTarget = Item.Route->LatencyTarget;
-  Call.Repeatable = Item.Route->Kind == Repeat::Safe;
-  Call.Method = std::move(Request.Method);
-  Call.Target = std::move(Request.Target);
-  Call.Head = forwardedHeaders(Request.Fields, Dropped);
-  appendAll(Call.Head, Words.CallerService, ": ", Options.Service.Text, "\r\n");
-  if (!Item.Customer.empty())
-    appendAll(Call.Head, Words.Customer, ": ", Item.Customer, "\r\n");
-  Call.Body = std::move(Request.Body);
-  Call.Fingerprint = fingerprintOf(Call);
-}
-
 std::vector<KnownServer *> Ingress::usableServers(const Exchange &Item) {
   std::vector<KnownServer *> Servers = Hosts.serversOf(Item.Service);
   std::erase_if(Servers, [&](const KnownServer *Server) {
