--- a/tests/agent/PeerLinksTest.cpp
+++ b/tests/agent/PeerLinksTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <map>
 #include <optional>
 
@@ -189,3 +190,102 @@
   Nodes.Caller->Links.tick();
   CHECK(Nodes.Caller->Presences == std::vector<bool>{false, true});
 }
+
+namespace {
+
+/// The far end of a node's connections, played by the test.
+class PlayedPeer {
+public:
+  PlayedPeer(EventLoop &Loop, const std::string &Address)
+      : Loop(Loop), Listener(Poco::Net::SocketAddress(Address)) {}
+
+  /// Takes the next connection and greets.
+  void accept(std::uint64_t Link) {
+    REQUIRE(Listener.poll({1, 0}, Poco::Net::Socket::SELECT_READ));
+    Socket = Listener.acceptConnection();
+    std::string Bytes;
+    encodeFrame(HelloFrame{22, Link}, Loop.now(), Bytes);
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  }
+  /// All frames that have arrived.
+  std::vector<PeerFrame> read() {
+    std::vector<PeerFrame> Frames;
+    FrameReader Reader;
+    std::array<char, 4096> Buffer{};
+    while (Socket.poll({0, 20'000}, Poco::Net::Socket::SELECT_READ)) {
+      const int Got = Socket.receiveBytes(Buffer.data(), Buffer.size());
+      if (Got <= 0)
+        break;
+      REQUIRE(Reader
+                  .feed({Buffer.data(), static_cast<std::size_t>(Got)},
+                        Loop.now(),
+                        [&](PeerFrame &&Frame) {
+                          Frames.push_back(std::move(Frame));
+                        })
+                  .ok());
+    }
+    return Frames;
+  }
+  void lose() { Socket.close(); }
+
+private:
+  EventLoop &Loop;
+  Poco::Net::ServerSocket Listener;
+  Poco::Net::StreamSocket Socket;
+};
+
+template <class Kind>
+std::optional<Kind> firstOf(const std::vector<PeerFrame> &Frames) {
+  for (const PeerFrame &Frame : Frames)
+    if (const auto *Found = std::get_if<Kind>(&Frame))
+      return *Found;
+  return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("A question that was lost too is asked with both connections",
+          "[agent]") {
+  // Guards against a call that runs twice: a peer that never heard the question
+  // about the first connection cannot tell from the second what ran.
+  EventLoop Loop;
+  const auto RunFor = [&](int Ms) {
+    Loop.callAt(Loop.now() + std::chrono::milliseconds(Ms),
+                [&] { Loop.stop(); });
+    Loop.run();
+    Loop.resume();
+  };
+  const std::string Port = ":" + std::to_string(freePort());
+  PlayedPeer Peer(Loop, "127.0.0.2" + Port);
+  Node Caller(Loop, "127.0.0.1" + Port, 11);
+  Caller.Links.setPeers({"127.0.0.2"});
+  RunFor(20);
+  Peer.accept(1);
+  RunFor(20);
+  CallRequest Request;
+  Request.Deadline = Loop.now() + std::chrono::seconds(5);
+  REQUIRE(Caller.Links.find("127.0.0.2"));
+  Caller.Links.find("127.0.0.2")->call(std::move(Request), [](CallAnswer &&) {
+  });
+  RunFor(20);
+  const auto First = Peer.read();
+  REQUIRE(firstOf<HelloFrame>(First));
+  REQUIRE(firstOf<CallFrame>(First));
+  Peer.lose();
+  RunFor(20);
+  Peer.accept(2);
+  RunFor(20);
+  const auto Second = firstOf<HelloFrame>(Peer.read());
+  REQUIRE(Second);
+  Peer.lose();
+  RunFor(20);
+  Peer.accept(3);
+  RunFor(20);
+  const auto Asked = firstOf<ResumeFrame>(Peer.read());
+  REQUIRE(Asked);
+  const std::uint64_t FirstLink = firstOf<HelloFrame>(First)->Link;
+  CHECK(Asked->Links == std::vector<std::uint64_t>{FirstLink, Second->Link});
+  REQUIRE(Asked->Calls.size() == 1);
+  CHECK(Asked->Calls[0].Id == firstOf<CallFrame>(First)->Id);
+  CHECK(Asked->Calls[0].SentOn == FirstLink);
+}
