--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -78,12 +78,9 @@
   }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
   std::uniform_real_distribution<double> Draw(0, 1);
-  const double Share = Fleet.share(*Item.Route, Item.CustomerPriority);
-  if (Draw(Random) >= Share) {
+  if (Draw(Random) >= Fleet.share(*Item.Route, Item.CustomerPriority)) {
     Fleet.countOffered(*Item.Route, Item.CustomerPriority, false);
-    const Duration Wait(static_cast<std::int64_t>(RetryWhenShed.count() /
-                                                  std::max(Share, 0.3)));
-    Why = {503, "overload", spread(Wait)};
+    Why = {503, "overload", spread(RetryWhenShed)};
     return false;
   }
   if (Customer && Fleet.spend(*Customer, Loop.now()) == QuotaDecision::Refuse) {
