Let a leaving node run what ends in time when there is no other

A node that drains waits up to 5.6 s for its callers and refused every call for its server meanwhile, although the server was sound. For 4 s all three servers of gallery were so out of reach; lookups were admitted and failed within 40 ms (1,665 nested calls "node-leaving", 2,900 answers 500). Change: a leaving node runs calls whose deadline lies before its own end, as long as callers of its own wait; placement takes a leaving node's server only if there is no other. Once its callers are done it refuses all, and ends. Ruled out: keeping such a server a usual choice, which would lengthen each drain. Tests, failed first: agent_test 'A node that leaves runs what ends in time', placement_test 'a last resort'.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -324,7 +324,9 @@
       return;
     Draining = true;
     DrainBegan = Loop.now();
-    Local.leave();
+    // The server goes on. A call for which peers find no other is served while
+    // callers of this node still wait.
+    Local.leave(DrainBegan + Options.DrainGrace - EndMargin);
     Log.state(LogLine("drain-started", Loop.now()));
     Peers.broadcast(status());
     drainStep();
@@ -337,9 +339,12 @@
     Callers.stopListening();
     Callers.leave();
   }
-  const bool Idle = Callers.leaving() && Requests.pending() == 0 &&
-                    Local.pending() == 0 && Callers.busyCount() == 0;
-  if (Idle || Since >= Options.DrainGrace - EndMargin) {
+  const bool CallersDone =
+      Callers.leaving() && Requests.pending() == 0 && Callers.busyCount() == 0;
+  if (CallersDone)
+    Local.leave(Loop.now());
+  if ((CallersDone && Local.pending() == 0) ||
+      Since >= Options.DrainGrace - EndMargin) {
     Log.state(std::move(LogLine("drain-finished", Loop.now())
                             .field("unanswered", static_cast<std::int64_t>(
                                                      Requests.pending()))));
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -78,7 +78,7 @@
   if (!Request.PlacedAgain)
     Counts.OfferedMicros += static_cast<std::uint64_t>(
         (Queue.Service.count() > 0 ? Queue.Service : AssumedService).count());
-  if (Leaving) {
+  if (Leaving && Request.Deadline > LeaveBy) {
     refuse(std::move(Done), "node-leaving");
     return Number;
   }
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -54,7 +54,12 @@
   const BackendCounts &counts() const { return Counts; }
   std::size_t pending() const { return Calls.size(); }
   std::string serverId() const { return Server ? Server->Id.Text : ""; }
-  void leave() { Leaving = true; }
+  /// From now on only calls run that end by `Until` at the latest: others are
+  /// placed elsewhere, and this process ends soon.
+  void leave(Instant Until) {
+    Leaving = true;
+    LeaveBy = Until;
+  }
 
 private:
   friend class BackendConnection;
@@ -86,6 +91,7 @@
   std::optional<ServerEntry> Server;
   std::uint32_t MaxConnections = 0;
   bool Leaving = false;
+  Instant LeaveBy; ///< While leaving.
   DispatchQueue Queue;
   FailureShare Failures;
   BackendCounts Counts;
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -69,7 +69,7 @@
   std::vector<KnownServer *> Servers = Hosts.serversOf(Item.Service);
   std::erase_if(Servers, [&](const KnownServer *Server) {
     const bool AtLocal = Server->Entry.Address == Options.ServerAddress;
-    return Server->Entry.State != ServerState::Ready || Server->Load.Leaving ||
+    return Server->Entry.State != ServerState::Ready ||
            Server->AvoidUntil > Loop.now() ||
            Item.Tried.contains(Server->Entry.Id.Text) ||
            (!AtLocal && !Peers.find(Server->NodeIp));
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -83,7 +83,11 @@
   std::optional<std::size_t> Best;
   double BestTime = 0;
   std::uniform_real_distribution<double> Factor(1 - Jitter, 1 + Jitter);
+  const bool AllLeave = std::ranges::all_of(
+      Servers, [](const Candidate &Server) { return Server.Load.Leaving; });
   for (std::size_t I = 0; I < Servers.size(); ++I) {
+    if (Servers[I].Load.Leaving && !AllLeave)
+      continue;
     const double Time =
         static_cast<double>(expectedTime(Servers[I], Norm).count()) *
         Factor(Random);
--- a/tests/agent/BackendTest.cpp
+++ b/tests/agent/BackendTest.cpp
@@ -213,6 +213,20 @@
   }
 }
 
+TEST_CASE("A node that leaves runs what ends in time", "[agent]") {
+  // Guards against a sound server that nobody may use while its node drains,
+  // and against calls that the end of the process cuts.
+  Server Standin({[](Socket &Peer) {
+    Server::write(Peer, Server::answer(Server::readRequest(Peer), "done"));
+  }});
+  Bench Node(Standin.address());
+  Node.Target.leave(Node.Loop.now() + std::chrono::milliseconds(1500));
+  CHECK(Node.ask("long", 3000).Cause == "node-leaving");
+  CHECK(Node.ask("short", 1000).Outcome == CallOutcome::Complete);
+  Node.Target.leave(Node.Loop.now());
+  CHECK(Node.ask("late", 1000).Outcome == CallOutcome::NotRun);
+}
+
 TEST_CASE("A caller that leaves ends its call at the server", "[agent]") {
   // Guards against work for callers that have gone.
   std::promise<bool> Closed;
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -72,6 +72,17 @@
   }
 }
 
+TEST_CASE("A server whose node leaves is a last resort", "[placement]") {
+  Candidate Leaving = server(0, 0, 15);
+  Leaving.Load.Leaving = true;
+  const Candidate Busy = server(20, 30, 200);
+  // Guards against calls for a node that is about to end.
+  CHECK(counts({Leaving, Busy}, 50)[0] == 0);
+  // Guards against requests that fail although their server is there: nodes may
+  // all be restarted in turn (bangkal-mesh, node-variants).
+  CHECK(counts({Leaving, Leaving}, 50)[0] > 0);
+}
+
 TEST_CASE("A server that fails calls gets fewer of them", "[placement]") {
   Candidate Faulty = server(0, 0, 50);
   Faulty.Load.FailureShare = 0.4;
