Refuse what needs a service that cannot be reached

Cause: a service whose nodes were all silent or leaving fell out of the admission plan, or counted as free of cost. Change: a service that is known and has no slots refuses the part of each route's requests that needs it, with 503 and a time to come back. A leaving node's slots count while it still runs calls. Ruled out: waiting longer for a server at the nested call; its caller holds a slot meanwhile. Test, failed first: shedding_test 'Requests that need a service without servers are refused'.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -54,7 +54,8 @@
   ServerLoad Load;
   Load.Running = Queue.Running;
   Load.Waiting = static_cast<std::uint32_t>(Queue.Waiting.size());
-  const bool Serves = Server && Server->State == ServerState::Ready && !Leaving;
+  const bool Serves = Server && Server->State == ServerState::Ready &&
+                      (!Leaving || Loop.now() < LeaveBy);
   Load.Limit = Serves ? Queue.Limit : 0;
   Load.Service = Queue.Service;
   Load.FailureShare = failureShare(Failures, Loop.now());
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -260,6 +260,8 @@
   std::map<std::string, ServiceTotals> Totals;
   std::map<std::string, KeyRates> Rates;
   for (const auto &[Ip, Node] : Reports) {
+    // A service whose nodes are all silent is known, and has no slots.
+    Totals.try_emplace(Node.Latest.Service);
     if (Now - Node.LatestAt > ReportLife)
       continue;
     addServer(Totals[Node.Latest.Service], Node.Latest, Node.Before);
--- a/src/core/shedding/AdmissionPlan.cpp
+++ b/src/core/shedding/AdmissionPlan.cpp
@@ -203,6 +203,17 @@
           std::min(Shares[I], std::max(SmallestShare, Grants.Shares[I]));
 }
 
+/// A service without slots has no server that could be reached. Requests that
+/// need it would fail, and those that may not be repeated would fail for good.
+void refuseUnreachable(AdmissionPlan::Service &State, const std::string &Name,
+                       const ReachList &Reach, std::vector<double> &Shares) {
+  State.Keep = 0;
+  for (std::size_t I = 0; I < Shares.size(); ++I) {
+    const double WithoutCall = 1 - callsAt(Reach[I], Name);
+    Shares[I] = std::min(Shares[I], std::max(SmallestShare, WithoutCall));
+  }
+}
+
 } // namespace
 
 std::string planKey(const std::string &Route, int CustomerPriority) {
@@ -251,7 +262,10 @@
   for (const auto &[Name, Use] : Services) {
     AdmissionPlan::Service &State = Plan.Services[Name];
     compareUse(State, Name, Use, Demand, Reach, Step);
-    capShares(State, Name, Demand, Reach, Shares);
+    if (Use.Slots > 0)
+      capShares(State, Name, Demand, Reach, Shares);
+    else
+      refuseUnreachable(State, Name, Reach, Shares);
   }
   Plan.ShareByKey.clear();
   for (std::size_t I = 0; I < Demand.size(); ++I) {
--- a/src/core/shedding/AdmissionPlan.h
+++ b/src/core/shedding/AdmissionPlan.h
@@ -33,7 +33,8 @@
 struct ServiceUse {
   double OfferedUse = 0;  ///< Slot time asked for / slot time there.
   double WaitShare = 0;   ///< Waiting calls / slots.
-  double Slots = 0;       ///< Calls that run at once, over all servers.
+  double Slots = 0;       ///< Calls that run at once, over all servers. None:
+                          ///< no server can be reached.
   double CallSeconds = 0; ///< Mean time that a call holds a slot.
   /// Nested calls that one run causes, by service.
   std::map<std::string, double> CallsPerRun;
--- a/tests/shedding/AdmissionPlanTest.cpp
+++ b/tests/shedding/AdmissionPlanTest.cpp
@@ -113,6 +113,32 @@
   }
 }
 
+TEST_CASE("Requests that need a service without servers are refused",
+          "[shedding]") {
+  // Guards against requests that run until a nested call finds no server: those
+  // that may not be repeated then fail for good (acaf-mesh, node-variants).
+  std::map<std::string, ServiceUse> Services{
+      {"front", use(1000, 100, {{"deep", 4}})},
+      {"side", use(1000, 100, {{"deep", 0.25}})},
+      {"deep", use(40, 10, {})}};
+  const std::vector<RouteDemand> Demand{{"deposit", "front", 0, 0, 5, 5},
+                                        {"photo", "side", 0, 1, 5, 5},
+                                        {"wick", "deep", 0, 1, 5, 5},
+                                        {"other", "elsewhere", 0, 1, 5, 5}};
+  AdmissionPlan Plan;
+  updatePlan(Plan, Demand, Services, Tick);
+  CHECK(admittedShare(Plan, "deposit") == 1);
+  Services["deep"].Slots = 0;
+  updatePlan(Plan, Demand, Services, Tick);
+  CHECK(admittedShare(Plan, "deposit") < 0.01);
+  CHECK(admittedShare(Plan, "wick") < 0.01);
+  CHECK(admittedShare(Plan, "photo") == Approx(0.75));
+  CHECK(admittedShare(Plan, "other") == 1);
+  Services["deep"].Slots = 40;
+  updatePlan(Plan, Demand, Services, Tick);
+  CHECK(admittedShare(Plan, "deposit") == 1);
+}
+
 TEST_CASE("A queue lowers what is admitted", "[shedding]") {
   // A queue longer than 0.6 calls per slot should drain in 0.2 s: with calls of
   // 0.1 s, half of what is above is kept free.
