--- a/src/core/shedding/AdmissionPlan.cpp
+++ b/src/core/shedding/AdmissionPlan.cpp
@@ -108,13 +108,11 @@
 std::vector<double> costsAt(const AdmissionPlan::Service &State,
                             const std::string &Name,
                             const std::vector<RouteDemand> &Demand,
-                            const ReachList &Reach,
-                            const std::vector<double> &Passing) {
+                            const ReachList &Reach) {
   const double PerCall = useOfCall(State.Seen) * correctionOf(State);
   std::vector<double> Costs;
   for (std::size_t I = 0; I < Demand.size(); ++I)
-    Costs.push_back(Demand[I].OfferedPerS * Passing[I] *
-                    callsAt(Reach[I], Name) * PerCall);
+    Costs.push_back(Demand[I].OfferedPerS * callsAt(Reach[I], Name) * PerCall);
   return Costs;
 }
 
@@ -183,7 +181,7 @@
 void capShares(AdmissionPlan::Service &State, const std::string &Name,
                const std::vector<RouteDemand> &Demand, const ReachList &Reach,
                std::vector<double> &Shares) {
-  ServiceGrants Grants{costsAt(State, Name, Demand, Reach, Shares),
+  ServiceGrants Grants{costsAt(State, Name, Demand, Reach),
                        std::vector<double>(Demand.size(), 0.0)};
   const double Total =
       std::accumulate(Grants.Costs.begin(), Grants.Costs.end(), 0.0);
@@ -201,15 +199,8 @@
   grantInOrder(Order, Capacity * (1 - EqualPart), ByCustomer, Demand, Grants);
   for (std::size_t I = 0; I < Demand.size(); ++I)
     if (Grants.Costs[I] > 0)
-      Shares[I] = std::max(SmallestShare, Shares[I] * Grants.Shares[I]);
-}
-
-double wholeUse(const AdmissionPlan::Service &State, const std::string &Name,
-                const std::vector<RouteDemand> &Demand,
-                const ReachList &Reach) {
-  const std::vector<double> All(Demand.size(), 1.0);
-  const std::vector<double> Costs = costsAt(State, Name, Demand, Reach, All);
-  return std::accumulate(Costs.begin(), Costs.end(), 0.0);
+      Shares[I] =
+          std::min(Shares[I], std::max(SmallestShare, Grants.Shares[I]));
 }
 
 /// A service without slots has no server that could be reached. Requests that
@@ -268,18 +259,14 @@
   for (const RouteDemand &Route : Demand)
     Reach.push_back(reachOf(Route.Service, Services));
   std::vector<double> Shares(Demand.size(), 1.0);
-  // What the tightest service refuses does not come to the others.
-  std::multimap<double, std::string, std::greater<>> Tightness;
   for (const auto &[Name, Use] : Services) {
     AdmissionPlan::Service &State = Plan.Services[Name];
     compareUse(State, Name, Use, Demand, Reach, Step);
     if (Use.Slots > 0)
-      Tightness.emplace(wholeUse(State, Name, Demand, Reach), Name);
+      capShares(State, Name, Demand, Reach, Shares);
     else
       refuseUnreachable(State, Name, Reach, Shares);
   }
-  for (const auto &[Whole, Name] : Tightness)
-    capShares(Plan.Services[Name], Name, Demand, Reach, Shares);
   Plan.ShareByKey.clear();
   for (std::size_t I = 0; I < Demand.size(); ++I) {
     const auto [It, New] =
