Parse answers across packets, overlap safe pipelined requests, bound endless bytes

Cause: BackendConnection gave each packet to the parser and dropped what the parser left, so an answer split inside a header line failed, and one split inside a chunk size ("1|0") could end early as a complete success. Requests behind another one on a caller's connection ran one after the other, and their time counted from the answer of the one before. Answers without end were held up to 64 MB each.

Change: unparsed bytes are kept, within a limit; bytes after an answer make its connection unusable; a refusal without an id on a reused connection is not believed; interim and foreign answers are limited; response bodies are limited by the process's memory. Callers' safe requests overlap and are answered in order; others wait until the earlier are answered on an open connection. A drain reads what has arrived before it closes.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -75,12 +75,17 @@
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override {
     const auto [Status, Body] = RenderBody(Request.Target);
-    From->respond(concat("HTTP/1.1 ", Status, " ", reasonPhrase(Status),
-                         "\r\nContent-Type: text/plain\r\n",
-                         "Content-Length: ", Body.size(), "\r\n\r\n", Body),
-                  From->keepsAlive());
+    From->respond(
+        Request.Number,
+        concat("HTTP/1.1 ", Status, " ", reasonPhrase(Status),
+               "\r\nContent-Type: text/plain\r\n",
+               From->keepsAlive(Request.Number) ? "" : "Connection: close\r\n",
+               "Content-Length: ", Body.size(), "\r\n\r\n", Body));
   }
-  void onCallerDisconnected(CallerConnection & /*From*/) override {}
+  bool mayOverlap(const CallerRequest & /*Request*/) const override {
+    return false;
+  }
+  void onCallerDisconnected(CallerRequestNumber /*Number*/) override {}
 
 private:
   Render RenderBody;
@@ -92,15 +97,17 @@
     : Options(std::move(TheOptions)), Protocol(std::move(TheProtocol)),
       Log(Options.NodeName), ServerDirectory(Protocol, Log),
       Fleet(Options, randomStartId()),
-      LocalBackend(Loop, Protocol, Log, Options.ServerAddress,
-                   [this](const std::vector<std::uint64_t> &Fingerprints) {
-                     for (const std::uint64_t Fingerprint : Fingerprints)
-                       Fleet.countCrash(Fingerprint, Loop.now());
-                   }),
+      LocalBackend(
+          Loop, Protocol, Log, Options.ServerAddress,
+          [this](const std::vector<std::uint64_t> &Fingerprints) {
+            for (const std::uint64_t Fingerprint : Fingerprints)
+              Fleet.countCrash(Fingerprint, Loop.now());
+          },
+          responseLimitsFor(Options.MemoryBytes)),
       Peers(Loop, Log, *this, Options.PeerAddress, Fleet.incarnation()),
       RequestIngress(Loop, Protocol, Options, Log, Counters, ServerDirectory,
                      Fleet, LocalBackend, Peers, Fleet.incarnation()),
-      Listener(Loop, RequestIngress, Options.CallerAddress),
+      Listener(Loop, RequestIngress, Options.CallerAddress, Options.Pipeline),
       ConfigSource(std::move(TheConfigSource)), LastTickAt(Loop.now()),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
@@ -380,6 +387,8 @@
                     std::lround(1000 * Load.FailureRate));
   Counters.setGauge("peers_connected",
                     static_cast<std::int64_t>(Peers.connectedPeerCount()));
+  Counters.setGauge("response_bytes_buffered",
+                    static_cast<std::int64_t>(LocalBackend.bufferedBytes()));
   Counters.setGauge("callers_connected",
                     static_cast<std::int64_t>(Listener.connectionCount()));
   Counters.setGauge(
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -21,16 +21,29 @@
 constexpr Duration ServiceTimeMaxAge = std::chrono::seconds(2);
 /// Assumed for the offered load while the mean service time is unknown.
 constexpr Duration DefaultServiceTime = std::chrono::milliseconds(50);
+/// Parts of the process's memory for one response body and for all incomplete
+/// ones. A buffer may have twice the size of its contents while it grows, and
+/// requests and finished answers need memory as well.
+constexpr std::size_t MemoryPerResponseBody = 16;
+constexpr std::size_t MemoryPerBufferedResponses = 8;
 
 } // namespace
 
+ResponseLimits responseLimitsFor(std::size_t MemoryBytes) {
+  if (MemoryBytes == 0)
+    return {};
+  return {MemoryBytes / MemoryPerResponseBody,
+          MemoryBytes / MemoryPerBufferedResponses};
+}
+
 Backend::Backend(
     EventLoop &TheLoop, const PlatformAdapter &TheProtocol, LogWriter &TheLog,
     std::string TheAddress,
-    std::function<void(const std::vector<std::uint64_t> &)> CrashHandler)
+    std::function<void(const std::vector<std::uint64_t> &)> CrashHandler,
+    const ResponseLimits &TheLimits)
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
-      LastSweepAt(TheLoop.now()) {
+      Limits(TheLimits), LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
 
@@ -67,6 +80,12 @@
   return Load;
 }
 
+bool Backend::updateBufferedBytes(std::size_t Previous, std::size_t Current) {
+  BufferedBytes += Current;
+  BufferedBytes -= Previous;
+  return Current <= Previous || BufferedBytes <= Limits.MaxBufferedBytes;
+}
+
 void Backend::refuse(CallResultHandler &&Done, std::string Cause) {
   Loop.callAtTurnEnd([this, Done = std::move(Done), Cause = std::move(Cause)] {
     CallResult Result;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -30,6 +30,18 @@
   std::uint64_t AvailableSlotMicros = 0;
 };
 
+/// Limits on the responses that a node holds in memory.
+struct ResponseLimits {
+  /// Of one response body.
+  std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024;
+  /// Of the received parts of all responses that are not complete yet.
+  std::size_t MaxBufferedBytes = std::size_t{256} * 1024 * 1024;
+};
+
+/// Returns the limits of a process that may use `MemoryBytes`; the default
+/// limits if that is 0.
+ResponseLimits responseLimitsFor(std::size_t MemoryBytes);
+
 /// Client of the backend server on this host. It queues calls, limits how many
 /// run at once and manages the connections to the server.
 class Backend {
@@ -38,7 +50,8 @@
   /// the server crashed.
   Backend(EventLoop &Loop, const PlatformAdapter &Protocol, LogWriter &Log,
           std::string Address,
-          std::function<void(const std::vector<std::uint64_t> &)> OnCrash);
+          std::function<void(const std::vector<std::uint64_t> &)> OnCrash,
+          const ResponseLimits &Limits = {});
   ~Backend();
 
   using CallNumber = std::uint64_t;
@@ -57,6 +70,9 @@
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
+  const ResponseLimits &responseLimits() const { return Limits; }
+  /// Returns the size of the received parts of incomplete responses.
+  std::size_t bufferedBytes() const { return BufferedBytes; }
   /// Returns the number of calls that wait for a slot or run.
   std::size_t pendingCount() const { return Calls.size(); }
   /// Returns the id of the server; empty when it is not registered.
@@ -78,6 +94,9 @@
     bool Abandoned = false; ///< Cancelled while running; `Done` is not called.
   };
 
+  /// Replaces the part of `bufferedBytes` that one connection reported.
+  /// Returns false if the sum exceeds its limit.
+  bool updateBufferedBytes(std::size_t Previous, std::size_t Current);
   void refuse(CallResultHandler &&Done, std::string Cause);
   void dispatch(CallNumber Number);
   void dispatchWaiting();
@@ -93,6 +112,8 @@
   LogWriter &Log;
   std::string Address;
   std::function<void(const std::vector<std::uint64_t> &)> OnCrash;
+  ResponseLimits Limits;
+  std::size_t BufferedBytes = 0;
   std::optional<ServerEntry> Server;
   std::uint32_t MaxConnections = 0;
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -13,8 +13,13 @@
 /// Time before the server's idle timeout from which a connection is not reused,
 /// because the server might close it while a call is being sent.
 constexpr Duration IdleTimeoutMargin = std::chrono::milliseconds(1500);
-constexpr std::uint64_t MaxResponseBodyBytes = std::uint64_t{64} * 1024 * 1024;
 constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
+/// Limit on an incomplete line. A chunk size line has no limit in the parser.
+constexpr std::size_t MaxUnparsedBytes = MaxResponseHeaderBytes;
+/// Interim responses and answers to earlier calls that are skipped during one
+/// call. Beyond it the connection is closed, because a faulty server may send
+/// them without end.
+constexpr int MaxSkippedResponses = 8;
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
@@ -37,6 +42,8 @@
 void BackendConnection::close() {
   if (Transport)
     Transport->close();
+  Owner.updateBufferedBytes(BufferedBytes, 0);
+  BufferedBytes = 0;
 }
 
 bool BackendConnection::usable(Instant Now) const {
@@ -47,6 +54,8 @@
 void BackendConnection::startCall(std::uint64_t CallNumber,
                                   const CallRequest &Request, Instant Now) {
   ActiveCall = CallNumber;
+  SkippedResponses = 0;
+  ++CallsStarted;
   RequestId = Request.RequestId;
   Method = Request.Method;
   const auto TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -67,20 +76,49 @@
   if (ActiveCall == 0) {
     // These bytes belong to no call, so later bytes on this connection could
     // not be assigned to a call either.
-    NotReusable = true;
-    close();
-    Owner.onConnectionClosed(*this, Connected);
+    closeUnusable();
+    return;
+  }
+  const bool HasUnparsed = !UnparsedBytes.empty();
+  if (HasUnparsed)
+    UnparsedBytes.append(Bytes);
+  const std::size_t BytesParsed = parse(HasUnparsed ? UnparsedBytes : Bytes);
+  if (ActiveCall == 0 || Transport->closed()) {
+    UnparsedBytes.clear();
     return;
   }
-  parse(Bytes);
+  if (HasUnparsed)
+    UnparsedBytes.erase(0, BytesParsed);
+  else
+    UnparsedBytes.assign(Bytes.substr(BytesParsed));
+  if (UnparsedBytes.size() > MaxUnparsedBytes)
+    abortConnection("unreadable-answer");
+  else if (!updateBufferedBytes())
+    abortConnection("answer-too-large");
+}
+
+void BackendConnection::closeUnusable() {
+  NotReusable = true;
+  close();
+  Owner.onConnectionClosed(*this, Connected);
+}
+
+bool BackendConnection::updateBufferedBytes() {
+  const std::size_t Size =
+      (Parser ? Parser->get().body().size() : 0) + UnparsedBytes.size();
+  const bool Fits = Owner.updateBufferedBytes(BufferedBytes, Size);
+  BufferedBytes = Size;
+  return Fits;
 }
 
-void BackendConnection::parse(std::string_view Bytes) {
-  while (!Bytes.empty() && ActiveCall != 0) {
+std::size_t BackendConnection::parse(std::string_view Bytes) {
+  const std::size_t Size = Bytes.size();
+  const std::uint64_t Call = ActiveCall;
+  while (!Bytes.empty() && ActiveCall == Call) {
     if (!Parser) {
       Parser.emplace();
       Parser->eager(true);
-      Parser->body_limit(MaxResponseBodyBytes);
+      Parser->body_limit(Owner.responseLimits().MaxBodyBytes);
       Parser->header_limit(MaxResponseHeaderBytes);
       if (Method == "HEAD")
         Parser->skip(true);
@@ -89,26 +127,20 @@
     const std::size_t BytesParsed = Parser->put(
         boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
     if (Error && Error != http::error::need_more) {
-      abortConnection("unreadable-answer");
-      return;
+      abortConnection(Error == http::error::body_limit ? "answer-too-large"
+                                                       : "unreadable-answer");
+      break;
     }
     Bytes.remove_prefix(BytesParsed);
-    if (Parser->is_done()) {
-      finishResponse();
-      continue;
-    }
-    if (BytesParsed == 0)
+    if (Parser->is_done())
+      finishResponse(!Bytes.empty());
+    else if (BytesParsed == 0)
       break;
   }
-  if (!Bytes.empty() && ActiveCall == 0) {
-    NotReusable = true;
-    close();
-    Owner.onConnectionClosed(*this, Connected);
-  }
+  return Size - Bytes.size();
 }
 
-CallResult
-BackendConnection::toCallResult(const ResponseMessage &Response) const {
+CallResult BackendConnection::toCallResult(ResponseMessage &&Response) const {
   CallResult Result;
   Result.ReachedServer = true;
   Result.Status = static_cast<int>(Response.result_int());
@@ -128,34 +160,53 @@
   }
   Result.Outcome = CallOutcome::Complete;
   Result.Headers = forwardedHeaders(Response, {Protocol.ServerLoadHeader});
-  Result.Body = Response.body();
+  Result.Body = std::move(Response.body());
   return Result;
 }
 
-void BackendConnection::finishResponse() {
+void BackendConnection::skipResponse() {
+  if (++SkippedResponses > MaxSkippedResponses)
+    abortConnection("unreadable-answer");
+}
+
+void BackendConnection::finishResponse(bool MoreReceived) {
   const bool Persistent = Parser->keep_alive();
-  const ResponseMessage Response = Parser->release();
+  ResponseMessage Response = Parser->release();
   Parser.reset();
-  if (Response.result_int() < 200)
+  if (Response.result_int() < 200) {
+    skipResponse();
     return;
+  }
   const std::string_view EchoedId =
       headerValue(Response, Protocol.RequestIdHeader);
   const bool NotRun = !headerValue(Response, Protocol.NotRunHeader).empty() ||
                       Response.result_int() == 421;
-  if (EchoedId != RequestId && !(EchoedId.empty() && NotRun)) {
+  const bool Anonymous = EchoedId.empty() && NotRun;
+  if (EchoedId != RequestId && !Anonymous) {
     // This is an extra answer to an earlier call. The answer to the current
     // call is still to come.
     NotReusable = true;
+    skipResponse();
+    return;
+  }
+  if (Anonymous && CallsStarted > 1) {
+    // It may be a second copy of the answer to an earlier call, so the current
+    // call may run.
+    abortConnection("answer-without-id");
     return;
   }
   if (const auto Seconds = keepAliveTimeoutSeconds(Response))
     IdleTimeout = std::max(Duration{},
                            std::chrono::seconds(*Seconds) - IdleTimeoutMargin);
-  const bool Reuse = Persistent && !NotReusable &&
+  // Bytes after the answer belong to no call. On a connection that is used
+  // again they would be taken for the answer to the next call.
+  const bool Reuse = Persistent && !NotReusable && !MoreReceived &&
                      Transport->unsentBytes() == 0 && IdleTimeout.count() > 0;
-  CallResult Result = toCallResult(Response);
+  CallResult Result = toCallResult(std::move(Response));
   const std::uint64_t FinishedCall = ActiveCall;
   ActiveCall = 0;
+  UnparsedBytes.clear();
+  updateBufferedBytes();
   IdleDeadline = Loop.now() + IdleTimeout;
   if (!Reuse) {
     NotReusable = true;
@@ -169,6 +220,8 @@
 void BackendConnection::abortConnection(std::string Cause) {
   close();
   NotReusable = true;
+  Parser.reset();
+  UnparsedBytes.clear();
   const std::uint64_t FinishedCall = ActiveCall;
   ActiveCall = 0;
   if (FinishedCall != 0) {
@@ -187,7 +240,7 @@
     Parser->put_eof(Error);
     if (!Error && Parser->is_done()) {
       NotReusable = true;
-      finishResponse();
+      finishResponse(false);
       if (ActiveCall == 0)
         return;
     }
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -35,17 +35,32 @@
   void onClosed(StreamCloseReason Reason) override;
 
 private:
-  void parse(std::string_view Bytes);
-  void finishResponse();
+  /// Parses the answer to the active call. Returns the number of bytes that
+  /// are parsed; the rest is an incomplete line of a header or chunk.
+  std::size_t parse(std::string_view Bytes);
+  /// Handles a complete response. `MoreReceived` is true when bytes after it
+  /// have arrived already.
+  void finishResponse(bool MoreReceived);
+  /// Counts a response that does not answer the active call. Ends the call
+  /// when the server keeps sending such responses.
+  void skipResponse();
+  /// Reports the size of the received part of an answer to `Owner`. Returns
+  /// false when it has to be dropped for lack of memory.
+  bool updateBufferedBytes();
+  void closeUnusable();
   void abortConnection(std::string Cause);
-  CallResult toCallResult(const ResponseMessage &Response) const;
+  CallResult toCallResult(ResponseMessage &&Response) const;
 
   EventLoop &Loop;
   const PlatformAdapter &Protocol;
   Backend &Owner;
   std::shared_ptr<Stream> Transport;
   std::optional<ResponseParser> Parser;
-  std::uint64_t ActiveCall = 0; ///< 0 when no call is running.
+  std::string UnparsedBytes;     ///< Received but not parsed.
+  std::size_t BufferedBytes = 0; ///< Last size that was reported to `Owner`.
+  int SkippedResponses = 0;      ///< Since the start of the active call.
+  int CallsStarted = 0;          ///< On this connection.
+  std::uint64_t ActiveCall = 0;  ///< 0 when no call is running.
   std::string RequestId;
   std::string Method;
   bool Connected = false;
--- /dev/null
+++ b/src/agent/CallerConnection.cpp
@@ -0,0 +1,266 @@
+#include "agent/CallerConnection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "agent/CallerListener.h"
+
+namespace pollenwick::agent {
+namespace {
+
+/// A connection is closed when its caller has not read the whole answer within
+/// this time.
+constexpr Duration ResponseReadTimeout = std::chrono::seconds(20);
+/// Bytes that are received within this time share one entry in `ReceiptTimes`,
+/// which bounds the number of entries.
+constexpr Duration ReceiptTimeResolution = std::chrono::milliseconds(10);
+/// Limit on an incomplete line beyond the limit on the header. The parser has
+/// none for the line of a chunk size.
+constexpr std::size_t MaxLineExcessBytes = 1024;
+
+} // namespace
+
+CallerConnection::CallerConnection(EventLoop &TheLoop, CallerListener &ThePort,
+                                   std::string TheCallerIp)
+    : Loop(TheLoop), Port(ThePort), CallerIp(std::move(TheCallerIp)),
+      LastActivity(TheLoop.now()) {}
+
+void CallerConnection::start(const Poco::Net::StreamSocket &Socket) {
+  Transport = std::make_shared<Stream>(Loop, Socket, *this, false);
+  Transport->start();
+}
+
+void CallerConnection::onData(std::string_view Bytes) {
+  if (Closing)
+    return;
+  recordReceipt(Bytes.size());
+  UnparsedBytes.append(Bytes);
+  parse();
+}
+
+void CallerConnection::recordReceipt(std::size_t Bytes) {
+  const std::uint64_t End = ParsedOffset + UnparsedBytes.size() + Bytes;
+  if (!ReceiptTimes.empty() &&
+      Loop.now() - ReceiptTimes.back().At < ReceiptTimeResolution)
+    ReceiptTimes.back().EndOffset = End;
+  else
+    ReceiptTimes.push_back({End, Loop.now()});
+}
+
+bool CallerConnection::acceptsRequest() const {
+  if (Closing || HeldRequest)
+    return false;
+  if (Outstanding.empty())
+    return true;
+  // After a request with `Connection: close` the caller can expect no further
+  // response. During a drain no further request is started either.
+  return Outstanding.back().KeepAlive && !Port.draining() &&
+         Outstanding.size() < Port.pipelineLimits().MaxRequests;
+}
+
+void CallerConnection::beginRequest() {
+  while (!ReceiptTimes.empty() &&
+         ReceiptTimes.front().EndOffset <= ParsedOffset)
+    ReceiptTimes.pop_front();
+  RequestFirstByteAt =
+      ReceiptTimes.empty() ? Loop.now() : ReceiptTimes.front().At;
+  LastActivity = Loop.now();
+  ContinueSent = false;
+  Parser.emplace();
+  Parser->eager(true);
+  Parser->header_limit(
+      static_cast<std::uint32_t>(Port.limits().MaxHeaderBytes));
+  Parser->body_limit(Port.limits().MaxBodyBytes);
+}
+
+void CallerConnection::parse() {
+  // A request that is answered at once ends in `sendReadyResponses`, which must
+  // not parse the next one on top of this call.
+  if (Parsing)
+    return;
+  Parsing = true;
+  parseRequests();
+  Parsing = false;
+  const bool MustWait = !acceptsRequest();
+  Transport->pauseReading(MustWait &&
+                          UnparsedBytes.size() >=
+                              Port.pipelineLimits().MaxWaitingBytes);
+  if (!MustWait &&
+      UnparsedBytes.size() > Port.limits().MaxHeaderBytes + MaxLineExcessBytes)
+    reject(400, "unreadable-request");
+}
+
+void CallerConnection::parseRequests() {
+  while (acceptsRequest() && !UnparsedBytes.empty()) {
+    if (!Parser)
+      beginRequest();
+    boost::system::error_code Error;
+    const std::size_t BytesParsed = Parser->put(
+        boost::asio::const_buffer(UnparsedBytes.data(), UnparsedBytes.size()),
+        Error);
+    if (Error && Error != http::error::need_more) {
+      if (Error == http::error::header_limit)
+        reject(431, "header-too-large");
+      else if (Error == http::error::body_limit)
+        reject(413, "body-too-large");
+      else
+        reject(400, "unreadable-request");
+      return;
+    }
+    UnparsedBytes.erase(0, BytesParsed);
+    ParsedOffset += BytesParsed;
+    if (Parser->is_done()) {
+      finishRequest();
+      continue;
+    }
+    sendContinueIfDue();
+    if (BytesParsed == 0)
+      return;
+  }
+}
+
+void CallerConnection::sendContinueIfDue() {
+  if (ContinueSent || !Parser || !Parser->is_header_done() || busy() ||
+      Parser->get()[http::field::expect] != "100-continue")
+    return;
+  ContinueSent = true;
+  Transport->send(std::string_view("HTTP/1.1 100 Continue\r\n\r\n"));
+}
+
+void CallerConnection::finishRequest() {
+  const bool KeepAlive = Parser->keep_alive();
+  auto Message = Parser->release();
+  Parser.reset();
+  CallerRequest Request;
+  Request.Number = Port.newRequestNumber();
+  Request.Method = std::string(Message.method_string());
+  Request.Target = std::string(Message.target());
+  Request.Body = std::move(Message.body());
+  Request.Headers = std::move(Message.base());
+  Request.CallerIp = CallerIp;
+  Request.FirstByteAt = RequestFirstByteAt;
+  if (busy() && !Port.Handler.mayOverlap(Request)) {
+    HeldRequest = std::move(Request);
+    HeldRequestKeepsAlive = KeepAlive;
+    return;
+  }
+  startRequest(std::move(Request), KeepAlive);
+}
+
+void CallerConnection::startRequest(CallerRequest &&Request, bool KeepAlive) {
+  Outstanding.push_back({Request.Number, KeepAlive, std::nullopt});
+  Port.Handler.onRequest(shared_from_this(), std::move(Request));
+}
+
+void CallerConnection::startHeldRequest() {
+  if (!HeldRequest || busy() || Closing)
+    return;
+  CallerRequest Request = std::move(*HeldRequest);
+  HeldRequest.reset();
+  startRequest(std::move(Request), HeldRequestKeepsAlive);
+}
+
+bool CallerConnection::keepsAlive(CallerRequestNumber Number) const {
+  const auto Found =
+      std::ranges::find(Outstanding, Number, &OutstandingRequest::Number);
+  if (Found == Outstanding.end() || !Found->KeepAlive)
+    return false;
+  // During a drain the last response closes the connection.
+  return !Port.draining() || Found->Number != Outstanding.back().Number;
+}
+
+void CallerConnection::respond(CallerRequestNumber Number,
+                               std::string &&Message) {
+  if (Transport->closed())
+    return;
+  const auto Found =
+      std::ranges::find(Outstanding, Number, &OutstandingRequest::Number);
+  if (Found == Outstanding.end())
+    return;
+  Found->Response = std::move(Message);
+  sendReadyResponses();
+}
+
+void CallerConnection::sendReadyResponses() {
+  while (!Outstanding.empty() && Outstanding.front().Response) {
+    const bool Close = !keepsAlive(Outstanding.front().Number);
+    // A caller that asked for the close sends nothing more.
+    const CloseMode Mode =
+        Outstanding.front().KeepAlive || !UnparsedBytes.empty()
+            ? CloseMode::Linger
+            : CloseMode::Immediate;
+    Transport->send(std::move(*Outstanding.front().Response));
+    Outstanding.pop_front();
+    LastActivity = Loop.now();
+    if (Close) {
+      closeAfterResponse(Mode);
+      return;
+    }
+  }
+  startHeldRequest();
+  sendContinueIfDue();
+  parse();
+}
+
+void CallerConnection::reject(int Status, std::string_view Cause) {
+  // The rest of the request may still arrive, so the close must not reset the
+  // connection: `sendReadyResponses` lingers while bytes are left.
+  Parser.reset();
+  Outstanding.push_back({Port.newRequestNumber(), false,
+                         makeLocalReply(Status, Cause, "", false)});
+  sendReadyResponses();
+}
+
+void CallerConnection::closeAfterResponse(CloseMode Mode) {
+  Closing = true;
+  Outstanding.clear();
+  HeldRequest.reset();
+  UnparsedBytes.clear();
+  Transport->closeWhenFlushed(Mode);
+  Port.removeConnection(*this);
+}
+
+void CallerConnection::close() {
+  Transport->close();
+  Port.removeConnection(*this);
+}
+
+void CallerConnection::onClosed(StreamCloseReason /*End*/) {
+  const std::shared_ptr<CallerConnection> Self = shared_from_this();
+  const std::deque<OutstandingRequest> Abandoned =
+      std::exchange(Outstanding, {});
+  HeldRequest.reset();
+  close();
+  for (const OutstandingRequest &Request : Abandoned)
+    if (!Request.Response)
+      Port.Handler.onCallerDisconnected(Request.Number);
+}
+
+void CallerConnection::drain() {
+  if (idle())
+    // A request may have arrived in this turn of the loop.
+    Transport->readAvailable();
+  if (idle() && !Transport->closed())
+    closeAfterResponse(CloseMode::Linger);
+}
+
+void CallerConnection::enforceTimeouts(Instant Now,
+                                       const CallerLimits &Limits) {
+  if (busy())
+    return;
+  const Duration SinceActivity = Now - LastActivity;
+  if (hasUnsentBytes()) {
+    if (SinceActivity > ResponseReadTimeout)
+      close();
+    return;
+  }
+  if (Parser && !Parser->is_header_done() &&
+      SinceActivity > Limits.HeaderTimeout) {
+    reject(408, "header-timeout");
+    return;
+  }
+  if (SinceActivity > Limits.IdleTimeout)
+    close();
+}
+
+} // namespace pollenwick::agent
--- /dev/null
+++ b/src/agent/CallerConnection.h
@@ -0,0 +1,127 @@
+#ifndef POLLENWICK_AGENT_CALLERCONNECTION_H
+#define POLLENWICK_AGENT_CALLERCONNECTION_H
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "agent/EventLoop.h"
+#include "agent/HttpMessage.h"
+#include "agent/Stream.h"
+#include "pollenwick/Rules.h"
+
+namespace pollenwick::agent {
+
+class CallerListener;
+
+/// Identifies a request on its listener.
+using CallerRequestNumber = std::uint64_t;
+
+/// A complete HTTP request of a caller.
+struct CallerRequest {
+  CallerRequestNumber Number = 0;
+  std::string Method;
+  std::string Target;
+  HeaderFields Headers;
+  std::string Body;
+  std::string CallerIp;
+  Instant FirstByteAt; ///< When the first byte was received. The caller's
+                       ///< waiting time is counted from then.
+};
+
+/// Limits on the requests that a caller sends on one connection before the
+/// earlier ones are answered.
+struct PipelineLimits {
+  /// Requests that may run at once, at least 1.
+  std::size_t MaxRequests = 8;
+  /// Received bytes that wait to be parsed. Beyond it nothing is read.
+  std::size_t MaxWaitingBytes = std::size_t{256} * 1024;
+};
+
+/// One connection of a caller. Responses are sent in the order of the requests.
+/// A request that may run only once starts when all earlier ones have been
+/// answered and the connection stays open, so that a caller may send it again
+/// when an earlier response closes the connection.
+class CallerConnection : public StreamOwner,
+                         public std::enable_shared_from_this<CallerConnection> {
+public:
+  CallerConnection(EventLoop &Loop, CallerListener &Port, std::string PeerIp);
+
+  void start(const Poco::Net::StreamSocket &Socket);
+  /// Sends a complete HTTP response, or keeps it until the earlier requests are
+  /// answered. Does nothing if the caller has left.
+  void respond(CallerRequestNumber Number, std::string &&Message);
+  /// Returns whether the connection stays open after the response to this
+  /// request. Otherwise the response must have the header `Connection: close`.
+  bool keepsAlive(CallerRequestNumber Number) const;
+  /// Returns whether a request has no complete response yet.
+  bool busy() const { return !Outstanding.empty(); }
+  /// Returns whether the caller can expect nothing more from this connection.
+  bool idle() const { return Outstanding.empty() && !Parser && !Closing; }
+  bool hasUnsentBytes() const { return Transport->unsentBytes() > 0; }
+  bool closed() const { return Transport->closed(); }
+  /// Stops accepting requests: handles those that have been received, then
+  /// closes the connection.
+  void drain();
+
+  /// Closes the connection when the caller was idle, or was slow to send a
+  /// request header or to read a response, for too long.
+  void enforceTimeouts(Instant Now, const CallerLimits &Limits);
+
+  void onData(std::string_view Bytes) override;
+  void onClosed(StreamCloseReason Reason) override;
+  void onFlushed() override { LastActivity = Loop.now(); }
+
+private:
+  /// A request that was passed to the handler.
+  struct OutstandingRequest {
+    CallerRequestNumber Number = 0;
+    bool KeepAlive = true; ///< What the caller asked for.
+    std::optional<std::string> Response;
+  };
+  /// When the bytes before an offset of the stream had been received.
+  struct ReceiptTime {
+    std::uint64_t EndOffset = 0;
+    Instant At;
+  };
+
+  /// Returns whether another request may be parsed now.
+  bool acceptsRequest() const;
+  /// Parses and starts as many requests as the limits allow.
+  void parseRequests();
+  void parse();
+  void beginRequest();
+  void finishRequest();
+  void startRequest(CallerRequest &&Request, bool KeepAlive);
+  void startHeldRequest();
+  void sendReadyResponses();
+  void sendContinueIfDue();
+  void recordReceipt(std::size_t Bytes);
+  void reject(int Status, std::string_view Cause);
+  void close();
+  void closeAfterResponse(CloseMode Mode);
+
+  EventLoop &Loop;
+  CallerListener &Port;
+  std::string CallerIp;
+  std::shared_ptr<Stream> Transport;
+  std::optional<RequestParser> Parser;
+  std::string UnparsedBytes;      ///< Received but not parsed.
+  std::uint64_t ParsedOffset = 0; ///< Bytes of the stream that were parsed.
+  std::deque<ReceiptTime> ReceiptTimes;
+  std::deque<OutstandingRequest> Outstanding; ///< In the order of arrival.
+  /// A complete request that waits until all earlier ones are answered.
+  std::optional<CallerRequest> HeldRequest;
+  bool HeldRequestKeepsAlive = true;
+  bool ContinueSent = false; ///< `100 Continue` was sent for this request.
+  bool Closing = false;
+  bool Parsing = false; ///< `parse` is on the call stack.
+  Instant LastActivity; ///< Start of the idle or slow period.
+  Instant RequestFirstByteAt;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -42,8 +42,7 @@
 
 void Ingress::onRequest(const std::shared_ptr<CallerConnection> &From,
                         CallerRequest &&Request) {
-  const ExchangeNumber Id = ++LastExchange;
-  From->ExchangeId = Id;
+  const ExchangeNumber Id = Request.Number;
   auto Owned = std::make_unique<Exchange>();
   Exchange &Item = *Owned;
   Exchanges.emplace(Id, std::move(Owned));
@@ -234,13 +233,22 @@
   refuse(Id, {GatewayTimeoutStatus, Item.LastCause, {}});
 }
 
-void Ingress::onCallerDisconnected(CallerConnection &From) {
-  const auto Found = Exchanges.find(From.ExchangeId);
+bool Ingress::mayOverlap(const CallerRequest &Request) const {
+  const std::shared_ptr<const RouteTable> &Rules = ServerDirectory.rules();
+  if (!Rules)
+    return false;
+  const RouteRule *Route =
+      findRoute(*Rules, headerValue(Request.Headers, "Host"), Request.Target);
+  return Route && Route->Safety == RetrySafety::Safe;
+}
+
+void Ingress::onCallerDisconnected(CallerRequestNumber Number) {
+  const auto Found = Exchanges.find(Number);
   if (Found == Exchanges.end())
     return;
   Counters.incrementCounter("answers_total", "caller-left");
   cancelCall(*Found->second);
-  removeExchange(From.ExchangeId);
+  removeExchange(Number);
 }
 
 void Ingress::deliver(ExchangeNumber Id, const CallResult &Result) {
@@ -248,8 +256,7 @@
   std::string Message =
       concat("HTTP/1.1 ", Result.Status, " ", reasonPhrase(Result.Status),
              "\r\n", Result.Headers);
-  const bool CloseConnection = !Item.Caller->keepsAlive();
-  if (CloseConnection)
+  if (!Item.Caller->keepsAlive(Id))
     appendAll(Message, "Connection: close\r\n");
   if (Result.Status != 204 && Result.Status != 304)
     appendAll(Message, "Content-Length: ", Result.Body.size(), "\r\n");
@@ -262,7 +269,7 @@
     logOutcome(Item, Result.Status, "server-answer");
   const std::shared_ptr<CallerConnection> From = Item.Caller;
   removeExchange(Id);
-  From->respond(std::move(Message), !CloseConnection);
+  From->respond(Id, std::move(Message));
 }
 
 void Ingress::refuse(ExchangeNumber Id, const Refusal &Details) {
@@ -279,11 +286,10 @@
     appendAll(ExtraHeaders, Protocol.RequestIdHeader, ": ",
               Item.Request.RequestId, "\r\n");
   const std::shared_ptr<CallerConnection> From = Item.Caller;
-  const bool Keep = From->keepsAlive();
-  std::string Message =
-      makeLocalReply(Details.Status, Details.Reason, ExtraHeaders, Keep);
+  std::string Message = makeLocalReply(Details.Status, Details.Reason,
+                                       ExtraHeaders, From->keepsAlive(Id));
   removeExchange(Id);
-  From->respond(std::move(Message), Keep);
+  From->respond(Id, std::move(Message));
 }
 
 void Ingress::removeExchange(ExchangeNumber Id) {
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -31,7 +31,8 @@
 
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override;
-  void onCallerDisconnected(CallerConnection &From) override;
+  bool mayOverlap(const CallerRequest &Request) const override;
+  void onCallerDisconnected(CallerRequestNumber Number) override;
   /// Returns the number of requests without a final answer.
   std::size_t pendingCount() const { return Exchanges.size(); }
 
@@ -65,7 +66,8 @@
     Duration LoadReportAge{};
   };
 
-  using ExchangeNumber = std::uint64_t;
+  /// An exchange has the number of its request.
+  using ExchangeNumber = CallerRequestNumber;
 
   /// Answer of the agent itself to a request that no server answers.
   struct Refusal {
@@ -108,7 +110,6 @@
   WeightedRoundRobin Split;
   /// Moving average of the answer size in bytes, by route.
   std::map<std::string, double> MeanResponseBytes;
-  ExchangeNumber LastExchange = 0;
   absl::flat_hash_map<ExchangeNumber, std::unique_ptr<Exchange>> Exchanges;
 };
 
--- a/src/agent/Settings.cpp
+++ b/src/agent/Settings.cpp
@@ -31,6 +31,14 @@
 DEFINE_double(retry_slack, 10, "additional retries allowed in each window");
 DEFINE_int32(retry_window_s, 10,
              "length of the retry budget's window in seconds");
+DEFINE_int32(memory_mb, 0,
+             "memory limit of this process in MB, from which the limits on "
+             "buffered responses follow; 0 if unknown");
+DEFINE_int32(pipeline_requests, 8,
+             "requests of one caller connection that may run at once");
+DEFINE_int32(pipeline_kb, 256,
+             "received bytes of one caller connection that wait for earlier "
+             "requests, in KB; beyond it nothing is read");
 // NOLINTEND(readability-identifier-naming)
 
 namespace pollenwick::agent {
@@ -81,6 +89,9 @@
   checkRange("retry_ratio", FLAGS_retry_ratio, 0, 1, Errors);
   checkRange("retry_slack", FLAGS_retry_slack, 0, 1e6, Errors);
   checkRange("retry_window_s", FLAGS_retry_window_s, 1, 3600, Errors);
+  checkRange("memory_mb", FLAGS_memory_mb, 0, 1 << 20, Errors);
+  checkRange("pipeline_requests", FLAGS_pipeline_requests, 1, 256, Errors);
+  checkRange("pipeline_kb", FLAGS_pipeline_kb, 1, 1 << 16, Errors);
   if (!Errors.empty())
     return Errors;
   Out.NodeName = FLAGS_node_name;
@@ -98,6 +109,10 @@
   Out.RetryRatio = FLAGS_retry_ratio;
   Out.RetrySlack = FLAGS_retry_slack;
   Out.RetryWindow = std::chrono::seconds(FLAGS_retry_window_s);
+  Out.MemoryBytes = static_cast<std::size_t>(FLAGS_memory_mb) * 1024 * 1024;
+  Out.Pipeline.MaxRequests = static_cast<std::size_t>(FLAGS_pipeline_requests);
+  Out.Pipeline.MaxWaitingBytes =
+      static_cast<std::size_t>(FLAGS_pipeline_kb) * 1024;
   return Errors;
 }
 
--- a/src/agent/Settings.h
+++ b/src/agent/Settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "agent/CallerConnection.h"
 #include "core/fleet/RetryBudget.h"
 #include "pollenwick/Ids.h"
 #include "pollenwick/Time.h"
@@ -29,8 +30,10 @@
   /// Time from SIGTERM to the forced exit.
   Duration DrainGrace = std::chrono::seconds(6);
   Duration RetryWindow = std::chrono::seconds(10); ///< Of the retry budget.
-  double RetryRatio = 0.2; ///< Retries allowed per request, 0 to 1.
-  double RetrySlack = 10;  ///< Additional retries allowed in each window.
+  double RetryRatio = 0.2;     ///< Retries allowed per request, 0 to 1.
+  double RetrySlack = 10;      ///< Additional retries allowed in each window.
+  std::size_t MemoryBytes = 0; ///< Limit of this process; 0 if unknown.
+  PipelineLimits Pipeline;
 };
 
 /// Reads the flag file, which an environment variable names, and then the
--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -17,6 +17,8 @@
 /// Sent bytes are erased from the front of the buffer once there are at least
 /// this many. An empty buffer with a larger capacity is freed.
 constexpr std::size_t CompactThresholdBytes = std::size_t{64} * 1024;
+/// Time that a peer has to close its end after everything was sent.
+constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 
 char *readBuffer() {
   static thread_local std::array<char, ReadBufferBytes> Buffer;
@@ -82,14 +84,39 @@
   Loop.deferRelease(shared_from_this());
 }
 
-void Stream::closeWhenFlushed() {
+void Stream::closeWhenFlushed(CloseMode Mode) {
   if (Closed)
     return;
   if (unsentBytes() == 0 && !FlushScheduled) {
     close();
     return;
   }
-  CloseAfterFlush = true;
+  CloseAfterFlush = Mode;
+}
+
+void Stream::lingerAndClose() {
+  Lingering = true;
+  ReadingPaused = false;
+  ::shutdown(Socket.impl()->sockfd(), SHUT_WR);
+  Loop.callAt(Loop.now() + LingerTimeout,
+              [Self = shared_from_this()] { Self->close(); });
+  readAll(false);
+}
+
+void Stream::pauseReading(bool Pause) {
+  if (Closed || Lingering || ReadingPaused == Pause)
+    return;
+  ReadingPaused = Pause;
+  if (!Pause)
+    // The event for the bytes that wait in the socket has been reported.
+    Loop.callAtTurnEnd([Self = shared_from_this()] { Self->readAvailable(); });
+}
+
+void Stream::readAvailable() {
+  if (Closed || Connecting)
+    return;
+  const std::shared_ptr<Stream> Self = shared_from_this();
+  readAll(false);
 }
 
 void Stream::closeAndNotify(StreamCloseReason Reason) {
@@ -97,7 +124,8 @@
     return;
   const std::shared_ptr<Stream> Self = shared_from_this();
   close();
-  Owner.onClosed(Reason);
+  if (!Lingering)
+    Owner.onClosed(Reason);
 }
 
 void Stream::onReady(const Readiness &State) {
@@ -118,6 +146,11 @@
     if (Closed)
       return;
   }
+  if (ReadingPaused && (State.PeerClosed || State.HasError)) {
+    closeAndNotify(State.HasError ? StreamCloseReason::Reset
+                                  : StreamCloseReason::Closed);
+    return;
+  }
   if (State.Readable || State.HasError)
     readAll(State.PeerClosed || State.HasError);
   if (!Closed && State.Writable && !Connecting && unsentBytes() > 0)
@@ -125,11 +158,12 @@
 }
 
 void Stream::readAll(bool EofPending) {
-  while (!Closed) {
+  while (!Closed && !ReadingPaused) {
     const ssize_t Received =
         ::recv(Socket.impl()->sockfd(), readBuffer(), ReadBufferBytes, 0);
     if (Received > 0) {
-      Owner.onData({readBuffer(), static_cast<std::size_t>(Received)});
+      if (!Lingering)
+        Owner.onData({readBuffer(), static_cast<std::size_t>(Received)});
       // A short read has emptied the socket, and new bytes raise another event.
       // A reported end of the stream raises no other event, so reading goes on
       // until `recv` returns it.
@@ -181,10 +215,14 @@
   else
     SendBuffer.clear();
   SendOffset = 0;
-  if (CloseAfterFlush) {
+  if (CloseAfterFlush == CloseMode::Immediate) {
     close();
     return;
   }
+  if (CloseAfterFlush == CloseMode::Linger) {
+    lingerAndClose();
+    return;
+  }
   Owner.onFlushed();
 }
 
--- a/src/agent/Stream.h
+++ b/src/agent/Stream.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_AGENT_STREAM_H
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,15 @@
 
 namespace pollenwick::agent {
 
+/// What happens to a connection after all bytes are sent.
+enum class CloseMode : std::uint8_t {
+  Immediate,
+  /// Bytes that the peer still sends are discarded for a while. Unread bytes
+  /// would reset the connection, and the peer could lose the end of what was
+  /// sent.
+  Linger,
+};
+
 /// How a connection ended: by an orderly close or by an error.
 enum class StreamCloseReason : std::uint8_t { Closed, Reset };
 
@@ -45,8 +55,14 @@
   void send(std::string &&Bytes);
   /// Closes the connection immediately without calling `onClosed`.
   void close();
-  /// Closes the connection once the send buffer is empty.
-  void closeWhenFlushed();
+  /// Closes the connection once the send buffer is empty, without calling
+  /// `onClosed`.
+  void closeWhenFlushed(CloseMode Mode);
+  /// Stops or resumes reading. A paused stream still notices that the peer has
+  /// closed the connection, and then discards the unread bytes.
+  void pauseReading(bool Pause);
+  /// Passes on the bytes that have been received but not read yet.
+  void readAvailable();
 
   bool closed() const { return Closed; }
   std::size_t unsentBytes() const { return SendBuffer.size() - SendOffset; }
@@ -60,6 +76,7 @@
   void readAll(bool EofPending);
   void flush();
   void scheduleFlush();
+  void lingerAndClose();
   void closeAndNotify(StreamCloseReason Reason);
 
   EventLoop &Loop;
@@ -71,7 +88,9 @@
   bool Closed = false;
   bool Watched = false;
   bool FlushScheduled = false;
-  bool CloseAfterFlush = false;
+  std::optional<CloseMode> CloseAfterFlush;
+  bool ReadingPaused = false;
+  bool Lingering = false; ///< All is sent; received bytes are discarded.
 };
 
 /// Starts to connect to `Address` (IP:PORT). Returns null when the system
--- a/tests/agent/BackendTest.cpp
+++ b/tests/agent/BackendTest.cpp
@@ -4,8 +4,8 @@
 #include <optional>
 
 #include "../support/SocketTimers.h"
+#include "BackendFixture.h"
 #include "ScriptedServer.h"
-#include "agent/Backend.h"
 
 using namespace pollenwick;
 using namespace pollenwick::agent;
@@ -15,79 +15,6 @@
 using Socket = Poco::Net::StreamSocket;
 using Server = ScriptedServer;
 
-PlatformAdapter testProtocol() {
-  PlatformAdapter Protocol;
-  Protocol.RequestIdHeader = "X-Id";
-  Protocol.DeadlineHeader = "X-Left";
-  Protocol.ApiKeyHeader = "X-Key";
-  Protocol.CustomerHeader = "X-Customer";
-  Protocol.CallerServiceHeader = "X-Caller";
-  Protocol.ExpectedServerHeader = "X-Server";
-  Protocol.ServerStampHeader = "X-Stamp";
-  Protocol.ServerLoadHeader = "X-Load";
-  Protocol.NotRunHeader = "X-Not-Run";
-  return Protocol;
-}
-
-/// A `Backend` for the server `i-1` with 4 slots, on an event loop that runs
-/// only while the test waits.
-struct BackendFixture {
-  PlatformAdapter Protocol = testProtocol();
-  LogWriter Log{"test"};
-  EventLoop Loop;
-  std::vector<std::uint64_t> CrashFingerprints;
-  Backend Target;
-  ServerEntry Entry;
-
-  explicit BackendFixture(const std::string &Address)
-      : Target(Loop, Protocol, Log, Address,
-               [this](const std::vector<std::uint64_t> &Fingerprints) {
-                 CrashFingerprints.insert(CrashFingerprints.end(),
-                                          Fingerprints.begin(),
-                                          Fingerprints.end());
-               }) {
-    Entry.Id = HostId("i-1");
-    Entry.Address = Address;
-    Entry.Slots = 4;
-    Target.setServer(&Entry, 100);
-  }
-
-  CallRequest request(const std::string &Id, int DeadlineMs = 1000) {
-    CallRequest Request;
-    Request.RequestId = Id;
-    Request.ServerId = "i-1";
-    Request.Deadline = Loop.now() + std::chrono::milliseconds(DeadlineMs);
-    Request.Retryable = true;
-    Request.Method = "GET";
-    Request.Target = "/x/";
-    Request.Headers = "Host: h\r\nX-Id: " + Id + "\r\n";
-    Request.Fingerprint = 7;
-    return Request;
-  }
-
-  void runFor(int Ms) {
-    Loop.callAt(Loop.now() + std::chrono::milliseconds(Ms),
-                [&] { Loop.stop(); });
-    Loop.run();
-    Loop.clearStop();
-  }
-
-  /// Submits one call and runs the loop until its result arrives. Fails the
-  /// test after 4 s without a result.
-  CallResult callAndWait(const std::string &Id, int DeadlineMs = 1000) {
-    std::optional<CallResult> Got;
-    Target.submit(request(Id, DeadlineMs), [&](CallResult &&Answer) {
-      Got = std::move(Answer);
-      Loop.stop();
-    });
-    Loop.callAt(Loop.now() + std::chrono::seconds(4), [&] { Loop.stop(); });
-    Loop.run();
-    Loop.clearStop();
-    REQUIRE(Got.has_value());
-    return *Got;
-  }
-};
-
 } // namespace
 
 TEST_CASE("A caller gets the complete answer to its own call", "[agent]") {
--- a/tests/agent/CallerListenerTest.cpp
+++ b/tests/agent/CallerListenerTest.cpp
@@ -25,10 +25,13 @@
                  CallerRequest &&Request) override {
     LastRequest = std::move(Request);
     ReceivedAt = Loop.now();
-    From->respond(makeLocalReply(200, "", "", true), true);
+    From->respond(LastRequest->Number, makeLocalReply(200, "", "", true));
     Loop.stop();
   }
-  void onCallerDisconnected(CallerConnection & /*From*/) override {}
+  bool mayOverlap(const CallerRequest & /*Request*/) const override {
+    return false;
+  }
+  void onCallerDisconnected(CallerRequestNumber /*Number*/) override {}
 };
 
 } // namespace
--- a/tests/platform/DecodeTest.cpp
+++ b/tests/platform/DecodeTest.cpp
@@ -15,7 +15,8 @@
    "service"],
   "rows":[["r-1","a.example","/x/","safe",1200,1500,2,
     [{"service":"one","weight":90},{"service":"two","weight":10}],2,false,null],
-   ["r-2","a.example","/y/","upload",null,null,0,null,2,true,"two"]]},
+   ["r-2","a.example","/y/","upload",null,null,0,null,2,true,"two"],
+   ["r-3","a.example","/z/","download",null,null,0,null,2,true,"two"]]},
  "services":{"columns":["name","health_path","max_connections"],
   "rows":[["one","/healthz",316]]},
  "limits":{"max_header_bytes":16384,"max_body_bytes":1000,
@@ -40,12 +41,15 @@
   const auto Result = decodeConfiguration(ConfigurationJson);
   REQUIRE(Result.ok());
   CHECK(Result->Version == 12);
-  REQUIRE(Result->Routes.size() == 2);
+  REQUIRE(Result->Routes.size() == 3);
   CHECK(Result->Routes[0].Safety == RetrySafety::Safe);
   CHECK(Result->Routes[0].Services.size() == 2);
   CHECK(Result->Routes[0].Timeout == std::chrono::milliseconds(1200));
   // An upload must not be retried.
   CHECK(Result->Routes[1].Safety == RetrySafety::Unsafe);
+  // Guards against downloads that are never retried and keep their server
+  // busy after the caller has left.
+  CHECK(Result->Routes[2].Safety == RetrySafety::Safe);
   CHECK(Result->Routes[1].Public);
   CHECK(Result->Routes[1].Services[0].Service.Text == "two");
   CHECK(Result->Customers[0].Keys.size() == 2);
