Let a few nodes read the store, and pass changes on within the zone

Cause: every node watched the store for itself, and the store answers a watch for each change. A peer that had not read the store since could bring a departed server back to a restarted node, because that node had no marker of the deletion. The fingerprint of a request came from a hash whose seed differs between processes.

Change: nodes of a zone rank each other the same way; the first that can read do (at least three in a fleet), pass changes on to their zone, and are replaced without a message. Changes are read at most every 250 ms. An unknown record that is not newer than the table is not accepted, and a node without markers sends its full list. Fingerprints use a hash that is the same everywhere.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -10,10 +10,6 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(250);
-/// Time after which a node that still has older records than a peer pulls them
-/// from that peer. Records from the configuration source normally reach all
-/// nodes within milliseconds.
-constexpr Duration PullDelay = std::chrono::milliseconds(250);
 /// Time from SIGTERM until new connections are refused. Callers notice the
 /// drain within two readiness checks of one second each.
 constexpr Duration DrainListenTime = std::chrono::milliseconds(2600);
@@ -31,10 +27,6 @@
   return (static_cast<std::uint64_t>(Device()) << 32) | Device();
 }
 
-std::string_view recordKindName(RecordKind Kind) {
-  return Kind == RecordKind::Rules ? "rules" : "servers";
-}
-
 std::string_view callStatusName(CallStatus ResumedStatus) {
   switch (ResumedStatus) {
   case CallStatus::NeverReceived:
@@ -108,7 +100,12 @@
       RequestIngress(Loop, Protocol, Options, Log, Counters, ServerDirectory,
                      Fleet, LocalBackend, Peers, Fleet.incarnation()),
       Listener(Loop, RequestIngress, Options.CallerAddress, Options.Pipeline),
-      ConfigSource(std::move(TheConfigSource)), LastTickAt(Loop.now()),
+      ConfigSource(std::move(TheConfigSource)),
+      Records(Loop, Options, Log, ServerDirectory, Peers, *ConfigSource,
+              [this](const ServiceRegistry::Change &Change) {
+                applyDirectoryChange(Change);
+              }),
+      LastTickAt(Loop.now()),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
       Loop, Options.ReadyAddress, [this](const std::string &Target) {
@@ -135,7 +132,8 @@
                                    .field("callers", Options.CallerAddress)));
   ConfigSource->start([this](ConfigurationUpdate &&News) {
     auto Shared = std::make_shared<ConfigurationUpdate>(std::move(News));
-    Loop.post([this, Shared] { applySourceUpdate(std::move(*Shared)); });
+    Loop.post(
+        [this, Shared] { Records.applySourceUpdate(std::move(*Shared)); });
   });
   Loop.callAt(Loop.now() + TickInterval, [this] { tick(); });
   Loop.run();
@@ -144,32 +142,6 @@
   Log.finish(Loop.now(), LogFlushTimeout);
 }
 
-void Agent::applySourceUpdate(ConfigurationUpdate &&News) {
-  if (News.Unavailable) {
-    if (UnavailableKinds.insert(News.Kind).second)
-      Log.logStateChange(
-          std::move(LogLine("source-lost", Loop.now())
-                        .field("records", recordKindName(News.Kind))
-                        .field("reason", News.UnavailableReason)));
-    return;
-  }
-  if (UnavailableKinds.erase(News.Kind) > 0)
-    Log.logStateChange(std::move(
-        LogLine("source-regained", Loop.now())
-            .field("records", recordKindName(News.Kind))
-            .field("as_of", static_cast<std::int64_t>(News.AsOfRevision))));
-  ServiceRegistry::Change Change;
-  if (News.IsFullList) {
-    Change = ServerDirectory.applyFullList(News.Kind, News.Records,
-                                           News.AsOfRevision, News.AfterOutage,
-                                           Loop.now());
-  } else {
-    Change = ServerDirectory.applyRecords(News.Records, "source", Loop.now());
-    ServerDirectory.advanceRevision(News.Kind, News.AsOfRevision);
-  }
-  applyDirectoryChange(Change);
-}
-
 void Agent::applyDirectoryChange(const ServiceRegistry::Change &Change) {
   if (!Change.RulesChanged && !Change.ServersChanged)
     return;
@@ -189,8 +161,7 @@
 
 StatusFrame Agent::localStatus() const {
   StatusFrame Status;
-  Status.RulesRevision = ServerDirectory.rulesRevision();
-  Status.ServersRevision = ServerDirectory.serversRevision();
+  Records.fillStatus(Status);
   Status.Service = Options.Service.Text;
   Status.ServerId = LocalBackend.serverId();
   Status.Load = LocalBackend.load();
@@ -205,14 +176,13 @@
   Loop.callAt(Loop.now() + TickInterval, [this] { tick(); });
   const Duration Elapsed = Loop.now() - LastTickAt;
   LastTickAt = Loop.now();
-  applyDirectoryChange(ServerDirectory.expireMissingServers(Loop.now()));
   Peers.tick();
+  Records.tick();
   StatusFrame Own = localStatus();
   Fleet.planQuotasAndAdmission(ServerDirectory, Own, Elapsed, Loop.now());
   logAdmissionChanges();
   Peers.broadcast(changesSince(Own, LastSentStatus));
   LastSentStatus = std::move(Own);
-  pullFromPeers();
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
@@ -274,40 +244,15 @@
     Server->LoadReceivedAt = Loop.now();
     Server->SentSince = 0;
   }
-  const bool PeerAhead =
-      Status.RulesRevision > ServerDirectory.rulesRevision() ||
-      Status.ServersRevision > ServerDirectory.serversRevision();
-  if (!PeerAhead)
-    return;
-  if (!BehindPeerSince)
-    BehindPeerSince = Loop.now();
-  NewerRecordsPeer = Ip;
-}
-
-void Agent::pullFromPeers() {
-  if (!BehindPeerSince || Loop.now() - *BehindPeerSince < PullDelay)
-    return;
-  BehindPeerSince.reset();
-  if (PeerLink *Link = Peers.findLiveLink(NewerRecordsPeer))
-    Link->send(PullFrame{ServerDirectory.rulesRevision(),
-                         ServerDirectory.serversRevision()});
+  Records.onPeerStatus(Ip, Status);
 }
 
 void Agent::onPeerPull(PeerLink &Link, const PullFrame &Pull) {
-  RecordsFrame Frame;
-  Frame.RulesRevision = ServerDirectory.rulesRevision();
-  Frame.ServersRevision = ServerDirectory.serversRevision();
-  Frame.Records =
-      ServerDirectory.recordsAfter(Pull.RulesRevision, Pull.ServersRevision);
-  Link.send(Frame);
+  Records.onPeerPull(Link, Pull);
 }
 
-void Agent::onPeerRecords(RecordsFrame &&Frame) {
-  const ServiceRegistry::Change Change =
-      ServerDirectory.applyRecords(Frame.Records, "peer", Loop.now());
-  ServerDirectory.advanceRevision(RecordKind::Rules, Frame.RulesRevision);
-  ServerDirectory.advanceRevision(RecordKind::Server, Frame.ServersRevision);
-  applyDirectoryChange(Change);
+void Agent::onPeerRecords(const std::string &Ip, RecordsFrame &&Frame) {
+  Records.onPeerRecords(Ip, Frame);
 }
 
 void Agent::onPeerConnected(PeerLink &Link) {
@@ -396,7 +341,7 @@
       ServerDirectory.rules()
           ? static_cast<std::int64_t>(ServerDirectory.rules()->Source.Version)
           : 0);
-  Counters.setGauge("source_lost", UnavailableKinds.empty() ? 0 : 1);
+  Counters.setGauge("source_lost", Records.sourceLost() ? 1 : 0);
   for (const auto &[Key, Share] : Fleet.admissionPlan().AdmittedShareByKey)
     Counters.setGauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                       static_cast<std::int64_t>(100 * Share));
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -3,7 +3,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "agent/Backend.h"
@@ -16,6 +15,7 @@
 #include "agent/Metrics.h"
 #include "agent/PeerLinks.h"
 #include "agent/PlatformAdapter.h"
+#include "agent/RecordSync.h"
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
 
@@ -44,7 +44,7 @@
   void onPeerCancel(std::uint64_t Number) override;
   void onPeerStatus(const std::string &Ip, StatusFrame &&Status) override;
   void onPeerPull(PeerLink &Link, const PullFrame &Pull) override;
-  void onPeerRecords(RecordsFrame &&Records) override;
+  void onPeerRecords(const std::string &Ip, RecordsFrame &&Frame) override;
   void onPeerConnected(PeerLink &Link) override;
   void onPeerAvailabilityChange(const PeerAvailabilityChange &Change) override;
   void onCallsResumed(const ResumedCallCounts &Calls) override;
@@ -52,10 +52,8 @@
 private:
   class StatusEndpoint;
 
-  void applySourceUpdate(ConfigurationUpdate &&News);
   void applyDirectoryChange(const ServiceRegistry::Change &Change);
   void tick();
-  void pullFromPeers();
   void logAdmissionChanges();
   void reloadChangedSettings();
   void advanceDrain();
@@ -79,15 +77,9 @@
   std::unique_ptr<StatusEndpoint> ReadinessEndpoint;
   std::unique_ptr<StatusEndpoint> MetricsEndpoint;
   std::unique_ptr<ConfigurationSource> ConfigSource;
+  RecordSync Records;
   /// Start of the drain; unset until `beginDrain`.
   std::optional<Instant> DrainStartedAt;
-  /// Kinds of records that the configuration source cannot deliver now.
-  std::set<RecordKind> UnavailableKinds;
-  /// IP address of the peer that last reported newer records.
-  std::string NewerRecordsPeer;
-  /// When a peer first reported newer records; unset when none has since the
-  /// last pull.
-  std::optional<Instant> BehindPeerSince;
   Instant LastTickAt;
   /// Admitted share that was last logged, 0 to 1, by service.
   std::map<std::string, double> LoggedAdmittedShare;
--- a/src/agent/ConfigurationSource.h
+++ b/src/agent/ConfigurationSource.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/hosts/RecordTable.h"
+#include "core/hosts/SourceReaders.h"
 
 namespace pollenwick::agent {
 
@@ -31,6 +32,10 @@
   /// Starts the threads, which read until `stop`.
   virtual void start(std::function<void(ConfigurationUpdate &&)> OnUpdate) = 0;
   virtual void stop() = 0;
+  /// Starts or stops to read; a source reads after `start`. `AfterOutage` is
+  /// set if other nodes have reported an outage since this one stopped. Safe to
+  /// call from any thread.
+  virtual void use(SourceUse Use, bool AfterOutage) = 0;
 };
 
 } // namespace pollenwick::agent
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "absl/hash/hash.h"
 #include "agent/StringUtil.h"
+#include "core/hash/StableHash.h"
 
 // The part of `Ingress` that routes and admits a request before a server is
 // chosen.
@@ -25,8 +25,10 @@
 constexpr Duration RetryAfterNoConfiguration = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterShed = std::chrono::milliseconds(600);
 
+/// Nodes count the crashes of a request under its fingerprint, so it must be
+/// the same at every node.
 std::uint64_t fingerprintOf(const CallRequest &Request) {
-  return absl::HashOf(Request.Method, Request.Target, Request.Body);
+  return stableHash({Request.Method, Request.Target, Request.Body});
 }
 
 } // namespace
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -130,7 +130,7 @@
 }
 
 void PeerLink::handle(RecordsFrame &&Frame) {
-  Links.Handler.onPeerRecords(std::move(Frame));
+  Links.Handler.onPeerRecords(Ip, std::move(Frame));
 }
 
 void PeerLink::handle(ResumeFrame &&Frame) { Links.handleResume(*this, Frame); }
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -130,6 +130,15 @@
         Link->Connection->send(std::string_view(Bytes));
 }
 
+void PeerLinks::sendTo(const std::vector<std::string> &Ips,
+                       const PeerFrame &Frame) {
+  std::string Bytes;
+  encodeFrame(Frame, Loop.now(), Bytes);
+  for (const std::string &Ip : Ips)
+    if (PeerLink *Link = findLiveLink(Ip))
+      Link->Connection->send(std::string_view(Bytes));
+}
+
 void PeerLinks::onLinkLost(PeerLink &Link) {
   const std::string Ip = Link.Ip;
   const bool HasUnfinishedCalls =
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <Poco/Net/ServerSocket.h>
 
@@ -47,7 +48,7 @@
   virtual void onPeerCancel(std::uint64_t Number) = 0;
   virtual void onPeerStatus(const std::string &Ip, StatusFrame &&Status) = 0;
   virtual void onPeerPull(PeerLink &Link, const PullFrame &Pull) = 0;
-  virtual void onPeerRecords(RecordsFrame &&Records) = 0;
+  virtual void onPeerRecords(const std::string &Ip, RecordsFrame &&Records) = 0;
   virtual void onPeerConnected(PeerLink &Link) = 0;
 };
 
@@ -71,6 +72,8 @@
   void cancel(const std::string &Ip, std::uint64_t Id);
   /// Sends the frame on every connected link.
   void broadcast(const PeerFrame &Frame);
+  /// Sends the frame to those of the peers that have a live link.
+  void sendTo(const std::vector<std::string> &Ips, const PeerFrame &Frame);
   /// Dials missing peers, closes dead links, fails calls on silent ones and
   /// expires the calls of lost links.
   void tick();
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -124,6 +124,9 @@
   Out.setStart(Frame.Incarnation);
   Out.setRulesRevision(Frame.RulesRevision);
   Out.setServersRevision(Frame.ServersRevision);
+  Out.setServersDigest(Frame.ServersDigest);
+  Out.setSourceUse(static_cast<std::uint8_t>(Frame.Source));
+  Out.setSourceLost(Frame.SourceLost);
   Out.setService(text(Frame.Service));
   Out.setServerId(text(Frame.ServerId));
   put(Out.initLoad(), Frame.Load);
@@ -160,19 +163,28 @@
   Out.setServersRevision(Frame.ServersRevision);
 }
 
+void put(mesh::wire::Record::Builder Out, const Record &Item) {
+  Out.setKind(static_cast<std::uint8_t>(Item.Kind));
+  Out.setId(text(Item.Id));
+  Out.setRevision(Item.Revision);
+  Out.setDeleted(Item.Deleted);
+  Out.setValue(data(Item.Value));
+}
+
 void put(mesh::wire::Frame::Builder Root, const RecordsFrame &Frame, Instant) {
   auto Set = Root.initRecords();
-  Set.setRulesRevision(Frame.RulesRevision);
-  Set.setServersRevision(Frame.ServersRevision);
-  auto Out = Set.initRecords(static_cast<unsigned>(Frame.Records.size()));
-  for (unsigned I = 0; I < Frame.Records.size(); ++I) {
-    const Record &Item = Frame.Records[I];
-    Out[I].setKind(static_cast<std::uint8_t>(Item.Kind));
-    Out[I].setId(text(Item.Id));
-    Out[I].setRevision(Item.Revision);
-    Out[I].setDeleted(Item.Deleted);
-    Out[I].setValue(data(Item.Value));
-  }
+  Set.setRulesRevision(Frame.Rules.AsOf);
+  Set.setRulesFrom(Frame.Rules.From);
+  Set.setRulesFull(Frame.Rules.IsFullList);
+  Set.setServersRevision(Frame.Servers.AsOf);
+  Set.setServersFrom(Frame.Servers.From);
+  Set.setServersFull(Frame.Servers.IsFullList);
+  auto Out = Set.initRecords(static_cast<unsigned>(
+      Frame.Rules.Records.size() + Frame.Servers.Records.size()));
+  unsigned Next = 0;
+  for (const RecordBatch *Batch : {&Frame.Rules, &Frame.Servers})
+    for (const Record &Item : Batch->Records)
+      put(Out[Next++], Item);
 }
 
 void put(mesh::wire::Frame::Builder Root, const HelloFrame &Frame, Instant) {
@@ -242,6 +254,12 @@
   Frame.Incarnation = In.getStart();
   Frame.RulesRevision = In.getRulesRevision();
   Frame.ServersRevision = In.getServersRevision();
+  Frame.ServersDigest = In.getServersDigest();
+  Frame.Source =
+      In.getSourceUse() <= static_cast<std::uint8_t>(SourceUse::Probe)
+          ? static_cast<SourceUse>(In.getSourceUse())
+          : SourceUse::Read;
+  Frame.SourceLost = In.getSourceLost();
   Frame.Service = toString(In.getService());
   Frame.ServerId = toString(In.getServerId());
   Frame.Load = readLoad(In.getLoad());
@@ -259,8 +277,12 @@
 
 RecordsFrame readRecords(mesh::wire::RecordSet::Reader In) {
   RecordsFrame Frame;
-  Frame.RulesRevision = In.getRulesRevision();
-  Frame.ServersRevision = In.getServersRevision();
+  Frame.Rules.AsOf = In.getRulesRevision();
+  Frame.Rules.From = In.getRulesFrom();
+  Frame.Rules.IsFullList = In.getRulesFull();
+  Frame.Servers.AsOf = In.getServersRevision();
+  Frame.Servers.From = In.getServersFrom();
+  Frame.Servers.IsFullList = In.getServersFull();
   for (const auto Item : In.getRecords()) {
     Record New;
     New.Kind = Item.getKind() == 0 ? RecordKind::Rules : RecordKind::Server;
@@ -268,7 +290,9 @@
     New.Revision = Item.getRevision();
     New.Deleted = Item.getDeleted();
     New.Value = toString(Item.getValue());
-    Frame.Records.push_back(std::move(New));
+    RecordBatch &Batch =
+        New.Kind == RecordKind::Rules ? Frame.Rules : Frame.Servers;
+    Batch.Records.push_back(std::move(New));
   }
   return Frame;
 }
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "agent/Call.h"
 #include "core/hosts/RecordTable.h"
+#include "core/hosts/SourceReaders.h"
 #include "core/resume/CallLedger.h"
 
 namespace pollenwick::agent {
@@ -49,8 +50,12 @@
 /// its start. Mesh.capnp describes the fields.
 struct StatusFrame {
   std::uint64_t Incarnation = 0;
+  /// Revisions of the newest records that the node holds.
   std::uint64_t RulesRevision = 0;
   std::uint64_t ServersRevision = 0;
+  std::uint64_t ServersDigest = 0; ///< See `digestOf`.
+  SourceUse Source = SourceUse::Read;
+  bool SourceLost = false; ///< The last read of the source has failed.
   std::string Service;
   std::string ServerId;
   ServerLoad Load;
@@ -76,11 +81,11 @@
   std::uint64_t ServersRevision = 0;
 };
 
-/// Answers a `PullFrame`. The sender holds all records up to the revisions.
+/// Records that a node has read from the configuration service, or that a
+/// `PullFrame` asked for.
 struct RecordsFrame {
-  std::uint64_t RulesRevision = 0;
-  std::uint64_t ServersRevision = 0;
-  std::vector<Record> Records;
+  RecordBatch Rules;
+  RecordBatch Servers;
 };
 
 /// The first frame on a connection, sent by both ends.
--- /dev/null
+++ b/src/agent/RecordSync.h
@@ -0,0 +1,86 @@
+#ifndef POLLENWICK_AGENT_RECORDSYNC_H
+#define POLLENWICK_AGENT_RECORDSYNC_H
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "agent/ConfigurationSource.h"
+#include "agent/EventLoop.h"
+#include "agent/Log.h"
+#include "agent/PeerLinks.h"
+#include "agent/PeerWire.h"
+#include "agent/ServiceRegistry.h"
+#include "agent/Settings.h"
+
+namespace pollenwick::agent {
+
+/// Keeps the registry of this node up to date. A few nodes of each availability
+/// zone read the configuration service and pass on what they read to the nodes
+/// of their zone; the others compare revisions and pull what they lack.
+class RecordSync {
+public:
+  using ChangeHandler = std::function<void(const ServiceRegistry::Change &)>;
+
+  /// `OnChange` is called after each change of the registry.
+  RecordSync(EventLoop &Loop, const Settings &Options, LogWriter &Log,
+             ServiceRegistry &Registry, PeerLinks &Peers,
+             ConfigurationSource &Source, ChangeHandler OnChange);
+
+  /// Applies what the configuration source has read, or its failure.
+  void applySourceUpdate(ConfigurationUpdate &&Update);
+  void onPeerStatus(const std::string &Ip, const StatusFrame &Status);
+  void onPeerPull(PeerLink &Link, const PullFrame &Pull);
+  void onPeerRecords(const std::string &Ip, const RecordsFrame &Frame);
+  /// Removes expired servers, decides whether this node reads the source, and
+  /// pulls what it lacks. Call several times a second.
+  void tick();
+  /// Adds what peers need to know to the status of this node.
+  void fillStatus(StatusFrame &Status) const;
+  bool sourceLost() const { return !UnavailableKinds.empty(); }
+
+private:
+  /// What a peer has reported last.
+  struct PeerRecords {
+    std::uint64_t RulesRevision = 0;
+    std::uint64_t ServersRevision = 0;
+    bool SourceLost = false;
+  };
+
+  std::vector<std::string> zonePeerIps() const;
+  bool isAhead(const PeerRecords &Peer) const;
+  void logSourceState(const ConfigurationUpdate &Update);
+  void passOn(RecordKind Kind, RecordBatch &&Batch);
+  void updateSourceUse();
+  void compareDigest(const std::string &Ip, const StatusFrame &Status);
+  void pullMissing();
+  void apply(RecordKind Kind, const RecordBatch &Batch, const std::string &Ip);
+
+  EventLoop &Loop;
+  const Settings &Options;
+  LogWriter &Log;
+  ServiceRegistry &Registry;
+  PeerLinks &Peers;
+  ConfigurationSource &Source;
+  ChangeHandler OnChange;
+  /// Kinds of records that the source cannot deliver now.
+  std::set<RecordKind> UnavailableKinds;
+  SourceUse Use = SourceUse::Read;
+  /// Since when the peers suffice, while this node still reads.
+  std::optional<Instant> NotNeededSince;
+  /// When a peer reported last that it cannot read the source.
+  std::optional<Instant> OutageReportedAt;
+  std::map<std::string, PeerRecords> ReportsByIp;
+  /// Since when a peer has held newer records; unset when none does.
+  std::optional<Instant> BehindSince;
+  /// Since when the servers of this node differ from those of `DifferingPeer`,
+  /// a reader with the same newest record.
+  std::optional<Instant> DifferentSince;
+  std::string DifferingPeer;
+};
+
+} // namespace pollenwick::agent
+
+#endif
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -2,6 +2,7 @@
 #include "agent/StringUtil.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pollenwick::agent {
 
@@ -109,36 +110,53 @@
 }
 
 ServiceRegistry::Change
-ServiceRegistry::applyFullList(RecordKind Kind, const std::vector<Record> &List,
-                               std::uint64_t AsOfRevision, bool AfterOutage,
-                               Instant Now) {
+ServiceRegistry::updateChanged(RecordKind Kind,
+                               const std::vector<std::string> &Ids,
+                               std::string_view Source, Instant Now) {
   Change Result;
-  const std::vector<std::string> Ids =
-      applyList(tableOf(Kind), List, AsOfRevision, AfterOutage, Now);
   for (const std::string &Id : Ids) {
     if (Kind == RecordKind::Server) {
       updateServer(Id, Now);
       Result.ServersChanged = true;
-    } else if (!RuleRecords.Records.at(Id).Deleted) {
-      Result.RulesChanged |=
-          updateRules(RuleRecords.Records.at(Id), "source", Now);
+    } else if (const Record &Item = RuleRecords.Records.at(Id); !Item.Deleted) {
+      Result.RulesChanged |= updateRules(Item, Source, Now);
     }
   }
   return Result;
 }
 
+ServiceRegistry::Change
+ServiceRegistry::applyFullList(RecordKind Kind, const std::vector<Record> &List,
+                               std::uint64_t AsOfRevision, bool AfterOutage,
+                               Instant Now) {
+  return updateChanged(
+      Kind, applyList(tableOf(Kind), List, AsOfRevision, AfterOutage, Now),
+      "source", Now);
+}
+
+ServiceRegistry::Change ServiceRegistry::applyBatch(RecordKind Kind,
+                                                    const RecordBatch &Batch,
+                                                    bool &HasGap, Instant Now) {
+  const BatchResult Result = pollenwick::applyBatch(tableOf(Kind), Batch, Now);
+  HasGap = Result.HasGap;
+  return updateChanged(Kind, Result.ChangedIds, "peer", Now);
+}
+
 void ServiceRegistry::advanceRevision(RecordKind Kind,
                                       std::uint64_t AsOfRevision) {
   RecordTable &Table = tableOf(Kind);
   Table.Revision = std::max(Table.Revision, AsOfRevision);
 }
 
-ServiceRegistry::Change ServiceRegistry::expireMissingServers(Instant Now) {
-  Change Result;
-  for (const std::string &Id : expireMissing(ServerRecords, Now)) {
-    updateServer(Id, Now);
-    Result.ServersChanged = true;
-  }
+ServiceRegistry::Change
+ServiceRegistry::expireMissingServers(Instant Now, std::size_t MaxMarkers,
+                                      std::vector<Record> &Removed) {
+  const std::vector<std::string> Ids = expireMissing(ServerRecords, Now);
+  const Change Result = updateChanged(RecordKind::Server, Ids, "source", Now);
+  std::ranges::transform(
+      Ids, std::back_inserter(Removed),
+      [this](const std::string &Id) { return ServerRecords.Records.at(Id); });
+  pruneMarkers(ServerRecords, MaxMarkers);
   return Result;
 }
 
@@ -171,16 +189,11 @@
   return Ips;
 }
 
-std::vector<Record>
-ServiceRegistry::recordsAfter(std::uint64_t RulesRevision,
-                              std::uint64_t ServersRevision) const {
-  std::vector<Record> Result =
-      pollenwick::recordsAfter(RuleRecords, RulesRevision);
-  const std::vector<Record> NewerServerRecords =
-      pollenwick::recordsAfter(ServerRecords, ServersRevision);
-  Result.insert(Result.end(), NewerServerRecords.begin(),
-                NewerServerRecords.end());
-  return Result;
+std::map<std::string, ZoneId> ServiceRegistry::nodeZones() const {
+  std::map<std::string, ZoneId> Zones;
+  for (const auto &[Id, Server] : Servers)
+    Zones.emplace(Server.NodeIp, Server.Entry.Zone);
+  return Zones;
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -55,8 +55,14 @@
   /// Records that all changes of `Kind` up to `AsOfRevision` were applied.
   void advanceRevision(RecordKind Kind, std::uint64_t AsOfRevision);
   /// Removes the servers that were missing from the list after an outage and
-  /// whose `MissingRecordGrace` has ended.
-  Change expireMissingServers(Instant Now);
+  /// whose `MissingRecordGrace` has ended. Appends the markers of the removed
+  /// servers to `Removed` and keeps at most `MaxMarkers` of all markers.
+  Change expireMissingServers(Instant Now, std::size_t MaxMarkers,
+                              std::vector<Record> &Removed);
+  /// Applies records that a peer has sent. Sets `HasGap` if changes before them
+  /// are missing here.
+  Change applyBatch(RecordKind Kind, const RecordBatch &Batch, bool &HasGap,
+                    Instant Now);
 
   /// Returns the rules in force; null until the first configuration arrives.
   const std::shared_ptr<const RouteTable> &rules() const { return Rules; }
@@ -70,16 +76,33 @@
   /// Returns the addresses of all nodes that have a registered server.
   std::set<std::string> nodeIps() const;
 
-  std::uint64_t rulesRevision() const { return RuleRecords.Revision; }
-  std::uint64_t serversRevision() const { return ServerRecords.Revision; }
-  /// Returns the records that are newer than the given revisions.
-  std::vector<Record> recordsAfter(std::uint64_t RulesRevision,
-                                   std::uint64_t ServersRevision) const;
+  /// Returns the zones of all nodes that have a registered server, by address.
+  std::map<std::string, ZoneId> nodeZones() const;
+
+  /// Returns the revision up to which all changes of a kind were applied.
+  std::uint64_t revision(RecordKind Kind) const {
+    return tableOf(Kind).Revision;
+  }
+  /// Returns the revision of the newest record of a kind.
+  std::uint64_t newestRecord(RecordKind Kind) const {
+    return pollenwick::newestRecord(tableOf(Kind));
+  }
+  std::uint64_t serversDigest() const { return digestOf(ServerRecords); }
+  /// Returns what a peer that has all changes up to `After` lacks.
+  RecordBatch batchAfter(RecordKind Kind, std::uint64_t After) const {
+    return pollenwick::batchAfter(tableOf(Kind), After);
+  }
 
 private:
+  const RecordTable &tableOf(RecordKind Kind) const {
+    return Kind == RecordKind::Rules ? RuleRecords : ServerRecords;
+  }
   RecordTable &tableOf(RecordKind Kind) {
     return Kind == RecordKind::Rules ? RuleRecords : ServerRecords;
   }
+  /// Brings the rules and servers in line with records that have changed.
+  Change updateChanged(RecordKind Kind, const std::vector<std::string> &Ids,
+                       std::string_view Source, Instant Now);
   bool updateRules(const Record &Item, std::string_view Source, Instant Now);
   void updateServer(const std::string &Id, Instant Now);
 
--- a/src/core/hosts/ReadSchedule.cpp
+++ b/src/core/hosts/ReadSchedule.cpp
@@ -10,6 +10,11 @@
 /// Bounds the time until a read notices that a source has recovered.
 constexpr Duration MaxBackoff = std::chrono::milliseconds(600);
 constexpr std::uint32_t MaxBackoffDoublings = 2;
+constexpr Duration PatientBackoff = std::chrono::milliseconds(3000);
+/// Time between two reads of changes. A source answers as soon as there is one
+/// change, so without it each change of a busy fleet costs a read. It is short
+/// beside the times in which a change has to be in force.
+constexpr Duration MinChangeInterval = std::chrono::milliseconds(250);
 
 Duration backoffAfter(std::uint32_t ConsecutiveFailures) {
   return std::min(MaxBackoff,
@@ -19,17 +24,28 @@
 
 } // namespace
 
-bool onReadSucceeded(ReadSchedule &Schedule, std::uint64_t AsOf) {
-  const bool EndsOutage = Schedule.InOutage;
-  if (Schedule.ChangesAfter)
+ReadSuccess onReadSucceeded(ReadSchedule &Schedule, std::uint64_t AsOf,
+                            bool HasChanges) {
+  ReadSuccess Result{Schedule.InOutage, Duration{}};
+  if (Schedule.ChangesAfter) {
     Schedule.HistoryGone = false;
+    if (HasChanges)
+      Result.Pause = MinChangeInterval;
+  }
   Schedule.ChangesAfter = AsOf;
   Schedule.InOutage = false;
   Schedule.ConsecutiveFailures = 0;
-  return EndsOutage;
+  return Result;
+}
+
+void restartReading(ReadSchedule &Schedule, bool AfterOutage) {
+  Schedule.InOutage = Schedule.InOutage || AfterOutage;
+  Schedule.ChangesAfter.reset();
+  Schedule.ConsecutiveFailures = 0;
 }
 
-Duration onReadFailed(ReadSchedule &Schedule, ReadFailure Failure) {
+Duration onReadFailed(ReadSchedule &Schedule, ReadFailure Failure,
+                      bool Patient) {
   Schedule.ChangesAfter.reset();
   ++Schedule.ConsecutiveFailures;
   if (Failure == ReadFailure::HistoryGone) {
@@ -40,7 +56,7 @@
     return GoneBefore ? backoffAfter(Schedule.ConsecutiveFailures) : Duration{};
   }
   Schedule.InOutage = true;
-  return backoffAfter(Schedule.ConsecutiveFailures);
+  return Patient ? PatientBackoff : backoffAfter(Schedule.ConsecutiveFailures);
 }
 
 } // namespace pollenwick
--- a/src/core/hosts/ReadSchedule.h
+++ b/src/core/hosts/ReadSchedule.h
@@ -24,12 +24,25 @@
   std::uint32_t ConsecutiveFailures = 0;
 };
 
-/// Records a successful read of the list or of changes up to revision `AsOf`.
-/// Returns true if the read ends an outage.
-bool onReadSucceeded(ReadSchedule &Schedule, std::uint64_t AsOf);
+/// What follows from a successful read.
+struct ReadSuccess {
+  bool EndsOutage = false;
+  Duration Pause{}; ///< Time to wait before the next read.
+};
+
+/// Records a successful read of the list or of changes up to revision `AsOf`;
+/// `HasChanges` is false if nothing has changed since the last read.
+ReadSuccess onReadSucceeded(ReadSchedule &Schedule, std::uint64_t AsOf,
+                            bool HasChanges);
+
+/// Records a failed read. Returns the time to wait before the next read;
+/// `Patient` makes it longer, for a source that others ask often enough.
+Duration onReadFailed(ReadSchedule &Schedule, ReadFailure Failure,
+                      bool Patient = false);
 
-/// Records a failed read. Returns the time to wait before the next read.
-Duration onReadFailed(ReadSchedule &Schedule, ReadFailure Failure);
+/// Begins to read again after a break, in which other nodes have read. The next
+/// read is the full list. `AfterOutage` is set if they reported an outage.
+void restartReading(ReadSchedule &Schedule, bool AfterOutage);
 
 } // namespace pollenwick
 
--- a/src/core/hosts/RecordTable.h
+++ b/src/core/hosts/RecordTable.h
@@ -27,11 +27,16 @@
   std::map<std::string, Record>
       Records;                ///< Includes the markers of deleted items.
   std::uint64_t Revision = 0; ///< All changes up to this one are included.
+  /// Every item that was deleted after this revision has a marker, unless a
+  /// later `Revision` was reached by a full list.
+  std::uint64_t MarkersSince = 0;
   std::map<std::string, Instant>
       RemovalDeadlines; ///< Items missing from a list after an outage.
 };
 
-/// Stores a record if it is newer than the stored one. Returns true if it was.
+/// Stores a record if it is newer than the stored one. An unknown item that is
+/// not newer than the table was deleted before, so a node that has missed the
+/// deletion cannot bring it back. Returns true if the record was stored.
 bool applyRecord(RecordTable &Table, const Record &New);
 
 /// Applies a full list as of revision `AsOf`. Items that the list does not
@@ -47,8 +52,41 @@
 /// Removes the items whose grace period has ended. Returns their ids.
 std::vector<std::string> expireMissing(RecordTable &Table, Instant Now);
 
-/// Returns the records newer than revision `After`, oldest first.
-std::vector<Record> recordsAfter(const RecordTable &Table, std::uint64_t After);
+/// Records that one node passes on to another.
+struct RecordBatch {
+  /// The receiver needs all changes up to this revision to be complete up to
+  /// `AsOf`; ignored for a full list.
+  std::uint64_t From = 0;
+  std::uint64_t AsOf = 0;
+  bool IsFullList = false; ///< `Records` holds all existing items.
+  std::vector<Record> Records;
+};
+
+/// Returns what a node that has all changes up to `After` lacks, oldest first:
+/// the newer records, or the full list if markers of deleted items are missing.
+RecordBatch batchAfter(const RecordTable &Table, std::uint64_t After);
+
+/// Result of applying a batch.
+struct BatchResult {
+  std::vector<std::string> ChangedIds;
+  /// True if the table lacks changes between its revision and `From`.
+  bool HasGap = false;
+};
+
+/// Applies records that a peer has sent. Items that its full list lacks are
+/// removed after `MissingRecordGrace`.
+BatchResult applyBatch(RecordTable &Table, const RecordBatch &Batch,
+                       Instant Now);
+
+/// Forgets the oldest markers of deleted items beyond `MaxMarkers`.
+void pruneMarkers(RecordTable &Table, std::size_t MaxMarkers);
+
+/// Returns the revision of the newest record, 0 if there is none.
+std::uint64_t newestRecord(const RecordTable &Table);
+
+/// Returns a hash of the ids and revisions of the existing items, which is the
+/// same for all tables with the same items.
+std::uint64_t digestOf(const RecordTable &Table);
 
 /// Time for which an item stays after a list without it has followed an outage.
 inline constexpr Duration MissingRecordGrace = std::chrono::milliseconds(2200);
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -69,6 +69,9 @@
   calls @12 :List(Count);    # Nested calls by service; a: calls.
   runs @13 :UInt64;          # Runs of the server beside the node.
   crashes @14 :List(Crash);
+  sourceUse @15 :UInt8;      # 0: idle, 1: reads, 2: probes.
+  sourceLost @16 :Bool;      # The last read has failed.
+  serversDigest @17 :UInt64; # Hash of the ids and revisions of all servers.
 }
 
 struct Record {
@@ -79,12 +82,17 @@
   value @4 :Data;
 }
 
-# Records newer than a pull asked for. The sender holds everything up to the
-# revisions.
+# Records that a node has read, or that a pull asked for. A receiver that has
+# all changes up to the "from" revisions has them up to the others afterwards. A
+# full list holds all existing items of its kind.
 struct RecordSet {
   rulesRevision @0 :UInt64;
   serversRevision @1 :UInt64;
   records @2 :List(Record);
+  rulesFrom @3 :UInt64;
+  serversFrom @4 :UInt64;
+  rulesFull @5 :Bool;
+  serversFull @6 :Bool;
 }
 
 struct Pull { rulesRevision @0 :UInt64; serversRevision @1 :UInt64; }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -129,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(813f3bc78f72c843, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(813f3bc78f72c843, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -159,7 +159,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94bea7cda8fd0117, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(94bea7cda8fd0117, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -894,6 +894,12 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::pollenwick::mesh::wire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline  ::uint8_t getSourceUse() const;
+
+  inline bool getSourceLost() const;
+
+  inline  ::uint64_t getServersDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -999,6 +1005,15 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Crash,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline  ::uint8_t getSourceUse();
+  inline void setSourceUse( ::uint8_t value);
+
+  inline bool getSourceLost();
+  inline void setSourceLost(bool value);
+
+  inline  ::uint64_t getServersDigest();
+  inline void setServersDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1156,6 +1171,14 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::pollenwick::mesh::wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::uint64_t getRulesFrom() const;
+
+  inline  ::uint64_t getServersFrom() const;
+
+  inline bool getRulesFull() const;
+
+  inline bool getServersFull() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1197,6 +1220,18 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Record,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::uint64_t getRulesFrom();
+  inline void setRulesFrom( ::uint64_t value);
+
+  inline  ::uint64_t getServersFrom();
+  inline void setServersFrom( ::uint64_t value);
+
+  inline bool getRulesFull();
+  inline void setRulesFull(bool value);
+
+  inline bool getServersFull();
+  inline void setServersFull(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2820,6 +2855,48 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t Status::Reader::getSourceUse() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Status::Builder::getSourceUse() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setSourceUse( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::getSourceLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<456>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getSourceLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<456>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setSourceLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<456>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Status::Reader::getServersDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Status::Builder::getServersDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setServersDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Record::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2992,6 +3069,62 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RecordSet::Reader::getRulesFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordSet::Builder::getRulesFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RecordSet::Builder::setRulesFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RecordSet::Reader::getServersFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordSet::Builder::getServersFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RecordSet::Builder::setServersFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordSet::Reader::getRulesFull() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool RecordSet::Builder::getRulesFull() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void RecordSet::Builder::setRulesFull(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordSet::Reader::getServersFull() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+
+inline bool RecordSet::Builder::getServersFull() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+}
+inline void RecordSet::Builder::setServersFull(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Pull::Reader::getRulesRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/agent/PeerLinksTest.cpp
+++ b/tests/agent/PeerLinksTest.cpp
@@ -45,7 +45,7 @@
   }
   void onPeerStatus(const std::string &, StatusFrame &&) override {}
   void onPeerPull(PeerLink &, const PullFrame &) override {}
-  void onPeerRecords(RecordsFrame &&) override {}
+  void onPeerRecords(const std::string &, RecordsFrame &&) override {}
   void onPeerConnected(PeerLink &) override {}
   void onPeerAvailabilityChange(const PeerAvailabilityChange &Change) override {
     AvailabilityChanges.push_back(Change.Usable);
--- a/tests/hosts/ReadScheduleTest.cpp
+++ b/tests/hosts/ReadScheduleTest.cpp
@@ -8,9 +8,9 @@
           "[hosts]") {
   ReadSchedule Schedule;
   CHECK_FALSE(Schedule.ChangesAfter.has_value());
-  CHECK_FALSE(onReadSucceeded(Schedule, 7));
+  CHECK_FALSE(onReadSucceeded(Schedule, 7, true).EndsOutage);
   CHECK(Schedule.ChangesAfter == 7);
-  CHECK_FALSE(onReadSucceeded(Schedule, 9));
+  CHECK_FALSE(onReadSucceeded(Schedule, 9, true).EndsOutage);
   CHECK(Schedule.ChangesAfter == 9);
 
   SECTION("the end of an outage is reported once, by the read that ends it") {
@@ -18,8 +18,8 @@
     // report, records missing from its list would be removed at once.
     CHECK(onReadFailed(Schedule, ReadFailure::Unavailable) > Duration{});
     CHECK_FALSE(Schedule.ChangesAfter.has_value());
-    CHECK(onReadSucceeded(Schedule, 9));
-    CHECK_FALSE(onReadSucceeded(Schedule, 10));
+    CHECK(onReadSucceeded(Schedule, 9, true).EndsOutage);
+    CHECK_FALSE(onReadSucceeded(Schedule, 10, true).EndsOutage);
   }
   SECTION(
       "the backoff grows but stays short enough to notice a recovery soon") {
@@ -32,23 +32,42 @@
       Last = Pause;
     }
     CHECK(Last == std::chrono::milliseconds(600));
-    onReadSucceeded(Schedule, 11);
+    onReadSucceeded(Schedule, 11, true);
     CHECK(onReadFailed(Schedule, ReadFailure::Unavailable) < Last);
   }
   SECTION("missing history is not an outage, and the list is read at once") {
     CHECK(onReadFailed(Schedule, ReadFailure::HistoryGone) == Duration{});
-    CHECK_FALSE(onReadSucceeded(Schedule, 12));
+    CHECK_FALSE(onReadSucceeded(Schedule, 12, true).EndsOutage);
   }
   SECTION("a source whose history is gone repeatedly is read with a backoff") {
     // Guards against reads without a delay between them, each of which counts
     // toward the request limit of the source.
     onReadFailed(Schedule, ReadFailure::HistoryGone);
     for (int I = 0; I < 5; ++I) {
-      onReadSucceeded(Schedule, 12);
+      onReadSucceeded(Schedule, 12, true);
       CHECK(onReadFailed(Schedule, ReadFailure::HistoryGone) > Duration{});
     }
-    onReadSucceeded(Schedule, 13);
-    onReadSucceeded(Schedule, 14);
+    onReadSucceeded(Schedule, 13, true);
+    onReadSucceeded(Schedule, 14, true);
     CHECK(onReadFailed(Schedule, ReadFailure::HistoryGone) == Duration{});
   }
+  SECTION("a source that changes all the time is not read for each change") {
+    // Guards against a number of reads that grows with the number of changes
+    // times the number of nodes.
+    CHECK(onReadSucceeded(Schedule, 11, true).Pause >=
+          std::chrono::milliseconds(100));
+    CHECK(onReadSucceeded(Schedule, 12, false).Pause == Duration{});
+  }
+  SECTION("a node that reads again after a break begins with the full list") {
+    // Guards against changes of the break that are no longer in the history.
+    restartReading(Schedule, false);
+    CHECK_FALSE(Schedule.ChangesAfter.has_value());
+    CHECK_FALSE(onReadSucceeded(Schedule, 20, true).EndsOutage);
+    restartReading(Schedule, true);
+    CHECK(onReadSucceeded(Schedule, 21, true).EndsOutage);
+  }
+  SECTION("a patient reader waits longer after a failure") {
+    CHECK(onReadFailed(Schedule, ReadFailure::Unavailable, true) >
+          std::chrono::seconds(1));
+  }
 }
--- a/tests/hosts/RecordTableTest.cpp
+++ b/tests/hosts/RecordTableTest.cpp
@@ -68,8 +68,75 @@
   applyRecord(Table, record("i-3", 9, "c"));
   applyRecord(Table, record("i-1", 5, "a"));
   applyRecord(Table, record("i-2", 7, "b"));
-  const auto Records = recordsAfter(Table, 5);
+  const auto Records = batchAfter(Table, 5).Records;
   REQUIRE(Records.size() == 2);
   CHECK(Records[0].Id == "i-2");
   CHECK(Records[1].Id == "i-3");
 }
+
+TEST_CASE("A departed server does not come back through a peer", "[hosts]") {
+  // Guards against a restarted node that learns of servers which left before it
+  // started, from a peer that has not read the source since.
+  RecordTable Stale;
+  applyList(Stale, {record("i-1", 5, "a"), record("i-2", 6, "b")}, 10, false,
+            Start);
+  RecordTable Fresh;
+  applyList(Fresh, {record("i-1", 5, "a")}, 20, false, Start);
+
+  SECTION("to a node that has read a list without it") {
+    CHECK_FALSE(applyRecord(Fresh, record("i-2", 6, "b")));
+    CHECK(applyBatch(Fresh, batchAfter(Stale, 0), Start).ChangedIds.empty());
+    CHECK_FALSE(Fresh.Records.contains("i-2"));
+    CHECK(Fresh.Revision == 20);
+  }
+  SECTION("to a node that heard the stale peer first") {
+    RecordTable Started;
+    applyBatch(Started, batchAfter(Stale, 0), Start);
+    CHECK_FALSE(Started.Records.at("i-2").Deleted);
+    // `Fresh` has no marker of the deletion, so it sends its full list.
+    applyBatch(Started, batchAfter(Fresh, Started.Revision), Start);
+    expireMissing(Started, Start + MissingRecordGrace);
+    CHECK(Started.Records.at("i-2").Deleted);
+    CHECK(digestOf(Started) == digestOf(Fresh));
+  }
+  SECTION("to a node that has forgotten the marker") {
+    Record Removal = record("i-2", 15, "");
+    Removal.Deleted = true;
+    applyBatch(Stale, {10, 20, false, {Removal}}, Start);
+    pruneMarkers(Stale, 0);
+    CHECK_FALSE(applyRecord(Stale, record("i-2", 6, "b")));
+    CHECK(batchAfter(Stale, 10).IsFullList);
+  }
+}
+
+TEST_CASE("Nodes that pass on changes hold the same records", "[hosts]") {
+  RecordTable Reader;
+  applyList(Reader, {record("i-1", 5, "a")}, 10, false, Start);
+  RecordTable Other;
+  applyBatch(Other, batchAfter(Reader, 0), Start);
+  CHECK(Other.Revision == 10);
+
+  SECTION("a lost batch leaves a gap that is noticed") {
+    // Guards against a node that takes itself for complete after a connection
+    // was lost together with a change.
+    const BatchResult Result =
+        applyBatch(Other, {12, 14, false, {record("i-3", 14, "c")}}, Start);
+    CHECK(Result.HasGap);
+    CHECK(Result.ChangedIds == std::vector<std::string>{"i-3"});
+    CHECK(Other.Revision == 10);
+  }
+  SECTION("a removal after an outage reaches a node that is complete") {
+    applyList(Reader, {}, 20, true, Start);
+    applyBatch(Other, batchAfter(Reader, 10), Start);
+    REQUIRE(expireMissing(Reader, Start + MissingRecordGrace).size() == 1);
+    const Record Removal = Reader.Records.at("i-1");
+    CHECK(Removal.Deleted);
+    applyBatch(Other, {20, 20, false, {Removal}}, Start);
+    CHECK(Other.Records.at("i-1").Deleted);
+    CHECK(digestOf(Other) == digestOf(Reader));
+  }
+  SECTION("different records have different digests") {
+    applyBatch(Reader, {10, 11, false, {record("i-1", 11, "x")}}, Start);
+    CHECK(digestOf(Other) != digestOf(Reader));
+  }
+}
