Keep calls in their availability zone while they are served in time there

Change: servers in other zones are considered once no server of the own zone has room, answers without excess failures and is expected to answer within half of the latency target. Nodes count and log the bytes that they send, by frame.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -21,6 +21,7 @@
 /// Smallest change of an admitted share (0 to 1) that is logged.
 constexpr double MinLoggedShareChange = 0.1;
 constexpr std::uint64_t TicksPerSettingsCheck = 4;
+constexpr std::uint64_t TicksPerTrafficLine = 40;
 
 std::uint64_t randomStartId() {
   std::random_device Device;
@@ -186,6 +187,16 @@
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
+  if (TickCount % TicksPerTrafficLine == 0)
+    logPeerTraffic();
+}
+
+void Agent::logPeerTraffic() {
+  LogLine Line("peer-traffic", Loop.now());
+  for (std::size_t Kind = 0; Kind < PeerFrameKinds; ++Kind)
+    Line.field(concat(peerFrameName(Kind), "_bytes"),
+               static_cast<std::int64_t>(Peers.sentBytes()[Kind]));
+  Log.logStateChange(std::move(Line));
 }
 
 void Agent::logAdmissionChanges() {
@@ -332,6 +343,10 @@
                     std::lround(1000 * Load.FailureRate));
   Counters.setGauge("peers_connected",
                     static_cast<std::int64_t>(Peers.connectedPeerCount()));
+  for (std::size_t Kind = 0; Kind < PeerFrameKinds; ++Kind)
+    Counters.setGauge(
+        concat("peer_sent_bytes{frame=\"", peerFrameName(Kind), "\"}"),
+        static_cast<std::int64_t>(Peers.sentBytes()[Kind]));
   Counters.setGauge("response_bytes_buffered",
                     static_cast<std::int64_t>(LocalBackend.bufferedBytes()));
   Counters.setGauge("callers_connected",
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -55,6 +55,7 @@
   void applyDirectoryChange(const ServiceRegistry::Change &Change);
   void tick();
   void logAdmissionChanges();
+  void logPeerTraffic();
   void reloadChangedSettings();
   void advanceDrain();
   StatusFrame localStatus() const;
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -97,7 +97,9 @@
     Choice.Kilobytes = Kilobytes;
     return Choice;
   });
-  const auto Chosen = chooseServer(Candidates, Random);
+  const Duration TargetLeft =
+      Item.ReceivedAt + Item.Route->LatencyTarget - Loop.now();
+  const auto Chosen = chooseServer(Candidates, TargetLeft, Random);
   if (Chosen) {
     send(Id, *Servers[*Chosen]);
     return;
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -42,6 +42,7 @@
 void PeerLink::send(const PeerFrame &Frame) {
   std::string Bytes;
   encodeFrame(Frame, Loop.now(), Bytes);
+  Links.SentBytes[Frame.index()] += Bytes.size();
   Connection->send(std::move(Bytes));
 }
 
@@ -139,7 +140,9 @@
   const bool MustKeep = shouldKeepAnswer(Ledger, Id);
   removeCall(Ledger, Id);
   std::string Bytes;
-  encodeFrame(AnswerFrame{Id, std::move(Answer)}, Loop.now(), Bytes);
+  const PeerFrame Frame = AnswerFrame{Id, std::move(Answer)};
+  encodeFrame(Frame, Loop.now(), Bytes);
+  Links.SentBytes[Frame.index()] += Bytes.size();
   if (!MustKeep) {
     Connection->send(std::move(Bytes));
     return;
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -126,8 +126,10 @@
   encodeFrame(Frame, Loop.now(), Bytes);
   for (const auto &[Ip, Links] : LinksByIp)
     for (const std::shared_ptr<PeerLink> &Link : Links)
-      if (Link->isConnected())
+      if (Link->isConnected()) {
+        SentBytes[Frame.index()] += Bytes.size();
         Link->Connection->send(std::string_view(Bytes));
+      }
 }
 
 void PeerLinks::sendTo(const std::vector<std::string> &Ips,
@@ -135,8 +137,10 @@
   std::string Bytes;
   encodeFrame(Frame, Loop.now(), Bytes);
   for (const std::string &Ip : Ips)
-    if (PeerLink *Link = findLiveLink(Ip))
+    if (PeerLink *Link = findLiveLink(Ip)) {
+      SentBytes[Frame.index()] += Bytes.size();
       Link->Connection->send(std::string_view(Bytes));
+    }
 }
 
 void PeerLinks::onLinkLost(PeerLink &Link) {
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_AGENT_PEERLINKS_H
 #define POLLENWICK_AGENT_PEERLINKS_H
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -80,6 +81,11 @@
   /// Stops accepting connections; existing ones stay open.
   void shutDown();
   std::size_t connectedPeerCount() const;
+  /// Returns the bytes sent to peers since the start of the process, by the
+  /// index of the frame in `PeerFrame`.
+  const std::array<std::uint64_t, PeerFrameKinds> &sentBytes() const {
+    return SentBytes;
+  }
 
   void onReady(const Readiness &State) override;
 
@@ -126,6 +132,7 @@
   std::uint16_t Port;
   Poco::Net::ServerSocket Listener;
   std::set<std::string> PeerIps;
+  std::array<std::uint64_t, PeerFrameKinds> SentBytes{};
   /// Since when a peer has had no live link and none being dialed; has no entry
   /// for other peers.
   std::map<std::string, Instant> MissingSince;
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -355,6 +355,13 @@
 
 } // namespace
 
+std::string_view peerFrameName(std::size_t Kind) {
+  constexpr std::array<std::string_view, PeerFrameKinds> Names{
+      "call", "answer",  "cancel", "status",
+      "pull", "records", "hello",  "resume"};
+  return Names.at(Kind);
+}
+
 StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent) {
   StatusFrame Changes = Latest;
   Changes.CustomerCounts =
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -106,6 +106,11 @@
     std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame, PullFrame,
                  RecordsFrame, HelloFrame, ResumeFrame>;
 
+inline constexpr std::size_t PeerFrameKinds = std::variant_size_v<PeerFrame>;
+
+/// Returns the name of a kind of frame, by its index in `PeerFrame`.
+std::string_view peerFrameName(std::size_t Kind);
+
 /// Returns `Latest` without the named counts that equal those of `Sent`. Counts
 /// are totals, so a peer that knows `Sent` can restore the full status.
 StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent);
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -23,6 +23,12 @@
 constexpr Duration CrossZoneCostPerKilobyte = std::chrono::milliseconds(8);
 /// Delay of the hop to another node.
 constexpr Duration PeerHopDelay = std::chrono::milliseconds(1);
+/// Share of a server's slots up to which calls of its zone stay there. Above
+/// it, a call that meets a short burst would wait for a slot.
+constexpr double ZoneUtilization = 0.7;
+/// Share of the latency target within which a server of the own zone must be
+/// expected to answer. Response times vary by about their mean.
+constexpr double ZoneTargetShare = 0.5;
 /// Half-width of the range of the random factor around 1.
 constexpr double JitterFraction = 0.05;
 
@@ -44,6 +50,14 @@
   return std::max(0.0, Load.FailureRate - Baseline.FailureRate - Chance);
 }
 
+double concurrencyLimitOf(const ServerLoad &Load) {
+  return Load.MaxRunning > 0 ? Load.MaxRunning : DefaultMaxRunning;
+}
+
+double assignedCalls(const PlacementCandidate &Server) {
+  return Server.Load.Running + Server.Load.Waiting + Server.SentSince;
+}
+
 } // namespace
 
 ServiceBaseline serviceBaseline(std::span<const PlacementCandidate> Servers) {
@@ -66,15 +80,14 @@
 Duration expectedResponseTime(const PlacementCandidate &Server,
                               const ServiceBaseline &Baseline) {
   const ServerLoad &Load = Server.Load;
-  const double Limit =
-      Load.MaxRunning > 0 ? Load.MaxRunning : DefaultMaxRunning;
+  const double Limit = concurrencyLimitOf(Load);
   double Service = static_cast<double>((Load.MeanServiceTime.count() > 0
                                             ? Load.MeanServiceTime
                                             : Baseline.MeanServiceTime)
                                            .count());
   if (Server.ColdRemaining.count() > 0)
     Service *= WarmupSlowdown;
-  const double Assigned = Load.Running + Load.Waiting + Server.SentSince;
+  const double Assigned = assignedCalls(Server);
   const double Utilization = std::min(1.0, Assigned / Limit);
   const double QueuedAhead = std::max(0.0, Assigned + 1 - Limit);
   double Time = Service * (1 + FullLoadSlowdown * Utilization * Utilization) +
@@ -90,10 +103,24 @@
   return Duration(static_cast<std::int64_t>(Time));
 }
 
+bool servesWithinZone(const PlacementCandidate &Server,
+                      const ServiceBaseline &Baseline, Duration LatencyTarget) {
+  return Server.SameZone && !Server.Load.Leaving &&
+         excessFailureRate(Server.Load, Baseline) == 0 &&
+         assignedCalls(Server) <
+             ZoneUtilization * concurrencyLimitOf(Server.Load) &&
+         expectedResponseTime(Server, Baseline) <=
+             LatencyTarget * ZoneTargetShare;
+}
+
 std::optional<std::size_t>
 chooseServer(std::span<const PlacementCandidate> Servers,
-             std::minstd_rand &Random) {
+             Duration LatencyTarget, std::minstd_rand &Random) {
   const ServiceBaseline Baseline = serviceBaseline(Servers);
+  const bool WithinZone =
+      std::ranges::any_of(Servers, [&](const PlacementCandidate &Server) {
+        return servesWithinZone(Server, Baseline, LatencyTarget);
+      });
   std::optional<std::size_t> Best;
   double BestTime = 0;
   std::uniform_real_distribution<double> Factor(1 - JitterFraction,
@@ -103,6 +130,8 @@
         return Server.Load.Leaving;
       });
   for (std::size_t I = 0; I < Servers.size(); ++I) {
+    if (WithinZone && !Servers[I].SameZone)
+      continue;
     if (Servers[I].Load.Leaving && !AllLeave)
       continue;
     const double Time =
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -52,13 +52,22 @@
 Duration expectedResponseTime(const PlacementCandidate &Server,
                               const ServiceBaseline &Baseline);
 
+/// Returns whether a call stays in its availability zone on this server: the
+/// server has room, answers no worse than the baseline, and is expected to
+/// answer well within `LatencyTarget`.
+bool servesWithinZone(const PlacementCandidate &Server,
+                      const ServiceBaseline &Baseline, Duration LatencyTarget);
+
 /// Returns the index of the server with the shortest expected response time, or
-/// nothing if there is no candidate. Each time is varied by a small random
-/// factor so that nodes with the same reports do not all choose the same
-/// server. A server whose node is leaving is chosen only if all are leaving.
+/// nothing if there is no candidate. Servers in other zones are considered only
+/// if none of its own zone can serve the call within `LatencyTarget`, the time
+/// left until the caller's target; zero if there is none. Each time is varied
+/// by a small random factor so that nodes with the same reports do not all
+/// choose the same server. A server whose node is leaving is chosen only if all
+/// are leaving.
 std::optional<std::size_t>
 chooseServer(std::span<const PlacementCandidate> Servers,
-             std::minstd_rand &Random);
+             Duration LatencyTarget, std::minstd_rand &Random);
 
 } // namespace pollenwick
 
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -19,11 +19,12 @@
 }
 
 std::vector<int> counts(const std::vector<PlacementCandidate> &Servers,
-                        int Draws) {
+                        int Draws, int TargetMs = 0) {
   std::minstd_rand Random(3);
   std::vector<int> Result(Servers.size());
   for (int I = 0; I < Draws; ++I)
-    ++Result[*chooseServer(Servers, Random)];
+    ++Result[*chooseServer(Servers, std::chrono::milliseconds(TargetMs),
+                           Random)];
   return Result;
 }
 
@@ -45,7 +46,7 @@
   }
   SECTION("no server is chosen if there is no candidate") {
     std::minstd_rand Random(3);
-    CHECK_FALSE(chooseServer({}, Random).has_value());
+    CHECK_FALSE(chooseServer({}, Duration{}, Random).has_value());
   }
 }
 
@@ -78,6 +79,36 @@
   }
 }
 
+TEST_CASE("A call stays in its zone as long as it is served in time there",
+          "[placement]") {
+  // Guards against traffic between zones that saves a few milliseconds of a
+  // latency target of seconds.
+  PlacementCandidate Near = server(5, 0, 60);
+  PlacementCandidate Far = server(0, 0, 20);
+  Far.SameZone = false;
+  Near.Kilobytes = Far.Kilobytes = 1;
+  CHECK(counts({Near, Far}, 100, 300)[0] == 100);
+  SECTION("a call with a short target goes to the faster server") {
+    CHECK(counts({Near, Far}, 100, 100)[1] == 100);
+  }
+  SECTION("calls leave a zone whose servers are nearly full") {
+    Near.Load.Running = 14;
+    CHECK(counts({Near, Far}, 100, 300)[1] == 100);
+  }
+  SECTION("calls leave a zone whose servers fail") {
+    Near.Load.FailureRate = 0.1;
+    CHECK(counts({Near, Far}, 100, 300)[1] == 100);
+  }
+  SECTION("calls leave a zone whose nodes are leaving") {
+    Near.Load.Leaving = true;
+    CHECK(counts({Near, Far}, 100, 300)[1] == 100);
+  }
+  SECTION("the load of a zone is shared among its servers") {
+    CHECK(counts({Near, server(4, 0, 60), Far}, 200, 300)[2] == 0);
+    CHECK(counts({Near, server(4, 0, 60), Far}, 200, 300)[1] > 0);
+  }
+}
+
 TEST_CASE("A server whose node is leaving is chosen only if all are leaving",
           "[placement]") {
   PlacementCandidate Leaving = server(0, 0, 15);
--- a/tests/shedding/LoadModel.cpp
+++ b/tests/shedding/LoadModel.cpp
@@ -8,6 +8,7 @@
 constexpr Duration UpdateInterval = std::chrono::milliseconds(250);
 constexpr Instant Start{std::chrono::seconds(1)};
 constexpr Duration FailureDelay = std::chrono::milliseconds(2);
+constexpr double CallKilobytes = 0.7; ///< Request and answer of a small call.
 
 Duration millis(double Value) {
   return Duration(static_cast<std::int64_t>(Value * 1000));
@@ -52,6 +53,7 @@
     ++AdmittedRequests[Name];
     auto Item = std::make_shared<Call>();
     Item->Class = &Class;
+    Item->CallerZone = Class.Zone;
     Item->StartedAt = Now;
     Item->Deadline = Now + millis(Class.DeadlineMs);
     const Instant Target = Now + millis(Class.TargetMs);
@@ -63,7 +65,8 @@
   });
 }
 
-LoadModel::Server &LoadModel::chooseServerFor(std::vector<Server> &All) {
+LoadModel::Server &LoadModel::chooseServerFor(std::vector<Server> &All,
+                                              const Call &Item) {
   if (!ControlEnabled)
     return *std::ranges::min_element(All, {}, [](const Server &One) {
       return (One.Queue.Running + One.Queue.Waiting.size() + 1.0) *
@@ -77,14 +80,20 @@
     Choice.Load.MaxRunning = One.Queue.MaxRunning;
     Choice.Load.MeanServiceTime = One.Queue.MeanServiceTime;
     Choice.Load.FailureRate = failureRate(One.Failures, Now);
-    Choice.SameZone = true;
+    Choice.SameZone = One.Config.Zone == Item.CallerZone;
+    Choice.Kilobytes = CallKilobytes;
     return Choice;
   });
-  return All[*chooseServer(Candidates, PlacementRandom)];
+  return All[*chooseServer(Candidates, millis(Item.Class->TargetMs),
+                           PlacementRandom)];
 }
 
 void LoadModel::submit(std::shared_ptr<Call> Item) {
-  Item->AssignedServer = &chooseServerFor(Services.at(Item->Class->Service));
+  Item->AssignedServer =
+      &chooseServerFor(Services.at(Item->Class->Service), *Item);
+  ++PlacedCalls;
+  if (Item->AssignedServer->Config.Zone != Item->CallerZone)
+    ++CrossZoneCalls;
   DispatchQueue &Queue = Item->AssignedServer->Queue;
   OfferedSeconds[Item->Class->Service] +=
       std::chrono::duration<double>(Queue.MeanServiceTime).count();
@@ -144,6 +153,7 @@
     Child->Class = &Callee;
     Child->StartedAt = Now;
     Child->IsNested = true;
+    Child->CallerZone = Item->AssignedServer->Config.Zone;
     Child->Deadline = std::min(Item->Deadline, Now + millis(Callee.DeadlineMs));
     Child->OnFinished = [this, Item, Pending](bool Success) {
       Item->Failed = Item->Failed || !Success;
--- a/tests/shedding/LoadModel.h
+++ b/tests/shedding/LoadModel.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_TESTS_SHEDDING_LOADMODEL_H
 #define POLLENWICK_TESTS_SHEDDING_LOADMODEL_H
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -30,6 +31,7 @@
   int NestedCalls = 0;
   bool CallsInParallel = false;
   int CustomerPriority = 0;
+  int Zone = 0; ///< Availability zone of the callers.
 };
 
 /// Backend server in the model.
@@ -39,6 +41,7 @@
   double FailureProbability = 0; ///< Share of its calls that fail at once.
   Duration FailuresEndAfter =
       Duration::max(); ///< Time since the start of the run.
+  int Zone = 0;        ///< Availability zone.
 };
 
 /// Counts of the callers' requests of one class.
@@ -61,6 +64,12 @@
   std::map<std::string, ModelResult>
   simulate(Duration Length, Duration CountFrom = std::chrono::seconds(3));
 
+  /// Returns the share of all calls that ran in another zone than their caller.
+  double crossZoneShare() const {
+    return static_cast<double>(CrossZoneCalls) /
+           static_cast<double>(std::max<std::uint64_t>(PlacedCalls, 1));
+  }
+
 private:
   struct Server {
     ModelServer Config;
@@ -72,6 +81,7 @@
     Instant StartedAt;
     Instant Deadline;
     bool IsNested = false;
+    int CallerZone = 0;
     std::function<void(bool)> OnFinished;
     Server *AssignedServer = nullptr;
     Instant DispatchedAt;
@@ -82,7 +92,7 @@
 
   void schedule(Instant When, std::function<void()> Task);
   void scheduleArrivals(const std::string &Name, Instant End);
-  Server &chooseServerFor(std::vector<Server> &All);
+  Server &chooseServerFor(std::vector<Server> &All, const Call &Item);
   void submit(std::shared_ptr<Call> Item);
   void run(const std::shared_ptr<Call> &Item);
   void callNext(const std::shared_ptr<Call> &Item);
@@ -98,6 +108,8 @@
   Instant Now;
   Instant CountingStartsAt;
   std::uint64_t LastId = 0;
+  std::uint64_t PlacedCalls = 0;
+  std::uint64_t CrossZoneCalls = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
   std::map<std::uint64_t, std::function<void()>> Tasks;
   std::map<std::uint64_t, std::shared_ptr<Call>> Waiting;
