Do not place calls on the entry of a server that has ended

Cause: after a loss of power the entries of the former servers stay until they expire, beside those of their successors at the same addresses. Which of two entries is in use followed from times of start, which clock steps reorder.

Change: at each address the entry with the newest record is in use.

Result: agent_test "An entry is not used after its address belongs to another server".

--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -37,6 +37,30 @@
   return true;
 }
 
+void ServiceRegistry::removeServer(
+    std::map<std::string, KnownServer>::iterator Existing) {
+  const std::string Address = Existing->second.Entry.Address;
+  const bool WasLatest = LatestByAddress.at(Address) == &Existing->second;
+  std::erase(ServersByService[Existing->second.Entry.Service.Text],
+             &Existing->second);
+  Servers.erase(Existing);
+  if (!WasLatest)
+    return;
+  LatestByAddress.erase(Address);
+  for (const auto &[Id, Server] : Servers)
+    if (Server.Entry.Address == Address)
+      noteLatest(Server);
+}
+
+void ServiceRegistry::noteLatest(const KnownServer &Server) {
+  // The entry of a server that has ended does not change until it expires, so
+  // the newest record belongs to the server that runs. Times of start do not
+  // tell it: clocks of hosts may jump.
+  const KnownServer *&Latest = LatestByAddress[Server.Entry.Address];
+  if (!Latest || Server.Revision > Latest->Revision)
+    Latest = &Server;
+}
+
 void ServiceRegistry::updateServer(const std::string &Id, Instant Now) {
   const Record &Item = ServerRecords.Records.at(Id);
   const auto Existing = Servers.find(Id);
@@ -51,11 +75,8 @@
               .field("server", Id)
               .field("revision", static_cast<std::int64_t>(Item.Revision))
               .field("reason", toStdStringView(Entry.status().message()))));
-    if (Existing == Servers.end())
-      return;
-    std::erase(ServersByService[Existing->second.Entry.Service.Text],
-               &Existing->second);
-    Servers.erase(Existing);
+    if (Existing != Servers.end())
+      removeServer(Existing);
     return;
   }
   if (Existing != Servers.end()) {
@@ -72,17 +93,19 @@
                                                                    : "draining")
                 .field("revision", static_cast<std::int64_t>(Item.Revision))));
       Existing->second.Entry = *Entry;
+      Existing->second.Revision = Item.Revision;
+      noteLatest(Existing->second);
       return;
     }
-    std::erase(ServersByService[Existing->second.Entry.Service.Text],
-               &Existing->second);
-    Servers.erase(Existing);
+    removeServer(Existing);
   }
   KnownServer &New = Servers[Id];
   New.Entry = *Entry;
+  New.Revision = Item.Revision;
   New.NodeIp = Entry->Address.substr(0, Entry->Address.find(':'));
   New.ColdUntil = Now + Entry->ColdRemaining;
   ServersByService[Entry->Service.Text].push_back(&New);
+  noteLatest(New);
   Log.logStateChange(std::move(
       LogLine("server-known", Now)
           .field("server", Id)
@@ -163,8 +186,14 @@
 std::vector<KnownServer *>
 ServiceRegistry::serversOf(const ServiceId &Service) {
   const auto Found = ServersByService.find(Service.Text);
-  return Found == ServersByService.end() ? std::vector<KnownServer *>{}
-                                         : Found->second;
+  if (Found == ServersByService.end())
+    return {};
+  std::vector<KnownServer *> Result;
+  std::ranges::copy_if(
+      Found->second, std::back_inserter(Result), [this](const auto *Server) {
+        return LatestByAddress.at(Server->Entry.Address) == Server;
+      });
+  return Result;
 }
 
 KnownServer *ServiceRegistry::findServer(const std::string &ServerId) {
@@ -174,12 +203,8 @@
 
 const ServerEntry *
 ServiceRegistry::findServerByAddress(const std::string &Address) const {
-  const ServerEntry *Latest = nullptr;
-  for (const auto &[Id, Server] : Servers)
-    if (Server.Entry.Address == Address &&
-        (!Latest || Server.Entry.StartedAtUnixMs > Latest->StartedAtUnixMs))
-      Latest = &Server.Entry;
-  return Latest;
+  const auto Found = LatestByAddress.find(Address);
+  return Found == LatestByAddress.end() ? nullptr : &Found->second->Entry;
 }
 
 std::set<std::string> ServiceRegistry::nodeIps() const {
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -19,8 +19,9 @@
 /// A registered backend server and the latest load that this node knows.
 struct KnownServer {
   ServerEntry Entry;
-  std::string NodeIp; ///< Address of the node on the server's host.
-  Instant ColdUntil;  ///< End of the server's warm-up period.
+  std::string NodeIp;         ///< Address of the node on the server's host.
+  std::uint64_t Revision = 0; ///< Of the record that was applied last.
+  Instant ColdUntil;          ///< End of the server's warm-up period.
   ServerLoad Load;
   Instant LoadReceivedAt;      ///< When `Load` was received.
   std::uint32_t SentSince = 0; ///< Calls sent there since `LoadReceivedAt`.
@@ -67,11 +68,13 @@
   /// Returns the rules in force; null until the first configuration arrives.
   const std::shared_ptr<const RouteTable> &rules() const { return Rules; }
   /// Returns the registered servers of a service, valid until the next update.
+  /// Leaves out entries of servers that have ended: a later record names
+  /// another server at their address.
   std::vector<KnownServer *> serversOf(const ServiceId &Service);
   /// Returns the registered server with this id; null if there is none.
   KnownServer *findServer(const std::string &ServerId);
   /// Returns the registered server with this address; if there are several,
-  /// the one that started last; if there is none, null.
+  /// the one whose record changed last; if there is none, null.
   const ServerEntry *findServerByAddress(const std::string &Address) const;
   /// Returns the addresses of all nodes that have a registered server.
   std::set<std::string> nodeIps() const;
@@ -105,6 +108,9 @@
                        std::string_view Source, Instant Now);
   bool updateRules(const Record &Item, std::string_view Source, Instant Now);
   void updateServer(const std::string &Id, Instant Now);
+  void removeServer(std::map<std::string, KnownServer>::iterator Existing);
+  /// Records the server in `LatestByAddress` if it is the newest there.
+  void noteLatest(const KnownServer &Server);
 
   const PlatformAdapter &Adapter;
   LogWriter &Log;
@@ -113,6 +119,8 @@
   std::shared_ptr<const RouteTable> Rules;
   std::map<std::string, KnownServer> Servers;
   absl::flat_hash_map<std::string, std::vector<KnownServer *>> ServersByService;
+  /// The server with the newest record at each address.
+  absl::flat_hash_map<std::string, const KnownServer *> LatestByAddress;
 };
 
 } // namespace pollenwick::agent
