Send the status across zones once for each zone, through a relay

Cause: each node sent its status to every other node every 250 ms.

Change: a zone of eight or more nodes gets a status once, at a node that passes it on within its zone; the other connections carry a heartbeat. Statuses have a time, so that one that was overtaken is ignored, and are full every two seconds. Nodes that start stop reading the store as soon as others read, and changes are read every 400 ms.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -106,7 +106,7 @@
               [this](const ServiceRegistry::Change &Change) {
                 applyDirectoryChange(Change);
               }),
-      LastTickAt(Loop.now()),
+      Statuses(Options, ServerDirectory, Peers), LastTickAt(Loop.now()),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
       Loop, Options.ReadyAddress, [this](const std::string &Target) {
@@ -162,6 +162,7 @@
 
 StatusFrame Agent::localStatus() const {
   StatusFrame Status;
+  Status.SentAt = Loop.now();
   Records.fillStatus(Status);
   Status.Service = Options.Service.Text;
   Status.ServerId = LocalBackend.serverId();
@@ -182,8 +183,7 @@
   StatusFrame Own = localStatus();
   Fleet.planQuotasAndAdmission(ServerDirectory, Own, Elapsed, Loop.now());
   logAdmissionChanges();
-  Peers.broadcast(changesSince(Own, LastSentStatus));
-  LastSentStatus = std::move(Own);
+  Statuses.send(std::move(Own));
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
@@ -258,6 +258,11 @@
   Records.onPeerStatus(Ip, Status);
 }
 
+void Agent::onStatusToRelay(const std::string &Ip,
+                            const RelayedStatusFrame &Frame) {
+  Statuses.relay(Ip, Frame);
+}
+
 void Agent::onPeerPull(PeerLink &Link, const PullFrame &Pull) {
   Records.onPeerPull(Link, Pull);
 }
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -18,6 +18,7 @@
 #include "agent/RecordSync.h"
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
+#include "agent/StatusExchange.h"
 
 namespace pollenwick::agent {
 
@@ -43,6 +44,8 @@
                            CallResultHandler Done) override;
   void onPeerCancel(std::uint64_t Number) override;
   void onPeerStatus(const std::string &Ip, StatusFrame &&Status) override;
+  void onStatusToRelay(const std::string &Ip,
+                       const RelayedStatusFrame &Frame) override;
   void onPeerPull(PeerLink &Link, const PullFrame &Pull) override;
   void onPeerRecords(const std::string &Ip, RecordsFrame &&Frame) override;
   void onPeerConnected(PeerLink &Link) override;
@@ -79,12 +82,12 @@
   std::unique_ptr<StatusEndpoint> MetricsEndpoint;
   std::unique_ptr<ConfigurationSource> ConfigSource;
   RecordSync Records;
+  StatusExchange Statuses;
   /// Start of the drain; unset until `beginDrain`.
   std::optional<Instant> DrainStartedAt;
   Instant LastTickAt;
   /// Admitted share that was last logged, 0 to 1, by service.
   std::map<std::string, double> LoggedAdmittedShare;
-  StatusFrame LastSentStatus; ///< Status that was last broadcast to the peers.
   std::uint64_t TickCount = 0;
   /// Modification time of the settings file in nanoseconds since the Unix
   /// epoch; 0 when there is no file.
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -197,6 +197,10 @@
                              Instant Now) {
   NodeReport &Node = Reports[Ip];
   const bool Restarted = Node.Latest.Incarnation != Changes.Incarnation;
+  // Statuses that take different ways may overtake each other.
+  if (!Restarted && Changes.SentAt != Instant{} &&
+      Changes.SentAt <= Node.Latest.SentAt)
+    return;
   StatusFrame FullStatus = Changes;
   if (!Restarted)
     mergeStatus(FullStatus, Node.Latest);
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -134,6 +134,22 @@
   Links.Handler.onPeerRecords(Ip, std::move(Frame));
 }
 
+void PeerLink::handle(RelayedStatusFrame &&Frame) {
+  absl::StatusOr<StatusFrame> Status = unpackStatus(Frame.Packed);
+  if (!Status.ok()) {
+    Links.Log.logStateChange(std::move(
+        LogLine("peer-frame-unreadable", Loop.now())
+            .field("peer", Ip)
+            .field("error", toStdStringView(Status.status().message()))));
+    close();
+    return;
+  }
+  if (Frame.Origin.empty())
+    Links.Handler.onStatusToRelay(Ip, Frame);
+  Links.Handler.onPeerStatus(Frame.Origin.empty() ? Ip : Frame.Origin,
+                             std::move(*Status));
+}
+
 void PeerLink::handle(ResumeFrame &&Frame) { Links.handleResume(*this, Frame); }
 
 void PeerLink::sendAnswer(std::uint64_t Id, CallResult &&Answer) {
--- a/src/agent/PeerLink.h
+++ b/src/agent/PeerLink.h
@@ -55,6 +55,9 @@
   void handle(PullFrame &&Frame);
   void handle(RecordsFrame &&Frame);
   void handle(ResumeFrame &&Frame);
+  void handle(RelayedStatusFrame &&Frame);
+  /// The time of the receipt is recorded for every frame.
+  void handle(HeartbeatFrame && /*Frame*/) {}
   /// Sends the answer to the peer's call `Id` and keeps it if the peer may ask
   /// for it after a loss of the connection.
   void sendAnswer(std::uint64_t Id, CallResult &&Answer);
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -121,15 +121,32 @@
       return;
 }
 
+bool PeerLinks::hasLiveLink(const std::string &Ip) const {
+  const auto Found = LinksByIp.find(Ip);
+  return Found != LinksByIp.end() &&
+         std::ranges::any_of(
+             Found->second, [this](const auto &Link) { return isLive(*Link); });
+}
+
 void PeerLinks::broadcast(const PeerFrame &Frame) {
-  std::string Bytes;
-  encodeFrame(Frame, Loop.now(), Bytes);
-  for (const auto &[Ip, Links] : LinksByIp)
+  broadcast(
+      [&Frame](const std::string &) -> const PeerFrame & { return Frame; });
+}
+
+void PeerLinks::broadcast(
+    const std::function<const PeerFrame &(const std::string &Ip)> &FrameFor) {
+  std::map<const PeerFrame *, std::string> Encoded;
+  for (const auto &[Ip, Links] : LinksByIp) {
+    const PeerFrame &Frame = FrameFor(Ip);
+    std::string &Bytes = Encoded[&Frame];
+    if (Bytes.empty())
+      encodeFrame(Frame, Loop.now(), Bytes);
     for (const std::shared_ptr<PeerLink> &Link : Links)
       if (Link->isConnected()) {
         SentBytes[Frame.index()] += Bytes.size();
         Link->Connection->send(std::string_view(Bytes));
       }
+  }
 }
 
 void PeerLinks::sendTo(const std::vector<std::string> &Ips,
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_AGENT_PEERLINKS_H
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,9 @@
   /// Cancels the call to which `onPeerCall` gave this number.
   virtual void onPeerCancel(std::uint64_t Number) = 0;
   virtual void onPeerStatus(const std::string &Ip, StatusFrame &&Status) = 0;
+  /// Called for a status that the peer at `Ip` asks this node to pass on.
+  virtual void onStatusToRelay(const std::string &Ip,
+                               const RelayedStatusFrame &Frame) = 0;
   virtual void onPeerPull(PeerLink &Link, const PullFrame &Pull) = 0;
   virtual void onPeerRecords(const std::string &Ip, RecordsFrame &&Records) = 0;
   virtual void onPeerConnected(PeerLink &Link) = 0;
@@ -71,8 +75,14 @@
   PeerLink *findLiveLink(const std::string &Ip);
   /// Cancels a call to the peer because its caller no longer waits.
   void cancel(const std::string &Ip, std::uint64_t Id);
+  /// Returns whether `findLiveLink` returns a link.
+  bool hasLiveLink(const std::string &Ip) const;
   /// Sends the frame on every connected link.
   void broadcast(const PeerFrame &Frame);
+  /// Sends on every connected link the frame that `FrameFor` returns for the
+  /// peer's address. The frames must live until this call returns.
+  void broadcast(
+      const std::function<const PeerFrame &(const std::string &Ip)> &FrameFor);
   /// Sends the frame to those of the peers that have a live link.
   void sendTo(const std::vector<std::string> &Ips, const PeerFrame &Frame);
   /// Dials missing peers, closes dead links, fails calls on silent ones and
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -122,6 +122,8 @@
 
 void put(mesh::wire::Status::Builder Out, const StatusFrame &Frame) {
   Out.setStart(Frame.Incarnation);
+  Out.setSentAtMicros(
+      static_cast<std::uint64_t>(Frame.SentAt.time_since_epoch().count()));
   Out.setRulesRevision(Frame.RulesRevision);
   Out.setServersRevision(Frame.ServersRevision);
   Out.setServersDigest(Frame.ServersDigest);
@@ -150,11 +152,19 @@
 }
 
 void put(mesh::wire::Frame::Builder Root, const StatusFrame &Frame, Instant) {
-  capnp::MallocMessageBuilder Message;
-  put(Message.initRoot<mesh::wire::Status>(), Frame);
-  kj::VectorOutputStream Packed;
-  capnp::writePackedMessage(Packed, Message);
-  Root.setStatus(Packed.getArray());
+  Root.setStatus(data(packStatus(Frame)));
+}
+
+void put(mesh::wire::Frame::Builder Root, const RelayedStatusFrame &Frame,
+         Instant) {
+  auto Out = Root.initRelayedStatus();
+  Out.setOrigin(text(Frame.Origin));
+  Out.setStatus(data(Frame.Packed));
+}
+
+void put(mesh::wire::Frame::Builder Root, const HeartbeatFrame & /*Frame*/,
+         Instant) {
+  Root.setHeartbeat();
 }
 
 void put(mesh::wire::Frame::Builder Root, const PullFrame &Frame, Instant) {
@@ -252,6 +262,8 @@
   const auto In = Message.getRoot<mesh::wire::Status>();
   StatusFrame Frame;
   Frame.Incarnation = In.getStart();
+  Frame.SentAt =
+      Instant(Duration(static_cast<std::int64_t>(In.getSentAtMicros())));
   Frame.RulesRevision = In.getRulesRevision();
   Frame.ServersRevision = In.getServersRevision();
   Frame.ServersDigest = In.getServersDigest();
@@ -348,6 +360,11 @@
     return HelloFrame{Root.getHello().getStart(), Root.getHello().getLink()};
   case mesh::wire::Frame::RESUME:
     return readResume(Root.getResume());
+  case mesh::wire::Frame::RELAYED_STATUS:
+    return RelayedStatusFrame{toString(Root.getRelayedStatus().getOrigin()),
+                              toString(Root.getRelayedStatus().getStatus())};
+  case mesh::wire::Frame::HEARTBEAT:
+    return HeartbeatFrame{};
   }
   return absl::InvalidArgumentError(
       "frame of an unknown kind; run the same release on all nodes");
@@ -357,11 +374,31 @@
 
 std::string_view peerFrameName(std::size_t Kind) {
   constexpr std::array<std::string_view, PeerFrameKinds> Names{
-      "call", "answer",  "cancel", "status",
-      "pull", "records", "hello",  "resume"};
+      "call",    "answer", "cancel", "status",         "pull",
+      "records", "hello",  "resume", "relayed_status", "heartbeat"};
   return Names.at(Kind);
 }
 
+std::string packStatus(const StatusFrame &Status) {
+  capnp::MallocMessageBuilder Message;
+  put(Message.initRoot<mesh::wire::Status>(), Status);
+  kj::VectorOutputStream Packed;
+  capnp::writePackedMessage(Packed, Message);
+  const auto Bytes = Packed.getArray();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+absl::StatusOr<StatusFrame> unpackStatus(std::string_view Packed) {
+  try {
+    return readStatus(
+        {reinterpret_cast<const kj::byte *>(Packed.data()), Packed.size()});
+  } catch (const kj::Exception &Error) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("unreadable status: ", Error.getDescription().cStr(),
+                     "; check that the peer is a node"));
+  }
+}
+
 StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent) {
   StatusFrame Changes = Latest;
   Changes.CustomerCounts =
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -50,6 +50,7 @@
 /// its start. Mesh.capnp describes the fields.
 struct StatusFrame {
   std::uint64_t Incarnation = 0;
+  Instant SentAt; ///< Time at the sender, which orders its statuses.
   /// Revisions of the newest records that the node holds.
   std::uint64_t RulesRevision = 0;
   std::uint64_t ServersRevision = 0;
@@ -102,15 +103,30 @@
   std::vector<ResumedCall> Calls;
 };
 
-using PeerFrame =
-    std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame, PullFrame,
-                 RecordsFrame, HelloFrame, ResumeFrame>;
+/// A packed status for the nodes of another zone.
+struct RelayedStatusFrame {
+  /// Address of the node that sent the status. Empty if it is the sender of the
+  /// frame; then the receiver passes the status on to its zone.
+  std::string Origin;
+  std::string Packed;
+};
+
+/// Shows a peer that this node runs.
+struct HeartbeatFrame {};
+
+using PeerFrame = std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame,
+                               PullFrame, RecordsFrame, HelloFrame, ResumeFrame,
+                               RelayedStatusFrame, HeartbeatFrame>;
 
 inline constexpr std::size_t PeerFrameKinds = std::variant_size_v<PeerFrame>;
 
 /// Returns the name of a kind of frame, by its index in `PeerFrame`.
 std::string_view peerFrameName(std::size_t Kind);
 
+std::string packStatus(const StatusFrame &Status);
+/// Returns InvalidArgument if the bytes are not a packed status.
+absl::StatusOr<StatusFrame> unpackStatus(std::string_view Packed);
+
 /// Returns `Latest` without the named counts that equal those of `Sent`. Counts
 /// are totals, so a peer that knows `Sent` can restore the full status.
 StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent);
--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -203,7 +203,7 @@
   } else {
     if (!NotNeededSince)
       NotNeededSince = Loop.now();
-    if (Loop.now() - *NotNeededSince < KeepReadingTime)
+    if (HasBeenIdle && Loop.now() - *NotNeededSince < KeepReadingTime)
       Wanted = Use;
   }
   if (Wanted == Use)
@@ -211,6 +211,7 @@
   const bool AfterOutage =
       OutageReportedAt && Loop.now() - *OutageReportedAt < OutageAftermath;
   Use = Wanted;
+  HasBeenIdle = HasBeenIdle || Use == SourceUse::Idle;
   Source.use(Wanted, AfterOutage);
   // The next read tells whether the source can be read.
   if (Wanted == SourceUse::Idle)
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -73,6 +73,9 @@
   /// When a peer reported last that it cannot read the source.
   std::optional<Instant> OutageReportedAt;
   std::map<std::string, PeerRecords> ReportsByIp;
+  /// False until this node stops to read for the first time. All nodes read
+  /// when they start.
+  bool HasBeenIdle = false;
   /// Since when a peer has held newer records; unset when none does.
   std::optional<Instant> BehindSince;
   /// Since when the servers of this node differ from those of `DifferingPeer`,
--- a/src/core/hosts/ReadSchedule.cpp
+++ b/src/core/hosts/ReadSchedule.cpp
@@ -14,7 +14,7 @@
 /// Time between two reads of changes. A source answers as soon as there is one
 /// change, so without it each change of a busy fleet costs a read. It is short
 /// beside the times in which a change has to be in force.
-constexpr Duration MinChangeInterval = std::chrono::milliseconds(250);
+constexpr Duration MinChangeInterval = std::chrono::milliseconds(400);
 
 Duration backoffAfter(std::uint32_t ConsecutiveFailures) {
   return std::min(MaxBackoff,
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -63,12 +63,16 @@
 ServiceBaseline serviceBaseline(std::span<const PlacementCandidate> Servers) {
   Duration ServiceTimeSum{};
   std::int64_t Count = 0;
-  ServiceBaseline Baseline{DefaultServiceTime, 1.0};
+  ServiceBaseline Baseline{DefaultServiceTime, DefaultServiceTime, 1.0};
   for (const PlacementCandidate &Server : Servers) {
     Baseline.FailureRate =
         std::min(Baseline.FailureRate, Server.Load.FailureRate);
     if (Server.Load.MeanServiceTime.count() == 0)
       continue;
+    Baseline.MinServiceTime =
+        Count == 0
+            ? Server.Load.MeanServiceTime
+            : std::min(Baseline.MinServiceTime, Server.Load.MeanServiceTime);
     ServiceTimeSum += Server.Load.MeanServiceTime;
     ++Count;
   }
@@ -81,10 +85,14 @@
                               const ServiceBaseline &Baseline) {
   const ServerLoad &Load = Server.Load;
   const double Limit = concurrencyLimitOf(Load);
-  double Service = static_cast<double>((Load.MeanServiceTime.count() > 0
-                                            ? Load.MeanServiceTime
-                                            : Baseline.MeanServiceTime)
-                                           .count());
+  // A server that has nothing to do is tried, so that its speed is known before
+  // it is needed. Otherwise it gets nothing while a faster one has room.
+  const Duration AssumedTime = assignedCalls(Server) == 0
+                                   ? Baseline.MinServiceTime
+                                   : Baseline.MeanServiceTime;
+  double Service = static_cast<double>(
+      (Load.MeanServiceTime.count() > 0 ? Load.MeanServiceTime : AssumedTime)
+          .count());
   if (Server.ColdRemaining.count() > 0)
     Service *= WarmupSlowdown;
   const double Assigned = assignedCalls(Server);
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -40,6 +40,8 @@
 struct ServiceBaseline {
   Duration MeanServiceTime{}; ///< Mean over the servers that reported a time;
                               ///< assumed for the others.
+  Duration MinServiceTime{};  ///< Shortest reported time; assumed for the first
+                              ///< call to a server that has reported none.
   double FailureRate = 0; ///< Lowest rate of all servers; failures up to this
                           ///< rate are not attributed to a server.
 };
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -55,7 +55,7 @@
 # node's start number stays the same.
 struct Status {
   start @0 :UInt64;
-  sentAtMicros @1 :UInt64;
+  sentAtMicros @1 :UInt64;   # Steady clock of the sender: orders its statuses.
   rulesRevision @2 :UInt64;
   serversRevision @3 :UInt64;
   service @4 :Text;
@@ -116,6 +116,13 @@
   sentOn @1 :UInt64;         # The sender's number of the connection.
 }
 
+# A status that reaches the nodes of another zone through one of them.
+struct RelayedStatus {
+  origin @0 :Text;           # Node that sent the status; empty: the sender of
+                             # the frame, and the receiver passes it on.
+  status @1 :Data;           # A packed Status.
+}
+
 struct Frame {
   union {
     call @0 :Call;
@@ -126,5 +133,7 @@
     records @5 :RecordSet;
     hello @6 :Hello;
     resume @7 :Resume;
+    relayedStatus @8 :RelayedStatus;
+    heartbeat @9 :Void;      # Shows that the sender runs.
   }
 }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -35,6 +35,7 @@
 CAPNP_DECLARE_SCHEMA(c4daffdf94dd594a);
 CAPNP_DECLARE_SCHEMA(bac0802e7590af29);
 CAPNP_DECLARE_SCHEMA(f44910529f5daa14);
+CAPNP_DECLARE_SCHEMA(dfafb27fba7895a4);
 CAPNP_DECLARE_SCHEMA(bc5ea9fd2a99eb17);
 
 }  // namespace schemas
@@ -226,6 +227,21 @@
   };
 };
 
+struct RelayedStatus {
+  RelayedStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfafb27fba7895a4, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -241,6 +257,8 @@
     RECORDS,
     HELLO,
     RESUME,
+    RELAYED_STATUS,
+    HEARTBEAT,
   };
 
   struct _capnpPrivate {
@@ -1593,6 +1611,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedStatus::Reader {
+public:
+  typedef RelayedStatus Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrigin() const;
+  inline  ::capnp::Text::Reader getOrigin() const;
+
+  inline bool hasStatus() const;
+  inline  ::capnp::Data::Reader getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedStatus::Builder {
+public:
+  typedef RelayedStatus Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrigin();
+  inline  ::capnp::Text::Builder getOrigin();
+  inline void setOrigin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrigin();
+
+  inline bool hasStatus();
+  inline  ::capnp::Data::Builder getStatus();
+  inline void setStatus( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initStatus(unsigned int size);
+  inline void adoptStatus(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownStatus();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedStatus::Pipeline {
+public:
+  typedef RelayedStatus Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -1642,6 +1751,13 @@
   inline bool hasResume() const;
   inline  ::pollenwick::mesh::wire::Resume::Reader getResume() const;
 
+  inline bool isRelayedStatus() const;
+  inline bool hasRelayedStatus() const;
+  inline  ::pollenwick::mesh::wire::RelayedStatus::Reader getRelayedStatus() const;
+
+  inline bool isHeartbeat() const;
+  inline  ::capnp::Void getHeartbeat() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1731,6 +1847,18 @@
   inline void adoptResume(::capnp::Orphan< ::pollenwick::mesh::wire::Resume>&& value);
   inline ::capnp::Orphan< ::pollenwick::mesh::wire::Resume> disownResume();
 
+  inline bool isRelayedStatus();
+  inline bool hasRelayedStatus();
+  inline  ::pollenwick::mesh::wire::RelayedStatus::Builder getRelayedStatus();
+  inline void setRelayedStatus( ::pollenwick::mesh::wire::RelayedStatus::Reader value);
+  inline  ::pollenwick::mesh::wire::RelayedStatus::Builder initRelayedStatus();
+  inline void adoptRelayedStatus(::capnp::Orphan< ::pollenwick::mesh::wire::RelayedStatus>&& value);
+  inline ::capnp::Orphan< ::pollenwick::mesh::wire::RelayedStatus> disownRelayedStatus();
+
+  inline bool isHeartbeat();
+  inline  ::capnp::Void getHeartbeat();
+  inline void setHeartbeat( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3281,6 +3409,74 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayedStatus::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedStatus::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedStatus::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedStatus::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedStatus::Builder::setOrigin( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedStatus::Builder::initOrigin(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedStatus::Builder::adoptOrigin(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedStatus::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedStatus::Reader::hasStatus() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedStatus::Builder::hasStatus() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RelayedStatus::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RelayedStatus::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayedStatus::Builder::setStatus( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RelayedStatus::Builder::initStatus(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayedStatus::Builder::adoptStatus(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> RelayedStatus::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::pollenwick::mesh::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3694,6 +3890,86 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isRelayedStatus() const {
+  return which() == Frame::RELAYED_STATUS;
+}
+inline bool Frame::Builder::isRelayedStatus() {
+  return which() == Frame::RELAYED_STATUS;
+}
+inline bool Frame::Reader::hasRelayedStatus() const {
+  if (which() != Frame::RELAYED_STATUS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasRelayedStatus() {
+  if (which() != Frame::RELAYED_STATUS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollenwick::mesh::wire::RelayedStatus::Reader Frame::Reader::getRelayedStatus() const {
+  KJ_IREQUIRE((which() == Frame::RELAYED_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::RelayedStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollenwick::mesh::wire::RelayedStatus::Builder Frame::Builder::getRelayedStatus() {
+  KJ_IREQUIRE((which() == Frame::RELAYED_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::RelayedStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setRelayedStatus( ::pollenwick::mesh::wire::RelayedStatus::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RELAYED_STATUS);
+  ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::RelayedStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollenwick::mesh::wire::RelayedStatus::Builder Frame::Builder::initRelayedStatus() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RELAYED_STATUS);
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::RelayedStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptRelayedStatus(
+    ::capnp::Orphan< ::pollenwick::mesh::wire::RelayedStatus>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RELAYED_STATUS);
+  ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::RelayedStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollenwick::mesh::wire::RelayedStatus> Frame::Builder::disownRelayedStatus() {
+  KJ_IREQUIRE((which() == Frame::RELAYED_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pollenwick::mesh::wire::RelayedStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isHeartbeat() const {
+  return which() == Frame::HEARTBEAT;
+}
+inline bool Frame::Builder::isHeartbeat() {
+  return which() == Frame::HEARTBEAT;
+}
+inline  ::capnp::Void Frame::Reader::getHeartbeat() const {
+  KJ_IREQUIRE((which() == Frame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Frame::Builder::getHeartbeat() {
+  KJ_IREQUIRE((which() == Frame::HEARTBEAT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setHeartbeat( ::capnp::Void value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HEARTBEAT);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/tests/agent/PeerLinksTest.cpp
+++ b/tests/agent/PeerLinksTest.cpp
@@ -44,6 +44,8 @@
     CancelledCallNumbers.push_back(Number);
   }
   void onPeerStatus(const std::string &, StatusFrame &&) override {}
+  void onStatusToRelay(const std::string &,
+                       const RelayedStatusFrame &) override {}
   void onPeerPull(PeerLink &, const PullFrame &) override {}
   void onPeerRecords(const std::string &, RecordsFrame &&) override {}
   void onPeerConnected(PeerLink &) override {}
--- a/tests/agent/PeerWireTest.cpp
+++ b/tests/agent/PeerWireTest.cpp
@@ -118,6 +118,22 @@
   CHECK(Decoded.CustomerCounts[0].B == 530);
   REQUIRE(Decoded.Crashes.size() == 1);
   CHECK(Decoded.Crashes[0].Fingerprint == 0xfedcba0987654321);
+  const auto Relayed = decodeAll(
+      [&] {
+        std::string Frame;
+        encodeFrame(RelayedStatusFrame{"10.0.0.1", packStatus(Status)}, Now,
+                    Frame);
+        encodeFrame(HeartbeatFrame{}, Now, Frame);
+        return Frame;
+      }(),
+      7);
+  REQUIRE(Relayed.size() == 2);
+  const auto &Passed = std::get<RelayedStatusFrame>(Relayed[0]);
+  CHECK(Passed.Origin == "10.0.0.1");
+  REQUIRE(unpackStatus(Passed.Packed).ok());
+  CHECK(unpackStatus(Passed.Packed)->Runs == Status.Runs);
+  CHECK_FALSE(unpackStatus("\xff\xff garbage").ok());
+  CHECK(std::holds_alternative<HeartbeatFrame>(Relayed[1]));
   // Guards against reports that need more bandwidth than the calls at low load:
   // each node sends four per second to each peer, and each of 100 nodes may use
   // 1 Mbit/s.
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -56,6 +56,14 @@
   // unknown service time counted as 50 ms while the other servers took 15 ms.
   PlacementCandidate New = server(0, 0, 0);
   CHECK(counts({server(10, 0, 15), server(10, 0, 15), New}, 100)[2] == 100);
+  SECTION("a warm server is tried beside a fast one that has room") {
+    // Guards against a server that joins and gets nothing as long as a faster
+    // one is not full, so that its speed is unknown when it is needed.
+    CHECK(counts({server(8, 0, 15), server(0, 0, 60), New}, 100)[2] == 100);
+    // It gets one call until it has reported a time.
+    New.SentSince = 1;
+    CHECK(counts({server(8, 0, 15), server(0, 0, 60), New}, 100)[0] == 100);
+  }
   SECTION("a cold server gets calls when the others have a queue") {
     New.ColdRemaining = std::chrono::seconds(1);
     CHECK(counts({server(5, 0, 15), server(5, 0, 15), New}, 100)[2] == 0);
