--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -178,6 +178,46 @@
         events = [json.loads(line)["event"] for line in self.agents[0].stdout]
         self.assertEqual(events[-2:], ["drain-finished", "stopped"])
 
+    def test_sigterm_under_load_cuts_nothing_that_ran(self):
+        """Guards against requests that a server ran, or that were just accepted,
+        and whose connection a planned stop closes without an answer."""
+        stop = threading.Event()
+        cut, answered = [], []
+
+        def post_until_closed():
+            connection = None
+            while not stop.is_set():
+                request_id = f"{random.getrandbits(64):016x}"
+                try:
+                    connection = connection or http.client.HTTPConnection(
+                        HOSTS[0], self.ports["caller"], timeout=8)
+                    status, _, headers = self.call(
+                        "far/x", body=b"deposit", connection=connection,
+                        headers=[(ID_HEADER, request_id)])
+                    answered.append(status)
+                    if headers.get("Connection") == "close":
+                        connection.close()
+                        connection = None
+                except (OSError, http.client.HTTPException):
+                    cut.append(request_id)
+                    connection = None
+                    time.sleep(0.05)
+
+        self.backends[1].delay = 0.02
+        threads = [threading.Thread(target=post_until_closed) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        self.agents[0].send_signal(signal.SIGTERM)
+        self.assertEqual(self.agents[0].wait(timeout=6), 0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        ran = {headers.get(ID_HEADER) for _, headers, _ in self.backends[1].seen}
+        self.assertEqual([request_id for request_id in cut if request_id in ran], [])
+        self.assertGreater(answered.count(200), 100)
+        self.assertEqual(set(answered) - {200, 503}, set())
+
     def test_lost_connection_is_no_promise(self):
         """Guards against "not run" for a request that a server began to run
         before it ended (finding of the issue on fast restarts)."""
