Keep the loop running while a test's server sends without end

Cause: the test waited for the server's sender without running the loop.

Change: the loop runs until the sender has noticed the close. Two lint findings.

--- a/tests/agent/BackendAnswerTest.cpp
+++ b/tests/agent/BackendAnswerTest.cpp
@@ -222,7 +222,16 @@
                      }});
   BackendFixture Fixture(FakeServer.address(), responseLimitsFor(MemoryBytes));
   const CallResult Answer = Fixture.callAndWait("a", 3000);
-  CHECK(Sent.get_future().get() < MaxSentBytes);
+  // The bytes may arrive after the answer, so the loop goes on until the server
+  // notices that its connection is closed.
+  std::future<std::size_t> SentBytes = Sent.get_future();
+  for (int I = 0; I < 100 && SentBytes.wait_for(std::chrono::seconds(0)) !=
+                                 std::future_status::ready;
+       ++I)
+    Fixture.runFor(50);
+  REQUIRE(SentBytes.wait_for(std::chrono::seconds(0)) ==
+          std::future_status::ready);
+  CHECK(SentBytes.get() < MaxSentBytes);
   CHECK(Fixture.Target.bufferedBytes() == 0);
   if (Answer.Outcome == CallOutcome::Complete) {
     // The answer itself was whole.
--- a/tests/agent/PipelineTest.cpp
+++ b/tests/agent/PipelineTest.cpp
@@ -237,7 +237,7 @@
     // Guards against memory that grows with what a caller sends ahead, and
     // against a running request that is dropped because of it.
     PipelineLimits Limits;
-    Limits.MaxWaitingBytes = 64 * 1024;
+    Limits.MaxWaitingBytes = std::size_t{64} * 1024;
     PipelineFixture Fixture(Limits);
     Fixture.send(PipelineFixture::request("POST", "/once/0"));
     constexpr int Behind = 200'000;
--- a/tests/fleet/StatusRelayTest.cpp
+++ b/tests/fleet/StatusRelayTest.cpp
@@ -13,6 +13,7 @@
 
 std::vector<std::string> zoneIps(int Zone, int Nodes) {
   std::vector<std::string> Ips;
+  Ips.reserve(static_cast<std::size_t>(Nodes));
   for (int I = 0; I < Nodes; ++I)
     Ips.push_back("10." + std::to_string(Zone) + ".0." + std::to_string(I));
   return Ips;
