Never call the HTTP parser again without the bytes that it requires

Cause: Boost.Beast asserts (BOOST_ASSERT(n >= 5) in parse_chunk_header) that, after the length of the last chunk, it is called again with the two line ends that follow. Both connections of callers and of backend servers called it again with the same bytes, or with one or two more, so a message whose "0\r\n" arrived alone ended the process. It depends on how the bytes are split into packets: a caller's chunked request or a server's empty chunked answer could do it.

Change: IncrementalParser in HttpMessage.h, used on both sides, calls the parser only with new bytes, and with five or more inside a chunked body.

--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -117,16 +117,14 @@
   while (!Bytes.empty() && ActiveCall == Call) {
     if (!Parser) {
       Parser.emplace();
-      Parser->eager(true);
       Parser->body_limit(Owner.responseLimits().MaxBodyBytes);
       Parser->header_limit(MaxResponseHeaderBytes);
       if (Method == "HEAD")
         Parser->skip(true);
     }
     boost::system::error_code Error;
-    const std::size_t BytesParsed = Parser->put(
-        boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
-    if (Error && Error != http::error::need_more) {
+    const std::size_t BytesParsed = Parser->parse(Bytes, Error);
+    if (Error) {
       abortConnection(Error == http::error::body_limit ? "answer-too-large"
                                                        : "unreadable-answer");
       break;
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -55,7 +55,7 @@
   const PlatformAdapter &Protocol;
   Backend &Owner;
   std::shared_ptr<Stream> Transport;
-  std::optional<ResponseParser> Parser;
+  std::optional<IncrementalParser<ResponseParser>> Parser;
   std::string UnparsedBytes;     ///< Received but not parsed.
   std::size_t BufferedBytes = 0; ///< Last size that was reported to `Owner`.
   int SkippedResponses = 0;      ///< Since the start of the active call.
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -67,7 +67,6 @@
   LastActivity = Loop.now();
   ContinueSent = false;
   Parser.emplace();
-  Parser->eager(true);
   Parser->header_limit(
       static_cast<std::uint32_t>(Port.limits().MaxHeaderBytes));
   Parser->body_limit(Port.limits().MaxBodyBytes);
@@ -95,10 +94,8 @@
     if (!Parser)
       beginRequest();
     boost::system::error_code Error;
-    const std::size_t BytesParsed = Parser->put(
-        boost::asio::const_buffer(UnparsedBytes.data(), UnparsedBytes.size()),
-        Error);
-    if (Error && Error != http::error::need_more) {
+    const std::size_t BytesParsed = Parser->parse(UnparsedBytes, Error);
+    if (Error) {
       if (Error == http::error::header_limit)
         reject(431, "header-too-large");
       else if (Error == http::error::body_limit)
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -107,7 +107,7 @@
   CallerListener &Port;
   std::string CallerIp;
   std::shared_ptr<Stream> Transport;
-  std::optional<RequestParser> Parser;
+  std::optional<IncrementalParser<RequestParser>> Parser;
   std::string UnparsedBytes;      ///< Received but not parsed.
   std::uint64_t ParsedOffset = 0; ///< Bytes of the stream that were parsed.
   std::deque<ReceiptTime> ReceiptTimes;
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_AGENT_HTTPMESSAGE_H
 #define POLLENWICK_AGENT_HTTPMESSAGE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -20,6 +23,39 @@
 using ResponseMessage = http::response<http::string_body>;
 using HeaderFields = http::fields;
 
+/// A parser of a message that arrives in pieces.
+template <typename MessageParser>
+class IncrementalParser : public MessageParser {
+public:
+  IncrementalParser() { this->eager(true); }
+
+  /// Parses as many of `Bytes` as possible and returns their number. `Bytes`
+  /// begin with those that the previous call left. Sets `Error` if the message
+  /// is malformed or exceeds a limit, and clears it otherwise.
+  std::size_t parse(std::string_view Bytes, boost::system::error_code &Error) {
+    Error = {};
+    if (Bytes.size() <= UnparsedSize)
+      return 0;
+    // Boost.Beast asserts that, once it has seen the length of the last chunk,
+    // it is called again with at least the two line ends that follow.
+    if (UnparsedSize > 0 && this->is_header_done() &&
+        Bytes.size() < MinLastChunkBytes)
+      return 0;
+    const std::size_t Parsed =
+        this->put(boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
+    if (Error == http::error::need_more)
+      Error = {};
+    UnparsedSize = Bytes.size() - Parsed;
+    return Parsed;
+  }
+
+private:
+  /// Size of "0\r\n\r\n".
+  static constexpr std::size_t MinLastChunkBytes = 5;
+
+  std::size_t UnparsedSize = 0; ///< Bytes that the previous call left.
+};
+
 /// Returns whether the `Connection` header lists `Name`. Such a header applies
 /// to one connection only and is not forwarded.
 bool isListedInConnectionHeader(const HeaderFields &Headers,
