Leave calls to run while their node is silent, and take the first answer

Cause: calls that may be repeated were cancelled and failed after 1.1 s of silence of their node. Without another server, or without a retry left, the caller got a 502 although its request ran on, and an answer that came after all was dropped.

Change: the sender of a call is told of the silence. The ingress then sends a repeatable request to another server as well, if there is one and the retry budget allows it, and delivers the first answer; else it waits for the call. The rule is in core/attempts (mayAttemptBeside).

Tests: test_agent freezes the node of a running call with SIGSTOP; the case with one server failed first (502). PeerLinksTest and AttemptsTest cover the parts; a call that may run once waits for its node in freezes of 0.5, 1.5 and 2.2 s and runs once.

--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -43,6 +43,10 @@
 
 using CallResultHandler = std::function<void(CallResult &&)>;
 
+/// Receives the notice that the node of a call's server is silent. The call may
+/// be running, and its result may still arrive.
+using SilenceHandler = std::function<void()>;
+
 } // namespace pollenwick::agent
 
 #endif
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -11,17 +11,7 @@
 /// Time after a deadline for which the ingress waits for the report of the
 /// server's node that the deadline has passed, before it answers by itself.
 constexpr Duration DeadlineGrace = std::chrono::milliseconds(60);
-constexpr int GatewayTimeoutStatus = 504;
-/// Interval between attempts to place a request while no server is usable.
-constexpr Duration PlaceAgain = std::chrono::milliseconds(40);
-/// A request waits for a usable server for at most its latency target divided
-/// by this number, but for at least `MinPlacementWait`.
-constexpr int PlacementWaitDivisor = 9;
-constexpr Duration MinPlacementWait = std::chrono::milliseconds(100);
-/// Time for which an unreachable server receives no further calls.
-constexpr Duration UnreachableBackoff = std::chrono::milliseconds(400);
 
-constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
 constexpr Duration RetryAfterQuarantine = std::chrono::seconds(60);
 
 /// Weight of the latest answer in the moving average of a route's answer size.
@@ -66,175 +56,6 @@
   place(Id);
 }
 
-std::vector<KnownServer *> Ingress::usableServers(const Exchange &Item) {
-  std::vector<KnownServer *> Servers = ServerDirectory.serversOf(Item.Service);
-  std::erase_if(Servers, [&](const KnownServer *Server) {
-    const bool AtLocal = Server->Entry.Address == Options.ServerAddress;
-    return Server->Entry.State != ServerState::Ready ||
-           Server->AvoidUntil > Loop.now() ||
-           Item.TriedServers.contains(Server->Entry.Id.Text) ||
-           (!AtLocal && !Peers.findLiveLink(Server->NodeIp));
-  });
-  return Servers;
-}
-
-void Ingress::place(ExchangeNumber Id) {
-  Exchange &Item = *Exchanges.at(Id);
-  Item.PlacementTimer = 0;
-  const std::vector<KnownServer *> Servers = usableServers(Item);
-  const double Kilobytes = (static_cast<double>(Item.Request.Headers.size() +
-                                                Item.Request.Body.size()) +
-                            MeanResponseBytes[Item.Route->Name]) /
-                           1024;
-  std::vector<PlacementCandidate> Candidates(Servers.size());
-  std::ranges::transform(Servers, Candidates.begin(), [&](const auto *Server) {
-    PlacementCandidate Choice;
-    Choice.Load = Server->Load;
-    Choice.SentSince = Server->SentSince;
-    Choice.SameZone = Server->Entry.Zone == Options.Zone;
-    Choice.Local = Server->Entry.Address == Options.ServerAddress;
-    Choice.ColdRemaining = Server->ColdUntil - Loop.now();
-    Choice.Kilobytes = Kilobytes;
-    return Choice;
-  });
-  const Duration TargetLeft =
-      Item.ReceivedAt + Item.Route->LatencyTarget - Loop.now();
-  const auto Chosen = chooseServer(Candidates, TargetLeft, Random);
-  if (Chosen) {
-    send(Id, *Servers[*Chosen]);
-    return;
-  }
-  const Duration Wait = std::max(MinPlacementWait, Item.Route->LatencyTarget /
-                                                       PlacementWaitDivisor);
-  const Instant PlacementDeadline =
-      std::min(Item.ReceivedAt + Wait, Item.Deadline);
-  if (Loop.now() + PlaceAgain < PlacementDeadline) {
-    Item.PlacementTimer =
-        Loop.callAt(Loop.now() + PlaceAgain, [this, Id] { place(Id); });
-    return;
-  }
-  if (Item.LastCause.empty())
-    Item.LastCause = "no-usable-server";
-  giveUp(Id);
-}
-
-void Ingress::send(ExchangeNumber Id, KnownServer &Server) {
-  Exchange &Item = *Exchanges.at(Id);
-  Item.CurrentServerId = Server.Entry.Id.Text;
-  Item.LastServerId = Item.CurrentServerId;
-  Item.LoadReportAge = Loop.now() - Server.LoadReceivedAt;
-  ++Item.AttemptsSoFar.Placements;
-  ++Server.SentSince;
-  CallRequest Call = Item.Request;
-  Call.ServerId = Item.CurrentServerId;
-  Call.Redispatched = Item.AttemptsSoFar.Placements > 1;
-  auto Done = [this, Id](CallResult &&Result) {
-    onCallResult(Id, std::move(Result));
-  };
-  Item.OnLocalServer = Server.Entry.Address == Options.ServerAddress;
-  if (Item.OnLocalServer) {
-    Item.LocalCallNumber =
-        LocalBackend.submit(std::move(Call), std::move(Done));
-    return;
-  }
-  Item.PeerIp = Server.NodeIp;
-  Item.PeerCallNumber =
-      Peers.findLiveLink(Item.PeerIp)->call(std::move(Call), std::move(Done));
-}
-
-void Ingress::cancelCall(Exchange &Item) {
-  if (Item.CurrentServerId.empty())
-    return;
-  if (Item.OnLocalServer)
-    LocalBackend.cancel(Item.LocalCallNumber);
-  else
-    Peers.cancel(Item.PeerIp, Item.PeerCallNumber);
-  Item.CurrentServerId.clear();
-}
-
-void Ingress::onCallResult(ExchangeNumber Id, CallResult &&Result) {
-  const auto Found = Exchanges.find(Id);
-  if (Found == Exchanges.end())
-    return;
-  Exchange &Item = *Found->second;
-  Item.TriedServers.insert(Item.CurrentServerId);
-  updateServerLoad(Item, Result);
-  Item.CurrentServerId.clear();
-  const AttemptResult Attempt{Result.Outcome, Result.ReachedServer,
-                              isServerError(Result.Status) &&
-                                  Result.Status != GatewayTimeoutStatus,
-                              Result.Cause == "deadline-in-queue"};
-  recordAttempt(Item.AttemptsSoFar, Attempt);
-  if (Result.Outcome != CallOutcome::Complete)
-    Item.LastCause = Result.Cause;
-  else if (Attempt.ServerFailed)
-    Item.LastCause = "server-failed";
-  const AttemptLimits Limits{Item.Request.Retryable, Item.Route->MaxAttempts,
-                             Item.Deadline};
-  NextStep Step = nextStep(Item.AttemptsSoFar, Limits, Attempt, Loop.now());
-  if (Step == NextStep::Retry && !consumeRetryBudget(Item))
-    Step = stepWithoutBudget(Attempt);
-  switch (Step) {
-  case NextStep::ReturnAnswer:
-    deliver(Id, Result);
-    return;
-  case NextStep::PlaceAgain:
-    Counters.incrementCounter("replacements_total", Item.LastCause);
-    place(Id);
-    return;
-  case NextStep::Retry:
-    Counters.incrementCounter("repeats_total", Item.LastCause);
-    place(Id);
-    return;
-  case NextStep::Fail:
-    giveUp(Id);
-    return;
-  }
-}
-
-void Ingress::updateServerLoad(const Exchange &Item, const CallResult &Result) {
-  KnownServer *Server = ServerDirectory.findServer(Item.CurrentServerId);
-  if (!Server)
-    return;
-  if (Result.Load.MaxRunning > 0) {
-    Server->Load = Result.Load;
-    Server->LoadReceivedAt = Loop.now();
-    Server->SentSince = 0;
-  }
-  if (!Result.ReachedServer && Result.Cause == "server-unreachable")
-    Server->AvoidUntil = Loop.now() + UnreachableBackoff;
-}
-
-bool Ingress::consumeRetryBudget(Exchange &Item) {
-  if (Fleet.tryConsumeRetry(Item.Service, Loop.now()))
-    return true;
-  Item.RetryBudgetExhausted = true;
-  Counters.incrementCounter("repeats_denied_total", Item.Service.Text);
-  return false;
-}
-
-void Ingress::giveUp(ExchangeNumber Id) {
-  const Exchange &Item = *Exchanges.at(Id);
-  if (canReportNotRun(Item.AttemptsSoFar))
-    refuse(Id, {503, Item.LastCause, addJitter(RetryAfterFailure)});
-  else
-    refuse(Id, {502, Item.LastCause, {}});
-}
-
-void Ingress::onDeadline(ExchangeNumber Id) {
-  Exchange &Item = *Exchanges.at(Id);
-  Item.DeadlineTimer = 0;
-  Item.LastCause = "deadline-passed";
-  // A call that was sent to a server may run until it is cancelled, so it must
-  // not be reported as not run.
-  if (Item.CurrentServerId.empty() && canReportNotRun(Item.AttemptsSoFar)) {
-    giveUp(Id);
-    return;
-  }
-  cancelCall(Item);
-  refuse(Id, {GatewayTimeoutStatus, Item.LastCause, {}});
-}
-
 bool Ingress::mayOverlap(const CallerRequest &Request) const {
   const std::shared_ptr<const RouteTable> &Rules = ServerDirectory.rules();
   if (!Rules)
@@ -249,7 +70,6 @@
   if (Found == Exchanges.end())
     return;
   Counters.incrementCounter("answers_total", "caller-left");
-  cancelCall(*Found->second);
   removeExchange(Number);
 }
 
@@ -302,7 +122,12 @@
     Loop.cancelTimer(Found->second->DeadlineTimer);
   if (Found->second->PlacementTimer != 0)
     Loop.cancelTimer(Found->second->PlacementTimer);
+  const std::unique_ptr<Exchange> Removed = std::move(Found->second);
   Exchanges.erase(Found);
+  if (Removed->CurrentCall)
+    cancel(*Removed->CurrentCall);
+  for (const SentCall &Call : Removed->SilentCalls)
+    cancel(Call);
 }
 
 void Ingress::logOutcome(const Exchange &Item, int Status,
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -37,6 +38,14 @@
   std::size_t pendingCount() const { return Exchanges.size(); }
 
 private:
+  /// A call that was sent to a server and has no result yet.
+  struct SentCall {
+    std::uint32_t Attempt = 0; ///< Number of the placement, from 1.
+    std::string ServerId;
+    std::string PeerIp; ///< Node of the server; empty for the local server.
+    std::uint64_t Number = 0; ///< Assigned by the backend or the peer links.
+  };
+
   /// State of one request from its arrival to its answer.
   struct Exchange {
     std::shared_ptr<CallerConnection> Caller;
@@ -54,12 +63,10 @@
     AttemptHistory AttemptsSoFar;
     /// True when the fleet's retry budget denied a retry of this request.
     bool RetryBudgetExhausted = false;
-    /// Server that has the call now; empty while no server has it.
-    std::string CurrentServerId;
-    bool OnLocalServer = false;
-    std::uint64_t LocalCallNumber = 0;
-    std::string PeerIp;
-    std::uint64_t PeerCallNumber = 0;
+    std::optional<SentCall> CurrentCall;
+    /// Earlier calls whose nodes were silent. One of them may still be answered
+    /// before the current one.
+    std::vector<SentCall> SilentCalls;
     std::string LastCause;
     std::string LastServerId; ///< Server of the latest attempt, for the log.
     /// Age that the load report of the chosen server had at the latest attempt.
@@ -83,14 +90,22 @@
   void buildCall(Exchange &Item, CallerRequest &&Request);
   void place(ExchangeNumber Id);
   void send(ExchangeNumber Id, KnownServer &Server);
-  void onCallResult(ExchangeNumber Id, CallResult &&Result);
-  void updateServerLoad(const Exchange &Item, const CallResult &Result);
+  void onCallResult(ExchangeNumber Id, std::uint32_t Attempt,
+                    CallResult &&Result);
+  /// Handles the result of a call whose node was silent.
+  void onSilentCallResult(ExchangeNumber Id, const CallResult &Result);
+  /// Sends a repeatable request to another server as well, if there is one.
+  void onNodeSilent(ExchangeNumber Id, std::uint32_t Attempt);
+  AttemptLimits attemptLimits(const Exchange &Item) const;
+  void updateServerLoad(const std::string &ServerId, const CallResult &Result);
   bool consumeRetryBudget(Exchange &Item);
+  /// Refuses the request, unless a call that was sent before may still be
+  /// answered.
   void giveUp(ExchangeNumber Id);
   void onDeadline(ExchangeNumber Id);
   void deliver(ExchangeNumber Id, const CallResult &Result);
   void refuse(ExchangeNumber Id, const Refusal &Details);
-  void cancelCall(Exchange &Item);
+  void cancel(const SentCall &Call);
   void removeExchange(ExchangeNumber Id);
   void logOutcome(const Exchange &Item, int Status, std::string_view Reason);
   std::vector<KnownServer *> usableServers(const Exchange &Item);
--- a/src/agent/LinkRecovery.h
+++ b/src/agent/LinkRecovery.h
@@ -17,6 +17,7 @@
 /// A call that was sent to a peer and is not answered yet.
 struct OutstandingCall {
   CallResultHandler OnAnswer;
+  SilenceHandler OnSilence; ///< Empty after it was called.
   bool Repeatable = false;
   std::uint64_t SentOnLink = 0; ///< Number of the connection in this process.
 };
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -46,10 +46,11 @@
   Connection->send(std::move(Bytes));
 }
 
-std::uint64_t PeerLink::call(CallRequest &&Request, CallResultHandler Done) {
+std::uint64_t PeerLink::call(CallRequest &&Request, CallResultHandler Done,
+                             SilenceHandler OnSilence) {
   const std::uint64_t Id = ++Links.LastCallId;
-  Outstanding.emplace(
-      Id, OutstandingCall{std::move(Done), Request.Retryable, LinkNumber});
+  Outstanding.emplace(Id, OutstandingCall{std::move(Done), std::move(OnSilence),
+                                          Request.Retryable, LinkNumber});
   send(CallFrame{Id, std::move(Request)});
   return Id;
 }
@@ -167,22 +168,13 @@
   keepAnswer(Ledger, Id, std::move(Bytes), Loop.now());
 }
 
-void PeerLink::abandonRepeatableCalls() {
-  std::vector<OutstandingCall> Released;
-  std::vector<std::uint64_t> Ids;
+void PeerLink::reportSilence() {
+  std::vector<SilenceHandler> Handlers;
   for (auto &[Id, Call] : Outstanding)
-    if (Call.Repeatable) {
-      Ids.push_back(Id);
-      Released.push_back(std::move(Call));
-    }
-  for (const std::uint64_t Id : Ids)
-    cancel(Id);
-  for (const OutstandingCall &Call : Released) {
-    CallResult Answer;
-    Answer.Cause = "peer-silent";
-    Answer.ReachedServer = true;
-    Call.OnAnswer(std::move(Answer));
-  }
+    if (Call.OnSilence)
+      Handlers.push_back(std::exchange(Call.OnSilence, {}));
+  for (const SilenceHandler &OnSilence : Handlers)
+    OnSilence();
 }
 
 void PeerLink::close() {
--- a/src/agent/PeerLink.h
+++ b/src/agent/PeerLink.h
@@ -28,12 +28,13 @@
   /// Closes the connection and hands its unfinished calls to `PeerLinks`.
   void close();
   void send(const PeerFrame &Frame);
-  /// Sends a call; `Done` receives its result. Returns the id of the call, for
+  /// Sends a call; `Done` receives its result. `OnSilence` is called at most
+  /// once, if the peer is silent before. Returns the id of the call, for
   /// `PeerLinks::cancel`.
-  std::uint64_t call(CallRequest &&Request, CallResultHandler Done);
-  /// Cancels the outstanding repeatable calls to a silent peer and fails them
-  /// with the cause "peer-silent".
-  void abandonRepeatableCalls();
+  std::uint64_t call(CallRequest &&Request, CallResultHandler Done,
+                     SilenceHandler OnSilence = {});
+  /// Calls the silence handlers of the outstanding calls.
+  void reportSilence();
 
   const std::string &ip() const { return Ip; }
   bool isConnected() const { return Connected; }
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -13,9 +13,9 @@
 /// A link on which nothing arrived for this time gets no new calls. A healthy
 /// peer sends a status every 250 ms.
 constexpr Duration SilenceTimeout = std::chrono::milliseconds(800);
-/// Repeatable calls on a link fail after this silence, so that they can be
-/// retried elsewhere.
-constexpr Duration AbandonRepeatableAfter = std::chrono::milliseconds(1100);
+/// Senders of calls on a link are told of this silence, so that they can also
+/// send the calls elsewhere.
+constexpr Duration ReportSilenceAfter = std::chrono::milliseconds(1100);
 /// A link is closed after this silence, because no call lasts longer.
 constexpr Duration DeadLinkTimeout = std::chrono::seconds(8);
 constexpr Duration DialTimeout = std::chrono::milliseconds(1000);
@@ -328,11 +328,11 @@
       if (SilenceDuration >
           (Link->isConnected() ? DeadLinkTimeout : DialTimeout))
         Dead.push_back(Link);
-      else if (Link->isConnected() && SilenceDuration > AbandonRepeatableAfter)
+      else if (Link->isConnected() && SilenceDuration > ReportSilenceAfter)
         Silent.push_back(Link);
     }
   for (const std::shared_ptr<PeerLink> &Link : Silent)
-    Link->abandonRepeatableCalls();
+    Link->reportSilence();
   for (const std::shared_ptr<PeerLink> &Link : Dead)
     Link->close();
 }
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -85,7 +85,7 @@
       const std::function<const PeerFrame &(const std::string &Ip)> &FrameFor);
   /// Sends the frame to those of the peers that have a live link.
   void sendTo(const std::vector<std::string> &Ips, const PeerFrame &Frame);
-  /// Dials missing peers, closes dead links, fails calls on silent ones and
+  /// Dials missing peers, closes dead links, reports silent ones and
   /// expires the calls of lost links.
   void tick();
   /// Stops accepting connections; existing ones stay open.
--- a/src/core/attempts/Attempts.cpp
+++ b/src/core/attempts/Attempts.cpp
@@ -39,6 +39,12 @@
                                                : NextStep::Fail;
 }
 
+bool mayAttemptBeside(const AttemptHistory &History,
+                      const AttemptLimits &Limits, Instant Now) {
+  return Limits.Repeatable && mayAttemptAgain(History, Limits, Now) &&
+         History.Arrivals + 1 < Limits.MaxArrivals;
+}
+
 bool canReportNotRun(const AttemptHistory &History) {
   return !History.MayHaveRun;
 }
--- a/src/core/attempts/Attempts.h
+++ b/src/core/attempts/Attempts.h
@@ -61,6 +61,11 @@
 /// instance because the retry budget denies it.
 NextStep stepWithoutBudget(const AttemptResult &Last);
 
+/// Returns whether a request may also be sent to another server while the node
+/// of the server that has its call is silent. The call is left to run.
+bool mayAttemptBeside(const AttemptHistory &History,
+                      const AttemptLimits &Limits, Instant Now);
+
 /// Returns whether the final answer may state that the request has not run.
 bool canReportNotRun(const AttemptHistory &History);
 
--- a/tests/agent/PeerLinksTest.cpp
+++ b/tests/agent/PeerLinksTest.cpp
@@ -76,6 +76,7 @@
   std::optional<TestNode> Callee{std::in_place, Loop, SecondIp + Port, 22};
   std::optional<CallResult> Got;
   std::uint64_t Id = 0;
+  int SilenceReports = 0;
 
   NodePair() {
     Caller->Links.setPeers({SecondIp});
@@ -96,7 +97,8 @@
     Request.Deadline = Loop.now() + std::chrono::seconds(5);
     Id = Caller->Links.findLiveLink(SecondIp)->call(
         std::move(Request),
-        [this](CallResult &&Answer) { Got = std::move(Answer); });
+        [this](CallResult &&Answer) { Got = std::move(Answer); },
+        [this] { ++SilenceReports; });
   }
   /// Closes the callee's end; the caller notices the loss when the loop runs.
   void closeCalleeLink() { Callee->Links.findLiveLink(FirstIp)->close(); }
@@ -181,6 +183,23 @@
   }
 }
 
+TEST_CASE("A call outlives the silence of its node", "[agent]") {
+  // Guards against running work that is given up, or whose answer is dropped,
+  // because its node was silent for a while.
+  NodePair Nodes;
+  Nodes.call();
+  Nodes.runFor(1200);
+  Nodes.Caller->Links.tick();
+  Nodes.Caller->Links.tick();
+  CHECK(Nodes.SilenceReports == 1);
+  CHECK_FALSE(Nodes.Got.has_value());
+  CHECK(Nodes.Callee->CancelledCallNumbers.empty());
+  Nodes.Callee->answer(1, "late");
+  Nodes.runFor(20);
+  REQUIRE(Nodes.Got.has_value());
+  CHECK(Nodes.Got->Body == "late");
+}
+
 TEST_CASE("The loss and the return of a peer are each reported once",
           "[agent]") {
   // Guards against the loss of a peer that does not appear in the log.
--- a/tests/attempts/AttemptsTest.cpp
+++ b/tests/attempts/AttemptsTest.cpp
@@ -69,6 +69,23 @@
   }
 }
 
+TEST_CASE("A request may be sent elsewhere while a node is silent",
+          "[attempts]") {
+  // Guards against a deposit that is started again because the node of its
+  // server did not report for a while.
+  AttemptHistory History;
+  History.Placements = 1;
+  const Instant Deadline = Start + std::chrono::seconds(1);
+  CHECK(mayAttemptBeside(History, {true, 2, Deadline}, Start));
+  CHECK_FALSE(mayAttemptBeside(History, {false, 2, Deadline}, Start));
+  SECTION("the silent server counts as one that received the request") {
+    CHECK_FALSE(mayAttemptBeside(History, {true, 1, Deadline}, Start));
+  }
+  SECTION("not after the deadline") {
+    CHECK_FALSE(mayAttemptBeside(History, {true, 2, Deadline}, Deadline));
+  }
+}
+
 TEST_CASE("A request that is not repeatable runs at most once", "[attempts]") {
   // Guards against a second run, against reporting "not run" for a request that
   // ran, and against more arrivals at servers than the route allows.
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -58,6 +58,7 @@
     def setUp(self):
         store, app, caller, peer, ready, metrics = free_ports(6)
         self.ports = {"caller": caller, "peer": peer, "ready": ready, "metrics": metrics}
+        self.app_port = app
         self.store = Store(("127.0.0.1", store))
         self.folder = tempfile.TemporaryDirectory()
         self.backends, self.agents = [], []
@@ -232,6 +233,62 @@
         thread.join()
         self.assertIn(results[0], (502, 504))
 
+    def call_through_frozen_node(self, frozen_s, path="open/x", body=None, begun=lambda: None):
+        """Returns the answer to a call that runs at the second server while its
+        node is frozen, and the time that it took."""
+        results = []
+        thread = threading.Thread(target=lambda: results.append(self.call(path, body=body)))
+        before, start = len(self.backends[1].seen), time.monotonic()
+        thread.start()
+        self.wait_for(lambda: len(self.backends[1].seen) > before)
+        begun()
+        self.agents[1].send_signal(signal.SIGSTOP)
+        time.sleep(frozen_s)
+        self.agents[1].send_signal(signal.SIGCONT)
+        thread.join()
+        self.assertEqual(len(self.backends[1].seen), before + 1)
+        return results[0], time.monotonic() - start
+
+    def test_running_call_outlives_the_silence_of_its_node(self):
+        """Guards against running work that is given up because its node was
+        silent for a while: the call was failed after 1.1 s of silence, although
+        it ran on and no other server could take it."""
+        self.backends[1].delay = 1.8
+        self.assertEqual(self.call_through_frozen_node(1.5)[0][0], 200)
+
+    def test_call_that_may_run_once_waits_for_its_silent_node(self):
+        """Guards against a deposit that is started again, or reported as not
+        run, because its node was silent for a while."""
+        self.backends[1].delay = 0.3
+        for frozen_s in (0.5, 1.5, 2.2):
+            self.wait_for(lambda: self.call("far/x")[0] == 200)
+            answer, _ = self.call_through_frozen_node(frozen_s, "far/x", b"deposit")
+            self.assertEqual(answer[:2], (200, b"ran deposit"), frozen_s)
+
+    def make_first_server_join(self):
+        address = self.store_entry_address(0)
+        self.store.put("servers/i-one", entry("two", address))
+
+    def store_entry_address(self, index):
+        return f"{HOSTS[index]}:{self.app_port}"
+
+    def test_silent_node_is_bypassed_for_a_safe_call(self):
+        """Guards against a safe request that waits for a silent node although
+        another server could answer it, and against an answer of the silent node
+        that is dropped because the request was sent elsewhere as well."""
+        self.store.put("servers/i-one", entry("one", self.store_entry_address(0), "draining"))
+        for first_delay, other_delay in ((1.7, 0.1), (1.6, 3.5)):
+            self.backends[1].delay, self.backends[0].delay = first_delay, other_delay
+            before = len(self.backends[0].seen)
+            answer, seconds = self.call_through_frozen_node(
+                1.5, begun=self.make_first_server_join)
+            self.assertEqual(answer[0], 200)
+            self.assertEqual(len(self.backends[0].seen), before + 1)
+            self.assertLess(seconds, 2.5)
+            self.store.put("servers/i-one",
+                           entry("two", self.store_entry_address(0), "draining"))
+            time.sleep(1.0)
+
     def test_lost_peer_is_logged(self):
         """Guards against a lost dependency of which the log says nothing."""
         self.agents[1].kill()
