--- a/tests/platform/StoreReaderTest.cpp
+++ b/tests/platform/StoreReaderTest.cpp
@@ -70,8 +70,90 @@
   std::thread Thread;
 };
 
+/// A store that begins an answer and then repeats the same bytes until the
+/// reader closes the connection.
+class EndlessStore {
+public:
+  EndlessStore(std::string TheBegin, std::string ThePiece,
+               std::chrono::milliseconds ThePause)
+      : Begin(std::move(TheBegin)), Piece(std::move(ThePiece)), Pause(ThePause),
+        Listener(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        Thread([this] { serve(); }) {}
+  ~EndlessStore() {
+    Stopping = true;
+    Thread.join();
+  }
+
+  std::string address() const { return Listener.address().toString(); }
+  /// Bytes that the reader's first connection took before it was closed.
+  std::future<std::size_t> sentBytes() { return SentBytes.get_future(); }
+
+private:
+  void serve() {
+    Poco::Net::StreamSocket Peer = Listener.acceptConnection();
+    char Buffer[4096];
+    Peer.receiveBytes(Buffer, sizeof(Buffer));
+    std::size_t Sent = 0;
+    try {
+      Peer.sendBytes(Begin.data(), static_cast<int>(Begin.size()));
+      while (!Stopping && Sent < GiveUpBytes) {
+        Peer.sendBytes(Piece.data(), static_cast<int>(Piece.size()));
+        Sent += Piece.size();
+        std::this_thread::sleep_for(Pause);
+      }
+    } catch (const Poco::Exception &) {
+      // The reader has closed the connection.
+    }
+    SentBytes.set_value(Sent);
+  }
+
+  static constexpr std::size_t GiveUpBytes = std::size_t{256} * 1024 * 1024;
+  std::string Begin;
+  std::string Piece;
+  std::chrono::milliseconds Pause;
+  Poco::Net::ServerSocket Listener;
+  std::promise<std::size_t> SentBytes;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
 } // namespace
 
+TEST_CASE("Bytes without end from the store are cut off", "[platform]") {
+  // Guards against memory that grows until the process ends, and against rules
+  // that stay as they are because one read never ends.
+  struct Case {
+    const char *Name;
+    std::string Begin;
+    std::string Piece;
+    std::chrono::milliseconds Pause;
+  };
+  const Case Endless = GENERATE(values<Case>({
+      {"body without a length", "HTTP/1.1 200 OK\r\n\r\n",
+       std::string(65536, '{'), std::chrono::milliseconds(0)},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "1000\r\n" + std::string(4096, '{') + "\r\n",
+       std::chrono::milliseconds(0)},
+      {"header lines", "HTTP/1.1 200 OK\r\n",
+       "X-More: " + std::string(400, 'a') + "\r\n",
+       std::chrono::milliseconds(0)},
+      {"a byte now and then", "HTTP/1.1 200 OK\r\n\r\n", "{",
+       std::chrono::milliseconds(200)},
+  }));
+  INFO(Endless.Name);
+  EndlessStore Store(Endless.Begin, Endless.Piece, Endless.Pause);
+  std::future<std::size_t> SentBytes = Store.sentBytes();
+  auto Reader = std::make_unique<StoreReader>(Store.address());
+  Reader->start([](agent::ConfigurationUpdate &&) {});
+  REQUIRE(SentBytes.wait_for(std::chrono::seconds(10)) ==
+          std::future_status::ready);
+  // Includes what the sockets' buffers hold when the connection closes.
+  CHECK(SentBytes.get() < std::size_t{32} * 1024 * 1024);
+  // Leak the reader, because its threads try to read the store again.
+  Reader->stop();
+  [[maybe_unused]] const StoreReader *Retrying = Reader.release();
+}
+
 TEST_CASE("A waiting watch is probed, so that it detects a dead connection",
           "[platform]") {
   // Guards against a node that waits 30 s on a dead connection while new
