Count the grace of missing servers from the end of the outage

Cause: a node that had been cut off read the list of servers again, took its own outage for one of the store, and kept the entries that the list lacks for 2.2 s from then; it passed that list on as a full list, and its zone did the same.

Change: a status says for how long its node has read the store without a failure. Missing entries are kept until 2.2 s after the earliest such time that is known, also if it becomes known after the list was read. The node beside a server refuses calls once it knows that the server's entry was removed.

The comparison of digests is easier to read.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -53,6 +53,8 @@
                         std::uint32_t NewMaxConnections) {
   MaxConnections = NewMaxConnections;
   if (!Entry) {
+    if (Server)
+      RemovedServerId = Server->Id.Text;
     Server.reset();
     return;
   }
@@ -117,6 +119,12 @@
                                 : "server-replaced");
     return Number;
   }
+  // A node without an entry accepts calls for other ids, because peers may have
+  // heard of a new server first.
+  if (!Server && Request.ServerId == RemovedServerId) {
+    refuse(std::move(Done), "server-gone");
+    return Number;
+  }
   CallRequirements Terms;
   Terms.ArrivedAt = Loop.now();
   Terms.Deadline = Request.Deadline;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -115,6 +115,7 @@
   ResponseLimits Limits;
   std::size_t BufferedBytes = 0;
   std::optional<ServerEntry> Server;
+  std::string RemovedServerId; ///< Last server whose entry was removed.
   std::uint32_t MaxConnections = 0;
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
   DispatchQueue Queue;
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -5,12 +5,11 @@
 #include <cstring>
 
 #include <capnp/message.h>
-#include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
-#include <kj/io.h>
 
 #include "absl/strings/str_cat.h"
+#include "agent/WireFields.h"
 #include "peer/Mesh.capnp.h"
 
 namespace pollenwick::agent {
@@ -20,72 +19,6 @@
 constexpr std::size_t MaxFrameBytes = std::size_t{72} * 1024 * 1024;
 constexpr std::size_t WordBytes = sizeof(capnp::word);
 constexpr std::size_t ScratchWords = 1024;
-/// Largest unpacked status; a packed message can expand to many times its size.
-constexpr std::size_t MaxStatusWords = std::size_t{1024} * 1024;
-constexpr double Permille = 1000;
-
-capnp::Text::Reader text(const std::string &Value) {
-  return {Value.c_str(), Value.size()};
-}
-
-capnp::Data::Reader data(const std::string &Value) {
-  return {reinterpret_cast<const kj::byte *>(Value.data()), Value.size()};
-}
-
-std::string toString(capnp::Text::Reader Value) {
-  return {Value.cStr(), Value.size()};
-}
-
-std::string toString(capnp::Data::Reader Value) {
-  return {reinterpret_cast<const char *>(Value.begin()), Value.size()};
-}
-
-std::uint32_t toMicros(Duration Time) {
-  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-      Time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
-void put(mesh::wire::Load::Builder Out, const ServerLoad &Load) {
-  Out.setRunning(Load.Running);
-  Out.setWaiting(Load.Waiting);
-  Out.setLimit(Load.MaxRunning);
-  Out.setServiceMicros(toMicros(Load.MeanServiceTime));
-  Out.setLeaving(Load.Leaving);
-  Out.setFailedPermille(static_cast<std::uint16_t>(
-      std::clamp(Load.FailureRate * Permille, 0.0, Permille)));
-  Out.setRecentCalls(static_cast<std::uint16_t>(std::min<std::uint32_t>(
-      Load.RecentCalls, std::numeric_limits<std::uint16_t>::max())));
-}
-
-ServerLoad readLoad(mesh::wire::Load::Reader In) {
-  ServerLoad Load;
-  Load.Running = In.getRunning();
-  Load.Waiting = In.getWaiting();
-  Load.MaxRunning = In.getLimit();
-  Load.MeanServiceTime = Duration(In.getServiceMicros());
-  Load.Leaving = In.getLeaving();
-  Load.FailureRate = std::min(In.getFailedPermille() / Permille, 1.0);
-  Load.RecentCalls = In.getRecentCalls();
-  return Load;
-}
-
-template <typename Builder>
-void putCounts(Builder Out, const std::vector<NamedCount> &Counts) {
-  for (unsigned I = 0; I < Counts.size(); ++I) {
-    Out[I].setName(text(Counts[I].Name));
-    Out[I].setA(Counts[I].A);
-    Out[I].setB(Counts[I].B);
-  }
-}
-
-template <typename Reader> std::vector<NamedCount> readCounts(Reader In) {
-  std::vector<NamedCount> Counts;
-  Counts.reserve(In.size());
-  for (const auto Item : In)
-    Counts.push_back({toString(Item.getName()), Item.getA(), Item.getB()});
-  return Counts;
-}
-
 void put(mesh::wire::Frame::Builder Root, const CallFrame &Frame, Instant Now) {
   auto Out = Root.initCall();
   const CallRequest &Request = Frame.Request;
@@ -116,44 +49,13 @@
   Out.setCause(text(Answer.Cause));
   Out.setHead(data(Answer.Headers));
   Out.setBody(data(Answer.Body));
-  put(Out.initLoad(), Answer.Load);
+  putLoad(Out.initLoad(), Answer.Load);
 }
 
 void put(mesh::wire::Frame::Builder Root, const CancelFrame &Frame, Instant) {
   Root.setCancel(Frame.Id);
 }
 
-void put(mesh::wire::Status::Builder Out, const StatusFrame &Frame) {
-  Out.setStart(Frame.Incarnation);
-  Out.setSentAtMicros(
-      static_cast<std::uint64_t>(Frame.SentAt.time_since_epoch().count()));
-  Out.setRulesRevision(Frame.RulesRevision);
-  Out.setServersRevision(Frame.ServersRevision);
-  Out.setServersDigest(Frame.ServersDigest);
-  Out.setSourceUse(static_cast<std::uint8_t>(Frame.Source));
-  Out.setSourceLost(Frame.SourceLost);
-  Out.setService(text(Frame.Service));
-  Out.setServerId(text(Frame.ServerId));
-  put(Out.initLoad(), Frame.Load);
-  Out.setOfferedMicros(Frame.OfferedSlotMicros);
-  Out.setLimitMicros(Frame.AvailableSlotMicros);
-  Out.setRuns(Frame.Runs);
-  putCounts(
-      Out.initCustomers(static_cast<unsigned>(Frame.CustomerCounts.size())),
-      Frame.CustomerCounts);
-  putCounts(Out.initRoutes(static_cast<unsigned>(Frame.RouteCounts.size())),
-            Frame.RouteCounts);
-  putCounts(Out.initRetries(static_cast<unsigned>(Frame.RetryCounts.size())),
-            Frame.RetryCounts);
-  putCounts(Out.initCalls(static_cast<unsigned>(Frame.NestedCallCounts.size())),
-            Frame.NestedCallCounts);
-  auto Crashes = Out.initCrashes(static_cast<unsigned>(Frame.Crashes.size()));
-  for (unsigned I = 0; I < Frame.Crashes.size(); ++I) {
-    Crashes[I].setFingerprint(Frame.Crashes[I].Fingerprint);
-    Crashes[I].setCount(Frame.Crashes[I].Count);
-  }
-}
-
 void put(mesh::wire::Frame::Builder Root, const StatusFrame &Frame, Instant) {
   Root.setStatus(data(packStatus(Frame)));
 }
@@ -256,40 +158,6 @@
   return Frame;
 }
 
-/// Decodes a packed status. Throws `kj::Exception` if the bytes are malformed.
-StatusFrame readStatus(capnp::Data::Reader Packed) {
-  kj::ArrayInputStream Input(Packed);
-  capnp::ReaderOptions Options;
-  Options.traversalLimitInWords = MaxStatusWords;
-  capnp::PackedMessageReader Message(Input, Options);
-  const auto In = Message.getRoot<mesh::wire::Status>();
-  StatusFrame Frame;
-  Frame.Incarnation = In.getStart();
-  Frame.SentAt =
-      Instant(Duration(static_cast<std::int64_t>(In.getSentAtMicros())));
-  Frame.RulesRevision = In.getRulesRevision();
-  Frame.ServersRevision = In.getServersRevision();
-  Frame.ServersDigest = In.getServersDigest();
-  Frame.Source =
-      In.getSourceUse() <= static_cast<std::uint8_t>(SourceUse::Probe)
-          ? static_cast<SourceUse>(In.getSourceUse())
-          : SourceUse::Read;
-  Frame.SourceLost = In.getSourceLost();
-  Frame.Service = toString(In.getService());
-  Frame.ServerId = toString(In.getServerId());
-  Frame.Load = readLoad(In.getLoad());
-  Frame.OfferedSlotMicros = In.getOfferedMicros();
-  Frame.AvailableSlotMicros = In.getLimitMicros();
-  Frame.Runs = In.getRuns();
-  Frame.CustomerCounts = readCounts(In.getCustomers());
-  Frame.RouteCounts = readCounts(In.getRoutes());
-  Frame.RetryCounts = readCounts(In.getRetries());
-  Frame.NestedCallCounts = readCounts(In.getCalls());
-  for (const auto Item : In.getCrashes())
-    Frame.Crashes.push_back({Item.getFingerprint(), Item.getCount()});
-  return Frame;
-}
-
 RecordsFrame readRecords(mesh::wire::RecordSet::Reader In) {
   RecordsFrame Frame;
   Frame.Rules.AsOf = In.getRulesRevision();
@@ -321,28 +189,6 @@
   return Frame;
 }
 
-std::vector<NamedCount> changedCounts(const std::vector<NamedCount> &Latest,
-                                      const std::vector<NamedCount> &Sent) {
-  std::vector<NamedCount> Changed;
-  std::ranges::copy_if(
-      Latest, std::back_inserter(Changed), [&](const NamedCount &Item) {
-        const auto Old = std::ranges::find(Sent, Item.Name, &NamedCount::Name);
-        return Old == Sent.end() || Old->A != Item.A || Old->B != Item.B;
-      });
-  return Changed;
-}
-
-void mergeCounts(std::vector<NamedCount> &Changes,
-                 const std::vector<NamedCount> &Known) {
-  std::vector<NamedCount> Missing;
-  std::ranges::copy_if(
-      Known, std::back_inserter(Missing), [&](const NamedCount &Item) {
-        return std::ranges::find(Changes, Item.Name, &NamedCount::Name) ==
-               Changes.end();
-      });
-  Changes.insert(Changes.end(), Missing.begin(), Missing.end());
-}
-
 absl::StatusOr<PeerFrame> decodeFrame(mesh::wire::Frame::Reader Root,
                                       Instant Now) {
   switch (Root.which()) {
@@ -352,8 +198,13 @@
     return readAnswer(Root.getAnswer());
   case mesh::wire::Frame::CANCEL:
     return CancelFrame{Root.getCancel()};
-  case mesh::wire::Frame::STATUS:
-    return readStatus(Root.getStatus());
+  case mesh::wire::Frame::STATUS: {
+    absl::StatusOr<StatusFrame> Status =
+        unpackStatus(toString(Root.getStatus()));
+    if (!Status.ok())
+      return Status.status();
+    return *std::move(Status);
+  }
   case mesh::wire::Frame::PULL:
     return PullFrame{Root.getPull().getRulesRevision(),
                      Root.getPull().getServersRevision()};
@@ -382,44 +233,6 @@
   return Names.at(Kind);
 }
 
-std::string packStatus(const StatusFrame &Status) {
-  capnp::MallocMessageBuilder Message;
-  put(Message.initRoot<mesh::wire::Status>(), Status);
-  kj::VectorOutputStream Packed;
-  capnp::writePackedMessage(Packed, Message);
-  const auto Bytes = Packed.getArray();
-  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
-}
-
-absl::StatusOr<StatusFrame> unpackStatus(std::string_view Packed) {
-  try {
-    return readStatus(
-        {reinterpret_cast<const kj::byte *>(Packed.data()), Packed.size()});
-  } catch (const kj::Exception &Error) {
-    return absl::InvalidArgumentError(
-        absl::StrCat("unreadable status: ", Error.getDescription().cStr(),
-                     "; check that the peer is a node"));
-  }
-}
-
-StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent) {
-  StatusFrame Changes = Latest;
-  Changes.CustomerCounts =
-      changedCounts(Latest.CustomerCounts, Sent.CustomerCounts);
-  Changes.RouteCounts = changedCounts(Latest.RouteCounts, Sent.RouteCounts);
-  Changes.RetryCounts = changedCounts(Latest.RetryCounts, Sent.RetryCounts);
-  Changes.NestedCallCounts =
-      changedCounts(Latest.NestedCallCounts, Sent.NestedCallCounts);
-  return Changes;
-}
-
-void mergeStatus(StatusFrame &Changes, const StatusFrame &Known) {
-  mergeCounts(Changes.CustomerCounts, Known.CustomerCounts);
-  mergeCounts(Changes.RouteCounts, Known.RouteCounts);
-  mergeCounts(Changes.RetryCounts, Known.RetryCounts);
-  mergeCounts(Changes.NestedCallCounts, Known.NestedCallCounts);
-}
-
 void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out) {
   alignas(8) static thread_local std::array<capnp::word, ScratchWords> Scratch;
   std::memset(Scratch.data(), 0, sizeof(Scratch));
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -10,8 +10,8 @@
 
 #include "absl/status/statusor.h"
 #include "agent/Call.h"
+#include "agent/StatusFrame.h"
 #include "core/hosts/RecordTable.h"
-#include "core/hosts/SourceReaders.h"
 #include "core/resume/CallLedger.h"
 
 namespace pollenwick::agent {
@@ -33,49 +33,6 @@
   std::uint64_t Id = 0;
 };
 
-/// One or two totals under a name; their meaning depends on the list.
-struct NamedCount {
-  std::string Name;
-  std::uint64_t A = 0;
-  std::uint64_t B = 0;
-};
-
-/// Number of server crashes during requests with one fingerprint.
-struct CrashReport {
-  std::uint64_t Fingerprint = 0;
-  std::uint32_t Count = 0;
-};
-
-/// The periodic report of a node to its peers: its load and its totals since
-/// its start. Mesh.capnp describes the fields.
-struct StatusFrame {
-  std::uint64_t Incarnation = 0;
-  Instant SentAt; ///< Time at the sender, which orders its statuses.
-  /// Revisions of the newest records that the node holds.
-  std::uint64_t RulesRevision = 0;
-  std::uint64_t ServersRevision = 0;
-  std::uint64_t ServersDigest = 0; ///< See `digestOf`.
-  SourceUse Source = SourceUse::Read;
-  bool SourceLost = false; ///< The last read of the source has failed.
-  std::string Service;
-  std::string ServerId;
-  ServerLoad Load;
-  /// Expected slot time of the calls that arrived, in microseconds.
-  std::uint64_t OfferedSlotMicros = 0;
-  /// Slot time that the server provided while it was ready, in microseconds.
-  std::uint64_t AvailableSlotMicros = 0;
-  std::uint64_t Runs = 0; ///< Calls started at the server.
-  /// Requests by customer; A: admitted, B: offered.
-  std::vector<NamedCount> CustomerCounts;
-  /// Requests of callers by plan key; A: admitted, B: offered.
-  std::vector<NamedCount> RouteCounts;
-  /// Requests by service; A: retries, B: requests without retries.
-  std::vector<NamedCount> RetryCounts;
-  /// Nested calls by service; A: calls, B: unused.
-  std::vector<NamedCount> NestedCallCounts;
-  std::vector<CrashReport> Crashes;
-};
-
 /// Asks the receiver for all records that are newer than these revisions.
 struct PullFrame {
   std::uint64_t RulesRevision = 0;
@@ -123,18 +80,6 @@
 /// Returns the name of a kind of frame, by its index in `PeerFrame`.
 std::string_view peerFrameName(std::size_t Kind);
 
-std::string packStatus(const StatusFrame &Status);
-/// Returns InvalidArgument if the bytes are not a packed status.
-absl::StatusOr<StatusFrame> unpackStatus(std::string_view Packed);
-
-/// Returns `Latest` without the named counts that equal those of `Sent`. Counts
-/// are totals, so a peer that knows `Sent` can restore the full status.
-StatusFrame changesSince(const StatusFrame &Latest, const StatusFrame &Sent);
-
-/// Adds the counts of `Known` that `Changes` lacks, which restores the full
-/// status from the result of `changesSince`.
-void mergeStatus(StatusFrame &Changes, const StatusFrame &Known);
-
 /// Appends the encoded frame to `Out`. Deadlines are encoded as the time that
 /// remains after `Now`.
 void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out);
--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -74,14 +74,18 @@
   if (Update.Unavailable && Use == SourceUse::Idle)
     return;
   logSourceState(Update);
-  if (Update.Unavailable)
+  if (Update.Unavailable) {
+    ReadingSince.reset();
     return;
+  }
   const std::uint64_t Previous = Registry.revision(Update.Kind);
   ServiceRegistry::Change Change;
+  if (!ReadingSince && !sourceLost() && Use != SourceUse::Idle)
+    ReadingSince = Loop.now();
   if (Update.IsFullList) {
-    Change =
-        Registry.applyFullList(Update.Kind, Update.Records, Update.AsOfRevision,
-                               Update.AfterOutage, Loop.now());
+    Change = Registry.applyFullList(
+        Update.Kind, Update.Records, Update.AsOfRevision,
+        Update.AfterOutage ? keepMissingUntil() : Loop.now(), Loop.now());
     OnChange(Change);
     passOn(Update.Kind, Registry.batchAfter(Update.Kind, Previous));
     return;
@@ -109,6 +113,17 @@
   Peers.sendTo(zonePeerIps(), Frame);
 }
 
+Instant RecordSync::keepMissingUntil() const {
+  // A node that was cut off takes its own outage for one of the source. Peers
+  // that have read all the time know better.
+  std::optional<Instant> ReadableSince = ReadingSince;
+  for (const auto &[Ip, Report] : ReportsByIp)
+    if (Report.ReadingSince && Peers.hasLiveLink(Ip))
+      ReadableSince = std::min(ReadableSince.value_or(*Report.ReadingSince),
+                               *Report.ReadingSince);
+  return missingItemsKeptUntil(ReadableSince, Loop.now());
+}
+
 bool RecordSync::isAhead(const PeerRecords &Peer) const {
   return Peer.RulesRevision > Registry.revision(RecordKind::Rules) ||
          Peer.ServersRevision > Registry.revision(RecordKind::Server);
@@ -117,7 +132,9 @@
 void RecordSync::onPeerStatus(const std::string &Ip,
                               const StatusFrame &Status) {
   PeerRecords &Peer = ReportsByIp[Ip];
-  Peer = {Status.RulesRevision, Status.ServersRevision, Status.SourceLost};
+  Peer = {Status.RulesRevision, Status.ServersRevision, Status.SourceLost, {}};
+  if (Status.SourceReadTime.count() > 0)
+    Peer.ReadingSince = Loop.now() - Status.SourceReadTime;
   if (Status.SourceLost)
     OutageReportedAt = Loop.now();
   if (isAhead(Peer) && !BehindSince)
@@ -131,11 +148,16 @@
       Use == SourceUse::Idle && Status.Source != SourceUse::Idle &&
       !Status.SourceLost &&
       Status.ServersRevision == Registry.newestRecord(RecordKind::Server);
-  if (Comparable && Status.ServersDigest != Registry.serversDigest()) {
-    if (!std::exchange(DifferingPeer, Ip).empty() && DifferentSince)
-      return;
-    DifferentSince = Loop.now();
-  } else if (Ip == DifferingPeer || Use != SourceUse::Idle) {
+  const bool Differs =
+      Comparable && Status.ServersDigest != Registry.serversDigest();
+  if (Differs) {
+    DifferingPeer = Ip;
+    if (!DifferentSince)
+      DifferentSince = Loop.now();
+    return;
+  }
+  // Another peer may differ although this one does not.
+  if (Ip == DifferingPeer || Use != SourceUse::Idle) {
     DifferentSince.reset();
     DifferingPeer.clear();
   }
@@ -151,7 +173,7 @@
                        const std::string &Ip) {
   bool HasGap = false;
   const ServiceRegistry::Change Change =
-      Registry.applyBatch(Kind, Batch, HasGap, Loop.now());
+      Registry.applyBatch(Kind, Batch, keepMissingUntil(), HasGap, Loop.now());
   if (HasGap) {
     PeerRecords &Peer = ReportsByIp[Ip];
     std::uint64_t &Newest =
@@ -171,8 +193,8 @@
 
 void RecordSync::tick() {
   std::vector<Record> Removed;
-  const ServiceRegistry::Change Change =
-      Registry.expireMissingServers(Loop.now(), MaxMarkers, Removed);
+  const ServiceRegistry::Change Change = Registry.expireMissingServers(
+      keepMissingUntil(), Loop.now(), MaxMarkers, Removed);
   OnChange(Change);
   const std::uint64_t Revision = Registry.revision(RecordKind::Server);
   passOn(RecordKind::Server, {Revision, Revision, false, std::move(Removed)});
@@ -214,8 +236,10 @@
   HasBeenIdle = HasBeenIdle || Use == SourceUse::Idle;
   Source.use(Wanted, AfterOutage);
   // The next read tells whether the source can be read.
-  if (Wanted == SourceUse::Idle)
+  if (Wanted == SourceUse::Idle) {
     UnavailableKinds.clear();
+    ReadingSince.reset();
+  }
   Log.logStateChange(std::move(
       LogLine("source-use", Loop.now())
           .field("use", sourceUseName(Use))
@@ -255,6 +279,8 @@
   Status.ServersDigest = Registry.serversDigest();
   Status.Source = Use;
   Status.SourceLost = sourceLost();
+  if (ReadingSince)
+    Status.SourceReadTime = Loop.now() - *ReadingSince;
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -47,9 +47,14 @@
     std::uint64_t RulesRevision = 0;
     std::uint64_t ServersRevision = 0;
     bool SourceLost = false;
+    /// Since when it has read the source without a failure; unset if it does
+    /// not.
+    std::optional<Instant> ReadingSince;
   };
 
   std::vector<std::string> zonePeerIps() const;
+  /// Returns until when servers are kept that a list lacks.
+  Instant keepMissingUntil() const;
   bool isAhead(const PeerRecords &Peer) const;
   void logSourceState(const ConfigurationUpdate &Update);
   void passOn(RecordKind Kind, RecordBatch &&Batch);
@@ -68,6 +73,9 @@
   /// Kinds of records that the source cannot deliver now.
   std::set<RecordKind> UnavailableKinds;
   SourceUse Use = SourceUse::Read;
+  /// Since when this node has read the source without a failure; unset if it
+  /// does not.
+  std::optional<Instant> ReadingSince;
   /// Since when the peers suffice, while this node still reads.
   std::optional<Instant> NotNeededSince;
   /// When a peer reported last that it cannot read the source.
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -150,17 +150,19 @@
 
 ServiceRegistry::Change
 ServiceRegistry::applyFullList(RecordKind Kind, const std::vector<Record> &List,
-                               std::uint64_t AsOfRevision, bool AfterOutage,
-                               Instant Now) {
+                               std::uint64_t AsOfRevision,
+                               Instant KeepMissingUntil, Instant Now) {
   return updateChanged(
-      Kind, applyList(tableOf(Kind), List, AsOfRevision, AfterOutage, Now),
+      Kind, applyList(tableOf(Kind), List, AsOfRevision, KeepMissingUntil, Now),
       "source", Now);
 }
 
 ServiceRegistry::Change ServiceRegistry::applyBatch(RecordKind Kind,
                                                     const RecordBatch &Batch,
+                                                    Instant KeepMissingUntil,
                                                     bool &HasGap, Instant Now) {
-  const BatchResult Result = pollenwick::applyBatch(tableOf(Kind), Batch, Now);
+  const BatchResult Result =
+      pollenwick::applyBatch(tableOf(Kind), Batch, KeepMissingUntil, Now);
   HasGap = Result.HasGap;
   return updateChanged(Kind, Result.ChangedIds, "peer", Now);
 }
@@ -172,9 +174,11 @@
 }
 
 ServiceRegistry::Change
-ServiceRegistry::expireMissingServers(Instant Now, std::size_t MaxMarkers,
+ServiceRegistry::expireMissingServers(Instant KeepMissingUntil, Instant Now,
+                                      std::size_t MaxMarkers,
                                       std::vector<Record> &Removed) {
-  const std::vector<std::string> Ids = expireMissing(ServerRecords, Now);
+  const std::vector<std::string> Ids =
+      expireMissing(ServerRecords, KeepMissingUntil, Now);
   const Change Result = updateChanged(RecordKind::Server, Ids, "source", Now);
   std::ranges::transform(
       Ids, std::back_inserter(Removed),
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -48,22 +48,25 @@
   Change applyRecords(const std::vector<Record> &Records,
                       std::string_view Source, Instant Now);
   /// Applies the full list of records of `Kind` as of `AsOfRevision`. A record
-  /// that the list lacks is removed; if `AfterOutage` is set, only after
-  /// `MissingRecordGrace`.
+  /// that the list lacks is removed at `KeepMissingUntil`, at once if that has
+  /// passed.
   Change applyFullList(RecordKind Kind, const std::vector<Record> &List,
-                       std::uint64_t AsOfRevision, bool AfterOutage,
+                       std::uint64_t AsOfRevision, Instant KeepMissingUntil,
                        Instant Now);
   /// Records that all changes of `Kind` up to `AsOfRevision` were applied.
   void advanceRevision(RecordKind Kind, std::uint64_t AsOfRevision);
-  /// Removes the servers that were missing from the list after an outage and
-  /// whose `MissingRecordGrace` has ended. Appends the markers of the removed
-  /// servers to `Removed` and keeps at most `MaxMarkers` of all markers.
-  Change expireMissingServers(Instant Now, std::size_t MaxMarkers,
+  /// Removes the servers that were missing from a list and are due for removal;
+  /// all of them if `KeepMissingUntil` has passed. Appends the markers of the
+  /// removed servers to `Removed` and keeps at most `MaxMarkers` of all
+  /// markers.
+  Change expireMissingServers(Instant KeepMissingUntil, Instant Now,
+                              std::size_t MaxMarkers,
                               std::vector<Record> &Removed);
-  /// Applies records that a peer has sent. Sets `HasGap` if changes before them
+  /// Applies records that a peer has sent. A record that its full list lacks is
+  /// removed at `KeepMissingUntil`. Sets `HasGap` if changes before the records
   /// are missing here.
-  Change applyBatch(RecordKind Kind, const RecordBatch &Batch, bool &HasGap,
-                    Instant Now);
+  Change applyBatch(RecordKind Kind, const RecordBatch &Batch,
+                    Instant KeepMissingUntil, bool &HasGap, Instant Now);
 
   /// Returns the rules in force; null until the first configuration arrives.
   const std::shared_ptr<const RouteTable> &rules() const { return Rules; }
--- a/src/core/hosts/RecordTable.cpp
+++ b/src/core/hosts/RecordTable.cpp
@@ -32,9 +32,14 @@
   return storeIfNewer(Table, New);
 }
 
+Instant missingItemsKeptUntil(std::optional<Instant> ReadableSince,
+                              Instant Now) {
+  return std::min(ReadableSince.value_or(Now), Now) + MissingRecordGrace;
+}
+
 std::vector<std::string> applyList(RecordTable &Table,
                                    const std::vector<Record> &List,
-                                   std::uint64_t AsOf, bool AfterOutage,
+                                   std::uint64_t AsOf, Instant KeepMissingUntil,
                                    Instant Now) {
   std::vector<std::string> Changed;
   std::set<std::string> Listed;
@@ -47,11 +52,15 @@
   for (auto &[Id, Stored] : Table.Records) {
     if (Stored.Deleted || Stored.Revision > AsOf || Listed.contains(Id))
       continue;
-    if (AfterOutage) {
-      Table.RemovalDeadlines.try_emplace(Id, Now + MissingRecordGrace);
+    if (KeepMissingUntil > Now) {
+      Instant &Deadline =
+          Table.RemovalDeadlines.try_emplace(Id, KeepMissingUntil)
+              .first->second;
+      Deadline = std::min(Deadline, KeepMissingUntil);
       continue;
     }
     markDeleted(Stored, AsOf);
+    Table.RemovalDeadlines.erase(Id);
     Changed.push_back(Id);
   }
   // Items that were created and deleted since the last read have no marker.
@@ -61,11 +70,12 @@
   return Changed;
 }
 
-std::vector<std::string> expireMissing(RecordTable &Table, Instant Now) {
+std::vector<std::string> expireMissing(RecordTable &Table,
+                                       Instant KeepMissingUntil, Instant Now) {
   std::vector<std::string> Expired;
   for (auto It = Table.RemovalDeadlines.begin();
        It != Table.RemovalDeadlines.end();) {
-    if (It->second > Now) {
+    if (std::min(It->second, KeepMissingUntil) > Now) {
       ++It;
       continue;
     }
@@ -92,11 +102,10 @@
 }
 
 BatchResult applyBatch(RecordTable &Table, const RecordBatch &Batch,
-                       Instant Now) {
-  // The sender may have started after an outage, when entries that expired in
-  // it were missing from the source, so they are kept for the grace period.
+                       Instant KeepMissingUntil, Instant Now) {
   if (Batch.IsFullList && Batch.AsOf >= Table.Revision)
-    return {applyList(Table, Batch.Records, Batch.AsOf, true, Now), false};
+    return {applyList(Table, Batch.Records, Batch.AsOf, KeepMissingUntil, Now),
+            false};
   BatchResult Result;
   for (const Record &Item : Batch.Records)
     if (applyRecord(Table, Item))
--- a/src/core/hosts/RecordTable.h
+++ b/src/core/hosts/RecordTable.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,18 +40,27 @@
 /// deletion cannot bring it back. Returns true if the record was stored.
 bool applyRecord(RecordTable &Table, const Record &New);
 
+/// Returns until when items are kept that a list after an outage of the source
+/// lacks: entries that could not be renewed in the outage have expired, and
+/// their servers register again within `MissingRecordGrace` of its end.
+/// `ReadableSince` is the earliest time from which a node is known to have read
+/// the source without a failure; not set if no node is.
+Instant missingItemsKeptUntil(std::optional<Instant> ReadableSince,
+                              Instant Now);
+
 /// Applies a full list as of revision `AsOf`. Items that the list does not
-/// contain are removed. After an outage of the service (`AfterOutage`) they are
-/// kept for `MissingRecordGrace`, because entries that could not be renewed
-/// during the outage have expired and their servers register again. Returns the
-/// ids of the changed items.
+/// contain are removed at `KeepMissingUntil`, at once if that has passed.
+/// Returns the ids of the changed items.
 std::vector<std::string> applyList(RecordTable &Table,
                                    const std::vector<Record> &List,
-                                   std::uint64_t AsOf, bool AfterOutage,
+                                   std::uint64_t AsOf, Instant KeepMissingUntil,
                                    Instant Now);
 
-/// Removes the items whose grace period has ended. Returns their ids.
-std::vector<std::string> expireMissing(RecordTable &Table, Instant Now);
+/// Removes the missing items that are due, and all of them if
+/// `KeepMissingUntil` has passed, because the end of the outage may become
+/// known only after the list was read. Returns their ids.
+std::vector<std::string> expireMissing(RecordTable &Table,
+                                       Instant KeepMissingUntil, Instant Now);
 
 /// Records that one node passes on to another.
 struct RecordBatch {
@@ -74,9 +84,10 @@
 };
 
 /// Applies records that a peer has sent. Items that its full list lacks are
-/// removed after `MissingRecordGrace`.
+/// removed at `KeepMissingUntil`, at once if that has passed: the peer may have
+/// started after an outage.
 BatchResult applyBatch(RecordTable &Table, const RecordBatch &Batch,
-                       Instant Now);
+                       Instant KeepMissingUntil, Instant Now);
 
 /// Forgets the oldest markers of deleted items beyond `MaxMarkers`.
 void pruneMarkers(RecordTable &Table, std::size_t MaxMarkers);
@@ -88,7 +99,8 @@
 /// same for all tables with the same items.
 std::uint64_t digestOf(const RecordTable &Table);
 
-/// Time for which an item stays after a list without it has followed an outage.
+/// Time after the end of an outage of the source for which an item stays that a
+/// list lacks.
 inline constexpr Duration MissingRecordGrace = std::chrono::milliseconds(2200);
 
 } // namespace pollenwick
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -73,6 +73,7 @@
   sourceUse @15 :UInt8;      # 0: idle, 1: reads, 2: probes.
   sourceLost @16 :Bool;      # The last read has failed.
   serversDigest @17 :UInt64; # Hash of the ids and revisions of all servers.
+  sourceReadMillis @18 :UInt32; # Time without a failed read; 0: does not read.
 }
 
 struct Record {
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -923,6 +923,8 @@
 
   inline  ::uint64_t getServersDigest() const;
 
+  inline  ::uint32_t getSourceReadMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1037,6 +1039,9 @@
   inline  ::uint64_t getServersDigest();
   inline void setServersDigest( ::uint64_t value);
 
+  inline  ::uint32_t getSourceReadMillis();
+  inline void setSourceReadMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3044,6 +3049,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Status::Reader::getSourceReadMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Status::Builder::getSourceReadMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setSourceReadMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Record::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/agent/BackendTest.cpp
+++ b/tests/agent/BackendTest.cpp
@@ -146,6 +146,23 @@
     CHECK(Answer.Cause == "server-draining");
     CHECK(FakeServer.connectionCount() == 0);
   }
+  SECTION("a server whose entry was removed gets no further calls") {
+    // Guards against calls that reach a departed server through nodes that have
+    // not heard of its departure.
+    Server FakeServer({[](Socket &Peer) {
+      const std::string Id = Server::readRequest(Peer);
+      Server::write(Peer, Server::makeResponse(Id, "back"));
+    }});
+    BackendFixture Fixture(FakeServer.address());
+    Fixture.Target.setServer(nullptr, 100);
+    const CallResult Answer = Fixture.callAndWait("a");
+    CHECK(Answer.Outcome == CallOutcome::NotRun);
+    CHECK(Answer.Cause == "server-gone");
+    CHECK(FakeServer.connectionCount() == 0);
+    // It may register again under its id.
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK(Fixture.callAndWait("b").Body == "back");
+  }
 }
 
 TEST_CASE("A draining node runs only calls that end before its drain deadline",
--- a/tests/agent/PeerWireTest.cpp
+++ b/tests/agent/PeerWireTest.cpp
@@ -99,6 +99,7 @@
   Status.Load.MaxRunning = 19;
   Status.Load.MeanServiceTime = std::chrono::milliseconds(55);
   Status.Load.RecentCalls = 17;
+  Status.SourceReadTime = std::chrono::milliseconds(70'000);
   Status.OfferedSlotMicros = 8'123'456;
   Status.AvailableSlotMicros = 912'345'678;
   Status.Runs = 51'234;
@@ -115,6 +116,7 @@
   CHECK(Decoded.ServerId == Status.ServerId);
   CHECK(Decoded.Load.MeanServiceTime == Status.Load.MeanServiceTime);
   CHECK(Decoded.Load.RecentCalls == 17);
+  CHECK(Decoded.SourceReadTime == Status.SourceReadTime);
   REQUIRE(Decoded.CustomerCounts.size() == 2);
   CHECK(Decoded.CustomerCounts[0].Name == "parish-7");
   CHECK(Decoded.CustomerCounts[0].B == 530);
