--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -74,11 +74,15 @@
                      "drain_grace_s": "4"}
             path = pathlib.Path(self.folder.name) / f"{service}.flags"
             path.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
-            self.agents.append(subprocess.Popen(
-                [AGENT], env=dict(os.environ, POLLENWICK_SETTINGS=str(path)),
-                stdout=subprocess.PIPE, text=True))
+            self.agents.append(self.start_agent(service))
         self.wait_for(lambda: self.call("near/x")[0] == 200 and self.call("far/x")[0] == 200)
 
+    def start_agent(self, service):
+        path = pathlib.Path(self.folder.name) / f"{service}.flags"
+        return subprocess.Popen(
+            [AGENT], env=dict(os.environ, POLLENWICK_SETTINGS=str(path)),
+            stdout=subprocess.PIPE, text=True)
+
     def tearDown(self):
         for agent in self.agents:
             agent.kill()
@@ -155,6 +159,31 @@
         time.sleep(2.5)
         self.assertEqual(self.call("far/x")[0], 200)
 
+    def test_restarted_node_learns_nothing_old_from_its_peer(self):
+        """Guards against a withdrawn key or a departed server that is in use
+        again after a restart, through a peer that was frozen meanwhile. The
+        store is away when the peer wakes up, so that only peers can tell."""
+        self.agents[1].send_signal(signal.SIGSTOP)
+        self.store.put("op/config", configuration(2, keys=("k-2",)))
+        self.store.remove("servers/i-two")
+        self.wait_for(lambda: self.call("near/x")[0] == 401, 3)
+        self.agents[0].kill()
+        self.agents[0].wait()
+        self.agents[0].stdout.close()
+        self.agents[0] = self.start_agent("one")
+        self.wait_for(lambda: self.call("near/x", key="k-2")[0] == 200)
+        self.store.down = True
+        before = len(self.backends[1].seen)
+        self.agents[1].send_signal(signal.SIGCONT)
+        end = time.monotonic() + 3
+        while time.monotonic() < end:
+            self.assertEqual(self.call("near/x", key="k-1")[0], 401)
+            self.assertEqual(self.call("far/x", key="k-2")[0], 503)
+            time.sleep(0.05)
+        self.assertEqual(len(self.backends[1].seen), before)
+        # The peer has learnt the new state as well.
+        self.assertEqual(self.call("near/x", host=HOSTS[1], key="k-1")[0], 401)
+
     def test_draining_server_gets_no_new_calls(self):
         address = "{}:{}".format(*self.backends[1].server.server_address)
         self.store.put("servers/i-two", entry("two", address, "draining"))
