--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -20,6 +20,14 @@
 
 namespace pollenwick::agent {
 
+/// A call that was sent to a server and has no result yet.
+struct SentCall {
+  std::uint32_t Attempt = 0; ///< Number of the placement, from 1.
+  std::string ServerId;
+  std::string PeerIp;       ///< Node of the server; empty for the local server.
+  std::uint64_t Number = 0; ///< Assigned by the backend or the peer links.
+};
+
 /// Handles the requests of callers and of the local backend server. It admits
 /// each request, places it on a server, retries it if necessary and sends
 /// exactly one final answer.
@@ -38,14 +46,6 @@
   std::size_t pendingCount() const { return Exchanges.size(); }
 
 private:
-  /// A call that was sent to a server and has no result yet.
-  struct SentCall {
-    std::uint32_t Attempt = 0; ///< Number of the placement, from 1.
-    std::string ServerId;
-    std::string PeerIp; ///< Node of the server; empty for the local server.
-    std::uint64_t Number = 0; ///< Assigned by the backend or the peer links.
-  };
-
   /// State of one request from its arrival to its answer.
   struct Exchange {
     std::shared_ptr<CallerConnection> Caller;
