--- a/src/node/MembershipService.cpp
+++ b/src/node/MembershipService.cpp
@@ -1,4 +1,5 @@
 #include "node/MembershipService.h"
+#include "core/membership/PullTree.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/config/Simulation.cpp
+++ b/tests/config/Simulation.cpp
@@ -1,4 +1,5 @@
 #include "Simulation.h"
+#include "core/membership/PullTree.h"
 
 #include <algorithm>
 
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "core/membership/Membership.h"
+#include "core/membership/PullTree.h"
 
 using namespace pollenwick;
 
