--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -114,8 +114,8 @@
 }
 
 Instant RecordSync::keepMissingUntil() const {
-  // A node that was cut off takes its own outage for one of the source. Peers
-  // that have read all the time know better.
+  // A node that was cut off cannot tell its own outage from one of the source.
+  // Peers that read the source all the time show that it had none.
   std::optional<Instant> ReadableSince = ReadingSince;
   for (const auto &[Ip, Report] : ReportsByIp)
     if (Report.ReadingSince && Peers.hasLiveLink(Ip))
