Charge a customer's bucket for nodes that have never reported

Cause: after a restart of all nodes, each refilled the whole rate for itself and spent its share of the level, which grew with each tick until the others reported. The longer nodes do not hear of each other, the more the fleet admits.

Change: a node deducts what it admits once more for each node that has never reported, and credits that when the node reports.

The sections of that test now run at 16, 72 and 300 nodes, with the bound as it was.

--- a/src/core/fleet/FleetQuota.cpp
+++ b/src/core/fleet/FleetQuota.cpp
@@ -69,6 +69,8 @@
     Peer.Incarnation = Incarnation;
     Peer.Counts = Counts;
     Peer.ReportedAt = Now;
+    if (!KnownPeer)
+      Bucket.Level += Bucket.AssumedPerUnheardNode;
     const double MinLevel =
         KnownPeer ? Bucket.Level - static_cast<double>(Counts.Admitted)
                   : std::min(Bucket.Level, 0.0);
@@ -103,6 +105,8 @@
   Bucket.OwnOfferedPerSecond +=
       (OwnOffered / IntervalSeconds - Bucket.OwnOfferedPerSecond) *
       RateSmoothingWeight;
+  const auto OwnAdmitted = static_cast<double>(
+      Bucket.OwnCounts.Admitted - Bucket.OwnCountsAtLastTick.Admitted);
   Bucket.OwnCountsAtLastTick = Bucket.OwnCounts;
   double TotalOfferedPerSecond = Bucket.OwnOfferedPerSecond;
   for (auto It = Bucket.Peers.begin(); It != Bucket.Peers.end();) {
@@ -120,10 +124,18 @@
     TotalOfferedPerSecond += Peer.OfferedPerSecond;
     ++It;
   }
+  const std::size_t ReportingNodes = Bucket.Peers.size() + 1;
+  if (ReportingNodes < Nodes) {
+    // Without it, each of the nodes that have not heard of each other refills
+    // the bucket for itself and spends its share of all of it.
+    Bucket.AssumedPerUnheardNode += OwnAdmitted;
+    Bucket.Level -= OwnAdmitted * static_cast<double>(Nodes - ReportingNodes);
+  } else {
+    Bucket.AssumedPerUnheardNode = 0;
+  }
   Bucket.Level =
       std::max(Bucket.Level, -2.0 * static_cast<double>(Limit.RatePerSecond));
   // The level is unreliable until every node of the fleet has reported.
-  const std::size_t ReportingNodes = Bucket.Peers.size() + 1;
   Bucket.Scarce =
       ReportingNodes < Nodes ||
       Bucket.Level < ScarceBurstFraction * static_cast<double>(Limit.Burst);
--- a/src/core/fleet/FleetQuota.h
+++ b/src/core/fleet/FleetQuota.h
@@ -48,6 +48,9 @@
   QuotaCounts OwnCounts;
   QuotaCounts OwnCountsAtLastTick; ///< As of the last `planQuota`.
   double OwnOfferedPerSecond = 0;
+  /// Admissions that were deducted for each node that has never reported;
+  /// credited when it reports.
+  double AssumedPerUnheardNode = 0;
   /// Admissions left to this node until the next tick; used while `Scarce`.
   double TickAllowance = 0;
   /// Whether tokens run low, so that the nodes divide the remaining ones.
@@ -69,7 +72,8 @@
 
 /// Computes how many requests this node may admit until the next tick, which is
 /// due after `Interval`. `Nodes` is the number of nodes in the fleet. A node
-/// that has not reported is assumed to be offered the same load as this one.
+/// that has not reported is assumed to be offered the same load as this one,
+/// and to admit as much.
 void planQuota(QuotaBucket &Bucket, const QuotaLimit &Limit, std::size_t Nodes,
                Duration Interval, Instant Now);
 
--- a/tests/fleet/FleetQuotaTest.cpp
+++ b/tests/fleet/FleetQuotaTest.cpp
@@ -95,11 +95,14 @@
 TEST_CASE("The fleet as a whole keeps to a customer's rate limit", "[quota]") {
   std::mt19937 Random(20261204);
   Instant Now(std::chrono::seconds(1000));
-  Fleet TestFleet(16);
-  sendLoad(TestFleet, 60, 5, 16, Now, Random);
+  // Guards against a limit that is exceeded the more, the more nodes there are.
+  const std::size_t Count = GENERATE(16, 72, 300);
+  CAPTURE(Count);
+  Fleet TestFleet(Count);
+  sendLoad(TestFleet, 60, 5, Count, Now, Random);
 
   SECTION("while all nodes receive eight times the rate") {
-    sendLoad(TestFleet, 8 * 150, 10, 16, Now, Random);
+    sendLoad(TestFleet, 8 * 150, 10, Count, Now, Random);
     CHECK(TestFleet.MaxAdmittedInWindow <= maxAdmittedInWindow());
   }
   SECTION("while a single node receives eight times the rate") {
@@ -109,29 +112,42 @@
   SECTION("while all nodes are killed and restarted") {
     // Guards against a restart that grants the burst a second time. A system
     // test saw 568 admissions where 545 were allowed.
-    sendLoad(TestFleet, 4 * 150, 4, 16, Now, Random);
+    sendLoad(TestFleet, 4 * 150, 4, Count, Now, Random);
     TestFleet.restartAll();
-    sendLoad(TestFleet, 4 * 150, 6, 16, Now, Random);
+    sendLoad(TestFleet, 4 * 150, 6, Count, Now, Random);
     CHECK(TestFleet.MaxAdmittedInWindow <= maxAdmittedInWindow());
   }
   SECTION("while restarted nodes have not received reports of each other") {
     // Guards against nodes that each admit the whole rate until the first
     // report. A system test saw 554 admissions where 545 were allowed.
-    sendLoad(TestFleet, 4.5 * 150, 4, 16, Now, Random);
+    sendLoad(TestFleet, 4.5 * 150, 4, Count, Now, Random);
+    TestFleet.restartAll();
+    for (Fleet::Node &Item : TestFleet.Nodes)
+      Item.Partitioned = true;
+    sendLoad(TestFleet, 4.5 * 150, 1, Count, Now, Random);
+    for (Fleet::Node &Item : TestFleet.Nodes)
+      Item.Partitioned = false;
+    sendLoad(TestFleet, 4.5 * 150, 5, Count, Now, Random);
+    CHECK(TestFleet.MaxAdmittedInWindow <= maxAdmittedInWindow());
+  }
+  SECTION("while restarted nodes hear of each other after two seconds") {
+    // Guards against tokens that every such node refills for itself, so that
+    // the fleet admits the more, the longer its nodes do not hear each other.
+    sendLoad(TestFleet, 4.5 * 150, 4, Count, Now, Random);
     TestFleet.restartAll();
     for (Fleet::Node &Item : TestFleet.Nodes)
       Item.Partitioned = true;
-    sendLoad(TestFleet, 4.5 * 150, 1, 16, Now, Random);
+    sendLoad(TestFleet, 4.5 * 150, 2, Count, Now, Random);
     for (Fleet::Node &Item : TestFleet.Nodes)
       Item.Partitioned = false;
-    sendLoad(TestFleet, 4.5 * 150, 5, 16, Now, Random);
+    sendLoad(TestFleet, 4.5 * 150, 5, Count, Now, Random);
     CHECK(TestFleet.MaxAdmittedInWindow <= maxAdmittedInWindow());
   }
   SECTION("while a third of the nodes is partitioned") {
-    sendLoad(TestFleet, 2 * 150, 3, 16, Now, Random);
-    for (std::size_t I = 0; I < 5; ++I)
+    sendLoad(TestFleet, 2 * 150, 3, Count, Now, Random);
+    for (std::size_t I = 0; I < Count / 3; ++I)
       TestFleet.Nodes[I].Partitioned = true;
-    sendLoad(TestFleet, 2 * 150, 10, 16, Now, Random);
+    sendLoad(TestFleet, 2 * 150, 10, Count, Now, Random);
     CHECK(TestFleet.MaxAdmittedInWindow <= maxAdmittedInWindow());
   }
 }
