Move the pure steps of the simulated fleet out of its class

Moves only: what faults do to a message, the next bundle, refusals against an exact bucket, staleness.

--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <vector>
 
+#include "tests/support/FleetSteps.h"
 #include "tests/support/FleetTypes.h"
 
 namespace pollenwick::test {
@@ -92,17 +93,7 @@
   /// bucket for the whole fleet, with the same admissions and asked in order
   /// of arrival, had a token.
   std::uint64_t wrongful(Duration From, Duration Until) const {
-    ExactBucket Whole = freshBucket();
-    std::uint64_t Count = 0;
-    for (const Arrival &Call : Calls) {
-      const Duration At = Call.At - Instant{};
-      if (Call.Result == Answer::Admitted)
-        Whole.admit(Call.At);
-      else if (Call.Result != Answer::None && Whole.hasToken(Call.At) &&
-               From <= At && At < Until)
-        ++Count;
-    }
-    return Count;
+    return wrongfulRefusals(Calls, freshBucket(), From, Until);
   }
   /// Sends a message that `Action` receives, under the faults of the moment.
   void send(std::uint32_t From, std::uint32_t To,
@@ -116,24 +107,15 @@
     Duration Delay = !Service && Nodes[From].Zone == Nodes[To].Zone
                          ? Options.LocalDelay
                          : Options.ZoneDelay;
-    int Copies = 1;
-    for (const Fault &F : Options.Faults) {
-      if (!F.activeAt(Elapsed))
-        continue;
-      const bool FromIn = ((F.Target >> From) & 1U) != 0;
-      const bool ToIn = ((F.Target >> To) & 1U) != 0;
-      if ((F.Kind == FaultKind::TwoWay && FromIn != ToIn) ||
-          (F.Kind == FaultKind::OneWay && FromIn && !ToIn) ||
-          (F.Kind == FaultKind::Drop && draw(100) < F.Amount))
-        return;
-      if (F.Kind == FaultKind::Delay)
-        Delay += std::chrono::microseconds(draw(F.Amount * 10'000 + 1));
-      if (F.Kind == FaultKind::Duplicate && draw(100) < F.Amount)
-        ++Copies;
-    }
+    const Delivery Sent =
+        deliveryOf(Options.Faults, From, To, Elapsed,
+                   [this](std::uint32_t Limit) { return draw(Limit); });
+    if (Sent.Copies == 0)
+      return;
+    Delay += Sent.ExtraDelay;
     const int Target =
         Service && To >= Nodes.size() ? -1 : static_cast<int>(To);
-    for (int I = 0; I < Copies; ++I) {
+    for (int I = 0; I < Sent.Copies; ++I) {
       at(Now + Delay, Target, Action);
       Delay += std::chrono::microseconds(draw(700'000));
     }
@@ -204,7 +186,7 @@
                 Before == nullptr ? nullptr : &Before->Rules, Now);
     applyBundle(N.Ingress, P.Rules);
     N.Revision = Next;
-    noteKnown();
+    noteKnownRevisions(Chain, Nodes, Now);
     const std::uint32_t Own = indexOf(N.Id);
     const auto FirstWatcher = static_cast<std::uint32_t>(Nodes.size()) - 3;
     N.View.IsWatcher = Own >= FirstWatcher;
@@ -213,27 +195,10 @@
       N.View.Parents = {Nodes[FirstWatcher + Own % 3].Id,
                         Nodes[FirstWatcher + (Own + 1) % 3].Id};
   }
-  void noteKnown() {
-    for (std::size_t R = 0; R < Chain.size(); ++R) {
-      const auto Count = std::ranges::count_if(Nodes, [&](const Node &N) {
-        return N.Up && N.Revision >= R &&
-               std::ranges::count(Chain[0].Rules.Rules.Witnesses, N.Id) > 0;
-      });
-      if (Count >= 3 && !Chain[R].KnownAt)
-        Chain[R].KnownAt = Now;
-    }
-  }
   /// The node acts on a revision longer than a lease length after a newer one
   /// was known to the witnesses, or in a fleet without a fault, published.
   bool stale(const Node &N) const {
-    for (std::size_t R = N.Revision + 1; R < Chain.size(); ++R) {
-      std::optional<Instant> Since = Chain[R].KnownAt;
-      if (Options.ServiceReachable)
-        Since = Chain[R].At;
-      if (Since && Now >= *Since + Options.Rules.ViewLease)
-        return true;
-    }
-    return false;
+    return isStale(Chain, N.Revision, Options, Now);
   }
 
   /// Takes a revision whose bundle came with a message.
@@ -416,24 +381,8 @@
   }
 
   void publish(bool ChangeHosts, const Node &N) {
-    Published Next = Chain.back();
-    Next.At = Now;
-    Next.KnownAt.reset();
-    Next.Rules.Number = Revision(Chain.size() + 1);
-    Next.Key.Number = Next.Rules.Number;
-    if (ChangeHosts) {
-      Next.Hosts = {Next.Key, Next.Hosts.HostsSince};
-      auto Found = std::ranges::find(Next.Rules.Hosts, N.Id, &HostSpec::Id);
-      if (Found != Next.Rules.Hosts.end()) {
-        Next.Rules.Hosts.erase(Found);
-      } else {
-        HostSpec Host;
-        Host.Id = N.Id;
-        Host.Zone = N.Zone;
-        Next.Rules.Hosts.push_back(Host);
-      }
-    }
-    Chain.push_back(std::move(Next));
+    Chain.push_back(nextBundle(Chain.back(), Revision(Chain.size() + 1),
+                               ChangeHosts ? &N : nullptr, Now));
   }
 
   static constexpr std::uint32_t BatchTokens = 4;
