Log what is in force, how old its confirmation is, and who read it

Change: each read carries the time at which it was current. Readers report its age in their status, and each node finds the latest confirmation of the records that it holds (latestConfirmation). No decision changes.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -361,7 +361,7 @@
       ServerDirectory.rules()
           ? static_cast<std::int64_t>(ServerDirectory.rules()->Source.Version)
           : 0);
-  Counters.setGauge("source_lost", Records.sourceLost() ? 1 : 0);
+  Records.fillMetrics(Counters);
   for (const auto &[Key, Share] : Fleet.admissionPlan().AdmittedShareByKey)
     Counters.setGauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                       static_cast<std::int64_t>(100 * Share));
--- a/src/agent/ConfigurationSource.h
+++ b/src/agent/ConfigurationSource.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/hosts/RecordTable.h"
 #include "core/hosts/SourceReaders.h"
+#include "pollenwick/Time.h"
 
 namespace pollenwick::agent {
 
@@ -18,6 +20,7 @@
   bool IsFullList = false;        ///< `Records` holds all existing records.
   bool AfterOutage = false;       ///< First successful read after an outage.
   std::uint64_t AsOfRevision = 0; ///< Revision that `Records` reflects.
+  Instant ConfirmedAt; ///< `Records` are at least as new as this time.
   std::vector<Record> Records;
   bool Unavailable =
       false; ///< The read failed; only `Kind` and the reason are set.
@@ -36,6 +39,9 @@
   /// set if other nodes have reported an outage since this one stopped. Safe to
   /// call from any thread.
   virtual void use(SourceUse Use, bool AfterOutage) = 0;
+  /// Returns since when a read of these records has waited for its answer;
+  /// unset if none does. Safe to call from any thread.
+  virtual std::optional<Instant> waitingSince(RecordKind Kind) const = 0;
 };
 
 } // namespace pollenwick::agent
--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -28,6 +28,9 @@
 /// peer that lags further gets the full list.
 constexpr std::size_t MaxMarkers = 2000;
 
+/// Ticks between two lines on the records that this node holds.
+constexpr std::uint64_t TicksPerHeldRecordsLine = 20;
+
 std::string_view recordKindName(RecordKind Kind) {
   return Kind == RecordKind::Rules ? "rules" : "servers";
 }
@@ -44,6 +47,16 @@
   return "read";
 }
 
+std::int64_t toMilliseconds(Duration Time) {
+  return std::chrono::floor<std::chrono::milliseconds>(Time).count();
+}
+
+/// Returns the time of a confirmation that a peer reported `Age` ago; unset for
+/// zero, which stands for none.
+std::optional<Instant> reportedReadAt(Duration Age, Instant Now) {
+  return Age.count() > 0 ? std::optional<Instant>(Now - Age) : std::nullopt;
+}
+
 } // namespace
 
 RecordSync::RecordSync(EventLoop &TheLoop, const Settings &TheOptions,
@@ -78,6 +91,8 @@
     ReadingSince.reset();
     return;
   }
+  Instant &ReadAt = OwnReadAt[Update.Kind];
+  ReadAt = std::max(ReadAt, Update.ConfirmedAt);
   const std::uint64_t Previous = Registry.revision(Update.Kind);
   ServiceRegistry::Change Change;
   if (!ReadingSince && !sourceLost() && Use != SourceUse::Idle)
@@ -86,13 +101,13 @@
     Change = Registry.applyFullList(
         Update.Kind, Update.Records, Update.AsOfRevision,
         Update.AfterOutage ? keepMissingUntil() : Loop.now(), Loop.now());
-    OnChange(Change);
+    notifyChange(Change);
     passOn(Update.Kind, Registry.batchAfter(Update.Kind, Previous));
     return;
   }
   Change = Registry.applyRecords(Update.Records, "source", Loop.now());
   Registry.advanceRevision(Update.Kind, Update.AsOfRevision);
-  OnChange(Change);
+  notifyChange(Change);
   passOn(Update.Kind,
          {Previous, Update.AsOfRevision, false, std::move(Update.Records)});
 }
@@ -132,7 +147,12 @@
 void RecordSync::onPeerStatus(const std::string &Ip,
                               const StatusFrame &Status) {
   PeerRecords &Peer = ReportsByIp[Ip];
-  Peer = {Status.RulesRevision, Status.ServersRevision, Status.SourceLost, {}};
+  Peer = {};
+  Peer.RulesRevision = Status.RulesRevision;
+  Peer.ServersRevision = Status.ServersRevision;
+  Peer.SourceLost = Status.SourceLost;
+  Peer.RulesReadAt = reportedReadAt(Status.RulesAge, Loop.now());
+  Peer.ServersReadAt = reportedReadAt(Status.ServersAge, Loop.now());
   if (Status.SourceReadTime.count() > 0)
     Peer.ReadingSince = Loop.now() - Status.SourceReadTime;
   if (Status.SourceLost)
@@ -173,7 +193,8 @@
                        const std::string &Ip) {
   bool HasGap = false;
   const ServiceRegistry::Change Change =
-      Registry.applyBatch(Kind, Batch, keepMissingUntil(), HasGap, Loop.now());
+      Registry.applyBatch(Kind, Batch, keepMissingUntil(), Ip, HasGap,
+                          Loop.now());
   if (HasGap) {
     PeerRecords &Peer = ReportsByIp[Ip];
     std::uint64_t &Newest =
@@ -182,7 +203,7 @@
     if (!BehindSince)
       BehindSince = Loop.now();
   }
-  OnChange(Change);
+  notifyChange(Change);
 }
 
 void RecordSync::onPeerRecords(const std::string &Ip,
@@ -195,11 +216,13 @@
   std::vector<Record> Removed;
   const ServiceRegistry::Change Change = Registry.expireMissingServers(
       keepMissingUntil(), Loop.now(), MaxMarkers, Removed);
-  OnChange(Change);
+  notifyChange(Change);
   const std::uint64_t Revision = Registry.revision(RecordKind::Server);
   passOn(RecordKind::Server, {Revision, Revision, false, std::move(Removed)});
   updateSourceUse();
   pullMissing();
+  if (++TickCount % TicksPerHeldRecordsLine == 0)
+    logHeldRecords();
 }
 
 void RecordSync::updateSourceUse() {
@@ -281,6 +304,74 @@
   Status.SourceLost = sourceLost();
   if (ReadingSince)
     Status.SourceReadTime = Loop.now() - *ReadingSince;
+  const auto AgeOf = [this](RecordKind Kind) {
+    const auto ReadAt = OwnReadAt.find(Kind);
+    return ReadAt == OwnReadAt.end() ? Duration{} : Loop.now() - ReadAt->second;
+  };
+  Status.RulesAge = AgeOf(RecordKind::Rules);
+  Status.ServersAge = AgeOf(RecordKind::Server);
+}
+
+std::optional<Confirmation> RecordSync::confirmationOf(RecordKind Kind) const {
+  std::optional<Instant> OwnRead;
+  if (const auto Found = OwnReadAt.find(Kind); Found != OwnReadAt.end())
+    OwnRead = Found->second;
+  std::vector<ReaderReport> Readers;
+  for (const auto &[Ip, Report] : ReportsByIp) {
+    const bool IsRules = Kind == RecordKind::Rules;
+    if (const auto ReadAt = IsRules ? Report.RulesReadAt : Report.ServersReadAt)
+      Readers.push_back(
+          {Ip, IsRules ? Report.RulesRevision : Report.ServersRevision,
+           *ReadAt});
+  }
+  return latestConfirmation(Registry.newestRecord(Kind), OwnRead, Readers);
+}
+
+Duration RecordSync::waitingTime(RecordKind Kind) const {
+  const std::optional<Instant> Since = Source.waitingSince(Kind);
+  return Since ? std::max(Duration{}, Loop.now() - *Since) : Duration{};
+}
+
+void RecordSync::notifyChange(const ServiceRegistry::Change &Change) {
+  OnChange(Change);
+  if (Change.RulesChanged)
+    logHeldRecords();
+}
+
+void RecordSync::logHeldRecords() {
+  LogLine Line("records-held", Loop.now());
+  Line.field("use", sourceUseName(Use))
+      .field("rules_version", Registry.rules()
+                                  ? static_cast<std::int64_t>(
+                                        Registry.rules()->Source.Version)
+                                  : 0);
+  for (const RecordKind Kind : {RecordKind::Rules, RecordKind::Server}) {
+    const std::string Name(recordKindName(Kind));
+    Line.field(Name + "_revision",
+               static_cast<std::int64_t>(Registry.newestRecord(Kind)));
+    if (const auto Latest = confirmationOf(Kind))
+      Line.field(Name + "_age_ms", toMilliseconds(Loop.now() - Latest->At))
+          .field(Name + "_read_by",
+                 Latest->Reader.empty() ? Options.Ip : Latest->Reader);
+    Line.field(Name + "_read_waits_ms", toMilliseconds(waitingTime(Kind)));
+  }
+  Log.logStateChange(std::move(Line));
+}
+
+void RecordSync::fillMetrics(Metrics &Counters) const {
+  Counters.setGauge("source_lost", sourceLost() ? 1 : 0);
+  Counters.setGauge("source_reading", Use == SourceUse::Idle ? 0 : 1);
+  for (const RecordKind Kind : {RecordKind::Rules, RecordKind::Server}) {
+    const std::string Name(recordKindName(Kind));
+    Counters.setGauge(Name + "_revision",
+                      static_cast<std::int64_t>(Registry.newestRecord(Kind)));
+    // A negative age stands for records that no read has confirmed.
+    const auto Latest = confirmationOf(Kind);
+    Counters.setGauge(Name + "_age_ms",
+                      Latest ? toMilliseconds(Loop.now() - Latest->At) : -1);
+    Counters.setGauge(Name + "_read_waits_ms",
+                      toMilliseconds(waitingTime(Kind)));
+  }
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -10,10 +10,12 @@
 #include "agent/ConfigurationSource.h"
 #include "agent/EventLoop.h"
 #include "agent/Log.h"
+#include "agent/Metrics.h"
 #include "agent/PeerLinks.h"
 #include "agent/PeerWire.h"
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
+#include "core/hosts/Confirmation.h"
 
 namespace pollenwick::agent {
 
@@ -39,7 +41,8 @@
   void tick();
   /// Adds what peers need to know to the status of this node.
   void fillStatus(StatusFrame &Status) const;
-  bool sourceLost() const { return !UnavailableKinds.empty(); }
+  /// Sets the gauges on the records that this node holds.
+  void fillMetrics(Metrics &Counters) const;
 
 private:
   /// What a peer has reported last.
@@ -50,8 +53,20 @@
     /// Since when it has read the source without a failure; unset if it does
     /// not.
     std::optional<Instant> ReadingSince;
+    /// When its own read confirmed its records; unset if it has not read them.
+    std::optional<Instant> RulesReadAt;
+    std::optional<Instant> ServersReadAt;
   };
 
+  bool sourceLost() const { return !UnavailableKinds.empty(); }
+  /// Returns the latest confirmation of the records that this node holds; unset
+  /// if there was none.
+  std::optional<Confirmation> confirmationOf(RecordKind Kind) const;
+  /// Returns for how long a read of the source has waited for its answer, zero
+  /// if none does.
+  Duration waitingTime(RecordKind Kind) const;
+  void logHeldRecords();
+  void notifyChange(const ServiceRegistry::Change &Change);
   std::vector<std::string> zonePeerIps() const;
   /// Returns until when servers are kept that a list lacks.
   Instant keepMissingUntil() const;
@@ -81,6 +96,9 @@
   /// When a peer reported last that it cannot read the source.
   std::optional<Instant> OutageReportedAt;
   std::map<std::string, PeerRecords> ReportsByIp;
+  /// When this node's own read confirmed its records of a kind.
+  std::map<RecordKind, Instant> OwnReadAt;
+  std::uint64_t TickCount = 0;
   /// False until this node stops to read for the first time. All nodes read
   /// when they start.
   bool HasBeenIdle = false;
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -160,11 +160,12 @@
 ServiceRegistry::Change ServiceRegistry::applyBatch(RecordKind Kind,
                                                     const RecordBatch &Batch,
                                                     Instant KeepMissingUntil,
+                                                    std::string_view Source,
                                                     bool &HasGap, Instant Now) {
   const BatchResult Result =
       pollenwick::applyBatch(tableOf(Kind), Batch, KeepMissingUntil, Now);
   HasGap = Result.HasGap;
-  return updateChanged(Kind, Result.ChangedIds, "peer", Now);
+  return updateChanged(Kind, Result.ChangedIds, Source, Now);
 }
 
 void ServiceRegistry::advanceRevision(RecordKind Kind,
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -62,11 +62,12 @@
   Change expireMissingServers(Instant KeepMissingUntil, Instant Now,
                               std::size_t MaxMarkers,
                               std::vector<Record> &Removed);
-  /// Applies records that a peer has sent. A record that its full list lacks is
-  /// removed at `KeepMissingUntil`. Sets `HasGap` if changes before the records
-  /// are missing here.
+  /// Applies records that a peer has sent; `Source` names it in the log. A
+  /// record that its full list lacks is removed at `KeepMissingUntil`. Sets
+  /// `HasGap` if changes before the records are missing here.
   Change applyBatch(RecordKind Kind, const RecordBatch &Batch,
-                    Instant KeepMissingUntil, bool &HasGap, Instant Now);
+                    Instant KeepMissingUntil, std::string_view Source,
+                    bool &HasGap, Instant Now);
 
   /// Returns the rules in force; null until the first configuration arrives.
   const std::shared_ptr<const RouteTable> &rules() const { return Rules; }
--- a/src/agent/StatusFrame.cpp
+++ b/src/agent/StatusFrame.cpp
@@ -43,6 +43,8 @@
   Out.setSourceUse(static_cast<std::uint8_t>(Frame.Source));
   Out.setSourceLost(Frame.SourceLost);
   Out.setSourceReadMillis(toMillis(Frame.SourceReadTime));
+  Out.setRulesAgeMillis(toMillis(Frame.RulesAge));
+  Out.setServersAgeMillis(toMillis(Frame.ServersAge));
   Out.setService(text(Frame.Service));
   Out.setServerId(text(Frame.ServerId));
   putLoad(Out.initLoad(), Frame.Load);
@@ -85,6 +87,8 @@
           : SourceUse::Read;
   Frame.SourceLost = In.getSourceLost();
   Frame.SourceReadTime = std::chrono::milliseconds(In.getSourceReadMillis());
+  Frame.RulesAge = std::chrono::milliseconds(In.getRulesAgeMillis());
+  Frame.ServersAge = std::chrono::milliseconds(In.getServersAgeMillis());
   Frame.Service = toString(In.getService());
   Frame.ServerId = toString(In.getServerId());
   Frame.Load = readLoad(In.getLoad());
--- a/src/agent/StatusFrame.h
+++ b/src/agent/StatusFrame.h
@@ -40,6 +40,10 @@
   /// Time for which the node has read the source without a failure; zero if it
   /// does not read.
   Duration SourceReadTime{};
+  /// Time since the node's own read of the source confirmed its records; zero
+  /// if it has not read them.
+  Duration RulesAge{};
+  Duration ServersAge{};
   std::string Service;
   std::string ServerId;
   ServerLoad Load;
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -74,6 +74,8 @@
   sourceLost @16 :Bool;      # The last read has failed.
   serversDigest @17 :UInt64; # Hash of the ids and revisions of all servers.
   sourceReadMillis @18 :UInt32; # Time without a failed read; 0: does not read.
+  rulesAgeMillis @19 :UInt32;   # Time since its own read confirmed the rules,
+  serversAgeMillis @20 :UInt32; # and the servers; 0: it has not read them.
 }
 
 struct Record {
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(813f3bc78f72c843, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(813f3bc78f72c843, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -925,6 +925,10 @@
 
   inline  ::uint32_t getSourceReadMillis() const;
 
+  inline  ::uint32_t getRulesAgeMillis() const;
+
+  inline  ::uint32_t getServersAgeMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1042,6 +1046,12 @@
   inline  ::uint32_t getSourceReadMillis();
   inline void setSourceReadMillis( ::uint32_t value);
 
+  inline  ::uint32_t getRulesAgeMillis();
+  inline void setRulesAgeMillis( ::uint32_t value);
+
+  inline  ::uint32_t getServersAgeMillis();
+  inline void setServersAgeMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3063,6 +3073,34 @@
       ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Status::Reader::getRulesAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Status::Builder::getRulesAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setRulesAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Status::Reader::getServersAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Status::Builder::getServersAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setServersAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Record::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
