Connect to peers from the address of the settings

Cause: a peer knows a node by the address from which it connects. On a host with several addresses the system may choose another one; then calls for one node went to another and were refused with server-replaced. On loopback this happens with more than two nodes.

Change: connections to peers are bound to the node's own address. Ruled out: to name the address in the Hello frame, which a peer could not check.

--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -20,8 +20,9 @@
       LinkNumber(TheLinkNumber), PeerLinkId{Ip, 0, 0},
       LastReceivedAt(TheLoop.now()) {}
 
-bool PeerLink::dial(const std::string &Address) {
-  Connection = connectStream(Loop, Address, *this, UnacknowledgedTimeoutMs);
+bool PeerLink::dial(const std::string &Address, const std::string &LocalIp) {
+  Connection =
+      connectStream(Loop, Address, *this, UnacknowledgedTimeoutMs, LocalIp);
   return Connection != nullptr;
 }
 
--- a/src/agent/PeerLink.h
+++ b/src/agent/PeerLink.h
@@ -21,8 +21,9 @@
   PeerLink(EventLoop &Loop, PeerLinks &Links, std::string Ip,
            std::uint64_t LinkNumber);
 
-  /// Starts to connect to `Address`. Returns false if that fails at once.
-  bool dial(const std::string &Address);
+  /// Starts to connect to `Address` from `LocalIp`. Returns false if that fails
+  /// at once.
+  bool dial(const std::string &Address, const std::string &LocalIp);
   /// Takes over a connection that the peer opened.
   void accept(const Poco::Net::StreamSocket &Socket);
   /// Closes the connection and hands its unfinished calls to `PeerLinks`.
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -85,7 +85,9 @@
 
 void PeerLinks::dial(const std::string &Ip) {
   const std::shared_ptr<PeerLink> Link = addLink(Ip);
-  if (!Link->dial(Ip + ":" + std::to_string(Port)))
+  // A peer knows this node by the address from which it connects, which on a
+  // host with several addresses need not be the one that the system chooses.
+  if (!Link->dial(Ip + ":" + std::to_string(Port), OwnIp))
     Link->close();
 }
 
--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -228,10 +228,13 @@
 
 std::shared_ptr<Stream> connectStream(EventLoop &Loop,
                                       const std::string &Address,
-                                      StreamOwner &Owner,
-                                      int TcpUserTimeoutMs) {
+                                      StreamOwner &Owner, int TcpUserTimeoutMs,
+                                      const std::string &LocalIp) {
   try {
     Poco::Net::StreamSocket Socket;
+    if (!LocalIp.empty())
+      Socket.impl()->bind(
+          Poco::Net::SocketAddress(LocalIp, std::uint16_t{0}), false);
     Socket.connectNB(Poco::Net::SocketAddress(Address));
     Socket.setBlocking(false);
     Socket.setNoDelay(true);
--- a/src/agent/Stream.h
+++ b/src/agent/Stream.h
@@ -95,10 +95,12 @@
 
 /// Starts to connect to `Address` (IP:PORT). Returns null when the system
 /// refuses immediately. The connection fails when sent bytes stay
-/// unacknowledged for longer than `TcpUserTimeoutMs`.
+/// unacknowledged for longer than `TcpUserTimeoutMs`. `LocalIp` is the address
+/// from which to connect; empty: the system chooses it.
 std::shared_ptr<Stream> connectStream(EventLoop &Loop,
                                       const std::string &Address,
-                                      StreamOwner &Owner, int TcpUserTimeoutMs);
+                                      StreamOwner &Owner, int TcpUserTimeoutMs,
+                                      const std::string &LocalIp = {});
 
 } // namespace pollenwick::agent
 
