Add a failing test of confirmed changes after each trouble of the store

Four agents in one zone, some of which read the store and some of which hear from their peers. The readers have just asked for the next change when the trouble begins: the store is silent, refuses, resets, is slow, drops its history, or is silent for the readers only; beside a frozen and a restarted node. It ends, and a last change of routes, keys, quotas, customers and servers is confirmed. It must be in force everywhere 2 s after that and 3 s after the end of the trouble, as the users' platform asks.

On this code the four tests with a silent store fail: all nodes keep the old routes, keys, quotas, customers and servers. The fixture of the agents moves to agent_fleet.py; a failed set-up now stops what it started.

--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -192,9 +192,8 @@
 void RecordSync::apply(RecordKind Kind, const RecordBatch &Batch,
                        const std::string &Ip) {
   bool HasGap = false;
-  const ServiceRegistry::Change Change =
-      Registry.applyBatch(Kind, Batch, keepMissingUntil(), Ip, HasGap,
-                          Loop.now());
+  const ServiceRegistry::Change Change = Registry.applyBatch(
+      Kind, Batch, keepMissingUntil(), Ip, HasGap, Loop.now());
   if (HasGap) {
     PeerRecords &Peer = ReportsByIp[Ip];
     std::uint64_t &Newest =
@@ -341,10 +340,10 @@
 void RecordSync::logHeldRecords() {
   LogLine Line("records-held", Loop.now());
   Line.field("use", sourceUseName(Use))
-      .field("rules_version", Registry.rules()
-                                  ? static_cast<std::int64_t>(
-                                        Registry.rules()->Source.Version)
-                                  : 0);
+      .field("rules_version",
+             Registry.rules()
+                 ? static_cast<std::int64_t>(Registry.rules()->Source.Version)
+                 : 0);
   for (const RecordKind Kind : {RecordKind::Rules, RecordKind::Server}) {
     const std::string Name(recordKindName(Kind));
     Line.field(Name + "_revision",
--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -233,8 +233,8 @@
   try {
     Poco::Net::StreamSocket Socket;
     if (!LocalIp.empty())
-      Socket.impl()->bind(
-          Poco::Net::SocketAddress(LocalIp, std::uint16_t{0}), false);
+      Socket.impl()->bind(Poco::Net::SocketAddress(LocalIp, std::uint16_t{0}),
+                          false);
     Socket.connectNB(Poco::Net::SocketAddress(Address));
     Socket.setBlocking(false);
     Socket.setNoDelay(true);
--- a/src/core/hosts/Confirmation.h
+++ b/src/core/hosts/Confirmation.h
@@ -26,8 +26,8 @@
 };
 
 /// Returns the latest confirmation of the records of a node whose newest record
-/// has `Revision`. `OwnReadAt` is the time of its own last read. A reader with a
-/// newer record confirms nothing: the node lacks that record.
+/// has `Revision`. `OwnReadAt` is the time of its own last read. A reader with
+/// a newer record confirms nothing: the node lacks that record.
 std::optional<Confirmation>
 latestConfirmation(std::uint64_t Revision, std::optional<Instant> OwnReadAt,
                    std::span<const ReaderReport> Readers);
--- a/tests/process/standin_platform.py
+++ b/tests/process/standin_platform.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -30,13 +32,42 @@
 
 
 class Store:
-    """Items with revisions; answers reads, lists and watches."""
+    """Items with revisions; answers reads, lists and watches.
 
-    def __init__(self, address):
-        self.items, self.revision = {}, 1
+    While `trouble` is set, it holds for all requests, or for those that arrive at
+    one of the addresses in `troubled` if that is not empty:
+    - "silent": requests that arrive then are never answered, also not afterwards;
+    - "busy", "many": they are answered with 503 or 429; "reset": they are reset;
+    - "slow": each answer takes `SLOW_S` longer;
+    - "muted": watches hear of no change.
+    """
+
+    SLOW_S = 1.2
+    REFUSALS = {"busy": 503, "many": 429}
+
+    def __init__(self, addresses):
+        self.items, self.revision, self.oldest = {}, 1, 0
         self.changed = threading.Condition()
         self.down = False
-        self.server = serve(address, self.handler())
+        self.trouble, self.troubled = None, ()
+        self.stopped = threading.Event()
+        self.servers = [serve(address, self.handler()) for address in addresses]
+
+    def stop(self):
+        """Ends the requests that are still unanswered."""
+        self.stopped.set()
+        self.down = True
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
+
+    def forget_history(self):
+        with self.changed:
+            self.oldest = self.revision
+            self.changed.notify_all()
+
+    def trouble_of(self, reader):
+        return self.trouble if not self.troubled or reader in self.troubled else None
 
     def put(self, key, value):
         with self.changed:
@@ -55,7 +86,7 @@
         return {"key": key, "revision": revision, "created": revision, "lease": 0,
                 "value": base64.b64encode(text.encode()).decode()}
 
-    def answer(self, call, query):
+    def answer(self, call, query, reader):
         with self.changed:
             if call == "/v1/kv-key":
                 key = query["key"]
@@ -70,11 +101,15 @@
             after = int(query["after"])
             end = time.monotonic() + int(query["wait_ms"]) / 1000
             while not self.down:
+                if after < self.oldest:
+                    return 410, {}
                 events = [self.item(key) for key, (revision, _) in self.items.items()
                           if key.startswith(prefix) and revision > after]
+                if self.trouble_of(reader) == "muted":
+                    events = []
                 if events or time.monotonic() >= end:
                     return 200, {"events": events, "as_of": self.revision}
-                self.changed.wait(0.2)
+                self.changed.wait(0.05)
             return 503, {}
 
     def handler(self):
@@ -84,7 +119,23 @@
             def do_GET(self):
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query))
-                status, body = (503, {}) if store.down else store.answer(parts.path, query)
+                reader = self.connection.getsockname()[0]  # Each reader has its own address.
+                trouble = store.trouble_of(reader)
+                if trouble == "silent":
+                    store.stopped.wait()
+                    self.close_connection = True
+                    return
+                if trouble == "reset":
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                               struct.pack("ii", 1, 0))
+                    self.close_connection = True
+                    return
+                if trouble == "slow":
+                    time.sleep(store.SLOW_S)
+                if store.down or trouble in store.REFUSALS:
+                    status, body = store.REFUSALS.get(trouble, 503), {}
+                else:
+                    status, body = store.answer(parts.path, query, reader)
                 self.reply(status, json.dumps(body).encode(),
                            [("Content-Type", "application/json")])
 
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -2,121 +2,22 @@
 
 import http.client
 import json
-import os
-import pathlib
 import random
 import signal
 import socket
 import subprocess
-import tempfile
 import threading
 import time
 import unittest
 
-from standin_platform import ID_HEADER, KEY_HEADER, Backend, Store
+from agent_fleet import AGENT, HOSTS, AgentFleetTest, configuration, entry
+from standin_platform import ID_HEADER, KEY_HEADER
 
-AGENT = pathlib.Path(os.environ["POLLENWICK_BUILD"]) / "apps" / "pollenwick-agent"
-HOSTS = ("127.0.0.1", "127.0.0.2")
 SEED = 20261204
 GARBAGE_ROUNDS = 30
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
-def configuration(version, keys=("k-1",)):
-    columns = ["name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
-               "priority", "weighted_clusters", "max_attempts", "public", "service"]
-    return {
-        "version": f"{version:08x}",
-        "routes": {"columns": columns, "rows": [
-            ["near", "a.example", "/near/", "safe", 3000, 1000, 1, None, 2, False, "one"],
-            ["far", "a.example", "/far/", "unsafe", 3000, 1000, 0, None, 2, False, "two"],
-            ["open", "a.example", "/open/", "safe", 3000, 1000, 0, None, 2, True, "two"]]},
-        "services": {"columns": ["name", "health_path", "max_connections"],
-                     "rows": [["one", "/healthz", 50], ["two", "/healthz", 50]]},
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
-                    "rows": [["t-1", list(keys), 1, 500, 500]]}}
-
-
-def entry(service, address, state="ready"):
-    return {"address": address, "born": 1,
-            "info": {"service": service, "version": "v1", "zone": "z", "slots": 8},
-            "status": {"state": state, "seq_no": 1, "cold_remaining_ms": 0}}
-
-
-class AgentTest(unittest.TestCase):
-    def setUp(self):
-        store, app, caller, peer, ready, metrics = free_ports(6)
-        self.ports = {"caller": caller, "peer": peer, "ready": ready, "metrics": metrics}
-        self.app_port = app
-        self.store = Store(("127.0.0.1", store))
-        self.folder = tempfile.TemporaryDirectory()
-        self.backends, self.agents = [], []
-        self.store.put("op/config", configuration(1))
-        for host, service in zip(HOSTS, ("one", "two")):
-            self.backends.append(Backend((host, app)))
-            self.store.put(f"servers/i-{service}", entry(service, f"{host}:{app}"))
-            flags = {"node_name": service, "ip": host, "zone": "z", "service": service,
-                     "server_address": f"{host}:{app}", "caller_address": f"{host}:{caller}",
-                     "peer_address": f"{host}:{peer}", "ready_address": f"{host}:{ready}",
-                     "metrics_address": f"{host}:{metrics}",
-                     "source_address": f"127.0.0.1:{store}", "first_start": "true",
-                     "drain_grace_s": "4"}
-            path = pathlib.Path(self.folder.name) / f"{service}.flags"
-            path.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
-            self.agents.append(self.start_agent(service))
-        self.wait_for(lambda: self.call("near/x")[0] == 200 and self.call("far/x")[0] == 200)
-
-    def start_agent(self, service):
-        path = pathlib.Path(self.folder.name) / f"{service}.flags"
-        return subprocess.Popen(
-            [AGENT], env=dict(os.environ, POLLENWICK_SETTINGS=str(path)),
-            stdout=subprocess.PIPE, text=True)
-
-    def tearDown(self):
-        for agent in self.agents:
-            agent.kill()
-            agent.wait()
-            agent.stdout.close()
-        for server in [self.store.server] + [backend.server for backend in self.backends]:
-            server.shutdown()
-            server.server_close()
-        self.folder.cleanup()
-
-    def wait_for(self, condition, seconds=10):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            try:
-                if condition():
-                    return
-            except OSError:
-                pass
-            time.sleep(0.05)
-        self.fail("not reached in time")
-
-    def call(self, path, host=HOSTS[0], key="k-1", body=None, connection=None, headers=()):
-        own = connection or http.client.HTTPConnection(host, self.ports["caller"], timeout=8)
-        fields = {"Host": "a.example", ID_HEADER: f"{random.getrandbits(64):x}",
-                  "X-Pollenwick-Deadline-Ms": "4000", **dict(headers)}
-        if key:
-            fields[KEY_HEADER] = key
-        own.request("POST" if body else "GET", "/" + path, body=body, headers=fields)
-        answer = own.getresponse()
-        result = answer.status, answer.read(), dict(answer.getheaders())
-        if not connection:
-            own.close()
-        return result
-
+class AgentTest(AgentFleetTest):
     def test_call_passes_the_node_beside_the_server(self):
         """Guards against a key, or a forged header, that reaches a backend server."""
         forged = [("X-Pollenwick-Tenant-Id", "other"), ("X-Pollenwick-Caller-Service", "other")]
