Bound every wait for the store, and rely on no reader with old records

What callers saw: routes, keys, quotas and customers that had been confirmed seconds before were not in force on any node, for up to 34 s.

Cause: a reader took the silence of an open watch for the news that nothing had changed. A watch that the store never answered, because it was silent when the request arrived, was waited for until its longest wait of 30 s and 4 s more were over, also when the store had long returned. Its connection is alive, so keep-alive probes do not show it; and peers relied on a reader that said nothing was wrong.

Change: - The time in which a change must be in force (--apply_time_ms, from the platform's bounds) gives the limits of a read (readLimitsFor): a watch waits half of it, an answer may be three tenths late. - An unanswered read is followed by the list at once.

Ruled out: keep-alive probes (the connection is alive), a cheap probe of another connection (it says nothing about the watch), reading the list at an interval (costs its bytes and misses nothing that a short watch does).

--- a/apps/pollenwick-agent/main.cpp
+++ b/apps/pollenwick-agent/main.cpp
@@ -57,9 +57,10 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const std::string Store = Options.SourceAddress;
+    auto Store = std::make_unique<platform::StoreReader>(
+        Options.SourceAddress, readLimitsFor(Options.ApplyTime));
     agent::Agent Process(std::move(Options), platform::platformAdapter(),
-                         std::make_unique<platform::StoreReader>(Store));
+                         std::move(Store));
     std::thread([&] { handleSignals(Signals, Process); }).detach();
     Process.run();
     std::cout.flush();
--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "agent/StringUtil.h"
+#include "core/hosts/ReadLimits.h"
 
 namespace pollenwick::agent {
 namespace {
@@ -151,6 +152,7 @@
   Peer.RulesRevision = Status.RulesRevision;
   Peer.ServersRevision = Status.ServersRevision;
   Peer.SourceLost = Status.SourceLost;
+  Peer.Reads = Status.Source != SourceUse::Idle;
   Peer.RulesReadAt = reportedReadAt(Status.RulesAge, Loop.now());
   Peer.ServersReadAt = reportedReadAt(Status.ServersAge, Loop.now());
   if (Status.SourceReadTime.count() > 0)
@@ -224,6 +226,25 @@
     logHeldRecords();
 }
 
+bool RecordSync::isOutdated(const std::optional<Instant> &ReadAt) const {
+  return ReadAt && Loop.now() - *ReadAt >
+                       readLimitsFor(Options.ApplyTime).MaxConfirmationAge;
+}
+
+bool RecordSync::ownReadsOutdated() const {
+  return Use != SourceUse::Idle &&
+         std::ranges::any_of(OwnReadAt, [this](const auto &Item) {
+           return isOutdated(Item.second);
+         });
+}
+
+bool RecordSync::cannotRead(const PeerRecords &Peer) const {
+  // A reader that does not notice that its reads have stopped still shows it by
+  // the age of its records.
+  return Peer.SourceLost || (Peer.Reads && (isOutdated(Peer.RulesReadAt) ||
+                                            isOutdated(Peer.ServersReadAt)));
+}
+
 void RecordSync::updateSourceUse() {
   const std::map<std::string, ZoneId> Nodes = Registry.nodeZones();
   std::set<ZoneId> Zones{Options.Zone};
@@ -234,7 +255,7 @@
       continue;
     const auto Report = ReportsByIp.find(Ip);
     const bool Heard = Report != ReportsByIp.end() && Peers.findLiveLink(Ip);
-    ZonePeers.push_back({Ip, Heard, Heard && Report->second.SourceLost});
+    ZonePeers.push_back({Ip, Heard, Heard && cannotRead(Report->second)});
   }
   std::erase_if(ReportsByIp,
                 [&](const auto &Item) { return !Nodes.contains(Item.first); });
@@ -261,6 +282,7 @@
   if (Wanted == SourceUse::Idle) {
     UnavailableKinds.clear();
     ReadingSince.reset();
+    OwnReadAt.clear();
   }
   Log.logStateChange(std::move(
       LogLine("source-use", Loop.now())
@@ -300,7 +322,7 @@
   Status.ServersRevision = Registry.newestRecord(RecordKind::Server);
   Status.ServersDigest = Registry.serversDigest();
   Status.Source = Use;
-  Status.SourceLost = sourceLost();
+  Status.SourceLost = sourceLost() || ownReadsOutdated();
   if (ReadingSince)
     Status.SourceReadTime = Loop.now() - *ReadingSince;
   const auto AgeOf = [this](RecordKind Kind) {
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -50,6 +50,7 @@
     std::uint64_t RulesRevision = 0;
     std::uint64_t ServersRevision = 0;
     bool SourceLost = false;
+    bool Reads = false; ///< It reads the source.
     /// Since when it has read the source without a failure; unset if it does
     /// not.
     std::optional<Instant> ReadingSince;
@@ -59,6 +60,13 @@
   };
 
   bool sourceLost() const { return !UnavailableKinds.empty(); }
+  /// Whether a read at that time was too long ago for a node that reads.
+  bool isOutdated(const std::optional<Instant> &ReadAt) const;
+  /// Whether this node reads the source, but nothing was confirmed for too
+  /// long.
+  bool ownReadsOutdated() const;
+  /// Whether the peer cannot be relied on to read the source.
+  bool cannotRead(const PeerRecords &Peer) const;
   /// Returns the latest confirmation of the records that this node holds; unset
   /// if there was none.
   std::optional<Confirmation> confirmationOf(RecordKind Kind) const;
--- a/src/agent/Settings.cpp
+++ b/src/agent/Settings.cpp
@@ -26,6 +26,9 @@
 DEFINE_bool(first_start, false,
             "the whole fleet starts for the first time, so that no customer "
             "has used any quota");
+DEFINE_int32(apply_time_ms, 2000,
+             "milliseconds within which a confirmed change of the "
+             "configuration must be in force on all nodes");
 DEFINE_int32(drain_grace_s, 6, "seconds from SIGTERM to the forced exit");
 DEFINE_double(retry_ratio, 0.2, "retries allowed per request, 0 to 1");
 DEFINE_double(retry_slack, 10, "additional retries allowed in each window");
@@ -85,6 +88,7 @@
   checkAddress("ready_address", FLAGS_ready_address, false, Errors);
   checkAddress("metrics_address", FLAGS_metrics_address, true, Errors);
   checkAddress("source_address", FLAGS_source_address, false, Errors);
+  checkRange("apply_time_ms", FLAGS_apply_time_ms, 500, 60'000, Errors);
   checkRange("drain_grace_s", FLAGS_drain_grace_s, 1, 600, Errors);
   checkRange("retry_ratio", FLAGS_retry_ratio, 0, 1, Errors);
   checkRange("retry_slack", FLAGS_retry_slack, 0, 1e6, Errors);
@@ -105,6 +109,7 @@
   Out.MetricsAddress = FLAGS_metrics_address;
   Out.SourceAddress = FLAGS_source_address;
   Out.FirstStart = FLAGS_first_start;
+  Out.ApplyTime = std::chrono::milliseconds(FLAGS_apply_time_ms);
   Out.DrainGrace = std::chrono::seconds(FLAGS_drain_grace_s);
   Out.RetryRatio = FLAGS_retry_ratio;
   Out.RetrySlack = FLAGS_retry_slack;
--- a/src/agent/Settings.h
+++ b/src/agent/Settings.h
@@ -27,6 +27,9 @@
   /// True when the whole fleet starts for the first time, so that no customer
   /// has used any quota.
   bool FirstStart = false;
+  /// Time within which a confirmed change of the configuration must be in force
+  /// on all nodes.
+  Duration ApplyTime = std::chrono::seconds(2);
   /// Time from SIGTERM to the forced exit.
   Duration DrainGrace = std::chrono::seconds(6);
   Duration RetryWindow = std::chrono::seconds(10); ///< Of the retry budget.
--- a/src/core/hosts/ReadSchedule.cpp
+++ b/src/core/hosts/ReadSchedule.cpp
@@ -56,6 +56,10 @@
     return GoneBefore ? backoffAfter(Schedule.ConsecutiveFailures) : Duration{};
   }
   Schedule.InOutage = true;
+  // An unanswered read has already waited. Without a pause the next one finds a
+  // source that has just recovered.
+  if (Failure == ReadFailure::NoAnswer && !Patient)
+    return Duration{};
   return Patient ? PatientBackoff : backoffAfter(Schedule.ConsecutiveFailures);
 }
 
--- a/src/core/hosts/ReadSchedule.h
+++ b/src/core/hosts/ReadSchedule.h
@@ -11,7 +11,8 @@
 /// Why a read from a source of records failed.
 enum class ReadFailure : std::uint8_t {
   HistoryGone, ///< The changes since the last read are no longer available.
-  Unavailable, ///< Any other failure, including a timeout.
+  NoAnswer,    ///< The source has not answered within the time limit.
+  Unavailable, ///< Any other failure.
 };
 
 /// Decides what to read next from a source of records: first the full list,
@@ -19,7 +20,8 @@
 struct ReadSchedule {
   /// The changes after this revision are read next; unset: the full list.
   std::optional<std::uint64_t> ChangesAfter;
-  bool InOutage = false;    ///< `Unavailable` since the last success.
+  bool InOutage =
+      false; ///< `NoAnswer` or `Unavailable` since the last success.
   bool HistoryGone = false; ///< No changes read since a `HistoryGone`.
   std::uint32_t ConsecutiveFailures = 0;
 };
--- a/tests/hosts/ReadScheduleTest.cpp
+++ b/tests/hosts/ReadScheduleTest.cpp
@@ -66,6 +66,19 @@
     restartReading(Schedule, true);
     CHECK(onReadSucceeded(Schedule, 21, true).EndsOutage);
   }
+  SECTION("a read without an answer is followed by a list at once") {
+    // Guards against old records after the end of an outage: the time limit of
+    // the read has passed already.
+    CHECK(onReadFailed(Schedule, ReadFailure::NoAnswer) == Duration{});
+    CHECK_FALSE(Schedule.ChangesAfter.has_value());
+    CHECK(onReadFailed(Schedule, ReadFailure::NoAnswer) == Duration{});
+    CHECK(onReadSucceeded(Schedule, 9, true).EndsOutage);
+
+    SECTION("unless enough others read") {
+      CHECK(onReadFailed(Schedule, ReadFailure::NoAnswer, true) >
+            std::chrono::seconds(1));
+    }
+  }
   SECTION("a patient reader waits longer after a failure") {
     CHECK(onReadFailed(Schedule, ReadFailure::Unavailable, true) >
           std::chrono::seconds(1));
--- a/tests/platform/StoreReaderTest.cpp
+++ b/tests/platform/StoreReaderTest.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Of a platform on which a change must be in force after two seconds.
+const ReadLimits Limits = readLimitsFor(std::chrono::seconds(2));
+
 /// A store that has no items and never answers a watch request.
 class HangingWatchStore {
 public:
@@ -143,7 +146,7 @@
   INFO(Endless.Name);
   EndlessStore Store(Endless.Begin, Endless.Piece, Endless.Pause);
   std::future<std::size_t> SentBytes = Store.sentBytes();
-  auto Reader = std::make_unique<StoreReader>(Store.address());
+  auto Reader = std::make_unique<StoreReader>(Store.address(), Limits);
   Reader->start([](agent::ConfigurationUpdate &&) {});
   REQUIRE(SentBytes.wait_for(std::chrono::seconds(10)) ==
           std::future_status::ready);
@@ -159,7 +162,7 @@
   // Guards against a node that waits 30 s on a dead connection while new
   // configurations come into force on other nodes.
   HangingWatchStore Store;
-  auto Reader = std::make_unique<StoreReader>(Store.address());
+  auto Reader = std::make_unique<StoreReader>(Store.address(), Limits);
   Reader->start([](agent::ConfigurationUpdate &&) {});
   CHECK(becomesProbed(Store.watchPort()));
   // Leak the reader: its threads run until the process ends, because one of
