--- a/tests/platform/DecodeTest.cpp
+++ b/tests/platform/DecodeTest.cpp
@@ -95,7 +95,27 @@
       serverEntryJson(R"({"service":"one","zone":"z"})", Status),
       serverEntryJson(Info, R"({"state":"paused","seq_no":4})"),
       serverEntryJson(Info, Status, "\"nowhere\""),
-      serverEntryJson(Info, Status, "null")};
+      serverEntryJson(Info, Status, "null"),
+      serverEntryJson(Info, Status, "\"10.1.0.5:0\""),
+      serverEntryJson(Info, Status, "\"10.1.0.5:65536\""),
+      serverEntryJson(Info, Status, "\"10.1.0.5:99999999999999999999\""),
+      serverEntryJson(Info, Status, "\"10.1.0.256:80\""),
+      serverEntryJson(Info, Status, "\"10.1.0:80\""),
+      serverEntryJson(Info, Status, "\"...:80\""),
+      serverEntryJson(R"({"service":"one","zone":"z","slots":1e400})", Status),
+      serverEntryJson(R"({"service":"one","zone":"z","slots":-1e400})", Status),
+      serverEntryJson(
+          R"({"service":"one","zone":"z","slots":99999999999999999999999})",
+          Status),
+      serverEntryJson(Info, R"({"state":"ready","cold_remaining_ms":1e300})"),
+      serverEntryJson(Info, R"({"state":"ready","cold_remaining_ms":1e17})"),
+      serverEntryJson(Info, R"({"state":"ready","cold_remaining_ms":-5})"),
+      serverEntryJson(Info, R"({"state":"ready","cold_remaining_ms":NaN})"),
+      serverEntryJson(Info, Status) + std::string(100'000, '}'),
+      std::string(1'000'000, '['),
+      "{\"info\":" + std::string(200'000, '[') + std::string(200'000, ']') +
+          "}",
+      R"({"address":)" + std::string(3'000, '{')};
   for (const std::string &Text : Bad) {
     CAPTURE(Text);
     CHECK_FALSE(decodeServer("i-1", Text).ok());
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -239,10 +239,27 @@
         self.assertIsNone(self.agents[0].poll())
 
     def test_unreadable_records_change_nothing(self):
+        """Guards against a process that ends, or stops to follow the list of
+        servers, because of one odd entry of another writer."""
+        odd = [{"address": "nowhere", "info": 7}, "[" * 100_000, "{\"address\":" * 50_000]
+        for address in ("127.0.0.1:65536", "127.0.0.1:-1", "999.1.1.1:80", "1:2:3", ":80"):
+            odd.append(entry("two", address))
+        for field, value in (("slots", 1e300), ("slots", -1), ("slots", 10 ** 30)):
+            record = entry("two", f"{HOSTS[1]}:{self.app_port}")
+            record["info"][field] = value
+            odd.append(record)
+        record = entry("two", f"{HOSTS[1]}:{self.app_port}")
+        record["status"]["cold_remaining_ms"] = 1e300
+        odd += [record, dict(record, born=1e300)]
         self.store.put("op/config", "not json")
-        self.store.put("servers/i-other", {"address": "nowhere", "info": 7})
-        time.sleep(0.5)
+        for number, value in enumerate(odd):
+            self.store.put(f"servers/i-odd-{number}", value)
+        time.sleep(0.8)
         self.assertEqual(self.call("far/x")[0], 200)
+        self.assertEqual([agent.poll() for agent in self.agents], [None, None])
+        # The list is still followed.
+        self.store.remove("servers/i-two")
+        self.wait_for(lambda: self.call("far/x")[0] == 503, 2)
 
     def test_metrics(self):
         self.call("near/x")
