Send no request again on a connection that has refused it

Cause: an answer is matched by the echoed request id. A request that a server has refused may be placed there again, with the same id and on the same connection. A late copy of the refusal then passed for the answer to it.

Change: a connection keeps the ids that were refused on it, and a request uses another connection than those that have refused it. After 64 refusals a connection is closed, so that no id is forgotten. Ruled out: a new connection after each refusal, which busy servers answer by the thousand, and waiting for a second answer, which a server that refuses again never sends.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -148,16 +148,30 @@
   return Number;
 }
 
-BackendConnection *Backend::acquireConnection() {
-  while (!IdleConnections.empty()) {
+BackendConnection *Backend::takeIdleConnection(const std::string &RequestId) {
+  BackendConnection *Taken = nullptr;
+  std::vector<BackendConnection *> Unsuitable;
+  while (!IdleConnections.empty() && !Taken) {
     BackendConnection *Last = IdleConnections.back();
     IdleConnections.pop_back();
-    if (Last->usable(Loop.now()))
-      return Last;
-    Last->close();
-    Loop.deferRelease(Connections[Last]);
-    Connections.erase(Last);
+    if (!Last->usable(Loop.now())) {
+      Last->close();
+      Loop.deferRelease(Connections[Last]);
+      Connections.erase(Last);
+    } else if (Last->hasRefused(RequestId)) {
+      Unsuitable.push_back(Last);
+    } else {
+      Taken = Last;
+    }
   }
+  IdleConnections.insert(IdleConnections.end(), Unsuitable.rbegin(),
+                         Unsuitable.rend());
+  return Taken;
+}
+
+BackendConnection *Backend::acquireConnection(const std::string &RequestId) {
+  if (BackendConnection *Idle = takeIdleConnection(RequestId))
+    return Idle;
   auto New = std::make_shared<BackendConnection>(Loop, Protocol, *this);
   if (!New->open(Address))
     return nullptr;
@@ -171,7 +185,7 @@
   PendingCall &Call = Calls.at(Number);
   Call.StartedAt = Loop.now();
   ++Counts.CallsStarted;
-  BackendConnection *Connection = acquireConnection();
+  BackendConnection *Connection = acquireConnection(Call.Request.RequestId);
   if (!Connection) {
     Loop.callAtTurnEnd([this, Number] {
       CallResult Result;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -100,7 +100,11 @@
   void refuse(CallResultHandler &&Done, std::string Cause);
   void dispatch(CallNumber Number);
   void dispatchWaiting();
-  BackendConnection *acquireConnection();
+  /// Returns an idle connection for the request, null if there is none.
+  BackendConnection *takeIdleConnection(const std::string &RequestId);
+  /// Returns an idle or a new connection for the request, null if none can be
+  /// opened.
+  BackendConnection *acquireConnection(const std::string &RequestId);
   void completeCall(CallNumber Number, CallResult &&Result);
   void onConnectionClosed(BackendConnection &Connection, bool WasConnected);
   void recordLostCall(const PendingCall &Call);
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -21,6 +21,10 @@
 /// them without end.
 constexpr int MaxSkippedResponses = 8;
 
+/// Refused requests whose ids a connection keeps. A connection with more is
+/// closed.
+constexpr std::size_t MaxRefusedIds = 64;
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
@@ -51,6 +55,10 @@
          Now < IdleDeadline;
 }
 
+bool BackendConnection::hasRefused(const std::string &Id) const {
+  return std::ranges::find(RefusedIds, Id) != RefusedIds.end();
+}
+
 void BackendConnection::startCall(std::uint64_t CallNumber,
                                   const CallRequest &Request, Instant Now) {
   ActiveCall = CallNumber;
@@ -196,10 +204,13 @@
   if (const auto Seconds = keepAliveTimeoutSeconds(Response))
     IdleTimeout = std::max(Duration{},
                            std::chrono::seconds(*Seconds) - IdleTimeoutMargin);
+  if (NotRun)
+    RefusedIds.push_back(RequestId);
   // Bytes after the answer belong to no call. On a connection that is used
   // again they would be taken for the answer to the next call.
   const bool Reuse = Persistent && !NotReusable && !MoreReceived &&
-                     Transport->unsentBytes() == 0 && IdleTimeout.count() > 0;
+                     Transport->unsentBytes() == 0 && IdleTimeout.count() > 0 &&
+                     RefusedIds.size() < MaxRefusedIds;
   CallResult Result = toCallResult(std::move(Response));
   const std::uint64_t FinishedCall = ActiveCall;
   ActiveCall = 0;
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "agent/Call.h"
 #include "agent/HttpMessage.h"
@@ -29,6 +30,10 @@
   std::uint64_t callNumber() const { return ActiveCall; }
   /// Returns whether the connection is idle and can carry another call.
   bool usable(Instant Now) const;
+  /// Returns whether the server has refused this request on the connection. A
+  /// late copy of that refusal could be taken for the answer to the request
+  /// when it is sent once more.
+  bool hasRefused(const std::string &Id) const;
 
   void onConnected() override { Connected = true; }
   void onData(std::string_view Bytes) override;
@@ -60,7 +65,9 @@
   std::size_t BufferedBytes = 0; ///< Last size that was reported to `Owner`.
   int SkippedResponses = 0;      ///< Since the start of the active call.
   int CallsStarted = 0;          ///< On this connection.
-  std::uint64_t ActiveCall = 0;  ///< 0 when no call is running.
+  /// Ids of the requests that the server refused on this connection.
+  std::vector<std::string> RefusedIds;
+  std::uint64_t ActiveCall = 0; ///< 0 when no call is running.
   std::string RequestId;
   std::string Method;
   bool Connected = false;
--- a/tests/agent/BackendAnswerTest.cpp
+++ b/tests/agent/BackendAnswerTest.cpp
@@ -120,6 +120,30 @@
     CHECK(Fixture.callAndWait("a").Outcome == CallOutcome::NotRun);
     CHECK(Fixture.callAndWait("b").Outcome == CallOutcome::Unknown);
   }
+  SECTION("it is a refusal of the same request, which is placed here again") {
+    // Guards against a request that is reported as not run, and placed on a
+    // second server, because of a copy of its own earlier refusal.
+    const std::string Refusal = "HTTP/1.1 503 Busy\r\nX-Id: a\r\n"
+                                "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    constexpr int UntilSecondRequestMs = 300;
+    Server FakeServer({[&](Socket &Peer) {
+                         Server::readRequest(Peer);
+                         Server::write(Peer, Refusal);
+                         if (Server::waitForClose(Peer, UntilSecondRequestMs) ||
+                             Peer.available() == 0)
+                           return;
+                         Server::readRequest(Peer);
+                         Server::write(Peer, Refusal);
+                         Server::write(Peer, Server::makeResponse("a", "ran"));
+                       },
+                       [](Socket &Peer) {
+                         const std::string Id = Server::readRequest(Peer);
+                         Server::write(Peer, Server::makeResponse(Id, "ran"));
+                       }});
+    BackendFixture Fixture(FakeServer.address());
+    CHECK(Fixture.callAndWait("a").Outcome == CallOutcome::NotRun);
+    CHECK(Fixture.callAndWait("a").Outcome != CallOutcome::NotRun);
+  }
   SECTION("it arrives on an idle connection") {
     Server FakeServer({[](Socket &Peer) {
                          const std::string Id = Server::readRequest(Peer);
@@ -156,6 +180,26 @@
   }
 }
 
+TEST_CASE("An answer that ends with its connection is never complete when it "
+          "is cut in its head",
+          "[agent]") {
+  // Guards against a success with an empty or short body, framed as whole.
+  const std::string Head = GENERATE(
+      as<std::string>(), "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nX-Id: a\r\nConnection: close\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nX-Id: a\r\nX-Stamp: s\r\n\r\n");
+  for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+    INFO("cut after byte " << Length << " of " << Head);
+    Server FakeServer({[&](Socket &Peer) {
+      Server::readRequest(Peer);
+      Server::write(Peer, Head.substr(0, Length));
+    }});
+    BackendFixture Fixture(FakeServer.address());
+    REQUIRE(Fixture.callAndWait("a").Outcome == CallOutcome::Unknown);
+  }
+}
+
 namespace {
 
 /// Sends `Piece` again and again until the caller closes the connection or
