Keep the last confirmation of the held records, and report it in a file of its own

Change: the node keeps the latest confirmation that it has seen. The functions that report are in RecordReport.cpp, the names of kinds in RecordNames.h.

Result: no decision changes; process_store_troubles' test of the line passes.

--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "agent/RecordNames.h"
 #include "agent/StringUtil.h"
 #include "core/hosts/ReadLimits.h"
 
@@ -32,26 +33,6 @@
 /// Ticks between two lines on the records that this node holds.
 constexpr std::uint64_t TicksPerHeldRecordsLine = 20;
 
-std::string_view recordKindName(RecordKind Kind) {
-  return Kind == RecordKind::Rules ? "rules" : "servers";
-}
-
-std::string_view sourceUseName(SourceUse Use) {
-  switch (Use) {
-  case SourceUse::Idle:
-    return "idle";
-  case SourceUse::Read:
-    return "read";
-  case SourceUse::Probe:
-    return "probe";
-  }
-  return "read";
-}
-
-std::int64_t toMilliseconds(Duration Time) {
-  return std::chrono::floor<std::chrono::milliseconds>(Time).count();
-}
-
 /// Returns the time of a confirmation that a peer reported `Age` ago; unset for
 /// zero, which stands for none.
 std::optional<Instant> reportedReadAt(Duration Age, Instant Now) {
@@ -222,6 +203,7 @@
   passOn(RecordKind::Server, {Revision, Revision, false, std::move(Removed)});
   updateSourceUse();
   pullMissing();
+  updateConfirmations();
   if (++TickCount % TicksPerHeldRecordsLine == 0)
     logHeldRecords();
 }
@@ -333,66 +315,10 @@
   Status.ServersAge = AgeOf(RecordKind::Server);
 }
 
-std::optional<Confirmation> RecordSync::confirmationOf(RecordKind Kind) const {
-  std::optional<Instant> OwnRead;
-  if (const auto Found = OwnReadAt.find(Kind); Found != OwnReadAt.end())
-    OwnRead = Found->second;
-  std::vector<ReaderReport> Readers;
-  for (const auto &[Ip, Report] : ReportsByIp) {
-    const bool IsRules = Kind == RecordKind::Rules;
-    if (const auto ReadAt = IsRules ? Report.RulesReadAt : Report.ServersReadAt)
-      Readers.push_back(
-          {Ip, IsRules ? Report.RulesRevision : Report.ServersRevision,
-           *ReadAt});
-  }
-  return latestConfirmation(Registry.newestRecord(Kind), OwnRead, Readers);
-}
-
-Duration RecordSync::waitingTime(RecordKind Kind) const {
-  const std::optional<Instant> Since = Source.waitingSince(Kind);
-  return Since ? std::max(Duration{}, Loop.now() - *Since) : Duration{};
-}
-
 void RecordSync::notifyChange(const ServiceRegistry::Change &Change) {
   OnChange(Change);
   if (Change.RulesChanged)
     logHeldRecords();
 }
 
-void RecordSync::logHeldRecords() {
-  LogLine Line("records-held", Loop.now());
-  Line.field("use", sourceUseName(Use))
-      .field("rules_version",
-             Registry.rules()
-                 ? static_cast<std::int64_t>(Registry.rules()->Source.Version)
-                 : 0);
-  for (const RecordKind Kind : {RecordKind::Rules, RecordKind::Server}) {
-    const std::string Name(recordKindName(Kind));
-    Line.field(Name + "_revision",
-               static_cast<std::int64_t>(Registry.newestRecord(Kind)));
-    if (const auto Latest = confirmationOf(Kind))
-      Line.field(Name + "_age_ms", toMilliseconds(Loop.now() - Latest->At))
-          .field(Name + "_read_by",
-                 Latest->Reader.empty() ? Options.Ip : Latest->Reader);
-    Line.field(Name + "_read_waits_ms", toMilliseconds(waitingTime(Kind)));
-  }
-  Log.logStateChange(std::move(Line));
-}
-
-void RecordSync::fillMetrics(Metrics &Counters) const {
-  Counters.setGauge("source_lost", sourceLost() ? 1 : 0);
-  Counters.setGauge("source_reading", Use == SourceUse::Idle ? 0 : 1);
-  for (const RecordKind Kind : {RecordKind::Rules, RecordKind::Server}) {
-    const std::string Name(recordKindName(Kind));
-    Counters.setGauge(Name + "_revision",
-                      static_cast<std::int64_t>(Registry.newestRecord(Kind)));
-    // A negative age stands for records that no read has confirmed.
-    const auto Latest = confirmationOf(Kind);
-    Counters.setGauge(Name + "_age_ms",
-                      Latest ? toMilliseconds(Loop.now() - Latest->At) : -1);
-    Counters.setGauge(Name + "_read_waits_ms",
-                      toMilliseconds(waitingTime(Kind)));
-  }
-}
-
 } // namespace pollenwick::agent
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -67,9 +67,10 @@
   bool ownReadsOutdated() const;
   /// Whether the peer cannot be relied on to read the source.
   bool cannotRead(const PeerRecords &Peer) const;
-  /// Returns the latest confirmation of the records that this node holds; unset
-  /// if there was none.
-  std::optional<Confirmation> confirmationOf(RecordKind Kind) const;
+  /// Returns the latest confirmation of the records that this node holds now;
+  /// unset while all readers hold newer ones.
+  std::optional<Confirmation> currentConfirmation(RecordKind Kind) const;
+  void updateConfirmations();
   /// Returns for how long a read of the source has waited for its answer, zero
   /// if none does.
   Duration waitingTime(RecordKind Kind) const;
@@ -106,6 +107,8 @@
   std::map<std::string, PeerRecords> ReportsByIp;
   /// When this node's own read confirmed its records of a kind.
   std::map<RecordKind, Instant> OwnReadAt;
+  /// The latest confirmation of the records of a kind.
+  std::map<RecordKind, Confirmation> Confirmations;
   std::uint64_t TickCount = 0;
   /// False until this node stops to read for the first time. All nodes read
   /// when they start.
