Date a late answer by its own request, and let an old list cancel no removal

A read may be answered through an earlier request that had stayed open. Its age was counted from the later request, so the records passed for newer than they are. And a list from before may then arrive after a newer one: it cancelled the removal of a server that the newer one lacks.

Change: the client of the store returns when the answered request was sent; a list with an older revision than the table's cancels no removal.

--- a/src/core/hosts/RecordTable.cpp
+++ b/src/core/hosts/RecordTable.cpp
@@ -45,7 +45,9 @@
   std::set<std::string> Listed;
   for (const Record &Item : List) {
     Listed.insert(Item.Id);
-    Table.RemovalDeadlines.erase(Item.Id);
+    // A list that was read earlier says nothing about a later removal.
+    if (AsOf >= Table.Revision)
+      Table.RemovalDeadlines.erase(Item.Id);
     if (storeIfNewer(Table, Item))
       Changed.push_back(Item.Id);
   }
--- a/tests/hosts/RecordTableTest.cpp
+++ b/tests/hosts/RecordTableTest.cpp
@@ -92,6 +92,15 @@
     CHECK(expireMissing(Table, missingItemsKeptUntil(LongAgo, Start), Start) ==
           std::vector<std::string>{"i-2"});
   }
+  SECTION("a list that was read before does not cancel the removal") {
+    // Guards against a departed server that stays, because the late answer to
+    // an earlier request lists it.
+    applyList(Table, {record("i-1", 5, "a")}, 9, GraceEnd, Start);
+    applyList(Table, {record("i-1", 5, "a"), record("i-2", 6, "b")}, 8,
+              GraceEnd, Start);
+    CHECK(expireMissing(Table, GraceEnd, GraceEnd) ==
+          std::vector<std::string>{"i-2"});
+  }
   SECTION("so it does for the full list of another peer") {
     RecordTable Fresh;
     applyList(Fresh, {record("i-1", 5, "a")}, 9, Start, Start);
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -79,12 +79,11 @@
 };
 
 /// Reads until an answer arrives, at most `Tries` times.
-absl::StatusOr<Poco::JSON::Object::Ptr> readUntilAnswered(StoreClient &Client,
-                                                          int Tries) {
-  absl::StatusOr<Poco::JSON::Object::Ptr> Body = Client.read("/item");
-  for (int Try = 1; Try < Tries && !Body.ok(); ++Try)
-    Body = Client.read("/item");
-  return Body;
+absl::StatusOr<StoreAnswer> readUntilAnswered(StoreClient &Client, int Tries) {
+  absl::StatusOr<StoreAnswer> Answer = Client.read("/item");
+  for (int Try = 1; Try < Tries && !Answer.ok(); ++Try)
+    Answer = Client.read("/item");
+  return Answer;
 }
 
 } // namespace
@@ -108,15 +107,19 @@
     // than the timeout for each answer.
     DelayingStore Store([](int) { return 3 * AnswerTimeout; });
     StoreClient Client(Store.address(), AnswerTimeout);
-    const auto Body = readUntilAnswered(Client, 5);
-    REQUIRE(Body.ok());
-    CHECK((*Body)->getValue<int>("as_of") == 0);
+    const auto Answer = readUntilAnswered(Client, 5);
+    REQUIRE(Answer.ok());
+    CHECK(Answer->Body->getValue<int>("as_of") == 0);
+    // Guards against records that pass for newer than they are.
+    CHECK(Answer->SentAt.time_since_epoch() <
+          std::chrono::steady_clock::now().time_since_epoch() -
+              2 * AnswerTimeout);
 
     SECTION("and the later requests are dropped") {
       CHECK(Store.requestCount() <= 4);
       const auto Next = readUntilAnswered(Client, 5);
       REQUIRE(Next.ok());
-      CHECK((*Next)->getValue<int>("as_of") > 2);
+      CHECK(Next->Body->getValue<int>("as_of") > 2);
     }
   }
   SECTION("a watch waits for its time and the timeout") {
@@ -132,8 +135,8 @@
     StoreClient Client(Store.address(), AnswerTimeout);
     CHECK_FALSE(Client.read("/first").ok());
     std::this_thread::sleep_for(2 * AnswerTimeout);
-    const auto Body = Client.read("/second");
-    REQUIRE(Body.ok());
-    CHECK((*Body)->getValue<int>("as_of") == 1);
+    const auto Answer = Client.read("/second");
+    REQUIRE(Answer.ok());
+    CHECK(Answer->Body->getValue<int>("as_of") == 1);
   }
 }
