--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -100,7 +100,8 @@
   void refuse(CallResultHandler &&Done, std::string Cause);
   void dispatch(CallNumber Number);
   void dispatchWaiting();
-  /// Returns an idle connection for the request, null if there is none.
+  /// Returns an idle connection that has not refused the request; null if there
+  /// is none.
   BackendConnection *takeIdleConnection(const std::string &RequestId);
   /// Returns an idle or a new connection for the request, null if none can be
   /// opened.
--- a/src/agent/RecordNames.h
+++ b/src/agent/RecordNames.h
@@ -8,11 +8,12 @@
 
 namespace pollenwick::agent {
 
-/// Names in the log and in metrics.
+/// Returns the name of the kind in the log and in metrics.
 inline std::string_view recordKindName(RecordKind Kind) {
   return Kind == RecordKind::Rules ? "rules" : "servers";
 }
 
+/// Returns the name of the use in the log.
 inline std::string_view sourceUseName(SourceUse Use) {
   switch (Use) {
   case SourceUse::Idle:
--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -73,8 +73,10 @@
     ReadingSince.reset();
     return;
   }
-  Instant &ReadAt = OwnReadAt[Update.Kind];
-  ReadAt = std::max(ReadAt, Update.ConfirmedAt);
+  if (Use != SourceUse::Idle) {
+    Instant &ReadAt = OwnReadAt[Update.Kind];
+    ReadAt = std::max(ReadAt, Update.ConfirmedAt);
+  }
   const std::uint64_t Previous = Registry.revision(Update.Kind);
   ServiceRegistry::Change Change;
   if (!ReadingSince && !sourceLost() && Use != SourceUse::Idle)
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -60,7 +60,7 @@
   };
 
   bool sourceLost() const { return !UnavailableKinds.empty(); }
-  /// Whether a read at that time was too long ago for a node that reads.
+  /// Whether `ReadAt` is too long ago for a node that reads.
   bool isOutdated(const std::optional<Instant> &ReadAt) const;
   /// Whether this node reads the source, but nothing was confirmed for too
   /// long.
@@ -105,7 +105,8 @@
   /// When a peer reported last that it cannot read the source.
   std::optional<Instant> OutageReportedAt;
   std::map<std::string, PeerRecords> ReportsByIp;
-  /// When this node's own read confirmed its records of a kind.
+  /// When this node's own read confirmed its records of a kind; empty while it
+  /// does not read.
   std::map<RecordKind, Instant> OwnReadAt;
   /// The latest confirmation of the records of a kind.
   std::map<RecordKind, Confirmation> Confirmations;
--- a/src/core/hosts/ReadSchedule.h
+++ b/src/core/hosts/ReadSchedule.h
@@ -20,8 +20,8 @@
 struct ReadSchedule {
   /// The changes after this revision are read next; unset: the full list.
   std::optional<std::uint64_t> ChangesAfter;
-  bool InOutage =
-      false; ///< `NoAnswer` or `Unavailable` since the last success.
+  /// Set by `NoAnswer` and `Unavailable` until the next success.
+  bool InOutage = false;
   bool HistoryGone = false; ///< No changes read since a `HistoryGone`.
   std::uint32_t ConsecutiveFailures = 0;
 };
--- a/tests/platform/DecodeTest.cpp
+++ b/tests/platform/DecodeTest.cpp
@@ -58,6 +58,16 @@
   CHECK(Result->Limits.MaxBodyBytes == 1000);
 }
 
+TEST_CASE("A limit that is null or missing keeps its default", "[platform]") {
+  const auto Result = decodeConfiguration(
+      R"({"version":"0c","limits":{"idle_timeout_ms":null}})");
+  REQUIRE(Result.ok());
+  CHECK(Result->Limits.IdleTimeout == CallerLimits().IdleTimeout);
+  CHECK_FALSE(decodeConfiguration(
+                  R"({"version":"0c","limits":{"idle_timeout_ms":1e300}})")
+                  .ok());
+}
+
 TEST_CASE("Truncated configurations are errors, and corrupted ones never crash",
           "[platform]") {
   const std::string Whole = ConfigurationJson;
