--- a/apps/pollenwick-trace/LogTrace.cpp
+++ b/apps/pollenwick-trace/LogTrace.cpp
@@ -28,8 +28,9 @@
   std::string_view AnswerField;
 };
 
-constexpr std::array<BeliefKind, 11> BeliefKinds{{
+constexpr std::array<BeliefKind, 12> BeliefKinds{{
     {"rules-in-force", "", ""},
+    {"records-held", "", ""},
     {"settings-reloaded", "", ""},
     {"drain-started", "", ""},
     {"admission-changed", "service", ""},
--- a/tests/trace/LogTraceTest.cpp
+++ b/tests/trace/LogTraceTest.cpp
@@ -48,6 +48,20 @@
     CHECK(Text.starts_with("r-1 on a: 503 overload\n"));
     CHECK(Text.find("0.000 s before: {\"at_us\":1,") != std::string::npos);
   }
+  SECTION("how old the rules and servers were, and who had read them") {
+    // Guards against a refusal by old rules that looks like one by new rules.
+    const LogTrace Trace =
+        traceOf("r-1", false,
+                {line(1, "records-held", R"("rules_age_ms":200)"),
+                 line(2, "records-held",
+                      R"("rules_age_ms":5900,"rules_read_by":"10.0.0.1")"),
+                 line(3, "request-answered", Refused)});
+    REQUIRE(Trace.answers().size() == 1);
+    REQUIRE(Trace.answers()[0].Beliefs.size() == 1);
+    const LogEntry &Held = Trace.answers()[0].Beliefs[0];
+    CHECK(Held.Fields.at("rules_age_ms") == "5900");
+    CHECK(Held.Fields.at("rules_read_by") == "10.0.0.1");
+  }
   SECTION("a lost peer until it is regained, and nothing from before a start") {
     // Guards against causes that had passed when the request was answered.
     const LogTrace Trace =
