Pull missing records from peers in turn, from the one that has them

Cause: a node that lacks changes asked the first peer, by address, whose newest record is newer than what the node is complete to. A node that has the newest record but missed a change before it counts as behind.

Change: choosePullPeer takes peers with a newer record first, then readers, which alone are complete, and peers of one rank in turn.

--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -6,6 +6,7 @@
 
 #include "agent/RecordNames.h"
 #include "agent/StringUtil.h"
+#include "core/hosts/PullPeers.h"
 #include "core/hosts/ReadLimits.h"
 
 namespace pollenwick::agent {
@@ -128,6 +129,11 @@
          Peer.ServersRevision > Registry.revision(RecordKind::Server);
 }
 
+bool RecordSync::hasNewerRecord(const PeerRecords &Peer) const {
+  return Peer.RulesRevision > Registry.newestRecord(RecordKind::Rules) ||
+         Peer.ServersRevision > Registry.newestRecord(RecordKind::Server);
+}
+
 void RecordSync::onPeerStatus(const std::string &Ip,
                               const StatusFrame &Status) {
   PeerRecords &Peer = ReportsByIp[Ip];
@@ -289,16 +295,20 @@
   if (!BehindSince || Loop.now() - *BehindSince < PullDelay)
     return;
   BehindSince.reset();
-  for (const auto &[Ip, Report] : ReportsByIp) {
-    PeerLink *Link = isAhead(Report) ? Peers.findLiveLink(Ip) : nullptr;
-    if (!Link)
-      continue;
-    Link->send(PullFrame{Registry.revision(RecordKind::Rules),
-                         Registry.revision(RecordKind::Server)});
-    // The answer is awaited before another peer is asked.
-    BehindSince = Loop.now();
+  std::vector<PullCandidate> Candidates;
+  for (const auto &[Ip, Report] : ReportsByIp)
+    if (isAhead(Report) && Peers.hasLiveLink(Ip))
+      Candidates.push_back({Ip, hasNewerRecord(Report), Report.Reads});
+  const std::optional<std::string> Chosen =
+      choosePullPeer(Candidates, LastPulledIp);
+  if (!Chosen)
     return;
-  }
+  LastPulledIp = *Chosen;
+  Peers.findLiveLink(*Chosen)->send(
+      PullFrame{Registry.revision(RecordKind::Rules),
+                Registry.revision(RecordKind::Server)});
+  // The answer is awaited before another peer is asked.
+  BehindSince = Loop.now();
 }
 
 void RecordSync::fillStatus(StatusFrame &Status) const {
--- a/src/agent/RecordSync.h
+++ b/src/agent/RecordSync.h
@@ -79,7 +79,10 @@
   std::vector<std::string> zonePeerIps() const;
   /// Returns until when servers are kept that a list lacks.
   Instant keepMissingUntil() const;
+  /// Whether the peer may have changes that this node lacks.
   bool isAhead(const PeerRecords &Peer) const;
+  /// Whether the peer has a record that is newer than all of this node.
+  bool hasNewerRecord(const PeerRecords &Peer) const;
   void logSourceState(const ConfigurationUpdate &Update);
   void passOn(RecordKind Kind, RecordBatch &&Batch);
   void updateSourceUse();
@@ -116,6 +119,7 @@
   bool HasBeenIdle = false;
   /// Since when a peer has held newer records; unset when none does.
   std::optional<Instant> BehindSince;
+  std::string LastPulledIp; ///< Peer that was asked last.
   /// Since when the servers of this node differ from those of `DifferingPeer`,
   /// a reader with the same newest record.
   std::optional<Instant> DifferentSince;
