Log how the connection of a running call ended

StreamEnd carries the errno of recv and send and the unsent bytes; the line server-connection-ended adds the request, the bytes of the answer and what marks its end. No logic changes.

--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -27,6 +27,13 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// Returns what marks the end of the answer whose head was parsed.
+std::string_view framingName(const ResponseParser &Parser) {
+  if (Parser.chunked())
+    return "chunks";
+  return Parser.content_length() ? "length" : "close";
+}
+
 } // namespace
 
 BackendConnection::BackendConnection(EventLoop &TheLoop,
@@ -242,8 +249,28 @@
   Owner.onConnectionClosed(*this, Connected);
 }
 
-void BackendConnection::onClosed(StreamCloseReason Reason) {
-  if (ActiveCall != 0 && Parser && Reason == StreamCloseReason::Closed) {
+void BackendConnection::logEnd(const StreamEnd &End) const {
+  const bool HeadReceived = Parser && Parser->is_header_done();
+  LogLine Line("server-connection-ended", Loop.now());
+  Line.field("request", RequestId)
+      .field("server", Owner.serverId())
+      .field("end",
+             End.Reason == StreamCloseReason::Closed ? "closed" : "reset")
+      .field("receive_errno", End.ReceiveError)
+      .field("send_errno", End.SendError)
+      .field("unsent_bytes", static_cast<std::int64_t>(End.UnsentBytes))
+      .field("status", HeadReceived ? static_cast<std::int64_t>(
+                                          Parser->get().result_int())
+                                    : 0)
+      .field("answer_bytes", static_cast<std::int64_t>(BufferedBytes))
+      .field("framing", HeadReceived ? framingName(*Parser) : "none");
+  Owner.Log.logRequest("server-connection-ended", std::move(Line), Loop.now());
+}
+
+void BackendConnection::onClosed(const StreamEnd &End) {
+  if (ActiveCall != 0)
+    logEnd(End);
+  if (ActiveCall != 0 && Parser && End.Reason == StreamCloseReason::Closed) {
     // The end of the connection marks the end of an answer without a length.
     boost::system::error_code Error;
     Parser->put_eof(Error);
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -37,7 +37,7 @@
 
   void onConnected() override { Connected = true; }
   void onData(std::string_view Bytes) override;
-  void onClosed(StreamCloseReason Reason) override;
+  void onClosed(const StreamEnd &End) override;
 
 private:
   /// Parses the answer to the active call. Returns the number of bytes that
@@ -53,6 +53,8 @@
   /// false when it has to be dropped for lack of memory.
   bool updateBufferedBytes();
   void closeUnusable();
+  /// Logs how the connection ended under the active call.
+  void logEnd(const StreamEnd &End) const;
   void abortConnection(std::string Cause);
   CallResult toCallResult(ResponseMessage &&Response) const;
 
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -222,7 +222,7 @@
   Port.removeConnection(*this);
 }
 
-void CallerConnection::onClosed(StreamCloseReason /*End*/) {
+void CallerConnection::onClosed(const StreamEnd & /*End*/) {
   const std::shared_ptr<CallerConnection> Self = shared_from_this();
   const std::deque<OutstandingRequest> Abandoned =
       std::exchange(Outstanding, {});
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -71,7 +71,7 @@
   void enforceTimeouts(Instant Now, const CallerLimits &Limits);
 
   void onData(std::string_view Bytes) override;
-  void onClosed(StreamCloseReason Reason) override;
+  void onClosed(const StreamEnd &End) override;
   void onFlushed() override { LastActivity = Loop.now(); }
 
 private:
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -189,6 +189,6 @@
   Links.onLinkLost(*this);
 }
 
-void PeerLink::onClosed(StreamCloseReason /*End*/) { close(); }
+void PeerLink::onClosed(const StreamEnd & /*End*/) { close(); }
 
 } // namespace pollenwick::agent
--- a/src/agent/PeerLink.h
+++ b/src/agent/PeerLink.h
@@ -44,7 +44,7 @@
 
   void onConnected() override;
   void onData(std::string_view Bytes) override;
-  void onClosed(StreamCloseReason End) override;
+  void onClosed(const StreamEnd &End) override;
 
 private:
   friend class PeerLinks;
--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -123,9 +123,10 @@
   if (Closed)
     return;
   const std::shared_ptr<Stream> Self = shared_from_this();
+  const StreamEnd End{Reason, ReceiveError, SendError, unsentBytes()};
   close();
   if (!Lingering)
-    Owner.onClosed(Reason);
+    Owner.onClosed(End);
 }
 
 void Stream::onReady(const Readiness &State) {
@@ -177,8 +178,10 @@
     }
     if (errno == EINTR)
       continue;
-    if (errno != EAGAIN && errno != EWOULDBLOCK)
+    if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      ReceiveError = errno;
       closeAndNotify(StreamCloseReason::Reset);
+    }
     return;
   }
 }
@@ -196,6 +199,7 @@
         continue;
       if (errno == EAGAIN || errno == EWOULDBLOCK)
         break;
+      SendError = errno;
       // Bytes that the peer sent before it closed may still be unread.
       readAll(true);
       closeAndNotify(StreamCloseReason::Reset);
--- a/src/agent/Stream.h
+++ b/src/agent/Stream.h
@@ -24,6 +24,14 @@
 /// How a connection ended: by an orderly close or by an error.
 enum class StreamCloseReason : std::uint8_t { Closed, Reset };
 
+/// How and where the end of a connection was noticed.
+struct StreamEnd {
+  StreamCloseReason Reason = StreamCloseReason::Reset;
+  int ReceiveError = 0; ///< `errno` of the last `recv`; 0 if it did not fail.
+  int SendError = 0;    ///< `errno` of the last `send`; 0 if it did not fail.
+  std::size_t UnsentBytes = 0; ///< Left in the send buffer.
+};
+
 class Stream;
 
 /// Receives the events of a stream. Each callback may close the stream.
@@ -34,7 +42,7 @@
   virtual void onData(std::string_view Bytes) = 0;
   /// Called when the peer or an error has closed the stream, but not after
   /// `Stream::close`.
-  virtual void onClosed(StreamCloseReason Reason) = 0;
+  virtual void onClosed(const StreamEnd &End) = 0;
   /// Called when the send buffer has become empty.
   virtual void onFlushed() {}
 };
@@ -91,6 +99,8 @@
   std::optional<CloseMode> CloseAfterFlush;
   bool ReadingPaused = false;
   bool Lingering = false; ///< All is sent; received bytes are discarded.
+  int ReceiveError = 0;   ///< `errno` of a failed `recv`.
+  int SendError = 0;      ///< `errno` of a failed `send`.
 };
 
 /// Starts to connect to `Address` (IP:PORT). Returns null when the system
