Never take a reset for the orderly end of a stream

Half an answer without a length, whose connection was reset while a part of the upload was unsent, reached the caller as a whole 200.

Cause: the kernel reports a reset to one system call. Stream::flush read on after a failed send; recv returned the rest and then 0, which counted as the orderly end that marks the end of such an answer. Evidence: the seven answers that were passed on as whole, and only these, have send_errno 104 and receive_errno 0 in the line server-connection-ended.

Ruled out by that line: a recv that returns 0 by itself, an answer that counts as complete by its head.

Change: after a failed send the end is a reset, unless the error is EPIPE, which the kernel gives for a reset behind the orderly end.

--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -158,6 +158,14 @@
     flush();
 }
 
+StreamCloseReason Stream::reasonOfEnd() const {
+  // `recv` reports a reset once. If `send` has taken the error, `recv` returns
+  // the bytes that were received before it and then 0, as at an orderly end.
+  // EPIPE means that the orderly end had arrived before the reset.
+  const bool ResetBeforeEnd = SendError != 0 && SendError != EPIPE;
+  return ResetBeforeEnd ? StreamCloseReason::Reset : StreamCloseReason::Closed;
+}
+
 void Stream::readAll(bool EofPending) {
   while (!Closed && !ReadingPaused) {
     const ssize_t Received =
@@ -173,7 +181,7 @@
       continue;
     }
     if (Received == 0) {
-      closeAndNotify(StreamCloseReason::Closed);
+      closeAndNotify(reasonOfEnd());
       return;
     }
     if (errno == EINTR)
--- a/src/agent/Stream.h
+++ b/src/agent/Stream.h
@@ -82,6 +82,8 @@
   /// Reads until the socket is empty or closed. `EofPending` is true when epoll
   /// has reported that the peer closed the connection or that it failed.
   void readAll(bool EofPending);
+  /// Returns how a stream has ended that has no more bytes to read.
+  StreamCloseReason reasonOfEnd() const;
   void flush();
   void scheduleFlush();
   void lingerAndClose();
--- a/tests/agent/BackendAnswerTest.cpp
+++ b/tests/agent/BackendAnswerTest.cpp
@@ -200,6 +200,33 @@
   }
 }
 
+TEST_CASE("An answer without a length that is reset is never complete",
+          "[agent]") {
+  // Guards against half an answer that is passed on as a whole 200: a reset was
+  // taken for the orderly end if the rest of the upload was still to be sent.
+  constexpr int Uploads = 8;
+  constexpr std::size_t UploadBytes = std::size_t{24} * 1024 * 1024;
+  const std::string Part = "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Stamp: s\r\n"
+                           "Connection: close\r\n\r\nhalf";
+  Server FakeServer(std::vector<Server::Script>(Uploads, [&](Socket &Peer) {
+    Server::readRequest(Peer);
+    Server::write(Peer, Part);
+    std::string Read(std::size_t{1} << 20, '\0');
+    Peer.receiveBytes(Read.data(), static_cast<int>(Read.size()));
+    Peer.setLinger(true, 0);
+    Peer.close();
+  }));
+  BackendFixture Fixture(FakeServer.address());
+  for (int Upload = 0; Upload < Uploads; ++Upload) {
+    CallRequest Request = Fixture.request("a", 3000);
+    Request.Method = "POST";
+    Request.Retryable = false;
+    Request.Body.assign(UploadBytes, 'u');
+    CHECK(Fixture.callAndWait(std::move(Request)).Outcome ==
+          CallOutcome::Unknown);
+  }
+}
+
 namespace {
 
 /// Sends `Piece` again and again until the caller closes the connection or
--- a/tests/agent/BackendFixture.h
+++ b/tests/agent/BackendFixture.h
@@ -74,8 +74,11 @@
   /// Submits one call and runs the loop until its result arrives. Fails the
   /// test after 4 s without a result.
   CallResult callAndWait(const std::string &Id, int DeadlineMs = 1000) {
+    return callAndWait(request(Id, DeadlineMs));
+  }
+  CallResult callAndWait(CallRequest &&Request) {
     std::optional<CallResult> Got;
-    Target.submit(request(Id, DeadlineMs), [&](CallResult &&Answer) {
+    Target.submit(std::move(Request), [&](CallResult &&Answer) {
       Got = std::move(Answer);
       Loop.stop();
     });
