Notice the end of a stream that came with the bytes that paused it

Seen (read by the review, now shown): requests that a caller sent ahead ran after it had left, if the end of its connection came with the bytes that paused the reading. epoll reports the end once, and readAll forgot it when it stopped.

Change: the stream keeps the reported end and closes as soon as it is paused.

--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -100,7 +100,7 @@
   ::shutdown(Socket.impl()->sockfd(), SHUT_WR);
   Loop.callAt(Loop.now() + LingerTimeout,
               [Self = shared_from_this()] { Self->close(); });
-  readAll(false);
+  readAll();
 }
 
 void Stream::pauseReading(bool Pause) {
@@ -116,7 +116,7 @@
   if (Closed || Connecting)
     return;
   const std::shared_ptr<Stream> Self = shared_from_this();
-  readAll(false);
+  readAll();
 }
 
 void Stream::closeAndNotify(StreamCloseReason Reason) {
@@ -147,13 +147,12 @@
     if (Closed)
       return;
   }
-  if (ReadingPaused && (State.PeerClosed || State.HasError)) {
-    closeAndNotify(State.HasError ? StreamCloseReason::Reset
-                                  : StreamCloseReason::Closed);
-    return;
-  }
+  if (State.HasError)
+    ReportedEnd = StreamCloseReason::Reset;
+  else if (State.PeerClosed && !ReportedEnd)
+    ReportedEnd = StreamCloseReason::Closed;
   if (State.Readable || State.HasError)
-    readAll(State.PeerClosed || State.HasError);
+    readAll();
   if (!Closed && State.Writable && !Connecting && unsentBytes() > 0)
     flush();
 }
@@ -166,7 +165,7 @@
   return ResetBeforeEnd ? StreamCloseReason::Reset : StreamCloseReason::Closed;
 }
 
-void Stream::readAll(bool EofPending) {
+void Stream::readAll() {
   while (!Closed && !ReadingPaused) {
     const ssize_t Received =
         ::recv(Socket.impl()->sockfd(), readBuffer(), ReadBufferBytes, 0);
@@ -176,7 +175,7 @@
       // A short read has emptied the socket, and new bytes raise another event.
       // A reported end of the stream raises no other event, so reading goes on
       // until `recv` returns it.
-      if (!EofPending && static_cast<std::size_t>(Received) < ReadBufferBytes)
+      if (!ReportedEnd && static_cast<std::size_t>(Received) < ReadBufferBytes)
         return;
       continue;
     }
@@ -192,6 +191,9 @@
     }
     return;
   }
+  // The end may have come together with the bytes that paused the reading.
+  if (ReportedEnd)
+    closeAndNotify(*ReportedEnd);
 }
 
 void Stream::flush() {
@@ -208,8 +210,9 @@
       if (errno == EAGAIN || errno == EWOULDBLOCK)
         break;
       SendError = errno;
-      // Bytes that the peer sent before it closed may still be unread.
-      readAll(true);
+      // Bytes that the peer sent before the failure may still be unread.
+      ReportedEnd = StreamCloseReason::Reset;
+      readAll();
       closeAndNotify(StreamCloseReason::Reset);
       return;
     }
--- a/src/agent/Stream.h
+++ b/src/agent/Stream.h
@@ -79,9 +79,8 @@
   void onReady(const Readiness &State) override;
 
 private:
-  /// Reads until the socket is empty or closed. `EofPending` is true when epoll
-  /// has reported that the peer closed the connection or that it failed.
-  void readAll(bool EofPending);
+  /// Reads until the socket is empty or closed, or reading is paused.
+  void readAll();
   /// Returns how a stream has ended that has no more bytes to read.
   StreamCloseReason reasonOfEnd() const;
   void flush();
@@ -101,8 +100,11 @@
   std::optional<CloseMode> CloseAfterFlush;
   bool ReadingPaused = false;
   bool Lingering = false; ///< All is sent; received bytes are discarded.
-  int ReceiveError = 0;   ///< `errno` of a failed `recv`.
-  int SendError = 0;      ///< `errno` of a failed `send`.
+  /// How the stream has ended, as far as epoll has reported it. No further
+  /// event follows.
+  std::optional<StreamCloseReason> ReportedEnd;
+  int ReceiveError = 0; ///< `errno` of a failed `recv`.
+  int SendError = 0;    ///< `errno` of a failed `send`.
 };
 
 /// Starts to connect to `Address` (IP:PORT). Returns null when the system
--- a/tests/agent/StreamEndTest.cpp
+++ b/tests/agent/StreamEndTest.cpp
@@ -163,3 +163,45 @@
     CHECK(Fixture.Received == "data" + Data);
   }
 }
+
+TEST_CASE("A stream whose reading is paused notices its end", "[agent]") {
+  // Guards against requests that run for a caller who has left, because the
+  // end of its connection came together with the bytes that paused the reading.
+  const Ending Expected = GENERATE(from_range(Endings));
+  INFO("the peer's steps: " << describe(Expected.Steps));
+  StreamFixture Fixture;
+  Fixture.run(5);
+  // Unread bytes are dropped, so the last event decides.
+  const StreamCloseReason Last =
+      Expected.Steps.back() == Step::Reset ? Reset : Closed;
+
+  SECTION("before the end") {
+    Fixture.Target->pauseReading(true);
+    Fixture.perform(Expected.Steps);
+    Fixture.run();
+    REQUIRE(Fixture.End.has_value());
+    CHECK(Fixture.End->Reason == Last);
+    CHECK(Fixture.Received.empty());
+  }
+  SECTION("by the bytes that came with the end") {
+    Fixture.OnFirstData = [&] { Fixture.Target->pauseReading(true); };
+    Fixture.perform(Step::Data);
+    Fixture.perform(Expected.Steps);
+    Fixture.run();
+    REQUIRE(Fixture.End.has_value());
+    CHECK(Fixture.End->Reason == Last);
+  }
+  SECTION("and resumed after it") {
+    Fixture.OnFirstData = [&] {
+      Fixture.Target->pauseReading(true);
+      Fixture.perform(Expected.Steps);
+    };
+    Fixture.perform(Step::Data);
+    Fixture.run();
+    REQUIRE(Fixture.End.has_value());
+    CHECK(Fixture.End->Reason == Last);
+    Fixture.Target->pauseReading(false);
+    Fixture.run(5);
+    CHECK(Fixture.Received == "data");
+  }
+}
