Count only whole answers of the store

A 404 or 410 that broke off in its head or body, and a list or item without its last chunk or reset at its end, counted as whole.

Cause: POCO's streams report a lost connection as the end of the body.

The fixture of the delaying store shares its count with its handlers: they outlive the server, and one could count in the store of the next section.

--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -30,10 +31,10 @@
 public:
   using DelayOf = std::function<milliseconds(int)>;
 
-  explicit DelayingStore(DelayOf TheDelay)
-      : Delay(std::move(TheDelay)),
+  explicit DelayingStore(DelayOf Delay)
+      : Shared(std::make_shared<State>(std::move(Delay))),
         Server(
-            new Factory(*this),
+            new Factory(Shared),
             Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)),
             new Poco::Net::HTTPServerParams) {
     Server.start();
@@ -43,41 +44,86 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Server.port());
   }
-  int requestCount() const { return Requests; }
+  int requestCount() const { return Shared->Requests; }
 
 private:
+  /// Handlers outlive the server, which does not wait for them. They must not
+  /// count in the store of the next section.
+  struct State {
+    explicit State(DelayOf TheDelay) : Delay(std::move(TheDelay)) {}
+    DelayOf Delay;
+    std::atomic<int> Requests{0};
+  };
   class Handler : public Poco::Net::HTTPRequestHandler {
   public:
-    explicit Handler(DelayingStore &TheStore) : Store(TheStore) {}
+    explicit Handler(std::shared_ptr<State> TheState)
+        : Shared(std::move(TheState)) {}
     void handleRequest(Poco::Net::HTTPServerRequest & /*Request*/,
                        Poco::Net::HTTPServerResponse &Response) override {
-      const int Number = Store.Requests++;
-      std::this_thread::sleep_for(Store.Delay(Number));
+      const int Number = Shared->Requests++;
+      std::this_thread::sleep_for(Shared->Delay(Number));
       const std::string Body = "{\"as_of\":" + std::to_string(Number) + "}";
       Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
       Response.send() << Body;
     }
 
   private:
-    DelayingStore &Store;
+    std::shared_ptr<State> Shared;
   };
   class Factory : public Poco::Net::HTTPRequestHandlerFactory {
   public:
-    explicit Factory(DelayingStore &TheStore) : Store(TheStore) {}
+    explicit Factory(std::shared_ptr<State> TheState)
+        : Shared(std::move(TheState)) {}
     Poco::Net::HTTPRequestHandler *
     createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
-      return new Handler(Store);
+      return new Handler(Shared);
     }
 
   private:
-    DelayingStore &Store;
+    std::shared_ptr<State> Shared;
   };
 
-  DelayOf Delay;
-  std::atomic<int> Requests{0};
+  std::shared_ptr<State> Shared;
   Poco::Net::HTTPServer Server;
 };
 
+/// How a store ends a connection.
+enum class Ending { Close, Reset };
+
+/// A store that sends fixed bytes on its first connection, after it has read
+/// the request, and ends the connection.
+class CuttingStore {
+public:
+  CuttingStore(std::string Bytes, Ending How)
+      : Listener(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        Thread([this, Bytes = std::move(Bytes), How] {
+          Poco::Net::StreamSocket Peer = Listener.acceptConnection();
+          char Request[4096];
+          Peer.receiveBytes(Request, sizeof(Request));
+          Peer.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+          if (How == Ending::Reset)
+            Peer.setLinger(true, 0);
+          Peer.close();
+        }) {}
+  ~CuttingStore() { Thread.join(); }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Listener.address().port());
+  }
+
+private:
+  Poco::Net::ServerSocket Listener;
+  std::thread Thread;
+};
+
+/// Returns what a read gives if the store sends `Bytes` and ends the
+/// connection.
+absl::Status readCut(const std::string &Bytes, Ending How) {
+  CuttingStore Store(Bytes, How);
+  StoreClient Client(Store.address(), AnswerTimeout);
+  return Client.read("/item").status();
+}
+
 /// Reads until an answer arrives, at most `Tries` times.
 absl::StatusOr<StoreAnswer> readUntilAnswered(StoreClient &Client, int Tries) {
   absl::StatusOr<StoreAnswer> Answer = Client.read("/item");
@@ -140,3 +186,47 @@
     CHECK(Answer->Body->getValue<int>("as_of") == 1);
   }
 }
+
+TEST_CASE("Only a whole answer of the store counts", "[platform]") {
+  // Guards against an answer that broke off and passes for "no such item", for
+  // lost history, or for a list, by its head or by the part that arrived.
+  struct Case {
+    std::string Answer;
+    absl::StatusCode Whole;
+    bool EndsWithConnection;
+  };
+  const Case Tested = GENERATE(values<Case>({
+      {"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"as_of\":1}",
+       absl::StatusCode::kOk, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "b\r\n{\"as_of\":1}\r\n0\r\n\r\n",
+       absl::StatusCode::kOk, false},
+      {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"as_of\":1}",
+       absl::StatusCode::kOk, true},
+      {"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}",
+       absl::StatusCode::kNotFound, false},
+      {"HTTP/1.1 410 Gone\r\nContent-Length: 2\r\n\r\n{}",
+       absl::StatusCode::kOutOfRange, false},
+      {"HTTP/1.1 410 Gone\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2\r\n{}\r\n0\r\n\r\n",
+       absl::StatusCode::kOutOfRange, false},
+      {"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}",
+       absl::StatusCode::kUnavailable, false},
+  }));
+  INFO(Tested.Answer);
+  SECTION("as it is") {
+    CHECK(readCut(Tested.Answer, Ending::Close).code() == Tested.Whole);
+  }
+  SECTION("cut at any byte, in order or by a reset") {
+    for (std::size_t Size = 1; Size < Tested.Answer.size(); ++Size) {
+      INFO("cut after " << Size << " bytes");
+      const std::string Part = Tested.Answer.substr(0, Size);
+      CHECK(absl::IsUnavailable(readCut(Part, Ending::Close)));
+      CHECK(absl::IsUnavailable(readCut(Part, Ending::Reset)));
+    }
+  }
+  SECTION("reset where the connection marks the end") {
+    if (Tested.EndsWithConnection)
+      CHECK(absl::IsUnavailable(readCut(Tested.Answer, Ending::Reset)));
+  }
+}
