Answer every request before a planned stop ends the process

Requests that were taken late in the grace time were passed on with their whole timeout and cut at its end without an answer; one that waited in a peer's queue began there after its caller was gone.

Cause: the stop bounded only calls to the own server, answered and took back nothing at its end, and closed a connection with the last started request.

Change: StopPlan derives all steps from the grace time. Its call deadline bounds each call that is taken or placed; then what waits is given up (503), at peers by a Recall frame, and the rest is answered with 504. Each has its line in the log, an answer that its caller does not read too. All requests received on a connection are answered before it closes.

--- a/apps/pollenwick-trace/LogTrace.cpp
+++ b/apps/pollenwick-trace/LogTrace.cpp
@@ -47,6 +47,10 @@
 constexpr std::array<std::pair<std::string_view, std::string_view>, 2> Endings{
     {{"source-regained", "source-lost"}, {"peer-regained", "peer-lost"}}};
 
+bool isEndOfRequest(std::string_view Event) {
+  return Event == "request-answered" || Event == "request-unanswered";
+}
+
 const BeliefKind *kindOf(std::string_view Event) {
   const auto Found = std::ranges::find(BeliefKinds, Event, &BeliefKind::Event);
   return Found == BeliefKinds.end() ? nullptr : &*Found;
@@ -108,7 +112,7 @@
       Known.erase(subjectKey(*kindOf(Begin), Entry));
   if (const BeliefKind *Kind = kindOf(Entry.Event))
     Known.insert_or_assign(subjectKey(*Kind, Entry), Entry);
-  if (Entry.Event != "request-answered" || !matches(fieldOf(Entry, "request")))
+  if (!isEndOfRequest(Entry.Event) || !matches(fieldOf(Entry, "request")))
     return;
   TracedAnswer Found{Entry, {}};
   for (const auto &[Key, Belief] : Known)
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -10,12 +10,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(250);
-/// Time from SIGTERM until new connections are refused. Callers notice the
-/// drain within two readiness checks of one second each.
-constexpr Duration DrainListenTime = std::chrono::milliseconds(2600);
-/// Part of the drain grace period that is reserved for the process exit.
-constexpr Duration ProcessExitMargin = std::chrono::milliseconds(400);
-/// Time to write the last log lines, part of `ProcessExitMargin`.
+/// Time to write the last log lines, after the `ExitBy` of the stop.
 constexpr std::chrono::milliseconds LogFlushTimeout{200};
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
 /// Smallest change of an admitted share (0 to 1) that is logged.
@@ -281,6 +276,8 @@
 
 void Agent::onPeerCancel(std::uint64_t Number) { LocalBackend.cancel(Number); }
 
+void Agent::onPeerRecall(std::uint64_t Number) { LocalBackend.recall(Number); }
+
 void Agent::reloadChangedSettings() {
   const std::int64_t ModifiedNs = fileModifiedNs(settingsFilePath());
   if (ModifiedNs == SettingsModifiedNs)
@@ -302,22 +299,42 @@
 
 void Agent::beginDrain() {
   Loop.post([this] {
-    if (DrainStartedAt)
+    if (Stop)
       return;
-    DrainStartedAt = Loop.now();
+    Stop = planStop(Loop.now(), Options.DrainGrace);
     // The backend server keeps running. While callers of this node still wait,
     // the node also accepts calls that peers can place on no other server.
-    LocalBackend.drainUntil(*DrainStartedAt + Options.DrainGrace -
-                            ProcessExitMargin);
+    LocalBackend.drainUntil(Stop->CallDeadline);
+    RequestIngress.beginStop(*Stop);
     Log.logStateChange(LogLine("drain-started", Loop.now()));
     Peers.broadcast(localStatus());
+    Loop.callAt(Stop->CallDeadline, [this] { giveUpWaiting(); });
+    Loop.callAt(Stop->AnswerBy, [this] { answerRemaining(); });
     advanceDrain();
   });
 }
 
+void Agent::giveUpWaiting() {
+  Listener.stopListening();
+  Listener.drain();
+  LocalBackend.recallAll();
+  RequestIngress.recallWaiting();
+  Listener.refuseUnfinishedRequests();
+}
+
+void Agent::answerRemaining() {
+  UnansweredAtStop = RequestIngress.pendingCount();
+  RequestIngress.answerRemaining();
+  Listener.refuseUnfinishedRequests();
+  // What still runs now was sent by peers.
+  LocalBackend.giveUpRunning();
+}
+
 void Agent::advanceDrain() {
-  const Duration SinceDrainStart = Loop.now() - *DrainStartedAt;
-  if (SinceDrainStart >= DrainListenTime && !Listener.draining()) {
+  // A request that runs at the own server makes its calls through this node.
+  const bool ServerMayCall = LocalBackend.pendingCount() > 0;
+  if (Loop.now() >= Stop->ListenUntil && !ServerMayCall &&
+      !Listener.draining()) {
     Listener.stopListening();
     Listener.drain();
   }
@@ -326,12 +343,21 @@
                            Listener.busyConnectionCount() == 0;
   if (CallersDone)
     LocalBackend.drainUntil(Loop.now());
-  if ((CallersDone && LocalBackend.pendingCount() == 0) ||
-      SinceDrainStart >= Options.DrainGrace - ProcessExitMargin) {
-    Log.logStateChange(std::move(
-        LogLine("drain-finished", Loop.now())
-            .field("unanswered",
-                   static_cast<std::int64_t>(RequestIngress.pendingCount()))));
+  const bool AnswersSent = CallersDone && Loop.now() >= Stop->AnswerBy;
+  if ((CallersDone && LocalBackend.pendingCount() == 0) || AnswersSent ||
+      Loop.now() >= Stop->ExitBy) {
+    const std::vector<std::string> Unsent = Listener.unsentResponses();
+    for (const std::string &Id : Unsent)
+      Log.logStateChange(std::move(LogLine("request-unanswered", Loop.now())
+                                       .field("request", Id)
+                                       .field("status", 0)
+                                       .field("reason", "answer-not-read")));
+    Log.logStateChange(
+        std::move(LogLine("drain-finished", Loop.now())
+                      .field("answered_at_stop",
+                             static_cast<std::int64_t>(UnansweredAtStop))
+                      .field("answers_not_read",
+                             static_cast<std::int64_t>(Unsent.size()))));
     Loop.stop();
     return;
   }
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -19,6 +19,7 @@
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
 #include "agent/StatusExchange.h"
+#include "core/drain/StopPlan.h"
 
 namespace pollenwick::agent {
 
@@ -43,6 +44,7 @@
   std::uint64_t onPeerCall(CallRequest &&Request,
                            CallResultHandler Done) override;
   void onPeerCancel(std::uint64_t Number) override;
+  void onPeerRecall(std::uint64_t Number) override;
   void onPeerStatus(const std::string &Ip, StatusFrame &&Status) override;
   void onStatusToRelay(const std::string &Ip,
                        const RelayedStatusFrame &Frame) override;
@@ -61,10 +63,12 @@
   void logPeerTraffic();
   void reloadChangedSettings();
   void advanceDrain();
+  /// Gives up what has not begun when the stop's call deadline has passed.
+  void giveUpWaiting();
+  /// Answers what is left, shortly before the process ends.
+  void answerRemaining();
   StatusFrame localStatus() const;
-  bool isReady() const {
-    return ServerDirectory.rules() != nullptr && !DrainStartedAt;
-  }
+  bool isReady() const { return ServerDirectory.rules() != nullptr && !Stop; }
   std::string renderMetrics();
 
   Settings Options;
@@ -83,8 +87,9 @@
   std::unique_ptr<ConfigurationSource> ConfigSource;
   RecordSync Records;
   StatusExchange Statuses;
-  /// Start of the drain; unset until `beginDrain`.
-  std::optional<Instant> DrainStartedAt;
+  std::optional<StopPlan> Stop; ///< Unset until `beginDrain`.
+  /// Requests that had no answer at the stop's `AnswerBy`.
+  std::size_t UnansweredAtStop = 0;
   Instant LastTickAt;
   /// Admitted share that was last logged, 0 to 1, by service.
   std::map<std::string, double> LoggedAdmittedShare;
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -1,6 +1,7 @@
 #include "agent/Backend.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "agent/BackendConnection.h"
 #include "agent/HttpMessage.h"
@@ -293,6 +294,35 @@
   dispatchWaiting();
 }
 
+void Backend::recall(CallNumber Number) {
+  const auto Found = Calls.find(Number);
+  if (Found == Calls.end() ||
+      !cancelWaitingCall(Queue, Found->second.QueueEntry))
+    return;
+  CallResultHandler Done = std::move(Found->second.Done);
+  Calls.erase(Found);
+  refuse(std::move(Done), NodeStoppingCause);
+}
+
+void Backend::recallAll() {
+  const auto Waiting = Queue.Waiting;
+  for (const WaitingCall &Call : Waiting)
+    recall(Call.Id);
+}
+
+void Backend::giveUpRunning() {
+  std::vector<CallResultHandler> Handlers;
+  for (auto &[Number, Call] : Calls)
+    if (!std::exchange(Call.Abandoned, true))
+      Handlers.push_back(std::move(Call.Done));
+  for (const CallResultHandler &Done : Handlers) {
+    CallResult Result;
+    Result.ReachedServer = true;
+    Result.Cause = NodeStoppingCause;
+    Done(std::move(Result));
+  }
+}
+
 void Backend::sweep() {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
   const Duration Elapsed = Loop.now() - LastSweepAt;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -62,6 +62,13 @@
   /// Drops a call whose caller no longer waits. A call that is not retryable
   /// and has already started keeps its slot until it ends.
   void cancel(CallNumber Number);
+  /// Refuses a call that still waits for a slot; one that has started runs on.
+  void recall(CallNumber Number);
+  /// Refuses all calls that wait for a slot, because this process ends.
+  void recallAll();
+  /// Reports that the outcome of all running calls is unknown, because this
+  /// process ends before their answers.
+  void giveUpRunning();
 
   /// Sets the registration of the backend server; `Entry` is null when the
   /// server is not registered.
@@ -78,7 +85,7 @@
   /// Returns the id of the server; empty when it is not registered.
   std::string serverId() const { return Server ? Server->Id.Text : ""; }
   /// Refuses new calls whose deadline is after `Until`, because this process
-  /// ends soon. The refused calls are placed on other servers.
+  /// ends soon. Their nodes place them on other servers.
   void drainUntil(Instant Until) { DrainDeadline = Until; }
 
 private:
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -41,6 +41,9 @@
   ServerLoad Load;
 };
 
+/// Cause of a call, and reason of an answer, that a planned stop ended.
+inline constexpr const char *NodeStoppingCause = "node-stopping";
+
 using CallResultHandler = std::function<void(CallResult &&)>;
 
 /// Receives the notice that the node of a call's server is silent. The call may
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agent/Call.h"
 #include "agent/CallerListener.h"
 
 namespace pollenwick::agent {
@@ -53,8 +54,8 @@
   if (Outstanding.empty())
     return true;
   // After a request with `Connection: close` the caller can expect no further
-  // response. During a drain no further request is started either.
-  return Outstanding.back().KeepAlive && !Port.draining() &&
+  // response.
+  return Outstanding.back().KeepAlive &&
          Outstanding.size() < Port.pipelineLimits().MaxRequests;
 }
 
@@ -145,7 +146,9 @@
 }
 
 void CallerConnection::startRequest(CallerRequest &&Request, bool KeepAlive) {
-  Outstanding.push_back({Request.Number, KeepAlive, std::nullopt});
+  Outstanding.push_back({Request.Number, KeepAlive,
+                         Port.Handler.requestId(Request.Headers),
+                         std::nullopt});
   Port.Handler.onRequest(shared_from_this(), std::move(Request));
 }
 
@@ -162,8 +165,10 @@
       std::ranges::find(Outstanding, Number, &OutstandingRequest::Number);
   if (Found == Outstanding.end() || !Found->KeepAlive)
     return false;
-  // During a drain the last response closes the connection.
-  return !Port.draining() || Found->Number != Outstanding.back().Number;
+  // During a drain the last response closes the connection. A request that was
+  // received behind it gets a response of its own.
+  return !Port.draining() || Found->Number != Outstanding.back().Number ||
+         hasUnfinishedInput();
 }
 
 void CallerConnection::respond(CallerRequestNumber Number,
@@ -187,6 +192,7 @@
             ? CloseMode::Linger
             : CloseMode::Immediate;
     Transport->send(std::move(*Outstanding.front().Response));
+    RespondedIds.push_back(std::move(Outstanding.front().RequestId));
     Outstanding.pop_front();
     LastActivity = Loop.now();
     if (Close) {
@@ -203,7 +209,7 @@
   // The rest of the request may still arrive, so the close must not reset the
   // connection: `sendReadyResponses` lingers while bytes are left.
   Parser.reset();
-  Outstanding.push_back({Port.newRequestNumber(), false,
+  Outstanding.push_back({Port.newRequestNumber(), false, "",
                          makeLocalReply(Status, Cause, "", false)});
   sendReadyResponses();
 }
@@ -241,6 +247,22 @@
     closeAfterResponse(CloseMode::Linger);
 }
 
+void CallerConnection::onFlushed() {
+  LastActivity = Loop.now();
+  RespondedIds.clear();
+}
+
+std::vector<std::string> CallerConnection::unsentResponses() const {
+  return hasUnsentBytes() ? RespondedIds : std::vector<std::string>();
+}
+
+void CallerConnection::refuseUnfinishedInput() {
+  if (!Parser || Closing || Transport->closed())
+    return;
+  Port.Handler.onUnfinishedRequest(Parser->get().base());
+  reject(503, NodeStoppingCause);
+}
+
 void CallerConnection::enforceTimeouts(Instant Now,
                                        const CallerLimits &Limits) {
   if (busy())
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "agent/EventLoop.h"
 #include "agent/HttpMessage.h"
@@ -59,12 +60,23 @@
   /// Returns whether a request has no complete response yet.
   bool busy() const { return !Outstanding.empty(); }
   /// Returns whether the caller can expect nothing more from this connection.
-  bool idle() const { return Outstanding.empty() && !Parser && !Closing; }
+  bool idle() const {
+    return Outstanding.empty() && !Closing && !hasUnfinishedInput();
+  }
+  /// Returns whether a request was received, wholly or in part, that has not
+  /// been started.
+  bool hasUnfinishedInput() const {
+    return !Closing && (Parser || HeldRequest || !UnparsedBytes.empty());
+  }
   bool hasUnsentBytes() const { return Transport->unsentBytes() > 0; }
   bool closed() const { return Transport->closed(); }
-  /// Stops accepting requests: handles those that have been received, then
-  /// closes the connection.
+  /// Returns the ids of the requests whose responses are not sent wholly.
+  std::vector<std::string> unsentResponses() const;
+  /// Handles the requests that have been received, then closes the connection.
   void drain();
+  /// Answers a request that was received in part as not run, because this
+  /// process ends, and closes the connection after it.
+  void refuseUnfinishedInput();
 
   /// Closes the connection when the caller was idle, or was slow to send a
   /// request header or to read a response, for too long.
@@ -72,13 +84,14 @@
 
   void onData(std::string_view Bytes) override;
   void onClosed(const StreamEnd &End) override;
-  void onFlushed() override { LastActivity = Loop.now(); }
+  void onFlushed() override;
 
 private:
   /// A request that was passed to the handler.
   struct OutstandingRequest {
     CallerRequestNumber Number = 0;
     bool KeepAlive = true; ///< What the caller asked for.
+    std::string RequestId; ///< For the log.
     std::optional<std::string> Response;
   };
   /// When the bytes before an offset of the stream had been received.
@@ -112,6 +125,9 @@
   std::uint64_t ParsedOffset = 0; ///< Bytes of the stream that were parsed.
   std::deque<ReceiptTime> ReceiptTimes;
   std::deque<OutstandingRequest> Outstanding; ///< In the order of arrival.
+  /// Ids of the requests whose responses were sent since the send buffer was
+  /// last empty.
+  std::vector<std::string> RespondedIds;
   /// A complete request that waits until all earlier ones are answered.
   std::optional<CallerRequest> HeldRequest;
   bool HeldRequestKeepsAlive = true;
--- a/src/agent/CallerListener.cpp
+++ b/src/agent/CallerListener.cpp
@@ -1,6 +1,7 @@
 #include "agent/CallerListener.h"
 
 #include <algorithm>
+#include <iterator>
 #include <vector>
 
 #include <Poco/Exception.h>
@@ -60,13 +61,25 @@
   }
 }
 
-void CallerListener::sweep() {
-  Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
+std::vector<std::shared_ptr<CallerConnection>>
+CallerListener::openConnections() const {
+  // A copy, because connections remove themselves when they are closed.
   std::vector<std::shared_ptr<CallerConnection>> All;
   All.reserve(Connections.size());
   for (const auto &[Raw, Connection] : Connections)
     All.push_back(Connection);
-  for (const std::shared_ptr<CallerConnection> &Connection : All) {
+  return All;
+}
+
+void CallerListener::refuseUnfinishedRequests() {
+  for (const std::shared_ptr<CallerConnection> &Connection : openConnections())
+    Connection->refuseUnfinishedInput();
+}
+
+void CallerListener::sweep() {
+  Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
+  for (const std::shared_ptr<CallerConnection> &Connection :
+       openConnections()) {
     if (Connection->closed())
       Connections.erase(Connection.get());
     else
@@ -76,26 +89,34 @@
 
 void CallerListener::drain() {
   Draining = true;
-  std::vector<std::shared_ptr<CallerConnection>> All;
-  All.reserve(Connections.size());
-  for (const auto &[Raw, Connection] : Connections)
-    All.push_back(Connection);
-  for (const std::shared_ptr<CallerConnection> &Connection : All)
+  for (const std::shared_ptr<CallerConnection> &Connection : openConnections())
     Connection->drain();
 }
 
 void CallerListener::stopListening() {
   if (!Listening)
     return;
+  // A connection that is not accepted is reset, with the request on it.
+  onReady({});
   Listening = false;
   Loop.unwatch(ListenSocket.impl()->sockfd());
   ListenSocket.close();
 }
 
+std::vector<std::string> CallerListener::unsentResponses() const {
+  std::vector<std::string> Ids;
+  for (const auto &[Raw, Connection] : Connections)
+    std::ranges::copy(Connection->unsentResponses(), std::back_inserter(Ids));
+  return Ids;
+}
+
 std::size_t CallerListener::busyConnectionCount() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(Connections, [](const auto &Entry) {
-        return Entry.second->busy() || Entry.second->hasUnsentBytes();
+        const CallerConnection &Connection = *Entry.second;
+        return !Connection.closed() &&
+               (Connection.busy() || Connection.hasUnsentBytes() ||
+                Connection.hasUnfinishedInput());
       }));
 }
 
--- a/src/agent/CallerListener.h
+++ b/src/agent/CallerListener.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <Poco/Net/ServerSocket.h>
 
@@ -25,6 +26,13 @@
   /// are unanswered. Its caller may send it again when an earlier response
   /// closes the connection, so it must be safe to run more than once.
   virtual bool mayOverlap(const CallerRequest &Request) const = 0;
+  /// Returns the id of a request, for the log; empty if it has none.
+  virtual std::string requestId(const HeaderFields & /*Headers*/) const {
+    return {};
+  }
+  /// A request that was received in part is refused because this process ends.
+  /// `Headers` holds the part of its header that was received.
+  virtual void onUnfinishedRequest(const HeaderFields & /*Headers*/) {}
   /// The caller closed its connection while this request was running.
   virtual void onCallerDisconnected(CallerRequestNumber Number) = 0;
 };
@@ -41,10 +49,16 @@
   const PipelineLimits &pipelineLimits() const { return Pipeline; }
   /// Closes idle connections now and busy ones after their last response.
   void drain();
+  /// Accepts the connections that have arrived, and then no others.
   void stopListening();
+  /// Refuses the requests that were received in part.
+  void refuseUnfinishedRequests();
   bool draining() const { return Draining; }
-  /// Returns the number of connections with a running request or unsent bytes.
+  /// Returns the number of connections with a request that is being received or
+  /// runs, or with unsent bytes.
   std::size_t busyConnectionCount() const;
+  /// Returns the ids of the requests whose responses are not sent wholly.
+  std::vector<std::string> unsentResponses() const;
   std::uint16_t port() const { return ListenSocket.address().port(); }
   std::size_t connectionCount() const { return Connections.size(); }
 
@@ -55,6 +69,7 @@
   void removeConnection(CallerConnection &Connection);
   CallerRequestNumber newRequestNumber() { return ++LastRequestNumber; }
   void sweep();
+  std::vector<std::shared_ptr<CallerConnection>> openConnections() const;
 
   EventLoop &Loop;
   CallerEventHandler &Handler;
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -16,6 +16,8 @@
 
 /// Weight of the latest answer in the moving average of a route's answer size.
 constexpr double ResponseBytesWeight = 0.1;
+/// Weight of the latest answer in the moving average of a route's answer time.
+constexpr double AnswerTimeWeight = 0.1;
 
 } // namespace
 
@@ -39,8 +41,8 @@
   Item.Caller = From;
   Item.Rules = ServerDirectory.rules();
   Item.ReceivedAt = Request.FirstByteAt;
-  Item.Request.RequestId =
-      std::string(headerValue(Request.Headers, Protocol.RequestIdHeader));
+  Item.AdmittedAt = Loop.now();
+  Item.Request.RequestId = requestId(Request.Headers);
   Refusal Details;
   if (!admit(Item, Request, Details)) {
     refuse(Id, Details);
@@ -51,8 +53,11 @@
     refuse(Id, {503, "crashes-servers", RetryAfterQuarantine});
     return;
   }
-  Item.DeadlineTimer = Loop.callAt(Item.Deadline + DeadlineGrace,
-                                   [this, Id] { onDeadline(Id); });
+  // When a planned stop ends the time of a request, the answers of servers and
+  // peers to that are awaited until `answerRemaining`.
+  if (!Stop || Item.Deadline < Stop->CallDeadline)
+    Item.DeadlineTimer = Loop.callAt(Item.Deadline + DeadlineGrace,
+                                     [this, Id] { onDeadline(Id); });
   place(Id);
 }
 
@@ -65,6 +70,46 @@
   return Route && Route->Safety == RetrySafety::Safe;
 }
 
+std::string Ingress::requestId(const HeaderFields &Headers) const {
+  return std::string(headerValue(Headers, Protocol.RequestIdHeader));
+}
+
+void Ingress::onUnfinishedRequest(const HeaderFields &Headers) {
+  Counters.incrementCounter("answers_total",
+                            concat(503, "-", NodeStoppingCause));
+  Log.logStateChange(std::move(LogLine("request-answered", Loop.now())
+                                   .field("request", requestId(Headers))
+                                   .field("status", 503)
+                                   .field("reason", NodeStoppingCause)
+                                   .field("last_cause", "received-in-part")));
+}
+
+void Ingress::recallWaiting() {
+  std::vector<ExchangeNumber> Unplaced;
+  for (const auto &[Id, Item] : Exchanges) {
+    if (Item->CurrentCall && !Item->CurrentCall->PeerIp.empty())
+      Peers.recall(Item->CurrentCall->PeerIp, Item->CurrentCall->Number);
+    if (!Item->CurrentCall && Item->SilentCalls.empty())
+      Unplaced.push_back(Id);
+  }
+  // Answers may start requests that were held behind them.
+  for (const ExchangeNumber Id : Unplaced)
+    if (Exchanges.contains(Id)) {
+      Exchanges.at(Id)->LastCause = NodeStoppingCause;
+      giveUp(Id);
+    }
+}
+
+void Ingress::answerRemaining() {
+  while (!Exchanges.empty()) {
+    const auto &[Id, Item] = *Exchanges.begin();
+    // A call that was sent may run, so it must not be reported as not run.
+    const bool NotRun = !Item->CurrentCall && Item->SilentCalls.empty() &&
+                        canReportNotRun(Item->AttemptsSoFar);
+    refuse(Id, {NotRun ? 503 : 504, NodeStoppingCause, {}});
+  }
+}
+
 void Ingress::onCallerDisconnected(CallerRequestNumber Number) {
   const auto Found = Exchanges.find(Number);
   if (Found == Exchanges.end())
@@ -85,6 +130,10 @@
   appendAll(Message, "\r\n", Result.Body);
   Counters.incrementCounter("answers_total", concat(Result.Status / 100, "xx"));
   Counters.recordLatency(Item.Route->Name, Loop.now() - Item.ReceivedAt);
+  double &Micros = MeanAnswerMicros[Item.Route->Name];
+  const auto AnswerMicros =
+      static_cast<double>((Loop.now() - Item.AdmittedAt).count());
+  Micros += (AnswerMicros - Micros) * (Micros == 0 ? 1 : AnswerTimeWeight);
   double &Bytes = MeanResponseBytes[Item.Route->Name];
   Bytes += (static_cast<double>(Message.size()) - Bytes) * ResponseBytesWeight;
   if (isServerError(Result.Status))
@@ -155,7 +204,12 @@
         .field("retry_budget_spent", Item.RetryBudgetExhausted ? 1 : 0)
         .field("server", Item.LastServerId)
         .field("load_age_us", Item.LoadReportAge.count());
-  Log.logRequest(Reason, std::move(Line), Loop.now());
+  // The lines on a stop are not limited: each request that it ended is
+  // explained, and their number is bounded by that of the connections.
+  if (Reason == NodeStoppingCause)
+    Log.logStateChange(std::move(Line));
+  else
+    Log.logRequest(Reason, std::move(Line), Loop.now());
 }
 
 Duration Ingress::addJitter(Duration Base) {
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -17,6 +17,7 @@
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
 #include "core/attempts/Attempts.h"
+#include "core/drain/StopPlan.h"
 
 namespace pollenwick::agent {
 
@@ -41,7 +42,16 @@
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override;
   bool mayOverlap(const CallerRequest &Request) const override;
+  std::string requestId(const HeaderFields &Headers) const override;
+  void onUnfinishedRequest(const HeaderFields &Headers) override;
   void onCallerDisconnected(CallerRequestNumber Number) override;
+  /// Begins a planned stop: takes only requests that can end before the stop's
+  /// call deadline, and passes none on with more time than that.
+  void beginStop(const StopPlan &Plan) { Stop = Plan; }
+  /// Gives up what has not begun, here and at peers.
+  void recallWaiting();
+  /// Sends a final answer to all requests that have none.
+  void answerRemaining();
   /// Returns the number of requests without a final answer.
   std::size_t pendingCount() const { return Exchanges.size(); }
 
@@ -56,6 +66,7 @@
     std::string Customer;      ///< Empty when no customer was identified.
     int CustomerPriority = -1; ///< Negative when no customer was identified.
     Instant ReceivedAt;
+    Instant AdmittedAt;
     Instant Deadline;
     TimerId DeadlineTimer = 0;
     TimerId PlacementTimer = 0;
@@ -85,6 +96,9 @@
   /// Routes the request and decides on admission before a server is chosen.
   /// Returns false and fills `Details` when the request is refused.
   bool admit(Exchange &Item, const CallerRequest &Request, Refusal &Details);
+  /// Returns whether a planned stop leaves the time that requests of this route
+  /// usually take.
+  bool mayEndBeforeStop(const RouteRule &Route) const;
   bool admitCustomer(Exchange &Item, const CallerRequest &Request,
                      Refusal &Details);
   void buildCall(Exchange &Item, CallerRequest &&Request);
@@ -125,6 +139,10 @@
   WeightedRoundRobin Split;
   /// Moving average of the answer size in bytes, by route.
   std::map<std::string, double> MeanResponseBytes;
+  /// Moving average of the time from admission to answer in microseconds, by
+  /// route.
+  std::map<std::string, double> MeanAnswerMicros;
+  std::optional<StopPlan> Stop; ///< Unset unless this process is stopping.
   absl::flat_hash_map<ExchangeNumber, std::unique_ptr<Exchange>> Exchanges;
 };
 
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -23,6 +23,8 @@
 /// of its route may shorten it.
 constexpr Duration DefaultTimeout = std::chrono::seconds(10);
 constexpr Duration RetryAfterNoConfiguration = std::chrono::milliseconds(300);
+/// Another node serves the caller on its next connection.
+constexpr Duration RetryAfterStop = std::chrono::milliseconds(100);
 constexpr Duration RetryAfterShed = std::chrono::milliseconds(600);
 
 /// Nodes count the crashes of a request under its fingerprint, so it must be
@@ -63,7 +65,11 @@
                       : DefaultTimeout;
   if (Item.Route->Timeout.count() > 0)
     Time = std::min(Time, Item.Route->Timeout);
-  Item.Deadline = Item.ReceivedAt + Time;
+  Item.Deadline = limitDeadline(Stop, Item.ReceivedAt + Time);
+  if (Stop && !mayEndBeforeStop(*Item.Route)) {
+    Details = {503, NodeStoppingCause, addJitter(RetryAfterStop)};
+    return false;
+  }
   Item.Service = Split.next(*Item.Route);
   if (Item.Request.Nested) {
     Fleet.countNestedCall(Item.Service);
@@ -72,6 +78,15 @@
   return admitCustomer(Item, Request, Details);
 }
 
+bool Ingress::mayEndBeforeStop(const RouteRule &Route) const {
+  const auto Found = MeanAnswerMicros.find(Route.Name);
+  const Duration UsualTime =
+      Found == MeanAnswerMicros.end()
+          ? Duration{}
+          : Duration(static_cast<std::int64_t>(Found->second));
+  return pollenwick::mayEndBeforeStop(*Stop, UsualTime, Loop.now());
+}
+
 bool Ingress::admitCustomer(Exchange &Item, const CallerRequest &Request,
                             Refusal &Details) {
   const CustomerRule *Customer = nullptr;
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -35,6 +35,11 @@
 void Ingress::place(ExchangeNumber Id) {
   Exchange &Item = *Exchanges.at(Id);
   Item.PlacementTimer = 0;
+  if (Stop && Loop.now() >= Stop->CallDeadline) {
+    Item.LastCause = NodeStoppingCause;
+    giveUp(Id);
+    return;
+  }
   const std::vector<KnownServer *> Servers = usableServers(Item);
   const double Kilobytes = (static_cast<double>(Item.Request.Headers.size() +
                                                 Item.Request.Body.size()) +
@@ -83,6 +88,7 @@
   ++Server.SentSince;
   CallRequest Call = Item.Request;
   Call.ServerId = Sent.ServerId;
+  Call.Deadline = limitDeadline(Stop, Item.Deadline);
   Call.Redispatched = Attempt > 1;
   auto Done = [this, Id, Attempt](CallResult &&Result) {
     onCallResult(Id, Attempt, std::move(Result));
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -64,6 +64,14 @@
   return true;
 }
 
+bool PeerLink::recall(std::uint64_t Id) {
+  if (!Outstanding.contains(Id))
+    return false;
+  if (!Closed)
+    send(RecallFrame{Id});
+  return true;
+}
+
 void PeerLink::onData(std::string_view Bytes) {
   LastReceivedAt = Loop.now();
   const std::shared_ptr<PeerLink> Self = shared_from_this();
@@ -124,6 +132,12 @@
   Links.Handler.onPeerCancel(CallNumber);
 }
 
+void PeerLink::handle(RecallFrame &&Frame) {
+  const auto Found = Ledger.RunningCalls.find(Frame.Id);
+  if (Found != Ledger.RunningCalls.end())
+    Links.Handler.onPeerRecall(Found->second.LocalNumber);
+}
+
 void PeerLink::handle(StatusFrame &&Frame) {
   Links.Handler.onPeerStatus(Ip, std::move(Frame));
 }
--- a/src/agent/PeerLink.h
+++ b/src/agent/PeerLink.h
@@ -53,6 +53,7 @@
   void handle(CallFrame &&Frame);
   void handle(AnswerFrame &&Frame);
   void handle(CancelFrame &&Frame);
+  void handle(RecallFrame &&Frame);
   void handle(StatusFrame &&Frame);
   void handle(PullFrame &&Frame);
   void handle(RecordsFrame &&Frame);
@@ -65,6 +66,8 @@
   void sendAnswer(std::uint64_t Id, CallResult &&Answer);
   /// Cancels an outstanding call. Returns whether it was sent on this link.
   bool cancel(std::uint64_t Id);
+  /// Recalls an outstanding call. Returns whether it was sent on this link.
+  bool recall(std::uint64_t Id);
 
   EventLoop &Loop;
   PeerLinks &Links;
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -123,6 +123,14 @@
       return;
 }
 
+void PeerLinks::recall(const std::string &Ip, std::uint64_t Id) {
+  const auto Found = LinksByIp.find(Ip);
+  if (Found == LinksByIp.end())
+    return;
+  std::ranges::any_of(Found->second,
+                      [Id](const auto &Link) { return Link->recall(Id); });
+}
+
 bool PeerLinks::hasLiveLink(const std::string &Ip) const {
   const auto Found = LinksByIp.find(Ip);
   return Found != LinksByIp.end() &&
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -48,6 +48,9 @@
                                    CallResultHandler Done) = 0;
   /// Cancels the call to which `onPeerCall` gave this number.
   virtual void onPeerCancel(std::uint64_t Number) = 0;
+  /// Answers the call to which `onPeerCall` gave this number as not run if it
+  /// still waits for a slot.
+  virtual void onPeerRecall(std::uint64_t Number) = 0;
   virtual void onPeerStatus(const std::string &Ip, StatusFrame &&Status) = 0;
   /// Called for a status that the peer at `Ip` asks this node to pass on.
   virtual void onStatusToRelay(const std::string &Ip,
@@ -75,6 +78,9 @@
   PeerLink *findLiveLink(const std::string &Ip);
   /// Cancels a call to the peer because its caller no longer waits.
   void cancel(const std::string &Ip, std::uint64_t Id);
+  /// Asks the peer not to begin a call any more. The call is answered as not
+  /// run if it had not begun; otherwise nothing changes.
+  void recall(const std::string &Ip, std::uint64_t Id);
   /// Returns whether `findLiveLink` returns a link.
   bool hasLiveLink(const std::string &Ip) const;
   /// Sends the frame on every connected link.
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -72,6 +72,10 @@
   Root.setHeartbeat();
 }
 
+void put(mesh::wire::Frame::Builder Root, const RecallFrame &Frame, Instant) {
+  Root.setRecall(Frame.Id);
+}
+
 void put(mesh::wire::Frame::Builder Root, const PullFrame &Frame, Instant) {
   auto Out = Root.initPull();
   Out.setRulesRevision(Frame.RulesRevision);
@@ -219,6 +223,8 @@
                               toString(Root.getRelayedStatus().getStatus())};
   case mesh::wire::Frame::HEARTBEAT:
     return HeartbeatFrame{};
+  case mesh::wire::Frame::RECALL:
+    return RecallFrame{Root.getRecall()};
   }
   return absl::InvalidArgumentError(
       "frame of an unknown kind; run the same release on all nodes");
@@ -228,8 +234,8 @@
 
 std::string_view peerFrameName(std::size_t Kind) {
   constexpr std::array<std::string_view, PeerFrameKinds> Names{
-      "call",    "answer", "cancel", "status",         "pull",
-      "records", "hello",  "resume", "relayed_status", "heartbeat"};
+      "call",  "answer", "cancel",         "status",    "pull",  "records",
+      "hello", "resume", "relayed_status", "heartbeat", "recall"};
   return Names.at(Kind);
 }
 
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -33,6 +33,12 @@
   std::uint64_t Id = 0;
 };
 
+/// Asks that the call with this id does not begin any more. If it still waits,
+/// its answer says that it has not run; otherwise nothing changes.
+struct RecallFrame {
+  std::uint64_t Id = 0;
+};
+
 /// Asks the receiver for all records that are newer than these revisions.
 struct PullFrame {
   std::uint64_t RulesRevision = 0;
@@ -73,7 +79,7 @@
 
 using PeerFrame = std::variant<CallFrame, AnswerFrame, CancelFrame, StatusFrame,
                                PullFrame, RecordsFrame, HelloFrame, ResumeFrame,
-                               RelayedStatusFrame, HeartbeatFrame>;
+                               RelayedStatusFrame, HeartbeatFrame, RecallFrame>;
 
 inline constexpr std::size_t PeerFrameKinds = std::variant_size_v<PeerFrame>;
 
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -139,5 +139,7 @@
     resume @7 :Resume;
     relayedStatus @8 :RelayedStatus;
     heartbeat @9 :Void;      # Shows that the sender runs.
+    recall @10 :UInt64;      # A call that must not begin any more. If it still
+                             # waits, its answer says that it has not run.
   }
 }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -259,6 +259,7 @@
     RESUME,
     RELAYED_STATUS,
     HEARTBEAT,
+    RECALL,
   };
 
   struct _capnpPrivate {
@@ -1778,6 +1779,9 @@
   inline bool isHeartbeat() const;
   inline  ::capnp::Void getHeartbeat() const;
 
+  inline bool isRecall() const;
+  inline  ::uint64_t getRecall() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1879,6 +1883,10 @@
   inline  ::capnp::Void getHeartbeat();
   inline void setHeartbeat( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isRecall();
+  inline  ::uint64_t getRecall();
+  inline void setRecall( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4046,6 +4054,32 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isRecall() const {
+  return which() == Frame::RECALL;
+}
+inline bool Frame::Builder::isRecall() {
+  return which() == Frame::RECALL;
+}
+inline  ::uint64_t Frame::Reader::getRecall() const {
+  KJ_IREQUIRE((which() == Frame::RECALL),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Frame::Builder::getRecall() {
+  KJ_IREQUIRE((which() == Frame::RECALL),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setRecall( ::uint64_t value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RECALL);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/tests/agent/BackendTest.cpp
+++ b/tests/agent/BackendTest.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <map>
 #include <optional>
 
 #include "../support/SocketTimers.h"
@@ -107,6 +108,54 @@
   }
 }
 
+TEST_CASE("A planned stop ends waiting and running calls truthfully",
+          "[agent]") {
+  // Guards against a call that begins after its caller was told that it has not
+  // run, and against a running one that is reported as not run.
+  std::promise<void> Release;
+  Server FakeServer({[&](Socket &Peer) {
+    const std::string Id = Server::readRequest(Peer);
+    Release.get_future().wait();
+    Server::write(Peer, Server::makeResponse(Id, "late"));
+  }});
+  BackendFixture Fixture(FakeServer.address());
+  Fixture.Entry.Slots = 1;
+  Fixture.Target.setServer(&Fixture.Entry, 100);
+  std::map<std::string, CallResult> Results;
+  const auto Submit = [&](const std::string &Id) {
+    return Fixture.Target.submit(
+        Fixture.request(Id, 5000),
+        [&, Id](CallResult &&Answer) { Results[Id] = std::move(Answer); });
+  };
+  const Backend::CallNumber Running = Submit("running");
+  const Backend::CallNumber Waiting = Submit("waiting");
+  Submit("waiting, too");
+  Fixture.runFor(20);
+  REQUIRE(Results.empty());
+
+  SECTION("a recalled call does not run, a running one goes on") {
+    Fixture.Target.recall(Running);
+    Fixture.Target.recall(Waiting);
+    Fixture.runFor(20);
+    REQUIRE(Results.size() == 1);
+    CHECK(Results.at("waiting").Outcome == CallOutcome::NotRun);
+    CHECK_FALSE(Results.at("waiting").ReachedServer);
+  }
+  SECTION("at the end of the stop") {
+    Fixture.Target.recallAll();
+    Fixture.Target.giveUpRunning();
+    Fixture.runFor(20);
+    REQUIRE(Results.size() == 3);
+    CHECK(Results.at("waiting").Outcome == CallOutcome::NotRun);
+    CHECK(Results.at("waiting, too").Outcome == CallOutcome::NotRun);
+    CHECK(Results.at("running").Outcome == CallOutcome::Unknown);
+    CHECK(Results.at("running").ReachedServer);
+  }
+  Release.set_value();
+  Fixture.runFor(50);
+  CHECK(FakeServer.connectionCount() == 1);
+}
+
 TEST_CASE("A call is reported as not run only if it did not run", "[agent]") {
   SECTION("no server listens, so nothing is sent") {
     std::string Address;
--- a/tests/agent/PeerLinksTest.cpp
+++ b/tests/agent/PeerLinksTest.cpp
@@ -25,6 +25,7 @@
   LogWriter Log{"test"};
   std::map<std::uint64_t, CallResultHandler> Running;
   std::vector<std::uint64_t> CancelledCallNumbers;
+  std::vector<std::uint64_t> RecalledCallNumbers;
   std::uint64_t ReceivedCallCount = 0;
   std::vector<bool>
       AvailabilityChanges; ///< Reported changes; true if the peer is usable.
@@ -43,6 +44,9 @@
   void onPeerCancel(std::uint64_t Number) override {
     CancelledCallNumbers.push_back(Number);
   }
+  void onPeerRecall(std::uint64_t Number) override {
+    RecalledCallNumbers.push_back(Number);
+  }
   void onPeerStatus(const std::string &, StatusFrame &&) override {}
   void onStatusToRelay(const std::string &,
                        const RelayedStatusFrame &) override {}
@@ -129,6 +133,22 @@
     CHECK(Nodes.Callee->StatusCounts ==
           std::map<CallStatus, std::size_t>{{CallStatus::Running, 1}});
   }
+  SECTION("a recalled call is not cancelled, and its answer still counts") {
+    // Guards against a call whose node cannot take it back from a queue, and
+    // against a running call that is given up when it is recalled.
+    Nodes.call();
+    Nodes.Caller->Links.recall(NodePair::SecondIp, Nodes.Id);
+    Nodes.runFor(20);
+    CHECK(Nodes.Callee->RecalledCallNumbers == std::vector<std::uint64_t>{1});
+    CHECK(Nodes.Callee->CancelledCallNumbers.empty());
+    Nodes.Callee->answer(1, "whole");
+    Nodes.runFor(20);
+    REQUIRE(Nodes.Got.has_value());
+    CHECK(Nodes.Got->Body == "whole");
+    Nodes.Caller->Links.recall(NodePair::SecondIp, Nodes.Id);
+    Nodes.runFor(20);
+    CHECK(Nodes.Callee->RecalledCallNumbers.size() == 1);
+  }
   SECTION("an answer that is lost with the connection is sent again") {
     Nodes.call();
     Nodes.runFor(20);
--- a/tests/agent/PipelineTest.cpp
+++ b/tests/agent/PipelineTest.cpp
@@ -25,7 +25,11 @@
   };
   std::vector<Started> Requests;
   std::vector<CallerRequestNumber> Disconnected;
+  int Unfinished = 0; ///< Requests that were refused while they arrived.
 
+  void onUnfinishedRequest(const HeaderFields & /*Headers*/) override {
+    ++Unfinished;
+  }
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override {
     Requests.push_back({From, std::move(Request)});
@@ -170,15 +174,40 @@
     CHECK(Answers.ends_with("[closed]"));
   }
   SECTION("the node drains") {
+    // The response that closes the connection is the last one: what was
+    // received before it, whole or in part, gets a response of its own.
+    const std::string Third = PipelineFixture::request("POST", "/once/3");
     Fixture.send(PipelineFixture::request("POST", "/once/1") +
-                 PipelineFixture::request("POST", "/once/2"));
+                 PipelineFixture::request("POST", "/once/2") +
+                 Third.substr(0, 9));
     Fixture.Port.drain();
     Fixture.answer(0);
-    CHECK(Fixture.Handler.targets() == std::vector<std::string>{"/once/1"});
-    const std::string Answers = Fixture.received();
-    CHECK(Answers.find("/once/1") != std::string::npos);
+    CHECK(Fixture.Handler.targets() ==
+          std::vector<std::string>{"/once/1", "/once/2"});
+    Fixture.answer(1);
+    std::string Answers = Fixture.received();
+    CHECK(Answers.find("/once/1") < Answers.find("/once/2"));
+    CHECK(Answers.find("Connection: close") == std::string::npos);
+    CHECK_FALSE(Answers.ends_with("[closed]"));
+    SECTION("and the rest of a request arrives") {
+      Fixture.send(Third.substr(9));
+      REQUIRE(Fixture.Handler.Requests.size() == 3);
+      Fixture.answer(2);
+      Answers = Fixture.received();
+      CHECK(Answers.find("/once/3") != std::string::npos);
+    }
+    SECTION("and the rest of a request does not arrive in time") {
+      Fixture.Port.refuseUnfinishedRequests();
+      Fixture.run();
+      Answers = Fixture.received();
+      CHECK(Answers.starts_with("HTTP/1.1 503"));
+      CHECK(Fixture.Handler.Unfinished == 1);
+    }
     CHECK(Answers.find("Connection: close") != std::string::npos);
     CHECK(Answers.ends_with("[closed]"));
+    const std::size_t Started = Fixture.Handler.Requests.size();
+    Fixture.send(PipelineFixture::request("POST", "/once/4"));
+    CHECK(Fixture.Handler.Requests.size() == Started);
   }
   SECTION("a drain answers all requests that run before it closes") {
     Fixture.send(PipelineFixture::request("GET", "/safe/1") +
--- a/tests/process/standin_platform.py
+++ b/tests/process/standin_platform.py
@@ -143,11 +143,13 @@
 
 
 class Backend:
-    """Runs every request; keeps what it saw."""
+    """Runs every request; keeps what it saw. A request with `work=MS` in its query
+    runs for that time, or until its deadline, when it is answered with 504."""
 
     def __init__(self, address):
         self.seen = []
         self.delay = 0.0
+        self.during = None  # Called with the headers of each request that runs.
         self.server = serve(address, self.handler())
 
     def handler(self):
@@ -158,8 +160,15 @@
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
                 backend.seen.append((self.path, dict(self.headers), body))
-                time.sleep(backend.delay)
-                self.reply(200, b"ran " + body, [
+                query = urllib.parse.parse_qs(urllib.parse.urlsplit(self.path).query)
+                work = backend.delay
+                if "work" in query:
+                    work = int(query["work"][0]) / 1000
+                allowed = int(self.headers.get("X-Pollenwick-Deadline-Ms", 60_000)) / 1000
+                time.sleep(min(work, allowed))
+                if backend.during:
+                    backend.during(dict(self.headers))
+                self.reply(200 if work <= allowed else 504, b"ran " + body, [
                     (ID_HEADER, self.headers.get(ID_HEADER, "")),
                     ("X-Pollenwick-Server-Stamp", "stamp")])
 
--- a/tests/trace/LogTraceTest.cpp
+++ b/tests/trace/LogTraceTest.cpp
@@ -76,6 +76,17 @@
     REQUIRE(Trace.answers()[0].Beliefs.size() == 1);
     CHECK(Trace.answers()[0].Beliefs[0].Fields.at("peer") == "10.0.0.2");
   }
+  SECTION("a request whose answer a planned stop cut") {
+    // Guards against a request that ends without an answer and without a trace.
+    const LogTrace Trace = traceOf(
+        "r-1", false,
+        {line(1, "drain-started", R"("reason":"")"),
+         line(2, "request-unanswered",
+              R"("request":"r-1","status":0,"reason":"answer-not-read")")});
+    REQUIRE(Trace.answers().size() == 1);
+    CHECK(describe(Trace.answers()[0]).starts_with("r-1 on a: 0 answer-not"));
+    CHECK(Trace.answers()[0].Beliefs.size() == 1);
+  }
   SECTION("nested calls by prefix, on other nodes too") {
     const std::string Nested =
         R"("request":"r-1.77","status":502,"reason":"server-failed","service":"y")";
