--- a/tests/agent/BackendAnswerTest.cpp
+++ b/tests/agent/BackendAnswerTest.cpp
@@ -222,8 +222,8 @@
     Request.Method = "POST";
     Request.Retryable = false;
     Request.Body.assign(UploadBytes, 'u');
-    CHECK(Fixture.callAndWait(std::move(Request)).Outcome ==
-          CallOutcome::Unknown);
+    const CallResult Answer = Fixture.callAndWait(std::move(Request));
+    CHECK(Answer.Outcome == CallOutcome::Unknown);
   }
 }
 
