Tell callers that a stopping node has refused when to come back

A 503 of a planned stop that has not run had no Retry-After if the request was received in part or had no server yet. Both have one now (PipelineTest).

--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -44,6 +44,10 @@
 /// Cause of a call, and reason of an answer, that a planned stop ended.
 inline constexpr const char *NodeStoppingCause = "node-stopping";
 
+/// Time after which a caller may come back that a stopping node has refused.
+/// Another node serves it on its next connection.
+inline constexpr Duration RetryAfterStop = std::chrono::milliseconds(100);
+
 using CallResultHandler = std::function<void(CallResult &&)>;
 
 /// Receives the notice that the node of a call's server is silent. The call may
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -205,12 +205,13 @@
   parse();
 }
 
-void CallerConnection::reject(int Status, std::string_view Cause) {
+void CallerConnection::reject(int Status, std::string_view Cause,
+                              std::string_view ExtraHeaders) {
   // The rest of the request may still arrive, so the close must not reset the
   // connection: `sendReadyResponses` lingers while bytes are left.
   Parser.reset();
   Outstanding.push_back({Port.newRequestNumber(), false, "",
-                         makeLocalReply(Status, Cause, "", false)});
+                         makeLocalReply(Status, Cause, ExtraHeaders, false)});
   sendReadyResponses();
 }
 
@@ -260,7 +261,7 @@
   if (!Parser || Closing || Transport->closed())
     return;
   Port.Handler.onUnfinishedRequest(Parser->get().base());
-  reject(503, NodeStoppingCause);
+  reject(503, NodeStoppingCause, retryAfterHeader(RetryAfterStop));
 }
 
 void CallerConnection::enforceTimeouts(Instant Now,
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -112,7 +112,8 @@
   void sendReadyResponses();
   void sendContinueIfDue();
   void recordReceipt(std::size_t Bytes);
-  void reject(int Status, std::string_view Cause);
+  void reject(int Status, std::string_view Cause,
+              std::string_view ExtraHeaders = {});
   void close();
   void closeAfterResponse(CloseMode Mode);
 
--- a/src/agent/HttpMessage.cpp
+++ b/src/agent/HttpMessage.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "absl/strings/str_format.h"
 #include "agent/StringUtil.h"
 
 namespace pollenwick::agent {
@@ -86,6 +87,11 @@
       TimeoutText.substr(0, TimeoutText.find_first_not_of("0123456789")));
 }
 
+std::string retryAfterHeader(Duration Time) {
+  return absl::StrFormat("Retry-After: %.2f\r\n",
+                         static_cast<double>(Time.count()) / 1e6);
+}
+
 std::string_view reasonPhrase(int Status) {
   return view(http::obsolete_reason(
       http::int_to_status(static_cast<unsigned>(Status))));
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -14,6 +14,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "pollenwick/Time.h"
+
 namespace pollenwick::agent {
 
 namespace http = boost::beast::http;
@@ -83,6 +85,9 @@
 std::string makeLocalReply(int Status, std::string_view Cause,
                            std::string_view ExtraHeaders, bool KeepAlive);
 
+/// Returns a `Retry-After` header line for a time in hundredths of seconds.
+std::string retryAfterHeader(Duration Time);
+
 std::string_view reasonPhrase(int Status);
 
 inline bool isServerError(int Status) { return Status >= 500; }
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "absl/strings/str_format.h"
 #include "agent/StringUtil.h"
 
 namespace pollenwick::agent {
@@ -106,7 +105,10 @@
     // A call that was sent may run, so it must not be reported as not run.
     const bool NotRun = !Item->CurrentCall && Item->SilentCalls.empty() &&
                         canReportNotRun(Item->AttemptsSoFar);
-    refuse(Id, {NotRun ? 503 : 504, NodeStoppingCause, {}});
+    if (NotRun)
+      refuse(Id, {503, NodeStoppingCause, addJitter(RetryAfterStop)});
+    else
+      refuse(Id, {504, NodeStoppingCause, {}});
   }
 }
 
@@ -150,9 +152,7 @@
   logOutcome(Item, Details.Status, Details.Reason);
   std::string ExtraHeaders;
   if (Details.RetryAfter.count() > 0)
-    ExtraHeaders =
-        absl::StrFormat("Retry-After: %.2f\r\n",
-                        static_cast<double>(Details.RetryAfter.count()) / 1e6);
+    ExtraHeaders = retryAfterHeader(Details.RetryAfter);
   if (!Item.Request.RequestId.empty())
     appendAll(ExtraHeaders, Protocol.RequestIdHeader, ": ",
               Item.Request.RequestId, "\r\n");
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -23,8 +23,6 @@
 /// of its route may shorten it.
 constexpr Duration DefaultTimeout = std::chrono::seconds(10);
 constexpr Duration RetryAfterNoConfiguration = std::chrono::milliseconds(300);
-/// Another node serves the caller on its next connection.
-constexpr Duration RetryAfterStop = std::chrono::milliseconds(100);
 constexpr Duration RetryAfterShed = std::chrono::milliseconds(600);
 
 /// Nodes count the crashes of a request under its fingerprint, so it must be
--- a/tests/agent/PipelineTest.cpp
+++ b/tests/agent/PipelineTest.cpp
@@ -201,6 +201,7 @@
       Fixture.run();
       Answers = Fixture.received();
       CHECK(Answers.starts_with("HTTP/1.1 503"));
+      CHECK(Answers.find("Retry-After: ") != std::string::npos);
       CHECK(Fixture.Handler.Unfinished == 1);
     }
     CHECK(Answers.find("Connection: close") != std::string::npos);
