--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -15,6 +15,8 @@
 /// Bytes that are received within this time share one entry in `ReceiptTimes`,
 /// which bounds the number of entries.
 constexpr Duration ReceiptTimeResolution = std::chrono::milliseconds(10);
+/// A caller that never reads all responses must not make the list grow.
+constexpr std::size_t MaxRespondedIds = 64;
 /// Limit on an incomplete line beyond the limit on the header. The parser has
 /// none for the line of a chunk size.
 constexpr std::size_t MaxLineExcessBytes = 1024;
@@ -193,6 +195,8 @@
             : CloseMode::Immediate;
     Transport->send(std::move(*Outstanding.front().Response));
     RespondedIds.push_back(std::move(Outstanding.front().RequestId));
+    if (RespondedIds.size() > MaxRespondedIds)
+      RespondedIds.pop_front();
     Outstanding.pop_front();
     LastActivity = Loop.now();
     if (Close) {
@@ -254,7 +258,9 @@
 }
 
 std::vector<std::string> CallerConnection::unsentResponses() const {
-  return hasUnsentBytes() ? RespondedIds : std::vector<std::string>();
+  if (!hasUnsentBytes())
+    return {};
+  return {RespondedIds.begin(), RespondedIds.end()};
 }
 
 void CallerConnection::refuseUnfinishedInput() {
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -126,9 +126,9 @@
   std::uint64_t ParsedOffset = 0; ///< Bytes of the stream that were parsed.
   std::deque<ReceiptTime> ReceiptTimes;
   std::deque<OutstandingRequest> Outstanding; ///< In the order of arrival.
-  /// Ids of the requests whose responses were sent since the send buffer was
-  /// last empty.
-  std::vector<std::string> RespondedIds;
+  /// Ids of the latest requests whose responses were sent since the send buffer
+  /// was last empty.
+  std::deque<std::string> RespondedIds;
   /// A complete request that waits until all earlier ones are answered.
   std::optional<CallerRequest> HeldRequest;
   bool HeldRequestKeepsAlive = true;
