--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -196,7 +196,7 @@
     Transport->send(std::move(*Outstanding.front().Response));
     RespondedIds.push_back(std::move(Outstanding.front().RequestId));
     if (RespondedIds.size() > MaxRespondedIds)
-      RespondedIds.pop_front();
+      RespondedIds.erase(RespondedIds.begin());
     Outstanding.pop_front();
     LastActivity = Loop.now();
     if (Close) {
@@ -260,7 +260,7 @@
 std::vector<std::string> CallerConnection::unsentResponses() const {
   if (!hasUnsentBytes())
     return {};
-  return {RespondedIds.begin(), RespondedIds.end()};
+  return RespondedIds;
 }
 
 void CallerConnection::refuseUnfinishedInput() {
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -128,7 +128,7 @@
   std::deque<OutstandingRequest> Outstanding; ///< In the order of arrival.
   /// Ids of the latest requests whose responses were sent since the send buffer
   /// was last empty.
-  std::deque<std::string> RespondedIds;
+  std::vector<std::string> RespondedIds;
   /// A complete request that waits until all earlier ones are answered.
   std::optional<CallerRequest> HeldRequest;
   bool HeldRequestKeepsAlive = true;
