--- a/src/agent/StatusFrame.cpp
+++ b/src/agent/StatusFrame.cpp
@@ -60,6 +60,8 @@
             Frame.RetryCounts);
   putCounts(Out.initCalls(static_cast<unsigned>(Frame.NestedCallCounts.size())),
             Frame.NestedCallCounts);
+  putCounts(Out.initRouteWork(static_cast<unsigned>(Frame.RouteWork.size())),
+            Frame.RouteWork);
   auto Crashes = Out.initCrashes(static_cast<unsigned>(Frame.Crashes.size()));
   for (unsigned I = 0; I < Frame.Crashes.size(); ++I) {
     Crashes[I].setFingerprint(Frame.Crashes[I].Fingerprint);
@@ -99,6 +101,7 @@
   Frame.RouteCounts = readCounts(In.getRoutes());
   Frame.RetryCounts = readCounts(In.getRetries());
   Frame.NestedCallCounts = readCounts(In.getCalls());
+  Frame.RouteWork = readCounts(In.getRouteWork());
   for (const auto Item : In.getCrashes())
     Frame.Crashes.push_back({Item.getFingerprint(), Item.getCount()});
   return Frame;
@@ -156,6 +159,7 @@
   Changes.RetryCounts = changedCounts(Latest.RetryCounts, Sent.RetryCounts);
   Changes.NestedCallCounts =
       changedCounts(Latest.NestedCallCounts, Sent.NestedCallCounts);
+  Changes.RouteWork = changedCounts(Latest.RouteWork, Sent.RouteWork);
   return Changes;
 }
 
@@ -164,6 +168,7 @@
   mergeCounts(Changes.RouteCounts, Known.RouteCounts);
   mergeCounts(Changes.RetryCounts, Known.RetryCounts);
   mergeCounts(Changes.NestedCallCounts, Known.NestedCallCounts);
+  mergeCounts(Changes.RouteWork, Known.RouteWork);
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/StatusFrame.h
+++ b/src/agent/StatusFrame.h
@@ -60,6 +60,9 @@
   std::vector<NamedCount> RetryCounts;
   /// Nested calls by service; A: calls, B: unused.
   std::vector<NamedCount> NestedCallCounts;
+  /// Calls that the server ended, by route; A: number, B: their slot time in
+  /// microseconds.
+  std::vector<NamedCount> RouteWork;
   std::vector<CrashReport> Crashes;
 };
 
--- a/src/agent/WireFields.cpp
+++ b/src/agent/WireFields.cpp
@@ -7,6 +7,12 @@
 namespace {
 
 constexpr double Permille = 1000;
+constexpr double Percent = 100;
+
+std::uint16_t toUInt16(std::uint32_t Value) {
+  return static_cast<std::uint16_t>(std::min<std::uint32_t>(
+      Value, std::numeric_limits<std::uint16_t>::max()));
+}
 
 } // namespace
 
@@ -45,8 +51,13 @@
   Out.setLeaving(Load.Leaving);
   Out.setFailedPermille(static_cast<std::uint16_t>(
       std::clamp(Load.FailureRate * Permille, 0.0, Permille)));
-  Out.setRecentCalls(static_cast<std::uint16_t>(std::min<std::uint32_t>(
-      Load.RecentCalls, std::numeric_limits<std::uint16_t>::max())));
+  Out.setRecentCalls(toUInt16(Load.RecentCalls));
+  Out.setSlowdownPercent(static_cast<std::uint16_t>(
+      std::clamp(Load.ReportedSlowdown * Percent, 0.0,
+                 double{std::numeric_limits<std::uint16_t>::max()})));
+  Out.setCold(Load.Cold);
+  Out.setColdStartsLeft(toUInt16(Load.ColdStartsLeft));
+  Out.setMemoryShort(Load.MemoryShort);
 }
 
 ServerLoad readLoad(mesh::wire::Load::Reader In) {
@@ -58,6 +69,10 @@
   Load.Leaving = In.getLeaving();
   Load.FailureRate = std::min(In.getFailedPermille() / Permille, 1.0);
   Load.RecentCalls = In.getRecentCalls();
+  Load.ReportedSlowdown = In.getSlowdownPercent() / Percent;
+  Load.Cold = In.getCold();
+  Load.ColdStartsLeft = In.getColdStartsLeft();
+  Load.MemoryShort = In.getMemoryShort();
   return Load;
 }
 
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -22,6 +22,13 @@
                                  ///< the mean; 0 if not reported.
   double FailureRate = 0; ///< Share of its recent calls that failed, 0 to 1.
   bool Leaving = false;   ///< Whether its node is shutting down.
+  /// Time that work takes on its host now, as a multiple of the usual time, as
+  /// the server reports it; 0 if not reported.
+  double ReportedSlowdown = 0;
+  bool Cold = false; ///< It has just started and tolerates few calls a second.
+  std::uint32_t ColdStartsLeft = 0; ///< Calls that may still begin now while it
+                                    ///< is cold.
+  bool MemoryShort = false; ///< Whether its node is near its memory limit.
 };
 
 /// Backend server that a call can be placed on.
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -15,6 +15,11 @@
   leaving @4 :Bool;
   failedPermille @5 :UInt16; # Part of its calls that failed of late.
   recentCalls @6 :UInt16;    # Calls that ended of late.
+  slowdownPercent @7 :UInt16; # Time of work on its host, 100: as usual; 0: not
+                              # reported.
+  cold @8 :Bool;             # It tolerates few calls a second now.
+  coldStartsLeft @9 :UInt16; # Calls that it may still begin while cold.
+  memoryShort @10 :Bool;     # The node is near its memory limit.
 }
 
 struct Call {
@@ -76,6 +81,8 @@
   sourceReadMillis @18 :UInt32; # Time without a failed read; 0: does not read.
   rulesAgeMillis @19 :UInt32;   # Time since its own read confirmed the rules,
   serversAgeMillis @20 :UInt32; # and the servers; 0: it has not read them.
+  routeWork @21 :List(Count); # By route; a: calls that ended, b: their slot time
+                             # in microseconds.
 }
 
 struct Record {
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e616a312dc2792ae, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e616a312dc2792ae, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(813f3bc78f72c843, 10, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(813f3bc78f72c843, 10, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -303,6 +303,14 @@
 
   inline  ::uint16_t getRecentCalls() const;
 
+  inline  ::uint16_t getSlowdownPercent() const;
+
+  inline bool getCold() const;
+
+  inline  ::uint16_t getColdStartsLeft() const;
+
+  inline bool getMemoryShort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -352,6 +360,18 @@
   inline  ::uint16_t getRecentCalls();
   inline void setRecentCalls( ::uint16_t value);
 
+  inline  ::uint16_t getSlowdownPercent();
+  inline void setSlowdownPercent( ::uint16_t value);
+
+  inline bool getCold();
+  inline void setCold(bool value);
+
+  inline  ::uint16_t getColdStartsLeft();
+  inline void setColdStartsLeft( ::uint16_t value);
+
+  inline bool getMemoryShort();
+  inline void setMemoryShort(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -930,6 +950,9 @@
 
   inline  ::uint32_t getServersAgeMillis() const;
 
+  inline bool hasRouteWork() const;
+  inline  ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Reader getRouteWork() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1053,6 +1076,13 @@
   inline  ::uint32_t getServersAgeMillis();
   inline void setServersAgeMillis( ::uint32_t value);
 
+  inline bool hasRouteWork();
+  inline  ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Builder getRouteWork();
+  inline void setRouteWork( ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Builder initRouteWork(unsigned int size);
+  inline void adoptRouteWork(::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>> disownRouteWork();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2013,6 +2043,62 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Load::Reader::getSlowdownPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getSlowdownPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlowdownPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getCold() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getCold() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setCold(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getColdStartsLeft() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getColdStartsLeft() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setColdStartsLeft( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getMemoryShort() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getMemoryShort() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setMemoryShort(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3109,6 +3195,40 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Status::Reader::hasRouteWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Status::Builder::hasRouteWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Reader Status::Reader::getRouteWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Builder Status::Builder::getRouteWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Status::Builder::setRouteWork( ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>::Builder Status::Builder::initRouteWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Status::Builder::adoptRouteWork(
+    ::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>> Status::Builder::disownRouteWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollenwick::mesh::wire::Count,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t Record::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
