--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -182,8 +182,10 @@
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
-  if (TickCount % TicksPerTrafficLine == 0)
+  if (TickCount % TicksPerTrafficLine == 0) {
     logPeerTraffic();
+    RequestIngress.logZoneTraffic();
+  }
 }
 
 void Agent::logPeerTraffic() {
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -212,6 +212,22 @@
     Log.logRequest(Reason, std::move(Line), Loop.now());
 }
 
+void Ingress::logZoneTraffic() {
+  for (auto &[Route, Traffic] : TrafficByRoute) {
+    if (Traffic.Calls == Traffic.LoggedCalls)
+      continue;
+    Traffic.LoggedCalls = Traffic.Calls;
+    Log.logStateChange(std::move(
+        LogLine("zone-traffic", Loop.now())
+            .field("route", Route)
+            .field("calls", static_cast<std::int64_t>(Traffic.Calls))
+            .field("cross_zone_calls",
+                   static_cast<std::int64_t>(Traffic.CrossZoneCalls))
+            .field("cross_zone_bytes",
+                   static_cast<std::int64_t>(Traffic.CrossZoneBytes))));
+  }
+}
+
 Duration Ingress::addJitter(Duration Base) {
   std::uniform_real_distribution<double> Factor(0.7, 1.3);
   return Duration(static_cast<std::int64_t>(static_cast<double>(Base.count()) *
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -24,6 +24,7 @@
 /// A call that was sent to a server and has no result yet.
 struct SentCall {
   std::uint32_t Attempt = 0; ///< Number of the placement, from 1.
+  bool CrossZone = false;    ///< The server is in another availability zone.
   std::string ServerId;
   std::string PeerIp;       ///< Node of the server; empty for the local server.
   std::uint64_t Number = 0; ///< Assigned by the backend or the peer links.
@@ -52,6 +53,9 @@
   void recallWaiting();
   /// Sends a final answer to all requests that have none.
   void answerRemaining();
+  /// Logs the totals of the bytes exchanged with servers of other availability
+  /// zones, one line for each route that has changed.
+  void logZoneTraffic();
   /// Returns the number of requests without a final answer.
   std::size_t pendingCount() const { return Exchanges.size(); }
 
@@ -142,6 +146,14 @@
   /// Moving average of the time from admission to answer in microseconds, by
   /// route.
   std::map<std::string, double> MeanAnswerMicros;
+  /// Calls of one route that were sent to servers, since the start.
+  struct RouteTraffic {
+    std::uint64_t Calls = 0;
+    std::uint64_t CrossZoneCalls = 0;
+    std::uint64_t CrossZoneBytes = 0; ///< Of requests and answers.
+    std::uint64_t LoggedCalls = 0;    ///< `Calls` in the last logged line.
+  };
+  std::map<std::string, RouteTraffic> TrafficByRoute;
   std::optional<StopPlan> Stop; ///< Unset unless this process is stopping.
   absl::flat_hash_map<ExchangeNumber, std::unique_ptr<Exchange>> Exchanges;
 };
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -85,6 +85,14 @@
   Item.LoadReportAge = Loop.now() - Server.LoadReceivedAt;
   const std::uint32_t Attempt = ++Item.AttemptsSoFar.Placements;
   Sent.Attempt = Attempt;
+  Sent.CrossZone = Server.Entry.Zone != Options.Zone;
+  RouteTraffic &Traffic = TrafficByRoute[Item.Route->Name];
+  ++Traffic.Calls;
+  if (Sent.CrossZone) {
+    ++Traffic.CrossZoneCalls;
+    Traffic.CrossZoneBytes +=
+        Item.Request.Headers.size() + Item.Request.Body.size();
+  }
   ++Server.SentSince;
   CallRequest Call = Item.Request;
   Call.ServerId = Sent.ServerId;
@@ -126,6 +134,9 @@
   }
   Item.TriedServers.insert(Item.CurrentCall->ServerId);
   updateServerLoad(Item.CurrentCall->ServerId, Result);
+  if (Item.CurrentCall->CrossZone)
+    TrafficByRoute[Item.Route->Name].CrossZoneBytes +=
+        Result.Headers.size() + Result.Body.size();
   Item.CurrentCall.reset();
   const AttemptResult Last{Result.Outcome, Result.ReachedServer,
                            isServerError(Result.Status) &&
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -33,6 +33,10 @@
 /// Share of the latency target within which a server of the own zone must be
 /// expected to answer. Response times vary by about their mean.
 constexpr double ZoneTargetShare = 0.5;
+/// Share of the latency target by which a server of another zone must answer
+/// sooner. When all zones are equally busy their expected times differ by
+/// chance only, and most calls would cross zones without any gain for callers.
+constexpr double ZoneGainShare = 0.15;
 /// Half-width of the range of the random factor around 1.
 constexpr double JitterFraction = 0.05;
 
@@ -80,6 +84,17 @@
          (Load.RecentCalls + AssumedMeanCalls);
 }
 
+/// The server with the shortest expected time among those considered so far.
+struct FastestServer {
+  std::optional<std::size_t> Index;
+  double Time = 0; ///< Expected time in microseconds.
+};
+
+void consider(FastestServer &Fastest, std::size_t Index, double Time) {
+  if (!Fastest.Index || Time < Fastest.Time)
+    Fastest = {Index, Time};
+}
+
 } // namespace
 
 ServiceBaseline serviceBaseline(std::span<const PlacementCandidate> Servers) {
@@ -148,14 +163,14 @@
       std::ranges::any_of(Servers, [&](const PlacementCandidate &Server) {
         return servesWithinZone(Server, Baseline, LatencyTarget);
       });
-  std::optional<std::size_t> Best;
-  double BestTime = 0;
-  std::uniform_real_distribution<double> Factor(1 - JitterFraction,
-                                                1 + JitterFraction);
   const bool AllLeave =
       std::ranges::all_of(Servers, [](const PlacementCandidate &Server) {
         return Server.Load.Leaving;
       });
+  std::uniform_real_distribution<double> Factor(1 - JitterFraction,
+                                                1 + JitterFraction);
+  FastestServer InZone;
+  FastestServer Anywhere;
   for (std::size_t I = 0; I < Servers.size(); ++I) {
     if (WithinZone && !Servers[I].SameZone)
       continue;
@@ -165,12 +180,16 @@
         static_cast<double>(
             expectedResponseTime(Servers[I], Baseline).count()) *
         Factor(Random);
-    if (Best && Time >= BestTime)
-      continue;
-    Best = I;
-    BestTime = Time;
+    consider(Anywhere, I, Time);
+    if (Servers[I].SameZone)
+      consider(InZone, I, Time);
   }
-  return Best;
+  const double LeastGain =
+      ZoneGainShare *
+      static_cast<double>(std::max(LatencyTarget, Duration{}).count());
+  return InZone.Index && InZone.Time <= Anywhere.Time + LeastGain
+             ? InZone.Index
+             : Anywhere.Index;
 }
 
 } // namespace pollenwick
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -72,10 +72,11 @@
 /// Returns the index of the server with the shortest expected response time, or
 /// nothing if there is no candidate. Servers in other zones are considered only
 /// if none of its own zone can serve the call within `LatencyTarget`, the time
-/// left until the caller's target; zero if there is none. Each time is varied
-/// by a small random factor so that nodes with the same reports do not all
-/// choose the same server. A server whose node is leaving is chosen only if all
-/// are leaving.
+/// left until the caller's target; zero if there is none. One of them is chosen
+/// if it is expected to answer sooner by a part of that time. Each time is
+/// varied by a small random factor so that nodes with the same reports do not
+/// all choose the same server. A server whose node is leaving is chosen only if
+/// all are leaving.
 std::optional<std::size_t>
 chooseServer(std::span<const PlacementCandidate> Servers,
              Duration LatencyTarget, std::minstd_rand &Random);
