Leave a zone only for a gain that its callers notice

Cause: once no server of the own zone was below 70% of its slots, all servers competed by expected time, which in general overload differs by chance; most calls crossed zones. Change: a call leaves a busy zone if that gains 0.3 of the time left until its target, or for a server below 35% of its slots.

--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -36,7 +36,10 @@
 /// Share of the latency target by which a server of another zone must answer
 /// sooner. When all zones are equally busy their expected times differ by
 /// chance only, and most calls would cross zones without any gain for callers.
-constexpr double ZoneGainShare = 0.15;
+constexpr double ZoneGainShare = 0.3;
+/// Share of its slots up to which a server of another zone counts as idle. It
+/// takes calls of a busy zone without that gain.
+constexpr double IdleUtilization = 0.35;
 /// Half-width of the range of the random factor around 1.
 constexpr double JitterFraction = 0.05;
 
@@ -84,6 +87,11 @@
          (Load.RecentCalls + AssumedMeanCalls);
 }
 
+bool hasIdleSlots(const PlacementCandidate &Server) {
+  return assignedCalls(Server) <
+         IdleUtilization * concurrencyLimitOf(Server.Load);
+}
+
 /// The server with the shortest expected time among those considered so far.
 struct FastestServer {
   std::optional<std::size_t> Index;
@@ -184,12 +192,13 @@
     if (Servers[I].SameZone)
       consider(InZone, I, Time);
   }
+  if (!InZone.Index || hasIdleSlots(Servers[*Anywhere.Index]))
+    return Anywhere.Index;
   const double LeastGain =
       ZoneGainShare *
       static_cast<double>(std::max(LatencyTarget, Duration{}).count());
-  return InZone.Index && InZone.Time <= Anywhere.Time + LeastGain
-             ? InZone.Index
-             : Anywhere.Index;
+  return InZone.Time <= Anywhere.Time + LeastGain ? InZone.Index
+                                                  : Anywhere.Index;
 }
 
 } // namespace pollenwick
--- a/tests/shedding/ZoneLoadTest.cpp
+++ b/tests/shedding/ZoneLoadTest.cpp
@@ -55,6 +55,16 @@
     CHECK(InTarget > 0.99);
     CHECK(Model.crossZoneShare() < 0.05);
   }
+  SECTION("equally busy zones keep their calls") {
+    // Guards against calls that cross zones by chance once no server has room:
+    // the expected times of all zones are alike then.
+    LoadModel Model = makeModel({190, 190, 190});
+    const double InTarget = shareInTarget(Model.simulate(RunDuration));
+    INFO("share of calls in another zone " << Model.crossZoneShare());
+    INFO("share in target " << InTarget);
+    CHECK(InTarget > 0.99);
+    CHECK(Model.crossZoneShare() < 0.1);
+  }
   SECTION("an overloaded zone uses the servers of the others") {
     // Guards against requests that are refused or late in one zone while other
     // zones have free servers, as when many callers move to one zone.
