Price requests by the work of their own route

The admission plan took the mean slot time of a service as the cost of each of its calls. A route of 880 ms cost as much as a nested call of 55 ms, so the plan admitted the first and refused the valuable requests that need the second.

Backend counts ended calls and their slot time by route and reports them in StatusFrame::RouteWork. FleetState sums the increases, and the plan prices a request at each service by the work of its route there, plus its nested calls at the mean work of the routes without a key. The offered slot time of a call is that of its route as well. Without reports, the mean is used as before.

The existing loads keep their thresholds.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -165,6 +165,8 @@
   Status.OfferedSlotMicros = LocalBackend.counts().OfferedSlotMicros;
   Status.AvailableSlotMicros = LocalBackend.counts().AvailableSlotMicros;
   Status.Runs = LocalBackend.counts().CallsStarted;
+  for (const auto &[Route, Work] : LocalBackend.routeWork().Routes)
+    Status.RouteWork.push_back({Route, Work.Calls, Work.SlotMicros});
   Fleet.fillStatus(Status);
   return Status;
 }
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -64,6 +64,7 @@
   Server = *Entry;
   if (Restarted) {
     Queue.MeanServiceTime = Duration{};
+    forgetMeanSlotTimes(WorkByRoute);
     RecentFailures = FailureRate{};
     Reachable = true;
   }
@@ -106,8 +107,10 @@
   // A call that is refused and placed on another server counts as offered once.
   if (!Request.Redispatched)
     Counts.OfferedSlotMicros += static_cast<std::uint64_t>(
-        (Queue.MeanServiceTime.count() > 0 ? Queue.MeanServiceTime
-                                           : DefaultServiceTime)
+        expectedSlotTime(WorkByRoute, Request.Route,
+                         Queue.MeanServiceTime.count() > 0
+                             ? Queue.MeanServiceTime
+                             : DefaultServiceTime)
             .count());
   if (DrainDeadline && Request.Deadline > *DrainDeadline) {
     refuse(std::move(Done), "node-leaving");
@@ -224,6 +227,10 @@
                        isServerError(Result.Status),
                    Loop.now());
   releaseSlot(Queue, Loop.now() - Call.StartedAt);
+  // A call that was never sent is no work of the server.
+  if (Connected)
+    recordRouteWork(WorkByRoute, Call.Request.Route,
+                    Loop.now() - Call.StartedAt);
   LastFinishedAt = Loop.now();
   if (Result.Outcome == CallOutcome::Complete)
     Reachable = true;
@@ -285,6 +292,7 @@
   }
   BackendConnection *Connection = Call.Connection;
   const Duration SlotTime = Loop.now() - Call.StartedAt;
+  recordRouteWork(WorkByRoute, Call.Request.Route, SlotTime);
   Calls.erase(Found);
   releaseSlot(Queue, SlotTime);
   if (Connection) {
@@ -327,8 +335,10 @@
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
   const Duration Elapsed = Loop.now() - LastSweepAt;
   LastSweepAt = Loop.now();
-  if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge)
+  if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge) {
     Queue.MeanServiceTime = Duration{};
+    forgetMeanSlotTimes(WorkByRoute);
+  }
   if (Server && Server->State == ServerState::Ready)
     Counts.AvailableSlotMicros +=
         static_cast<std::uint64_t>(Elapsed.count()) * Queue.MaxRunning;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -15,6 +15,7 @@
 #include "agent/PlatformAdapter.h"
 #include "core/dispatch/DispatchQueue.h"
 #include "core/placement/FailureRate.h"
+#include "core/shedding/RouteWork.h"
 
 namespace pollenwick::agent {
 
@@ -77,6 +78,8 @@
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
+  /// Returns the calls that have ended at the server, by route.
+  const RouteWork &routeWork() const { return WorkByRoute; }
   const ResponseLimits &responseLimits() const { return Limits; }
   /// Returns the size of the received parts of incomplete responses.
   std::size_t bufferedBytes() const { return BufferedBytes; }
@@ -133,6 +136,7 @@
   DispatchQueue Queue;
   FailureRate RecentFailures;
   BackendCounts Counts;
+  RouteWork WorkByRoute;
   CallNumber LastCallNumber = 0;
   absl::flat_hash_map<CallNumber, PendingCall> Calls;
   std::map<BackendConnection *, std::shared_ptr<BackendConnection>> Connections;
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -35,6 +35,7 @@
   double MaxCallsPerS = 0; ///< Calls per second that these slots can finish.
   double Runs = 0;
   std::map<std::string, double> Calls; ///< Nested calls, keyed by service.
+  ServiceWork Work;
 };
 
 /// Request rates of one plan key.
@@ -59,6 +60,15 @@
   Total.Runs += static_cast<double>(Latest.Runs);
   for (const NamedCount &Call : Latest.NestedCallCounts)
     Total.Calls[Call.Name] += static_cast<double>(Call.A);
+  for (const NamedCount &Route : Latest.RouteWork) {
+    RouteWorkSample &Work = Total.Work[Route.Name];
+    Work.Calls += static_cast<double>(counterIncrease(
+        Route.A, countOf(Previous.RouteWork, Route.Name, &NamedCount::A)));
+    Work.SlotSeconds +=
+        static_cast<double>(counterIncrease(
+            Route.B, countOf(Previous.RouteWork, Route.Name, &NamedCount::B))) /
+        1e6;
+  }
 }
 
 void addRouteRates(std::map<std::string, PlanKeyRates> &Rates,
@@ -77,8 +87,24 @@
   }
 }
 
-ServiceStats toServiceStats(const ServiceTotals &Total) {
+/// Returns the work of the routes in `Rules`. Routes without a key take the
+/// nested calls.
+ServiceWork workOfRules(const ServiceWork &Work, const RouteTable &Rules) {
+  ServiceWork Known;
+  for (const RouteRule &Route : Rules.Source.Routes) {
+    const auto Found = Work.find(Route.Name);
+    if (Found == Work.end())
+      continue;
+    Known[Route.Name] = Found->second;
+    Known[Route.Name].Nested = Route.Public;
+  }
+  return Known;
+}
+
+ServiceStats toServiceStats(const ServiceTotals &Total,
+                            const RouteTable &Rules) {
   ServiceStats Use;
+  Use.Work = workOfRules(Total.Work, Rules);
   Use.Slots = Total.Slots;
   if (Total.AvailableSlotMicros > 0)
     Use.OfferedUtilization =
@@ -114,7 +140,7 @@
         const double Share = Part.Weight / TotalWeight;
         Demand.push_back({Rate->first, Part.Service.Text, Priority,
                           Route.Priority, Rate->second.OfferedPerS * Share,
-                          Rate->second.AdmittedPerS * Share});
+                          Rate->second.AdmittedPerS * Share, Route.Name});
       }
     }
   }
@@ -291,7 +317,7 @@
   }
   std::map<std::string, ServiceStats> Uses;
   for (const auto &[Service, Total] : Totals)
-    Uses.emplace(Service, toServiceStats(Total));
+    Uses.emplace(Service, toServiceStats(Total, Rules));
   updatePlan(Plan, routeDemand(Rules, Rates), Uses, Interval);
 }
 
--- a/src/core/shedding/AdmissionPlan.cpp
+++ b/src/core/shedding/AdmissionPlan.cpp
@@ -62,9 +62,22 @@
   return Found == CallsPerRequest.end() ? 0.0 : Found->second;
 }
 
-/// Returns the utilization of a service at one call per second.
-double utilizationPerCall(const ServiceStats &Stats) {
-  return Stats.Slots > 0 ? Stats.MeanServiceSeconds / Stats.Slots : 0.0;
+/// Returns the utilization of the service `Name` at one request per second of a
+/// route, by its own call and by the nested calls that follow from it.
+double utilizationPerRequest(const AdmissionPlan::ServiceState &State,
+                             const std::string &Name, const RouteDemand &Route,
+                             const std::map<std::string, double> &Calls) {
+  const ServiceStats &Stats = State.LatestStats;
+  if (Stats.Slots <= 0)
+    return 0;
+  const double OwnCalls = Route.Service == Name ? 1 : 0;
+  const double NestedCalls = std::max(0.0, callsAt(Calls, Name) - OwnCalls);
+  const double SlotSeconds =
+      OwnCalls * directCallSeconds(State.SmoothedWork, Route.Route,
+                                   Stats.MeanServiceSeconds) +
+      NestedCalls *
+          nestedCallSeconds(State.SmoothedWork, Stats.MeanServiceSeconds);
+  return SlotSeconds / Stats.Slots;
 }
 
 /// Returns the utilization that the waiting calls need in order to leave the
@@ -87,16 +100,18 @@
                        const std::vector<RouteDemand> &Demand,
                        const CallsPerRequestList &CallsPerRequest,
                        double Weight) {
+  State.LatestStats = Stats;
+  smoothServiceWork(State.SmoothedWork, Stats.Work, Weight);
   double Predicted = 0;
   for (std::size_t I = 0; I < Demand.size(); ++I)
-    Predicted += Demand[I].AdmittedPerSecond *
-                 callsAt(CallsPerRequest[I], Name) * utilizationPerCall(Stats);
+    Predicted +=
+        Demand[I].AdmittedPerSecond *
+        utilizationPerRequest(State, Name, Demand[I], CallsPerRequest[I]);
   State.ObservedUtilization +=
       (Stats.OfferedUtilization - State.ObservedUtilization) * Weight;
   State.PredictedUtilization += (std::min(Predicted, MaxPredictedUtilization) -
                                  State.PredictedUtilization) *
                                 Weight;
-  State.LatestStats = Stats;
 }
 
 /// Returns the smoothed demand of each route in `Demand`. The stored rates of
@@ -131,12 +146,12 @@
                                 const std::string &Name,
                                 const std::vector<RouteDemand> &Demand,
                                 const CallsPerRequestList &CallsPerRequest) {
-  const double CostPerCall =
-      utilizationPerCall(State.LatestStats) * correctionFactor(State);
   std::vector<double> Costs;
   for (std::size_t I = 0; I < Demand.size(); ++I)
-    Costs.push_back(Demand[I].OfferedPerSecond *
-                    callsAt(CallsPerRequest[I], Name) * CostPerCall);
+    Costs.push_back(
+        Demand[I].OfferedPerSecond *
+        utilizationPerRequest(State, Name, Demand[I], CallsPerRequest[I]) *
+        correctionFactor(State));
   return Costs;
 }
 
--- a/src/core/shedding/AdmissionPlan.h
+++ b/src/core/shedding/AdmissionPlan.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/shedding/RouteWork.h"
 #include "pollenwick/Time.h"
 
 namespace pollenwick {
@@ -27,6 +28,8 @@
   int RoutePriority = 0;    ///< 0 is the most important.
   double OfferedPerSecond = 0;
   double AdmittedPerSecond = 0;
+  std::string Route = {}; ///< Name of the route; empty if its work is not
+                          ///< known.
 };
 
 /// Load and capacity of one service, summed over the fleet.
@@ -40,6 +43,8 @@
   /// Mean number of nested calls that one run of this service makes, by called
   /// service.
   std::map<std::string, double> NestedCallsPerRun;
+  /// Calls that ended since the last update; empty if no node reports them.
+  ServiceWork Work;
 };
 
 /// Share of the requests of each plan key that is admitted, with the smoothed
@@ -54,6 +59,7 @@
     /// Share of the demand that the capacity suffices for, 0 to 1.
     double SustainableShare = 1;
     ServiceStats LatestStats;
+    ServiceWork SmoothedWork;
   };
   /// Smoothed request rates of one plan key at one service.
   struct RequestRate {
@@ -73,7 +79,10 @@
                 const std::map<std::string, ServiceStats> &Services);
 
 /// Computes the admitted shares from the demand, the cost of each request at
-/// each service, and the slots of the services. The predicted utilization is
+/// each service, and the slots of the services. A request costs the mean slot
+/// time of its own route at its service, and that of nested calls for each call
+/// that follows from it; the mean over all calls stands for what is not known.
+/// The predicted utilization is
 /// corrected by the observed one. A part of each service's capacity is
 /// allocated by route priority alone, so that every customer gets some; the
 /// rest is allocated by customer priority first and route priority second.
--- a/tests/shedding/LoadModel.cpp
+++ b/tests/shedding/LoadModel.cpp
@@ -24,7 +24,7 @@
       Now(Start) {
   for (const auto &[Name, Servers] : TheServices)
     for (const ModelServer &Terms : Servers) {
-      Server New{Terms, {}, {}};
+      Server New{Terms, {}, {}, {}};
       New.Queue.MaxRunning = concurrencyLimit(Terms.Slots);
       Services[Name].push_back(New);
     }
@@ -53,24 +53,30 @@
     ++AdmittedRequests[Name];
     auto Item = std::make_shared<Call>();
     Item->Class = &Class;
+    Item->Route = Name;
     Item->CallerZone = Class.Zone;
     Item->StartedAt = Now;
     Item->Deadline = Now + millis(Class.DeadlineMs);
     const Instant Target = Now + millis(Class.TargetMs);
     Item->OnFinished = [this, &Result, Target, Counts](bool Success) {
-      if (Success && Counts && Now <= Target)
-        ++Result.AnsweredInTarget;
+      if (Success && Counts)
+        ++(Now <= Target ? Result.AnsweredInTarget : Result.AnsweredLate);
     };
     submit(std::move(Item));
   });
 }
 
+bool LoadModel::hasLeft(const Server &One) const {
+  return Now - Start >= One.Config.LeavesAfter;
+}
+
 LoadModel::Server &LoadModel::chooseServerFor(std::vector<Server> &All,
                                               const Call &Item) {
-  if (!ControlEnabled)
-    return *std::ranges::min_element(All, {}, [](const Server &One) {
-      return (One.Queue.Running + One.Queue.Waiting.size() + 1.0) *
-             One.Config.SlowdownFactor / One.Queue.MaxRunning;
+  if (!ControlEnabled || PlacedBySpeed)
+    return *std::ranges::min_element(All, {}, [this](const Server &One) {
+      return std::pair(hasLeft(One),
+                       (One.Queue.Running + One.Queue.Waiting.size() + 1.0) *
+                           One.Config.SlowdownFactor / One.Queue.MaxRunning);
     });
   std::vector<PlacementCandidate> Candidates(All.size());
   std::ranges::transform(All, Candidates.begin(), [&](const Server &One) {
@@ -83,6 +89,7 @@
     Choice.Load.FailureRate = failureRate(One.Failures, Now);
     Choice.SameZone = One.Config.Zone == Item.CallerZone;
     Choice.Kilobytes = CallKilobytes;
+    Choice.Load.Leaving = hasLeft(One);
     return Choice;
   });
   return All[*chooseServer(Candidates, millis(Item.Class->TargetMs),
@@ -97,7 +104,11 @@
     ++CrossZoneCalls;
   DispatchQueue &Queue = Item->AssignedServer->Queue;
   OfferedSeconds[Item->Class->Service] +=
-      std::chrono::duration<double>(Queue.MeanServiceTime).count();
+      std::chrono::duration<double>(
+          PricedByRoute ? expectedSlotTime(Item->AssignedServer->Work,
+                                           Item->Route, Queue.MeanServiceTime)
+                        : Queue.MeanServiceTime)
+          .count();
   const CallRequirements Terms{
       Now, Item->Deadline, millis(Item->Class->TargetMs),
       dispatchRank(Item->Class->CustomerPriority, Item->Class->Priority),
@@ -152,6 +163,7 @@
     ++NestedCallsByService[Item->Class->Service][Callee.Service];
     auto Child = std::make_shared<Call>();
     Child->Class = &Callee;
+    Child->Route = Item->Class->Callee;
     Child->StartedAt = Now;
     Child->IsNested = true;
     Child->CallerZone = Item->AssignedServer->Config.Zone;
@@ -170,6 +182,12 @@
   Server &At = *Item->AssignedServer;
   recordCallResult(At.Failures, Item->Failed, Now);
   releaseSlot(At.Queue, Now - Item->DispatchedAt);
+  recordRouteWork(At.Work, Item->Route, Now - Item->DispatchedAt);
+  RouteWorkSample &Work = WorkByService[Item->Class->Service][Item->Route];
+  ++Work.Calls;
+  Work.SlotSeconds +=
+      std::chrono::duration<double>(Now - Item->DispatchedAt).count();
+  Work.Nested = Item->Class->RequestsPerSecond <= 0;
   Item->OnFinished(!Item->Failed);
   runWaitingCalls(At);
 }
@@ -199,6 +217,8 @@
     double PerS = 0;
     double Held = 0;
     for (const Server &One : Servers) {
+      if (hasLeft(One))
+        continue;
       Use.Slots += One.Queue.MaxRunning;
       Held += static_cast<double>(One.Queue.Waiting.size());
       if (One.Queue.MeanServiceTime.count() > 0)
@@ -209,6 +229,8 @@
     Use.MeanServiceSeconds = PerS > 0 ? Use.Slots / PerS : 0;
     Use.WaitingPerSlot = Held / Use.Slots;
     Use.OfferedUtilization = OfferedSeconds[Name] / (Use.Slots * Seconds);
+    if (PricedByRoute)
+      Use.Work = WorkByService[Name];
     for (const auto &[Callee, Count] : NestedCallsByService[Name])
       if (RunsByService[Name] > 0)
         Use.NestedCallsPerRun[Callee] =
@@ -218,14 +240,15 @@
   std::vector<RouteDemand> Demand;
   for (const auto &[Name, Class] : Classes)
     if (Class.RequestsPerSecond > 0)
-      Demand.push_back({Name, Class.Service, Class.CustomerPriority,
-                        Class.Priority,
-                        static_cast<double>(OfferedRequests[Name]) / Seconds,
-                        static_cast<double>(AdmittedRequests[Name]) / Seconds});
+      Demand.push_back(
+          {Name, Class.Service, Class.CustomerPriority, Class.Priority,
+           static_cast<double>(OfferedRequests[Name]) / Seconds,
+           static_cast<double>(AdmittedRequests[Name]) / Seconds, Name});
   updatePlan(Plan, Demand, Uses, UpdateInterval);
   OfferedRequests.clear();
   AdmittedRequests.clear();
   OfferedSeconds.clear();
+  WorkByService.clear();
 }
 
 std::map<std::string, ModelResult> LoadModel::simulate(Duration Length,
--- a/tests/shedding/LoadModel.h
+++ b/tests/shedding/LoadModel.h
@@ -15,6 +15,7 @@
 #include "core/placement/FailureRate.h"
 #include "core/placement/Placement.h"
 #include "core/shedding/AdmissionPlan.h"
+#include "core/shedding/RouteWork.h"
 
 namespace pollenwick {
 
@@ -42,12 +43,15 @@
   Duration FailuresEndAfter =
       Duration::max(); ///< Time since the start of the run.
   int Zone = 0;        ///< Availability zone.
+  /// Time since the start of the run after which it takes no more calls.
+  Duration LeavesAfter = Duration::max();
 };
 
 /// Counts of the callers' requests of one class.
 struct ModelResult {
   std::uint64_t Requests = 0;
   std::uint64_t AnsweredInTarget = 0;
+  std::uint64_t AnsweredLate = 0;
   std::uint64_t Refused = 0; ///< Refused on arrival.
 };
 
@@ -59,6 +63,13 @@
             const std::map<std::string, std::vector<ModelServer>> &Services,
             bool WithControl, std::uint32_t Seed);
 
+  /// Prices every call of a service at the mean of all its calls, as nodes do
+  /// that know no work by route.
+  void priceByMean() { PricedByRoute = false; }
+  /// Places calls by the true speed of the servers, so that the result does not
+  /// depend on what the placement infers from calls of different length.
+  void placeBySpeed() { PlacedBySpeed = true; }
+
   /// Simulates arrivals for `Length` and returns the counts by class. Requests
   /// that arrive before `CountFrom` are not counted.
   std::map<std::string, ModelResult>
@@ -75,9 +86,11 @@
     ModelServer Config;
     DispatchQueue Queue;
     FailureRate Failures;
+    RouteWork Work;
   };
   struct Call {
     const ModelClass *Class = nullptr;
+    std::string Route; ///< Name of the class.
     Instant StartedAt;
     Instant Deadline;
     bool IsNested = false;
@@ -90,6 +103,7 @@
   };
   using Event = std::pair<Instant, std::uint64_t>;
 
+  bool hasLeft(const Server &One) const;
   void schedule(Instant When, std::function<void()> Task);
   void scheduleArrivals(const std::string &Name, Instant End);
   Server &chooseServerFor(std::vector<Server> &All, const Call &Item);
@@ -103,6 +117,8 @@
   std::map<std::string, ModelClass> Classes;
   std::map<std::string, std::vector<Server>> Services;
   bool ControlEnabled;
+  bool PricedByRoute = true;
+  bool PlacedBySpeed = false;
   std::mt19937 Random;
   std::minstd_rand PlacementRandom{1};
   Instant Now;
@@ -118,6 +134,7 @@
   std::map<std::string, std::uint64_t> OfferedRequests;
   std::map<std::string, std::uint64_t> AdmittedRequests;
   std::map<std::string, double> OfferedSeconds;
+  std::map<std::string, ServiceWork> WorkByService;
   std::map<std::string, std::uint64_t> RunsByService;
   std::map<std::string, std::map<std::string, std::uint64_t>>
       NestedCallsByService;
