Admit requests by the share of their customer

The draw at the ingress used one share for all requests of a plan key. It now uses the customer's share, so that a burst is refused before the requests of others; the sum admitted stays what the plan allows.

The totals in `CustomerCounts` could not be used: they are those of the quota, and requests that the plan refuses never reach it. Counts are looked up by hash, since the lists grow by customers x keys.

--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "core/fairness/CustomerCounts.h"
+
 namespace pollenwick::agent {
 namespace {
 
@@ -64,11 +66,14 @@
 void addRouteRates(std::map<std::string, PlanKeyRates> &Rates,
                    const StatusFrame &Latest, const StatusFrame &Previous,
                    double Seconds) {
+  const NamedCountIndex PreviousCounts = indexByName(Previous.RouteCounts);
   for (const NamedCount &Key : Latest.RouteCounts) {
+    const auto Earlier = PreviousCounts.find(Key.Name);
     const auto PerSecond = [&](std::uint64_t NamedCount::*Member) {
-      const std::uint64_t Earlier =
-          countOf(Previous.RouteCounts, Key.Name, Member);
-      return static_cast<double>(counterIncrease(Key.*Member, Earlier)) /
+      return static_cast<double>(
+                 counterIncrease(Key.*Member, Earlier == PreviousCounts.end()
+                                                  ? 0
+                                                  : Earlier->second->*Member)) /
              Seconds;
     };
     PlanKeyRates &Rate = Rates[Key.Name];
@@ -182,11 +187,24 @@
 }
 
 void FleetState::countOffered(const RouteRule &Route, int CustomerPriority,
-                              bool Admitted) {
-  OwnRouteCounts &Counts = RouteCounts[planKey(Route.Name, CustomerPriority)];
-  ++Counts.Offered;
-  if (Admitted)
-    ++Counts.Admitted;
+                              const std::string &Customer, bool Admitted) {
+  const auto Count = [&](OwnRouteCounts &Counts) {
+    ++Counts.Offered;
+    if (Admitted)
+      ++Counts.Admitted;
+  };
+  const std::string Key = planKey(Route.Name, CustomerPriority);
+  Count(RouteCounts[Key]);
+  if (!Customer.empty() && needsCustomerCounts(SharesByCustomer, Key))
+    Count(RouteCounts[customerCountName(Key, Customer)]);
+}
+
+double FleetState::admittedFraction(const RouteRule &Route,
+                                    int CustomerPriority,
+                                    const std::string &Customer) const {
+  const std::string Key = planKey(Route.Name, CustomerPriority);
+  return customerShare(SharesByCustomer, Key, Customer,
+                       admittedShare(Plan, Key));
 }
 
 void FleetState::countCrash(std::uint64_t Fingerprint, Instant Now) {
@@ -293,6 +311,14 @@
   for (const auto &[Service, Total] : Totals)
     Uses.emplace(Service, toServiceStats(Total));
   updatePlan(Plan, routeDemand(Rules, Rates), Uses, Interval);
+  const auto OfferedPerS = [&](const std::string &Name) {
+    const auto Found = Rates.find(Name);
+    return Found == Rates.end() ? 0.0 : Found->second.OfferedPerS;
+  };
+  updateCustomerShares(
+      SharesByCustomer,
+      customerDemand(SharesByCustomer, Rules.Source.Customers, OfferedPerS),
+      Plan.AdmittedShareByKey, Interval);
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -8,6 +8,7 @@
 #include "agent/PeerWire.h"
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
+#include "core/fairness/CustomerShares.h"
 #include "core/fleet/CrashCounts.h"
 #include "core/fleet/FleetQuota.h"
 #include "core/fleet/RetryBudget.h"
@@ -35,9 +36,11 @@
   /// budgets is exhausted.
   bool tryConsumeRetry(const ServiceId &Service, Instant Now);
 
-  /// Counts a caller's request for the demand that peers are told of.
+  /// Counts a caller's request for the demand that peers are told of. Requests
+  /// that the customer's quota refuses are not counted. `Customer` is empty
+  /// when no customer was identified.
   void countOffered(const RouteRule &Route, int CustomerPriority,
-                    bool Admitted);
+                    const std::string &Customer, bool Admitted);
   /// Counts a nested call that the local server made.
   void countNestedCall(const ServiceId &Service) {
     ++NestedCalls[Service.Text];
@@ -47,6 +50,10 @@
     return admittedShare(Plan, planKey(Route.Name, CustomerPriority));
   }
 
+  /// Returns the share of one customer's requests to admit, from 0 to 1.
+  double admittedFraction(const RouteRule &Route, int CustomerPriority,
+                          const std::string &Customer) const;
+
   /// Counts a server crash during a request with this fingerprint.
   void countCrash(std::uint64_t Fingerprint, Instant Now);
   bool isFingerprintQuarantined(std::uint64_t Fingerprint) const {
@@ -66,6 +73,7 @@
                               Instant Now);
 
   const AdmissionPlan &admissionPlan() const { return Plan; }
+  const CustomerShares &customerShares() const { return SharesByCustomer; }
   std::uint64_t incarnation() const { return Incarnation; }
 
 private:
@@ -90,12 +98,14 @@
   std::uint64_t Incarnation;
   std::map<std::string, QuotaBucket> QuotasByCustomer;
   std::map<std::string, RetryBudget> RetryBudgets;
-  std::map<std::string, OwnRouteCounts> RouteCounts; ///< Keyed by plan key.
-  std::map<std::string, std::uint64_t> NestedCalls;  ///< Keyed by service.
+  /// Keyed by plan key, or by `customerCountName`.
+  std::map<std::string, OwnRouteCounts> RouteCounts;
+  std::map<std::string, std::uint64_t> NestedCalls; ///< Keyed by service.
   CrashCounts Crashes;
   std::map<std::string, NodeReport>
       Reports; ///< Keyed by node address; includes own.
   AdmissionPlan Plan;
+  CustomerShares SharesByCustomer;
 };
 
 } // namespace pollenwick::agent
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -102,9 +102,10 @@
   }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
   std::uniform_real_distribution<double> Draw(0, 1);
-  if (Draw(Random) >=
-      Fleet.admittedFraction(*Item.Route, Item.CustomerPriority)) {
-    Fleet.countOffered(*Item.Route, Item.CustomerPriority, false);
+  if (Draw(Random) >= Fleet.admittedFraction(*Item.Route, Item.CustomerPriority,
+                                             Item.Customer)) {
+    Fleet.countOffered(*Item.Route, Item.CustomerPriority, Item.Customer,
+                       false);
     Details = {503, "overload", addJitter(RetryAfterShed)};
     return false;
   }
@@ -113,7 +114,7 @@
     Details = {429, "over-rate", addJitter(Fleet.retryAfter(*Customer))};
     return false;
   }
-  Fleet.countOffered(*Item.Route, Item.CustomerPriority, true);
+  Fleet.countOffered(*Item.Route, Item.CustomerPriority, Item.Customer, true);
   return true;
 }
 
--- a/src/agent/StatusFrame.cpp
+++ b/src/agent/StatusFrame.cpp
@@ -109,28 +109,38 @@
 
 std::vector<NamedCount> changedCounts(const std::vector<NamedCount> &Latest,
                                       const std::vector<NamedCount> &Sent) {
+  const NamedCountIndex SentByName = indexByName(Sent);
   std::vector<NamedCount> Changed;
   std::ranges::copy_if(
       Latest, std::back_inserter(Changed), [&](const NamedCount &Item) {
-        const auto Old = std::ranges::find(Sent, Item.Name, &NamedCount::Name);
-        return Old == Sent.end() || Old->A != Item.A || Old->B != Item.B;
+        const auto Old = SentByName.find(Item.Name);
+        return Old == SentByName.end() || Old->second->A != Item.A ||
+               Old->second->B != Item.B;
       });
   return Changed;
 }
 
 void mergeCounts(std::vector<NamedCount> &Changes,
                  const std::vector<NamedCount> &Known) {
+  const NamedCountIndex ChangesByName = indexByName(Changes);
   std::vector<NamedCount> Missing;
-  std::ranges::copy_if(
-      Known, std::back_inserter(Missing), [&](const NamedCount &Item) {
-        return std::ranges::find(Changes, Item.Name, &NamedCount::Name) ==
-               Changes.end();
-      });
+  std::ranges::copy_if(Known, std::back_inserter(Missing),
+                       [&](const NamedCount &Item) {
+                         return !ChangesByName.contains(Item.Name);
+                       });
   Changes.insert(Changes.end(), Missing.begin(), Missing.end());
 }
 
 } // namespace
 
+NamedCountIndex indexByName(const std::vector<NamedCount> &Counts) {
+  NamedCountIndex Index;
+  Index.reserve(Counts.size());
+  for (const NamedCount &Item : Counts)
+    Index.emplace(Item.Name, &Item);
+  return Index;
+}
+
 std::string packStatus(const StatusFrame &Status) {
   capnp::MallocMessageBuilder Message;
   put(Message.initRoot<mesh::wire::Status>(), Status);
--- a/src/agent/StatusFrame.h
+++ b/src/agent/StatusFrame.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
 #include "core/hosts/SourceReaders.h"
 #include "core/placement/Placement.h"
@@ -20,6 +21,11 @@
   std::uint64_t B = 0;
 };
 
+/// Counts by name; valid while the list that was indexed is unchanged.
+using NamedCountIndex =
+    absl::flat_hash_map<std::string_view, const NamedCount *>;
+NamedCountIndex indexByName(const std::vector<NamedCount> &Counts);
+
 /// Number of server crashes during requests with one fingerprint.
 struct CrashReport {
   std::uint64_t Fingerprint = 0;
