Report which customers the plan limits

Operators could not see whose requests an overload refuses. The line `customer-limited` names, for a plan key, the customer that gets clearly less than the common share, at most once in 5 s for each key; the gauge `customer_share_pct` has the share of each customer that is counted, and is removed with it.

pollenwick-agent builds; no test checks the line or the gauge yet.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -102,6 +102,7 @@
                 applyDirectoryChange(Change);
               }),
       Statuses(Options, ServerDirectory, Peers), LastTickAt(Loop.now()),
+      CustomerReport(Log),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
       Loop, Options.ReadyAddress, [this](const std::string &Target) {
@@ -178,6 +179,8 @@
   StatusFrame Own = localStatus();
   Fleet.planQuotasAndAdmission(ServerDirectory, Own, Elapsed, Loop.now());
   logAdmissionChanges();
+  CustomerReport.logChanges(Fleet.customerShares(), Fleet.admissionPlan(),
+                            Loop.now());
   Statuses.send(std::move(Own));
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
@@ -391,6 +394,7 @@
   for (const auto &[Key, Share] : Fleet.admissionPlan().AdmittedShareByKey)
     Counters.setGauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                       static_cast<std::int64_t>(100 * Share));
+  CustomerShareReport::fillMetrics(Counters, Fleet.customerShares());
   return Counters.render();
 }
 
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -8,6 +8,7 @@
 #include "agent/Backend.h"
 #include "agent/CallerListener.h"
 #include "agent/ConfigurationSource.h"
+#include "agent/CustomerShareReport.h"
 #include "agent/EventLoop.h"
 #include "agent/FleetState.h"
 #include "agent/Ingress.h"
@@ -91,6 +92,7 @@
   /// Requests that had no answer at the stop's `AnswerBy`.
   std::size_t UnansweredAtStop = 0;
   Instant LastTickAt;
+  CustomerShareReport CustomerReport;
   /// Admitted share that was last logged, 0 to 1, by service.
   std::map<std::string, double> LoggedAdmittedShare;
   std::uint64_t TickCount = 0;
--- a/src/agent/Metrics.cpp
+++ b/src/agent/Metrics.cpp
@@ -42,6 +42,12 @@
     Found->second = Value;
 }
 
+void Metrics::removeGauges(std::string_view Prefix) {
+  std::erase_if(Gauges, [&](const auto &Item) {
+    return std::string_view(Item.first).starts_with(Prefix);
+  });
+}
+
 void Metrics::recordLatency(std::string_view Route, Duration Latency) {
   auto Found = LatencyHistograms.find(Route);
   if (Found == LatencyHistograms.end()) {
--- a/src/agent/Metrics.h
+++ b/src/agent/Metrics.h
@@ -22,6 +22,8 @@
   void incrementCounter(std::string_view Name, std::string_view Label,
                         std::uint64_t Amount = 1);
   void setGauge(std::string_view Name, std::int64_t Value);
+  /// Removes the gauges whose names begin with `Prefix`.
+  void removeGauges(std::string_view Prefix);
   /// Records the time from a caller's request to its final answer.
   void recordLatency(std::string_view Route, Duration Latency);
   std::string render() const;
