Tell refused callers a retry time that fits their request

Overload refusals told every caller 600 ms with jitter, and requests that found no server 300 ms. Callers came back together, often into the same overload, and never in time where the target is shorter. `retryAfter` draws the time from a window that ends where a second attempt can still be answered within the latency target, and at a third of the remaining time, after which callers come back anyway. It is longer where the admitted share is low and for less important requests. A process that stops keeps its own short time (100 ms; it told 300 ms where a request had been waiting).

The log line `request-answered` has the time (`retry_after_us`) and the customer's share (`customer_share_pct`).

--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -149,7 +149,7 @@
   const Exchange &Item = *Exchanges.at(Id);
   Counters.incrementCounter("answers_total",
                             concat(Details.Status, "-", Details.Reason));
-  logOutcome(Item, Details.Status, Details.Reason);
+  logOutcome(Item, Details.Status, Details.Reason, Details.RetryAfter);
   std::string ExtraHeaders;
   if (Details.RetryAfter.count() > 0)
     ExtraHeaders = retryAfterHeader(Details.RetryAfter);
@@ -180,13 +180,14 @@
 }
 
 void Ingress::logOutcome(const Exchange &Item, int Status,
-                         std::string_view Reason) {
+                         std::string_view Reason, Duration RetryAfter) {
   LogLine Line("request-answered", Loop.now());
   Line.field("request", Item.Request.RequestId)
       .field("status", Status)
       .field("reason", Reason)
       .field("nested", Item.Request.Nested ? 1 : 0)
-      .field("held_us", (Loop.now() - Item.ReceivedAt).count());
+      .field("held_us", (Loop.now() - Item.ReceivedAt).count())
+      .field("retry_after_us", RetryAfter.count());
   if (Item.Rules)
     Line.field("rules_version",
                static_cast<std::int64_t>(Item.Rules->Source.Version));
@@ -198,6 +199,11 @@
                static_cast<std::int64_t>(
                    100 *
                    Fleet.admittedFraction(*Item.Route, Item.CustomerPriority)))
+        .field(
+            "customer_share_pct",
+            static_cast<std::int64_t>(
+                100 * Fleet.admittedFraction(*Item.Route, Item.CustomerPriority,
+                                             Item.Customer)))
         .field("placements", Item.AttemptsSoFar.Placements)
         .field("arrivals", Item.AttemptsSoFar.Arrivals)
         .field("last_cause", Item.LastCause)
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -121,9 +121,13 @@
   void refuse(ExchangeNumber Id, const Refusal &Details);
   void cancel(const SentCall &Call);
   void removeExchange(ExchangeNumber Id);
-  void logOutcome(const Exchange &Item, int Status, std::string_view Reason);
+  void logOutcome(const Exchange &Item, int Status, std::string_view Reason,
+                  Duration RetryAfter = {});
   std::vector<KnownServer *> usableServers(const Exchange &Item);
   Duration addJitter(Duration Base);
+  /// Returns the time after which the caller of a request that has a route and
+  /// has not run should try again.
+  Duration retryAfterRefusal(const Exchange &Item);
 
   EventLoop &Loop;
   const PlatformAdapter &Protocol;
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -4,6 +4,7 @@
 
 #include "agent/StringUtil.h"
 #include "core/hash/StableHash.h"
+#include "core/shedding/RetryAfter.h"
 
 // The part of `Ingress` that routes and admits a request before a server is
 // chosen.
@@ -23,7 +24,6 @@
 /// of its route may shorten it.
 constexpr Duration DefaultTimeout = std::chrono::seconds(10);
 constexpr Duration RetryAfterNoConfiguration = std::chrono::milliseconds(300);
-constexpr Duration RetryAfterShed = std::chrono::milliseconds(600);
 
 /// Nodes count the crashes of a request under its fingerprint, so it must be
 /// the same at every node.
@@ -106,7 +106,7 @@
                                              Item.Customer)) {
     Fleet.countOffered(*Item.Route, Item.CustomerPriority, Item.Customer,
                        false);
-    Details = {503, "overload", addJitter(RetryAfterShed)};
+    Details = {503, "overload", retryAfterRefusal(Item)};
     return false;
   }
   if (Customer &&
@@ -118,6 +118,21 @@
   return true;
 }
 
+Duration Ingress::retryAfterRefusal(const Exchange &Item) {
+  RefusedRequest Request;
+  if (Item.Route->LatencyTarget.count() > 0)
+    Request.TargetLeft =
+        Item.ReceivedAt + Item.Route->LatencyTarget - Loop.now();
+  Request.TimeLeft = Item.Deadline - Loop.now();
+  const auto Found = MeanAnswerMicros.find(Item.Route->Name);
+  if (Found != MeanAnswerMicros.end())
+    Request.UsualTime = Duration(static_cast<std::int64_t>(Found->second));
+  Request.AdmittedShare =
+      Fleet.admittedFraction(*Item.Route, Item.CustomerPriority, Item.Customer);
+  Request.Rank = Item.Request.Rank;
+  return pollenwick::retryAfter(Request, Random);
+}
+
 void Ingress::buildCall(Exchange &Item, CallerRequest &&Request) {
   CallRequest &Call = Item.Request;
   Call.Route = Item.Route->Name;
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -16,7 +16,6 @@
 constexpr Duration MinPlacementWait = std::chrono::milliseconds(100);
 /// Time for which an unreachable server receives no further calls.
 constexpr Duration UnreachableBackoff = std::chrono::milliseconds(400);
-constexpr Duration RetryAfterFailure = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -215,7 +214,8 @@
   if (!Item.SilentCalls.empty())
     return;
   if (canReportNotRun(Item.AttemptsSoFar))
-    refuse(Id, {503, Item.LastCause, addJitter(RetryAfterFailure)});
+    refuse(Id, {503, Item.LastCause,
+                Stop ? addJitter(RetryAfterStop) : retryAfterRefusal(Item)});
   else
     refuse(Id, {502, Item.LastCause, {}});
 }
