--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -4,6 +4,7 @@
 
 #include "agent/StringUtil.h"
 #include "core/hash/StableHash.h"
+#include "core/shedding/RetryAfter.h"
 
 // The part of `Ingress` that routes and admits a request before a server is
 // chosen.
@@ -23,7 +24,6 @@
 /// of its route may shorten it.
 constexpr Duration DefaultTimeout = std::chrono::seconds(10);
 constexpr Duration RetryAfterNoConfiguration = std::chrono::milliseconds(300);
-constexpr Duration RetryAfterShed = std::chrono::milliseconds(600);
 
 /// Nodes count the crashes of a request under its fingerprint, so it must be
 /// the same at every node.
@@ -102,10 +102,11 @@
   }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
   std::uniform_real_distribution<double> Draw(0, 1);
-  if (Draw(Random) >=
-      Fleet.admittedFraction(*Item.Route, Item.CustomerPriority)) {
-    Fleet.countOffered(*Item.Route, Item.CustomerPriority, false);
-    Details = {503, "overload", addJitter(RetryAfterShed)};
+  if (Draw(Random) >= Fleet.admittedFraction(*Item.Route, Item.CustomerPriority,
+                                             Item.Customer)) {
+    Fleet.countOffered(*Item.Route, Item.CustomerPriority, Item.Customer,
+                       false);
+    Details = {503, "overload", retryAfterRefusal(Item)};
     return false;
   }
   if (Customer &&
@@ -113,10 +114,25 @@
     Details = {429, "over-rate", addJitter(Fleet.retryAfter(*Customer))};
     return false;
   }
-  Fleet.countOffered(*Item.Route, Item.CustomerPriority, true);
+  Fleet.countOffered(*Item.Route, Item.CustomerPriority, Item.Customer, true);
   return true;
 }
 
+Duration Ingress::retryAfterRefusal(const Exchange &Item) {
+  RefusedRequest Request;
+  if (Item.Route->LatencyTarget.count() > 0)
+    Request.TargetLeft =
+        Item.ReceivedAt + Item.Route->LatencyTarget - Loop.now();
+  Request.TimeLeft = Item.Deadline - Loop.now();
+  const auto Found = MeanAnswerMicros.find(Item.Route->Name);
+  if (Found != MeanAnswerMicros.end())
+    Request.UsualTime = Duration(static_cast<std::int64_t>(Found->second));
+  Request.AdmittedShare =
+      Fleet.admittedFraction(*Item.Route, Item.CustomerPriority, Item.Customer);
+  Request.Rank = Item.Request.Rank;
+  return pollenwick::retryAfter(Request, Random);
+}
+
 void Ingress::buildCall(Exchange &Item, CallerRequest &&Request) {
   CallRequest &Call = Item.Request;
   Call.Route = Item.Route->Name;
