Count abandoned and failed calls in the throughput of a server

Cause: the limit only saw calls that ended with an answer. A server that is so overloaded that all its calls are given up finishes none, and its limit would have stayed.

Change: a call that was abandoned or failed counts with the slot time that it used, and adds nothing to the finished work. Only calls that succeeded teach the usual time of a route.

--- a/src/core/pace/PaceLimit.cpp
+++ b/src/core/pace/PaceLimit.cpp
@@ -96,14 +96,16 @@
 }
 
 double meanSlowness(const PaceLimit::Round &Round) {
-  return Round.Succeeded > 0 ? Round.SlownessSum / Round.Succeeded : 0;
+  return Round.Run > 0 ? Round.SlownessSum / Round.Run : 0;
 }
 
 /// Returns the work that the server finishes at once, in slots at usual speed:
-/// by Little's law, the calls that run / the time that they take.
+/// by Little's law, the calls that run / the time that they take. Calls that
+/// did not succeed used their slots for nothing.
 double throughput(const PaceLimit::Round &Round) {
-  const double Slowness = meanSlowness(Round);
-  return Slowness > 0 ? meanRunning(Round) / Slowness : 0;
+  return Round.SlownessSum > 0
+             ? meanRunning(Round) * Round.Succeeded / Round.SlownessSum
+             : 0;
 }
 
 bool indicatesOverload(const PaceLimit &Pace) {
@@ -125,8 +127,9 @@
   const auto Micros =
       static_cast<double>(std::max<std::int64_t>(1, Sample.SlotTime.count())) /
       (Sample.HostSlowdown > 0 ? Sample.HostSlowdown : 1);
+  const bool Learns = Sample.End == CallEnd::Succeeded;
   if (!Pace.RouteTimes.contains(Sample.Route) &&
-      Pace.RouteTimes.size() >= MaxRoutes)
+      (!Learns || Pace.RouteTimes.size() >= MaxRoutes))
     return 1;
   PaceLimit::RouteTime &Usual = Pace.RouteTimes[Sample.Route];
   if (Usual.Samples == 0)
@@ -141,8 +144,9 @@
   const bool Known = Usual.Known || Enough;
   Usual.Known = Known;
   const double Slowness = Known ? Micros / Usual.Mean : 1;
-  if (!Known || (Pace.Current == PaceLimit::Phase::Steady &&
-                 Sample.Running <= UsualTimeShare * Pace.MaxLimit)) {
+  const bool ModerateLoad = Pace.Current == PaceLimit::Phase::Steady &&
+                            Sample.Running <= UsualTimeShare * Pace.MaxLimit;
+  if (Learns && (!Known || ModerateLoad)) {
     ++Usual.Samples;
     Usual.Mean += (Micros - Usual.Mean) *
                   std::max(1.0 / Usual.Samples, MinUsualTimeWeight);
@@ -265,12 +269,13 @@
   Round.Reports += Sample.HasReport ? 1 : 0;
   Round.FullReports += Sample.ReportsFull ? 1 : 0;
   // A server that reports free slots rejects calls for another reason.
-  if (Sample.Rejected &&
+  if (Sample.End == CallEnd::Rejected &&
       (Sample.HasReport ? Sample.ReportsFull
                         : Sample.Running >= LoadedShare * Pace.Limit))
     ++Round.RejectedAtLoad;
-  if (Sample.Succeeded) {
-    ++Round.Succeeded;
+  if (Sample.End != CallEnd::Rejected) {
+    ++Round.Run;
+    Round.Succeeded += Sample.End == CallEnd::Succeeded ? 1 : 0;
     Round.SlownessSum += callSlowness(Pace, Sample, Now);
   }
   const std::uint32_t Needed = Pace.Current == PaceLimit::Phase::SlowStart
--- a/src/core/pace/PaceLimit.h
+++ b/src/core/pace/PaceLimit.h
@@ -9,14 +9,21 @@
 
 namespace pollenwick {
 
+/// How a call at a server ended.
+enum class CallEnd : std::uint8_t {
+  Succeeded, ///< With a complete answer and no server error.
+  Failed,
+  Abandoned, ///< Its caller left or its time passed while it ran.
+  Rejected,  ///< The server refused to run it.
+};
+
 /// Result of one call at a server.
 struct PaceSample {
   std::string Route;
   Duration SlotTime{};
   /// Calls that held a slot when this one ended, including it.
   std::uint32_t Running = 1;
-  bool Succeeded = false; ///< Ended with a complete answer and no server error.
-  bool Rejected = false;  ///< The server refused to run it.
+  CallEnd End = CallEnd::Succeeded;
   /// Time that work takes on the host as a multiple of the usual time; 0 if not
   /// reported.
   double HostSlowdown = 0;
@@ -40,7 +47,8 @@
     Instant StartedAt;
     std::uint32_t Calls = 0;
     std::uint32_t Succeeded = 0;
-    double SlownessSum = 0; ///< Over the calls that succeeded.
+    std::uint32_t Run = 0;  ///< Calls that were not rejected.
+    double SlownessSum = 0; ///< Over these.
     double RunningSum = 0;
     std::uint32_t RejectedAtLoad = 0; ///< Rejected by a full server.
     std::uint32_t Reports = 0;
--- a/tests/pace/ServerModel.cpp
+++ b/tests/pace/ServerModel.cpp
@@ -118,7 +118,9 @@
       Millis *= 1 + 12 * Excess;
     if (Rejected)
       Millis = 1;
-    Ends.emplace(Now + Duration(static_cast<std::int64_t>(Millis * 1000)),
+    const Instant End =
+        Now + Duration(static_cast<std::int64_t>(Millis * 1000));
+    Ends.emplace(std::min(End, ArrivedAt + Timeout),
                  RunningCall{Now, ArrivedAt, Rejected});
   }
 
@@ -132,8 +134,10 @@
     Sample.Route = "r";
     Sample.SlotTime = SlotTime;
     Sample.Running = Queue.Running;
-    Sample.Succeeded = !Call.Rejected;
-    Sample.Rejected = Call.Rejected;
+    const bool Abandoned = Now - Call.ArrivedAt >= Timeout;
+    Sample.End = Call.Rejected ? CallEnd::Rejected
+                 : Abandoned   ? CallEnd::Abandoned
+                               : CallEnd::Succeeded;
     Sample.HasReport = Setup.ReportsSlowdown || Setup.AlwaysReportsFull;
     Sample.ReportsFull = Setup.AlwaysReportsFull;
     if (Setup.ReportsSlowdown)
