Apply the found concurrency limit to the backend server

Cause: the limit of a server was that of its slots, also right after a start.

Change: ServerPace, owned by Backend, feeds the limit with the calls that end and sets DispatchQueue::MaxRunning. A slow start follows an entry with another id or start than the last one, an entry that says the server is cold, and the first answer after a refused connection. It does not follow the first entry of a warm server, nor an entry that was missing for a while. A change by more than a tenth is logged as server-pace, at most once a second.

No run of the whole system.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -44,7 +44,7 @@
     const ResponseLimits &TheLimits)
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
-      Limits(TheLimits), LastSweepAt(TheLoop.now()) {
+      Limits(TheLimits), Pace(TheLog), LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
 
@@ -67,7 +67,8 @@
     RecentFailures = FailureRate{};
     Reachable = true;
   }
-  Queue.MaxRunning = concurrencyLimit(Entry->Slots);
+  Pace.setServer(*Entry, Loop.now());
+  Queue.MaxRunning = Pace.limit();
 }
 
 ServerLoad Backend::load() const {
@@ -223,10 +224,14 @@
                    Result.Outcome != CallOutcome::Complete ||
                        isServerError(Result.Status),
                    Loop.now());
+  Pace.onCallEnded(Call.Request, Result, Loop.now() - Call.StartedAt,
+                   Queue.Running, Loop.now());
   releaseSlot(Queue, Loop.now() - Call.StartedAt);
   LastFinishedAt = Loop.now();
-  if (Result.Outcome == CallOutcome::Complete)
-    Reachable = true;
+  if (Result.Outcome == CallOutcome::Complete &&
+      !std::exchange(Reachable, true))
+    Pace.onRecovered(Loop.now());
+  Queue.MaxRunning = Pace.limit();
   if (Call.Connection && Call.Connection->usable(Loop.now()))
     IdleConnections.push_back(Call.Connection);
   dispatchWaiting();
@@ -285,8 +290,10 @@
   }
   BackendConnection *Connection = Call.Connection;
   const Duration SlotTime = Loop.now() - Call.StartedAt;
+  Pace.onCallCancelled(Call.Request, SlotTime, Queue.Running, Loop.now());
   Calls.erase(Found);
   releaseSlot(Queue, SlotTime);
+  Queue.MaxRunning = Pace.limit();
   if (Connection) {
     Connection->close();
     onConnectionClosed(*Connection, true);
@@ -329,6 +336,9 @@
   LastSweepAt = Loop.now();
   if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge)
     Queue.MeanServiceTime = Duration{};
+  Pace.tick(Loop.now());
+  Queue.MaxRunning = Pace.limit();
+  dispatchWaiting();
   if (Server && Server->State == ServerState::Ready)
     Counts.AvailableSlotMicros +=
         static_cast<std::uint64_t>(Elapsed.count()) * Queue.MaxRunning;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -13,6 +13,7 @@
 #include "agent/EventLoop.h"
 #include "agent/Log.h"
 #include "agent/PlatformAdapter.h"
+#include "agent/ServerPace.h"
 #include "core/dispatch/DispatchQueue.h"
 #include "core/placement/FailureRate.h"
 
@@ -77,6 +78,7 @@
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
+  const ServerPace &pace() const { return Pace; }
   const ResponseLimits &responseLimits() const { return Limits; }
   /// Returns the size of the received parts of incomplete responses.
   std::size_t bufferedBytes() const { return BufferedBytes; }
@@ -131,6 +133,7 @@
   std::uint32_t MaxConnections = 0;
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
   DispatchQueue Queue;
+  ServerPace Pace;
   FailureRate RecentFailures;
   BackendCounts Counts;
   CallNumber LastCallNumber = 0;
--- /dev/null
+++ b/src/agent/ServerPace.cpp
@@ -0,0 +1,98 @@
+#include "agent/ServerPace.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "agent/HttpMessage.h"
+#include "core/dispatch/DispatchQueue.h"
+
+namespace pollenwick::agent {
+namespace {
+
+constexpr int GatewayTimeoutStatus = 504;
+/// Change of the limit that is logged, as a share of the logged one.
+constexpr double LoggedChange = 0.1;
+constexpr Duration MinLogInterval = std::chrono::seconds(1);
+
+CallEnd callEndOf(const CallResult &Result) {
+  if (Result.Outcome == CallOutcome::NotRun)
+    return CallEnd::Rejected;
+  if (Result.Status == GatewayTimeoutStatus || Result.Cause == "server-silent")
+    return CallEnd::Abandoned;
+  return Result.Outcome == CallOutcome::Complete &&
+                 !isServerError(Result.Status)
+             ? CallEnd::Succeeded
+             : CallEnd::Failed;
+}
+
+} // namespace
+
+void ServerPace::setServer(const ServerEntry &Entry, Instant Now) {
+  setMaxLimit(Limit, concurrencyLimit(Entry.Slots));
+  // An entry that was removed for a while, as in an outage of the store, has
+  // the same id and start.
+  const bool Restarted =
+      Last &&
+      (Last->Id != Entry.Id || Last->StartedAtUnixMs != Entry.StartedAtUnixMs);
+  const bool BecameCold = Entry.ColdRemaining.count() > 0 &&
+                          (!Last || Entry.ColdRemaining > Last->ColdRemaining);
+  Last = Entry;
+  if (BecameCold)
+    startSlowly("cold", Now);
+  else if (Restarted)
+    startSlowly("restarted", Now);
+}
+
+void ServerPace::onRecovered(Instant Now) { startSlowly("recovered", Now); }
+
+void ServerPace::startSlowly(std::string_view NewCause, Instant Now) {
+  beginSlowStart(Limit, Now);
+  Cause = NewCause;
+}
+
+void ServerPace::onCallEnded(const CallRequest &Request,
+                             const CallResult &Result, Duration SlotTime,
+                             std::uint32_t Running, Instant Now) {
+  // Such a call says nothing of the server's load: it was not sent, or the
+  // server has drained or been replaced.
+  constexpr int MisdirectedStatus = 421;
+  if (!Result.ReachedServer || Result.Status == MisdirectedStatus)
+    return;
+  PaceSample Sample;
+  Sample.Route = Request.Route;
+  Sample.SlotTime = SlotTime;
+  Sample.Running = Running;
+  Sample.End = callEndOf(Result);
+  recordCall(Limit, Sample, Now);
+}
+
+void ServerPace::onCallCancelled(const CallRequest &Request, Duration SlotTime,
+                                 std::uint32_t Running, Instant Now) {
+  PaceSample Sample;
+  Sample.Route = Request.Route;
+  Sample.SlotTime = SlotTime;
+  Sample.Running = Running;
+  Sample.End = CallEnd::Abandoned;
+  recordCall(Limit, Sample, Now);
+}
+
+void ServerPace::tick(Instant Now) {
+  updateIdlePace(Limit, Now);
+  const double Logged = LoggedLimit > 0 ? LoggedLimit : Limit.MaxLimit;
+  if (std::abs(limit() - Logged) <= LoggedChange * Logged ||
+      Now - LoggedAt < MinLogInterval)
+    return;
+  LoggedLimit = limit();
+  LoggedAt = Now;
+  const bool Starting = Limit.Current == PaceLimit::Phase::SlowStart;
+  Log.logStateChange(std::move(
+      LogLine("server-pace", Now)
+          .field("server", Last ? Last->Id.Text : "")
+          .field("limit", static_cast<std::int64_t>(limit()))
+          .field("max_limit", static_cast<std::int64_t>(Limit.MaxLimit))
+          .field("cause", Starting                   ? Cause
+                          : limit() < Limit.MaxLimit ? "overload"
+                                                     : "at-maximum")));
+}
+
+} // namespace pollenwick::agent
