--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -13,6 +13,7 @@
 #include "agent/EventLoop.h"
 #include "agent/Log.h"
 #include "agent/PlatformAdapter.h"
+#include "agent/ServerPace.h"
 #include "core/dispatch/DispatchQueue.h"
 #include "core/placement/FailureRate.h"
 #include "core/shedding/RouteWork.h"
@@ -80,6 +81,7 @@
   const BackendCounts &counts() const { return Counts; }
   /// Returns the calls that have ended at the server, by route.
   const RouteWork &routeWork() const { return WorkByRoute; }
+  const ServerPace &pace() const { return Pace; }
   const ResponseLimits &responseLimits() const { return Limits; }
   /// Returns the size of the received parts of incomplete responses.
   std::size_t bufferedBytes() const { return BufferedBytes; }
@@ -134,6 +136,7 @@
   std::uint32_t MaxConnections = 0;
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
   DispatchQueue Queue;
+  ServerPace Pace;
   FailureRate RecentFailures;
   BackendCounts Counts;
   RouteWork WorkByRoute;
