Limit the calls that start on a cold server

A server that has just started tolerates few calls a second, and no node limits what all of them send. The configuration gives `cold_start_s` and `cold_per_s` for each service.

The node beside a server now limits starts while the server is cold, to `cold_per_s` within any second. The starts of the time before count. A call beyond that waits for its start, or is refused as not run with the cause `server-cold` if the start would be later than its latest start. A node that has just started permits none for a second, unless it knows that the server is warm. The server counts as cold as its newest entry says, and for `cold_start_s` after a failed connection attempt. A `cold_remaining_ms` that changes for the same server is applied; before, only the first one was. `chooseServer` chooses a cold server without starts left only if no other remains. A rate, time or path without a defined meaning rejects the configuration or, for the path, is left out.

Services without `cold_per_s` have no limit, as before.

--- a/include/pollenwick/Rules.h
+++ b/include/pollenwick/Rules.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,10 +48,18 @@
   std::int64_t Burst = 0;
 };
 
-/// Connection limit of a service.
+/// What the servers of a service tolerate after a start.
+struct ColdStartRule {
+  Duration ColdTime{};   ///< Time for which a server is cold after a start.
+  double StartsPerS = 0; ///< Calls per second while it is cold; zero: no limit.
+};
+
+/// Limits of a service and the path of its health checks.
 struct ServiceRule {
   ServiceId Service;
   std::uint32_t MaxConnections = 0; ///< Per backend server; zero: no limit.
+  ColdStartRule ColdStart = {};
+  std::string HealthPath = {}; ///< Empty: the servers have none.
 };
 
 /// Limits on the requests and connections of a caller.
@@ -80,8 +89,11 @@
   ZoneId Zone;
   std::uint32_t Slots = 1;
   ServerState State = ServerState::Ready;
-  Duration ColdRemaining{};
+  /// How much longer the server stays cold, zero if it is warm; unset if it did
+  /// not report it.
+  std::optional<Duration> ColdRemaining;
   std::int64_t StartedAtUnixMs = 0; ///< Start of this run, Unix milliseconds.
+  std::uint64_t Revision = 0;       ///< Of the record that holds the entry.
 };
 
 } // namespace pollenwick
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -149,6 +149,10 @@
     const auto Found = ServerDirectory.rules()->ByService.find(Options.Service);
     if (Found != ServerDirectory.rules()->ByService.end())
       Connections = Found->second->MaxConnections;
+    LocalBackend.coldStart().setRule(
+        Found != ServerDirectory.rules()->ByService.end()
+            ? Found->second->ColdStart
+            : ColdStartRule{});
   }
   LocalBackend.setServer(Own, Connections);
   if (Change.ServersChanged)
@@ -369,6 +373,8 @@
   Counters.setGauge("server_running", Load.Running);
   Counters.setGauge("server_waiting", Load.Waiting);
   Counters.setGauge("server_limit", Load.MaxRunning);
+  Counters.setGauge("server_cold", Load.Cold ? 1 : 0);
+  Counters.setGauge("server_cold_starts_left", Load.ColdStartsLeft);
   Counters.setGauge("server_service_us", Load.MeanServiceTime.count());
   Counters.setGauge("server_failed_permille",
                     std::lround(1000 * Load.FailureRate));
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -44,7 +44,8 @@
     const ResponseLimits &TheLimits)
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
-      Limits(TheLimits), LastSweepAt(TheLoop.now()) {
+      Limits(TheLimits), ColdStart(TheLog, TheLoop.now()),
+      LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
 
@@ -56,12 +57,14 @@
   if (!Entry) {
     if (Server)
       RemovedServerId = Server->Id.Text;
+    ColdStart.onEntryRemoved();
     Server.reset();
     return;
   }
   const bool Restarted = !Server || Server->Id != Entry->Id ||
                          Server->StartedAtUnixMs != Entry->StartedAtUnixMs;
   Server = *Entry;
+  ColdStart.onEntry(*Entry, Restarted, Loop.now());
   if (Restarted) {
     Queue.MeanServiceTime = Duration{};
     RecentFailures = FailureRate{};
@@ -81,6 +84,7 @@
   Load.FailureRate = failureRate(RecentFailures, Loop.now());
   Load.RecentCalls = recentCalls(RecentFailures, Loop.now());
   Load.Leaving = DrainDeadline.has_value();
+  ColdStart.fillLoad(Load, Loop.now());
   return Load;
 }
 
@@ -100,6 +104,18 @@
   });
 }
 
+void Backend::refuseDropped(const std::vector<WaitingCall> &Dropped,
+                            const std::string &Cause) {
+  for (const WaitingCall &Waiting : Dropped) {
+    const auto Found = Calls.find(Waiting.Id);
+    if (Found == Calls.end())
+      continue;
+    CallResultHandler Done = std::move(Found->second.Done);
+    Calls.erase(Found);
+    refuse(std::move(Done), Cause);
+  }
+}
+
 Backend::CallNumber Backend::submit(CallRequest &&Request,
                                     CallResultHandler Done) {
   const CallNumber Number = ++LastCallNumber;
@@ -134,9 +150,12 @@
   Terms.Nested = Request.Nested;
   const WaitingCall Waiting{Number, dueTime(Terms), Request.Deadline,
                             latestStart(Terms)};
-  const QueueDecision Decision = offerCall(Queue, Waiting, Loop.now());
+  const bool TooCold =
+      startsTooLate(ColdStart.limiter(), Queue, Waiting, Loop.now());
+  const QueueDecision Decision =
+      offerCall(Queue, ColdStart.limiter(), Waiting, Loop.now());
   if (Decision == QueueDecision::Refuse) {
-    refuse(std::move(Done), "queue-too-long");
+    refuse(std::move(Done), TooCold ? ServerColdCause : "queue-too-long");
     return Number;
   }
   PendingCall Call;
@@ -186,6 +205,7 @@
   PendingCall &Call = Calls.at(Number);
   Call.StartedAt = Loop.now();
   ++Counts.CallsStarted;
+  ColdStart.recordStart(Loop.now());
   BackendConnection *Connection = acquireConnection(Call.Request.RequestId);
   if (!Connection) {
     Loop.callAtTurnEnd([this, Number] {
@@ -201,7 +221,7 @@
 }
 
 void Backend::dispatchWaiting() {
-  while (const auto Next = dequeueCall(Queue))
+  while (const auto Next = dequeueCall(Queue, ColdStart.limiter(), Loop.now()))
     dispatch(Next->Id);
 }
 
@@ -246,6 +266,7 @@
     if (Loop.now() - Call.LostAt <= CrashWindow)
       Fingerprints.push_back(Call.Fingerprint);
   LostCalls.clear();
+  ColdStart.assumeCold("server-unreachable", Loop.now());
   if (!Reachable && Fingerprints.empty())
     return;
   Reachable = false;
@@ -332,14 +353,11 @@
   if (Server && Server->State == ServerState::Ready)
     Counts.AvailableSlotMicros +=
         static_cast<std::uint64_t>(Elapsed.count()) * Queue.MaxRunning;
-  for (const WaitingCall &Expired : dropExpired(Queue, Loop.now())) {
-    const auto Found = Calls.find(Expired.Id);
-    if (Found == Calls.end())
-      continue;
-    CallResultHandler Done = std::move(Found->second.Done);
-    Calls.erase(Found);
-    refuse(std::move(Done), "deadline-in-queue");
-  }
+  refuseDropped(dropExpired(Queue, Loop.now()), "deadline-in-queue");
+  refuseDropped(dropLateStarts(Queue, ColdStart.limiter(), Loop.now()),
+                ServerColdCause);
+  // Calls that waited for their start on a cold server.
+  dispatchWaiting();
   std::vector<CallNumber> OverdueCalls;
   for (const auto &[Number, Call] : Calls)
     if (Call.Connection && Call.Request.Deadline + ResponseGrace <= Loop.now())
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "agent/Call.h"
+#include "agent/ColdStartState.h"
 #include "agent/EventLoop.h"
 #include "agent/Log.h"
 #include "agent/PlatformAdapter.h"
@@ -74,6 +75,12 @@
   /// server is not registered.
   void setServer(const ServerEntry *Entry, std::uint32_t MaxConnections);
 
+  /// What is known about the server being cold.
+  ColdStartState &coldStart() { return ColdStart; }
+  /// Returns whether the server answered since the last failed connection
+  /// attempt.
+  bool reachable() const { return Reachable; }
+
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
@@ -105,6 +112,9 @@
   /// Returns false if the sum exceeds its limit.
   bool updateBufferedBytes(std::size_t Previous, std::size_t Current);
   void refuse(CallResultHandler &&Done, std::string Cause);
+  /// Refuses calls that were removed from the queue.
+  void refuseDropped(const std::vector<WaitingCall> &Dropped,
+                     const std::string &Cause);
   void dispatch(CallNumber Number);
   void dispatchWaiting();
   /// Returns an idle connection that has not refused the request; null if there
@@ -131,6 +141,7 @@
   std::uint32_t MaxConnections = 0;
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
   DispatchQueue Queue;
+  ColdStartState ColdStart;
   FailureRate RecentFailures;
   BackendCounts Counts;
   CallNumber LastCallNumber = 0;
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -63,6 +63,11 @@
     send(Id, *Servers[*Chosen]);
     return;
   }
+  if (Item.LastCause == ServerColdCause) {
+    // Only the queue beside a cold server lets calls wait for it.
+    giveUp(Id);
+    return;
+  }
   const Duration Wait = std::max(MinPlacementWait, Item.Route->LatencyTarget /
                                                        PlacementWaitDivisor);
   const Instant PlacementDeadline =
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -79,6 +79,7 @@
       removeServer(Existing);
     return;
   }
+  Entry->Revision = Item.Revision;
   if (Existing != Servers.end()) {
     const bool IsSameInstance =
         Existing->second.Entry.StartedAtUnixMs == Entry->StartedAtUnixMs &&
@@ -93,6 +94,8 @@
                                                                    : "draining")
                 .field("revision", static_cast<std::int64_t>(Item.Revision))));
       Existing->second.Entry = *Entry;
+      if (Entry->ColdRemaining)
+        Existing->second.ColdUntil = Now + *Entry->ColdRemaining;
       Existing->second.Revision = Item.Revision;
       noteLatest(Existing->second);
       return;
@@ -103,7 +106,7 @@
   New.Entry = *Entry;
   New.Revision = Item.Revision;
   New.NodeIp = Entry->Address.substr(0, Entry->Address.find(':'));
-  New.ColdUntil = Now + Entry->ColdRemaining;
+  New.ColdUntil = Now + Entry->ColdRemaining.value_or(Duration{});
   ServersByService[Entry->Service.Text].push_back(&New);
   noteLatest(New);
   Log.logStateChange(std::move(
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -62,6 +62,12 @@
   return Server.Load.Running + Server.Load.Waiting + Server.SentSince;
 }
 
+/// Returns whether a call that arrives now may start as far as the server being
+/// cold is concerned.
+bool hasStartLeft(const PlacementCandidate &Server) {
+  return !Server.Load.Cold || Server.SentSince < Server.Load.ColdStartsLeft;
+}
+
 /// Returns the service time expected of a server: its own mean, as far as its
 /// recent calls are evidence for it, and else the mean of the service.
 double expectedServiceMicros(const PlacementCandidate &Server,
@@ -132,7 +138,7 @@
 
 bool servesWithinZone(const PlacementCandidate &Server,
                       const ServiceBaseline &Baseline, Duration LatencyTarget) {
-  return Server.SameZone && !Server.Load.Leaving &&
+  return Server.SameZone && !Server.Load.Leaving && hasStartLeft(Server) &&
          excessFailureRate(Server.Load, Baseline) == 0 &&
          assignedCalls(Server) <
              ZoneUtilization * concurrencyLimitOf(Server.Load) &&
@@ -156,7 +162,13 @@
       std::ranges::all_of(Servers, [](const PlacementCandidate &Server) {
         return Server.Load.Leaving;
       });
+  const bool AnyStartLeft = std::ranges::any_of(
+      Servers, [AllLeave](const PlacementCandidate &Server) {
+        return hasStartLeft(Server) && (AllLeave || !Server.Load.Leaving);
+      });
   for (std::size_t I = 0; I < Servers.size(); ++I) {
+    if (AnyStartLeft && !hasStartLeft(Servers[I]))
+      continue;
     if (WithinZone && !Servers[I].SameZone)
       continue;
     if (Servers[I].Load.Leaving && !AllLeave)
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -75,7 +75,7 @@
 /// left until the caller's target; zero if there is none. Each time is varied
 /// by a small random factor so that nodes with the same reports do not all
 /// choose the same server. A server whose node is leaving is chosen only if all
-/// are leaving.
+/// are leaving, and a cold one without starts left only if no other remains.
 std::optional<std::size_t>
 chooseServer(std::span<const PlacementCandidate> Servers,
              Duration LatencyTarget, std::minstd_rand &Random);
--- /dev/null
+++ b/tests/agent/ColdBackendTest.cpp
@@ -0,0 +1,80 @@
+#include <catch2/catch.hpp>
+
+#include "BackendFixture.h"
+#include "ScriptedServer.h"
+
+using namespace pollenwick;
+using namespace pollenwick::agent;
+using std::chrono::seconds;
+
+namespace {
+
+using Socket = Poco::Net::StreamSocket;
+using Server = ScriptedServer;
+
+/// Answers all requests of one connection.
+void answerAll(Socket &Peer) {
+  for (std::string Id = Server::readRequest(Peer); !Id.empty();
+       Id = Server::readRequest(Peer))
+    Server::write(Peer, Server::makeResponse(Id, "ok"));
+}
+
+} // namespace
+
+TEST_CASE("The node beside a cold server limits its calls", "[agent]") {
+  // Guards against a cold server that crashes, because the nodes of the callers
+  // do not know what the others send.
+  Server FakeServer({answerAll, answerAll});
+  BackendFixture Fixture(FakeServer.address());
+  Fixture.Target.coldStart().setRule({seconds(3), 2});
+  Fixture.Entry.Revision = 5;
+  Fixture.Entry.ColdRemaining = seconds(3);
+  Fixture.Entry.StartedAtUnixMs = 17;
+  Fixture.Target.setServer(&Fixture.Entry, 100);
+  const auto Call = [&](const std::string &Id) {
+    CallRequest Request = Fixture.request(Id, 400);
+    return Fixture.callAndWait(std::move(Request));
+  };
+
+  SECTION("it starts none in the first second of the process") {
+    const CallResult Refused = Call("a");
+    CHECK(Refused.Outcome == CallOutcome::NotRun);
+    CHECK(Refused.Cause == "server-cold");
+    CHECK(Refused.Load.Cold);
+    CHECK(Refused.Load.ColdStartsLeft == 0);
+  }
+  SECTION("it refuses what exceeds the rate as not run") {
+    Fixture.runFor(1100);
+    CHECK(Fixture.Target.load().ColdStartsLeft == 2);
+    CHECK(Call("a").Outcome == CallOutcome::Complete);
+    CHECK(Call("b").Outcome == CallOutcome::Complete);
+    CHECK(Call("c").Cause == "server-cold");
+    CHECK(Fixture.callAndWait("d", 1500).Outcome == CallOutcome::Complete);
+  }
+  SECTION("a newer entry of the same server is applied") {
+    Fixture.Entry.Revision = 6;
+    Fixture.Entry.ColdRemaining = Duration{};
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK_FALSE(Fixture.Target.load().Cold);
+    CHECK(Call("a").Outcome == CallOutcome::Complete);
+    Fixture.Entry.Revision = 7;
+    Fixture.Entry.ColdRemaining = seconds(3);
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK(Fixture.Target.load().Cold);
+  }
+  SECTION("the same entry does not make it cold again") {
+    Fixture.Target.coldStart().onHealthReport(Duration{}, Fixture.Loop.now());
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK_FALSE(Fixture.Target.load().Cold);
+  }
+}
+
+TEST_CASE("A server that is unreachable counts as cold", "[agent]") {
+  // Guards against full load on a server that has restarted and whose new entry
+  // has not arrived.
+  BackendFixture Fixture("127.0.0.1:1");
+  Fixture.Target.coldStart().setRule({seconds(3), 2});
+  Fixture.Target.coldStart().onHealthReport(Duration{}, Fixture.Loop.now());
+  CHECK(Fixture.callAndWait("a").Cause == "server-unreachable");
+  CHECK(Fixture.Target.load().Cold);
+}
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -200,3 +200,29 @@
   CHECK(failureRate(Share, Now) > 0.95);
   CHECK(failureRate(Share, Now + std::chrono::seconds(3)) < 0.2);
 }
+
+TEST_CASE("A cold server without starts left is chosen last", "[placement]") {
+  // Guards against calls that wait for, or crash, a server that has just
+  // started while others of the service can serve.
+  std::vector<PlacementCandidate> Servers{server(0, 0, 10), server(5, 0, 80)};
+  Servers[0].Load.Cold = true;
+  Servers[0].Load.ColdStartsLeft = 3;
+  SECTION("it is chosen while starts are left") {
+    CHECK(counts(Servers, 50)[0] == 50);
+  }
+  SECTION("calls that were sent since its report use them up") {
+    Servers[0].SentSince = 3;
+    CHECK(counts(Servers, 50)[1] == 50);
+    CHECK(counts(Servers, 50, 1000)[1] == 50);
+  }
+  SECTION("a warm server of another zone is preferred to it") {
+    Servers[0].Load.ColdStartsLeft = 0;
+    Servers[1].SameZone = false;
+    CHECK(counts(Servers, 50, 1000)[1] == 50);
+  }
+  SECTION("it is chosen if no other is left") {
+    Servers[0].Load.ColdStartsLeft = 0;
+    Servers[1].Load.Leaving = true;
+    CHECK(counts(Servers, 50)[0] == 50);
+  }
+}
--- a/tests/platform/DecodeTest.cpp
+++ b/tests/platform/DecodeTest.cpp
@@ -131,3 +131,29 @@
     CHECK_FALSE(decodeServer("i-1", Text).ok());
   }
 }
+
+TEST_CASE("The limits of cold servers are decoded", "[platform]") {
+  const auto Decode = [](const std::string &Row) {
+    return decodeConfiguration(
+        R"({"version":"01","services":{"columns":["name","health_path",
+          "max_connections","cold_start_s","cold_per_s"],"rows":[)" +
+        Row + "]}}");
+  };
+  const auto Good = Decode(R"(["one","/healthz",316,3.0,14.0])");
+  REQUIRE(Good.ok());
+  CHECK(Good->Services[0].ColdStart.ColdTime == std::chrono::seconds(3));
+  CHECK(Good->Services[0].ColdStart.StartsPerS == 14.0);
+  CHECK(Good->Services[0].HealthPath == "/healthz");
+  const auto Absent = Decode(R"(["one","/healthz",316])");
+  REQUIRE(Absent.ok());
+  CHECK(Absent->Services[0].ColdStart.StartsPerS == 0);
+  // Guards against a path that adds lines to the health request.
+  const auto Forged = Decode(R"(["one","/x HTTP/1.1\r\nA: b",316,3,14])");
+  REQUIRE(Forged.ok());
+  CHECK(Forged->Services[0].HealthPath.empty());
+  // Guards against a rate or time without a defined meaning.
+  CHECK_FALSE(Decode(R"(["one","/h",316,3,-1])").ok());
+  CHECK_FALSE(Decode(R"(["one","/h",316,-3,1])").ok());
+  CHECK_FALSE(Decode(R"(["one","/h",316,3,1e300])").ok());
+  CHECK_FALSE(Decode(R"(["one","/h",316,3,"many"])").ok());
+}
