Evacuate a zone when the store has op/evacuate/ZONE

Operators can take the servers of a zone out of service only by ending them.

While a zone is evacuated, no ingress considers its servers, and the node beside such a server refuses new, waiting and unsent calls as not run (`zone-evacuated`) and reports a limit of 0 calls. Running calls finish. A server whose zone is taken back counts as cold.

A node refuses all calls to its server until it has a configuration and all changes up to a revision, so that a restarted one runs none in an evacuated zone. A rules record that a full list lacks is removed at once, also after an outage: only entries of servers expire.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -122,6 +122,7 @@
 Agent::~Agent() = default;
 
 void Agent::run() {
+  LocalBackend.refuseCalls(NoConfigurationCause);
   Log.logStateChange(std::move(LogLine("started", Loop.now())
                                    .field("service", Options.Service.Text)
                                    .field("zone", Options.Zone.Text)
@@ -139,10 +140,13 @@
 }
 
 void Agent::applyDirectoryChange(const ServiceRegistry::Change &Change) {
-  if (!Change.RulesChanged && !Change.ServersChanged)
-    return;
   const ServerEntry *Own =
       ServerDirectory.findServerByAddress(Options.ServerAddress);
+  LocalBackend.refuseCalls(serverRefusalCause(
+      ServerDirectory.evacuations(), Options.Zone, Own ? Own->Zone : ZoneId(),
+      ServerDirectory.recordsKnown()));
+  if (!Change.RulesChanged && !Change.ServersChanged)
+    return;
   std::uint32_t Connections = 0;
   if (ServerDirectory.rules()) {
     Listener.setLimits(ServerDirectory.rules()->Source.Limits);
@@ -394,6 +398,9 @@
           ? static_cast<std::int64_t>(ServerDirectory.rules()->Source.Version)
           : 0);
   Records.fillMetrics(Counters);
+  Counters.setGauge(
+      "zones_evacuated",
+      static_cast<std::int64_t>(ServerDirectory.evacuations().Zones.size()));
   for (const auto &[Key, Share] : Fleet.admissionPlan().AdmittedShareByKey)
     Counters.setGauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                       static_cast<std::int64_t>(100 * Share));
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -5,6 +5,7 @@
 
 #include "agent/BackendConnection.h"
 #include "agent/HttpMessage.h"
+#include "core/evacuation/Evacuation.h"
 
 namespace pollenwick::agent {
 namespace {
@@ -78,6 +79,7 @@
   Load.Running = Queue.Running;
   Load.Waiting = static_cast<std::uint32_t>(Queue.Waiting.size());
   const bool AcceptsCalls = Server && Server->State == ServerState::Ready &&
+                            RefusalCause.empty() &&
                             (!DrainDeadline || Loop.now() < *DrainDeadline);
   Load.MaxRunning = AcceptsCalls ? Queue.MaxRunning : 0;
   Load.MeanServiceTime = Queue.MeanServiceTime;
@@ -125,6 +127,10 @@
         (Queue.MeanServiceTime.count() > 0 ? Queue.MeanServiceTime
                                            : DefaultServiceTime)
             .count());
+  if (!RefusalCause.empty()) {
+    refuse(std::move(Done), RefusalCause);
+    return Number;
+  }
   if (DrainDeadline && Request.Deadline > *DrainDeadline) {
     refuse(std::move(Done), "node-leaving");
     return Number;
@@ -315,6 +321,35 @@
   dispatchWaiting();
 }
 
+void Backend::refuseCalls(const std::string &Cause) {
+  const std::string Previous = std::exchange(RefusalCause, Cause);
+  if (Previous == Cause)
+    return;
+  if (Cause.empty()) {
+    if (Previous == ZoneEvacuatedCause)
+      ColdStart.assumeCold("zone-returned", Loop.now());
+    return;
+  }
+  refuseDropped(removeWaiting(Queue), Cause);
+  // A call whose connection is not established has not been sent. It could
+  // reach the server long after this.
+  std::vector<CallNumber> Unsent;
+  for (const auto &[Number, Call] : Calls)
+    if (Call.Connection && !Call.Connection->connected())
+      Unsent.push_back(Number);
+  for (const CallNumber Number : Unsent) {
+    const auto Found = Calls.find(Number);
+    if (Found == Calls.end())
+      continue;
+    BackendConnection *Connection = Found->second.Connection;
+    CallResult Result;
+    Result.Cause = Cause;
+    Connection->close();
+    completeCall(Number, std::move(Result));
+    onConnectionClosed(*Connection, true);
+  }
+}
+
 void Backend::recall(CallNumber Number) {
   const auto Found = Calls.find(Number);
   if (Found == Calls.end() ||
@@ -350,7 +385,7 @@
   LastSweepAt = Loop.now();
   if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge)
     Queue.MeanServiceTime = Duration{};
-  if (Server && Server->State == ServerState::Ready)
+  if (Server && Server->State == ServerState::Ready && RefusalCause.empty())
     Counts.AvailableSlotMicros +=
         static_cast<std::uint64_t>(Elapsed.count()) * Queue.MaxRunning;
   refuseDropped(dropExpired(Queue, Loop.now()), "deadline-in-queue");
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -81,6 +81,10 @@
   /// attempt.
   bool reachable() const { return Reachable; }
 
+  /// Refuses all calls for this reason, also those that wait; runs calls again
+  /// if `Cause` is empty. Running calls finish.
+  void refuseCalls(const std::string &Cause);
+
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
@@ -139,6 +143,7 @@
   std::optional<ServerEntry> Server;
   std::string RemovedServerId; ///< Last server whose entry was removed.
   std::uint32_t MaxConnections = 0;
+  std::string RefusalCause; ///< Why all calls are refused; empty: they are not.
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
   DispatchQueue Queue;
   ColdStartState ColdStart;
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -100,6 +100,11 @@
     Item.CustomerPriority = Customer->Priority;
     Item.Request.Rank = dispatchRank(Customer->Priority, Item.Route->Priority);
   }
+  if (ServerDirectory.allEvacuated(Item.Service)) {
+    // The plan would refuse it too, but as an overload.
+    Details = {503, ZoneEvacuatedCause, addJitter(RetryAfterShed)};
+    return false;
+  }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
   std::uniform_real_distribution<double> Draw(0, 1);
   if (Draw(Random) >=
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -26,6 +26,7 @@
     const bool AtLocal = Server->Entry.Address == Options.ServerAddress;
     return Server->Entry.State != ServerState::Ready ||
            Server->AvoidUntil > Loop.now() ||
+           !mayGetCalls(ServerDirectory.evacuations(), Server->Entry.Zone) ||
            Item.TriedServers.contains(Server->Entry.Id.Text) ||
            (!AtLocal && !Peers.findLiveLink(Server->NodeIp));
   });
@@ -78,7 +79,9 @@
     return;
   }
   if (Item.LastCause.empty())
-    Item.LastCause = "no-usable-server";
+    Item.LastCause = ServerDirectory.allEvacuated(Item.Service)
+                         ? ZoneEvacuatedCause
+                         : "no-usable-server";
   giveUp(Id);
 }
 
--- a/src/agent/PlatformAdapter.h
+++ b/src/agent/PlatformAdapter.h
@@ -25,7 +25,10 @@
   std::string ServerStampHeader; ///< Set on answers that a server made.
   std::string ServerLoadHeader;  ///< Load of the server, on its answers.
   std::string NotRunHeader;      ///< Set when the server did not run the call.
-  std::string ReadyPath;         ///< Path of the server's readiness check.
+  /// How much longer a server stays cold in ms, on its health answers.
+  std::string ColdRemainingHeader;
+  std::string ServerIdHeader; ///< Id of the server, on its health answers.
+  std::string ReadyPath;      ///< Path of the server's readiness check.
 
   /// Decodes a stored configuration; InvalidArgument if it is malformed.
   std::function<absl::StatusOr<Rules>(std::string_view)> DecodeRules;
@@ -33,6 +36,9 @@
   std::function<absl::StatusOr<ServerEntry>(const std::string &Id,
                                             std::string_view)>
       DecodeServer;
+  /// Returns the zone that a record of the kind `Rules` asks to evacuate;
+  /// NotFound if it is no such record, InvalidArgument if it is malformed.
+  std::function<absl::StatusOr<ZoneId>(const std::string &Id)> DecodeEvacuation;
 };
 
 /// Returns the request headers that the agent replaces or removes.
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -5,6 +5,15 @@
 #include <iterator>
 
 namespace pollenwick::agent {
+namespace {
+
+/// Returns when a record is removed that a list lacks. Only entries of servers
+/// expire in an outage of the source; other records were removed on purpose.
+Instant removalTime(RecordKind Kind, Instant KeepMissingUntil, Instant Now) {
+  return Kind == RecordKind::Server ? KeepMissingUntil : Now;
+}
+
+} // namespace
 
 ServiceRegistry::ServiceRegistry(const PlatformAdapter &TheAdapter,
                                  LogWriter &TheLog)
@@ -37,6 +46,38 @@
   return true;
 }
 
+void ServiceRegistry::updateRulesRecord(const Record &Item,
+                                        std::string_view Source, Instant Now,
+                                        Change &Result) {
+  const absl::StatusOr<ZoneId> Zone =
+      Adapter.DecodeEvacuation ? Adapter.DecodeEvacuation(Item.Id)
+                               : absl::NotFoundError("no evacuations");
+  if (absl::IsNotFound(Zone.status())) {
+    if (!Item.Deleted)
+      Result.RulesChanged |= updateRules(Item, Source, Now);
+    return;
+  }
+  if (!Zone.ok()) {
+    Log.logStateChange(std::move(
+        LogLine("evacuation-unreadable", Now)
+            .field("revision", static_cast<std::int64_t>(Item.Revision))
+            .field("error", toStdStringView(Zone.status().message()))));
+    return;
+  }
+  if (!setEvacuated(EvacuatedZones, *Zone, !Item.Deleted))
+    return;
+  const auto ServersThere =
+      std::ranges::count_if(Servers, [&](const auto &Known) {
+        return Known.second.Entry.Zone == *Zone;
+      });
+  Log.logStateChange(
+      std::move(LogLine(Item.Deleted ? "zone-returned" : "zone-evacuated", Now)
+                    .field("zone", Zone->Text)
+                    .field("servers", static_cast<std::int64_t>(ServersThere))
+                    .field("revision", static_cast<std::int64_t>(Item.Revision))
+                    .field("source", Source)));
+}
+
 void ServiceRegistry::removeServer(
     std::map<std::string, KnownServer>::iterator Existing) {
   const std::string Address = Existing->second.Entry.Address;
@@ -128,8 +169,8 @@
     if (Item.Kind == RecordKind::Server) {
       updateServer(Item.Id, Now);
       Result.ServersChanged = true;
-    } else if (!Item.Deleted) {
-      Result.RulesChanged |= updateRules(Item, Source, Now);
+    } else {
+      updateRulesRecord(Item, Source, Now, Result);
     }
   }
   return Result;
@@ -144,8 +185,8 @@
     if (Kind == RecordKind::Server) {
       updateServer(Id, Now);
       Result.ServersChanged = true;
-    } else if (const Record &Item = RuleRecords.Records.at(Id); !Item.Deleted) {
-      Result.RulesChanged |= updateRules(Item, Source, Now);
+    } else {
+      updateRulesRecord(RuleRecords.Records.at(Id), Source, Now, Result);
     }
   }
   return Result;
@@ -155,9 +196,10 @@
 ServiceRegistry::applyFullList(RecordKind Kind, const std::vector<Record> &List,
                                std::uint64_t AsOfRevision,
                                Instant KeepMissingUntil, Instant Now) {
-  return updateChanged(
-      Kind, applyList(tableOf(Kind), List, AsOfRevision, KeepMissingUntil, Now),
-      "source", Now);
+  return updateChanged(Kind,
+                       applyList(tableOf(Kind), List, AsOfRevision,
+                                 removalTime(Kind, KeepMissingUntil, Now), Now),
+                       "source", Now);
 }
 
 ServiceRegistry::Change ServiceRegistry::applyBatch(RecordKind Kind,
@@ -165,8 +207,8 @@
                                                     Instant KeepMissingUntil,
                                                     std::string_view Source,
                                                     bool &HasGap, Instant Now) {
-  const BatchResult Result =
-      pollenwick::applyBatch(tableOf(Kind), Batch, KeepMissingUntil, Now);
+  const BatchResult Result = pollenwick::applyBatch(
+      tableOf(Kind), Batch, removalTime(Kind, KeepMissingUntil, Now), Now);
   HasGap = Result.HasGap;
   return updateChanged(Kind, Result.ChangedIds, Source, Now);
 }
@@ -188,6 +230,7 @@
       Ids, std::back_inserter(Removed),
       [this](const std::string &Id) { return ServerRecords.Records.at(Id); });
   pruneMarkers(ServerRecords, MaxMarkers);
+  pruneMarkers(RuleRecords, MaxMarkers);
   return Result;
 }
 
@@ -204,6 +247,16 @@
   return Result;
 }
 
+bool ServiceRegistry::allEvacuated(const ServiceId &Service) {
+  if (EvacuatedZones.Zones.empty())
+    return false;
+  const std::vector<KnownServer *> Found = serversOf(Service);
+  return !Found.empty() &&
+         std::ranges::none_of(Found, [this](const KnownServer *Server) {
+           return mayGetCalls(EvacuatedZones, Server->Entry.Zone);
+         });
+}
+
 KnownServer *ServiceRegistry::findServer(const std::string &ServerId) {
   const auto Found = Servers.find(ServerId);
   return Found == Servers.end() ? nullptr : &Found->second;
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -10,6 +10,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "agent/Log.h"
 #include "agent/PlatformAdapter.h"
+#include "core/evacuation/Evacuation.h"
 #include "core/hosts/RecordTable.h"
 #include "core/placement/Placement.h"
 #include "core/rules/RouteTable.h"
@@ -71,6 +72,12 @@
 
   /// Returns the rules in force; null until the first configuration arrives.
   const std::shared_ptr<const RouteTable> &rules() const { return Rules; }
+  /// Returns the zones that are evacuated.
+  const Evacuations &evacuations() const { return EvacuatedZones; }
+  /// Returns whether the service has servers, all of them in evacuated zones.
+  bool allEvacuated(const ServiceId &Service);
+  /// Returns whether this node has rules, and all evacuations as of them.
+  bool recordsKnown() const { return Rules && RuleRecords.Revision > 0; }
   /// Returns the registered servers of a service, valid until the next update.
   /// Leaves out entries of servers that have ended: a later record names
   /// another server at their address.
@@ -111,6 +118,9 @@
   Change updateChanged(RecordKind Kind, const std::vector<std::string> &Ids,
                        std::string_view Source, Instant Now);
   bool updateRules(const Record &Item, std::string_view Source, Instant Now);
+  /// Applies a record of the kind `Rules`: the rules or an evacuation.
+  void updateRulesRecord(const Record &Item, std::string_view Source,
+                         Instant Now, Change &Result);
   void updateServer(const std::string &Id, Instant Now);
   void removeServer(std::map<std::string, KnownServer>::iterator Existing);
   /// Records the server in `LatestByAddress` if it is the newest there.
@@ -121,6 +131,7 @@
   RecordTable RuleRecords;
   RecordTable ServerRecords;
   std::shared_ptr<const RouteTable> Rules;
+  Evacuations EvacuatedZones;
   std::map<std::string, KnownServer> Servers;
   absl::flat_hash_map<std::string, std::vector<KnownServer *>> ServersByService;
   /// The server with the newest record at each address.
--- a/tests/agent/ColdBackendTest.cpp
+++ b/tests/agent/ServerRefusalTest.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <Poco/Thread.h>
+
 #include "BackendFixture.h"
 #include "ScriptedServer.h"
 
@@ -78,3 +80,69 @@
   CHECK(Fixture.callAndWait("a").Cause == "server-unreachable");
   CHECK(Fixture.Target.load().Cold);
 }
+
+TEST_CASE("The server of an evacuated zone gets no calls", "[agent]") {
+  Server FakeServer({[](Socket &Peer) {
+    const std::string Id = Server::readRequest(Peer);
+    // The other call waits meanwhile.
+    Poco::Thread::sleep(300);
+    Server::write(Peer, Server::makeResponse(Id, "ok"));
+    Server::waitForClose(Peer, 1000);
+  }});
+  BackendFixture Fixture(FakeServer.address());
+  Fixture.Entry.Slots = 1;
+  Fixture.Target.setServer(&Fixture.Entry, 100);
+  std::optional<CallResult> Running;
+  std::optional<CallResult> Waiting;
+  const auto Submit = [&](const std::string &Id,
+                          std::optional<CallResult> &To) {
+    Fixture.Target.submit(Fixture.request(Id),
+                          [&To](CallResult &&Got) { To = std::move(Got); });
+  };
+  Submit("a", Running);
+  Fixture.runFor(50);
+  Submit("b", Waiting);
+  Fixture.Target.refuseCalls("zone-evacuated");
+  CHECK(Fixture.Target.load().MaxRunning == 0);
+  SECTION("its waiting calls are placed elsewhere and running ones finish") {
+    Fixture.runFor(100);
+    REQUIRE(Waiting);
+    CHECK(Waiting->Outcome == CallOutcome::NotRun);
+    CHECK(Waiting->Cause == "zone-evacuated");
+    CHECK_FALSE(Running);
+    Fixture.runFor(400);
+    REQUIRE(Running);
+    CHECK(Running->Outcome == CallOutcome::Complete);
+  }
+  SECTION("new calls are refused until the zone is taken back, which is cold") {
+    Fixture.Target.coldStart().setRule({seconds(3), 2});
+    Fixture.Target.coldStart().onHealthReport(Duration{}, Fixture.Loop.now());
+    CHECK(Fixture.callAndWait("c").Cause == "zone-evacuated");
+    CHECK_FALSE(Fixture.Target.load().Cold);
+    Fixture.Target.refuseCalls("");
+    CHECK(Fixture.Target.load().Cold);
+    CHECK(Fixture.Target.load().MaxRunning == 1);
+  }
+}
+
+TEST_CASE("A call that was not sent yet does not reach an evacuated server",
+          "[agent]") {
+  // Guards against a connection attempt that succeeds seconds after the
+  // evacuation and then sends its call. The server's listen queue is full, so
+  // that further connections wait.
+  Poco::Net::ServerSocket Full(Poco::Net::SocketAddress("127.0.0.1", 0), 1);
+  std::vector<Poco::Net::StreamSocket> Others(4);
+  for (Poco::Net::StreamSocket &Other : Others)
+    Other.connectNB(Full.address());
+  Poco::Thread::sleep(50);
+  BackendFixture Fixture(Full.address().toString());
+  std::optional<CallResult> Result;
+  Fixture.Target.submit(Fixture.request("a", 4000),
+                        [&](CallResult &&Got) { Result = std::move(Got); });
+  Fixture.runFor(50);
+  REQUIRE_FALSE(Result);
+  Fixture.Target.refuseCalls("zone-evacuated");
+  REQUIRE(Result);
+  CHECK(Result->Outcome == CallOutcome::NotRun);
+  CHECK(Fixture.Target.pendingCount() == 0);
+}
--- a/tests/agent/ServiceRegistryTest.cpp
+++ b/tests/agent/ServiceRegistryTest.cpp
@@ -71,3 +71,73 @@
     CHECK(Registry.findServerByAddress("10.0.0.1:80")->Id.Text == "i-old");
   }
 }
+
+TEST_CASE("An evacuation is read and relayed like the configuration",
+          "[agent]") {
+  // Guards against an evacuation that is lost, or comes back, on the way from
+  // the readers of the store to the other nodes.
+  PlatformAdapter Adapter = spacedEntries();
+  Adapter.DecodeRules = [](std::string_view Value) {
+    Rules Result;
+    Result.Version = std::stoull(std::string(Value));
+    return absl::StatusOr<Rules>(Result);
+  };
+  Adapter.DecodeEvacuation = [](const std::string &Id) {
+    return Id.starts_with("e-") ? absl::StatusOr<ZoneId>(ZoneId(Id.substr(2)))
+                                : absl::NotFoundError("no evacuation");
+  };
+  LogWriter Log("test");
+  ServiceRegistry Reader(Adapter, Log);
+  ServiceRegistry Peer(Adapter, Log);
+  const auto Relay = [&] {
+    bool HasGap = false;
+    Peer.applyBatch(
+        RecordKind::Rules,
+        Reader.batchAfter(RecordKind::Rules, Peer.revision(RecordKind::Rules)),
+        Start, "10.0.0.1", HasGap, Start);
+    CHECK_FALSE(HasGap);
+  };
+  const Record Configuration{RecordKind::Rules, "config", 5, false, "3"};
+  const Record Request{RecordKind::Rules, "e-z", 7, false, ""};
+  CHECK_FALSE(Peer.recordsKnown());
+  Reader.applyFullList(RecordKind::Rules, {Configuration, Request}, 8, Start,
+                       Start);
+  CHECK_FALSE(mayGetCalls(Reader.evacuations(), ZoneId("z")));
+  Relay();
+  CHECK(Peer.recordsKnown());
+  CHECK_FALSE(mayGetCalls(Peer.evacuations(), ZoneId("z")));
+  CHECK(Peer.rules()->Source.Version == 3);
+
+  SECTION("its removal is relayed and an older report does not undo it") {
+    Record Removal = Request;
+    Removal.Deleted = true;
+    Removal.Revision = 9;
+    Reader.applyRecords({Removal}, "source", Start);
+    Reader.advanceRevision(RecordKind::Rules, 9);
+    Relay();
+    CHECK(mayGetCalls(Peer.evacuations(), ZoneId("z")));
+    Peer.applyRecords({Request}, "10.0.0.3", Start);
+    CHECK(mayGetCalls(Peer.evacuations(), ZoneId("z")));
+  }
+  SECTION("a list that lacks it ends it at once, also after an outage") {
+    // Guards against a zone that stays empty for ever: only entries of servers
+    // come back after an outage.
+    Reader.applyFullList(RecordKind::Rules, {Configuration}, 9,
+                         Start + std::chrono::seconds(2), Start);
+    CHECK(mayGetCalls(Reader.evacuations(), ZoneId("z")));
+    Relay();
+    CHECK(mayGetCalls(Peer.evacuations(), ZoneId("z")));
+    CHECK(Peer.rules()->Source.Version == 3);
+  }
+  SECTION("a node that has only a part of the records does not know them") {
+    // Guards against a restarted node that gets the configuration from a peer
+    // first and serves in a zone that was evacuated before.
+    ServiceRegistry Restarted(Adapter, Log);
+    bool HasGap = false;
+    Restarted.applyBatch(RecordKind::Rules, {8, 9, false, {Configuration}},
+                         Start, "10.0.0.1", HasGap, Start);
+    CHECK(HasGap);
+    REQUIRE(Restarted.rules());
+    CHECK_FALSE(Restarted.recordsKnown());
+  }
+}
--- a/tests/process/agent_fleet.py
+++ b/tests/process/agent_fleet.py
@@ -40,17 +40,19 @@
                     "rows": [["t-1", list(keys), 1, 500, 500], *tenants]}}
 
 
-def entry(service, address, state="ready"):
+def entry(service, address, state="ready", zone="z", cold_ms=0):
     return {"address": address, "born": 1,
-            "info": {"service": service, "version": "v1", "zone": "z", "slots": 8},
-            "status": {"state": state, "seq_no": 1, "cold_remaining_ms": 0}}
+            "info": {"service": service, "version": "v1", "zone": zone, "slots": 8},
+            "status": {"state": state, "seq_no": 1, "cold_remaining_ms": cold_ms}}
 
 
 class AgentFleetTest(unittest.TestCase):
     """Starts an agent with a backend server for each of `services`, in one
-    availability zone."""
+    availability zone unless `zones` names one for each. `names` are given if a
+    service has several servers."""
 
     services = ("one", "two")
+    names = zones = None
 
     def setUp(self):
         store, app, caller, peer, ready, metrics = (PORTS.choose() for _ in range(6))
@@ -62,23 +64,25 @@
         self.addCleanup(self.stop_all)
         self.backends, self.agents = [], []
         self.store.put("op/config", configuration(1))
-        for host, service in zip(HOSTS, self.services):
-            self.backends.append(Backend((host, app)))
-            self.store.put(f"servers/i-{service}", entry(service, f"{host}:{app}"))
+        names = self.names or self.services
+        zones = self.zones or ["z"] * len(names)
+        for host, name, service, zone in zip(HOSTS, names, self.services, zones):
+            self.backends.append(Backend((host, app), f"i-{name}"))
+            self.store.put(f"servers/i-{name}", entry(service, f"{host}:{app}", zone=zone))
             # Each agent has its own address of the store, which so knows who asks.
-            flags = {"node_name": service, "ip": host, "zone": "z", "service": service,
+            flags = {"node_name": name, "ip": host, "zone": zone, "service": service,
                      "server_address": f"{host}:{app}", "caller_address": f"{host}:{caller}",
                      "peer_address": f"{host}:{peer}", "ready_address": f"{host}:{ready}",
                      "metrics_address": f"{host}:{metrics}",
                      "source_address": f"{host}:{store}", "first_start": "true",
                      "drain_grace_s": "4"}
-            path = pathlib.Path(self.folder.name) / f"{service}.flags"
+            path = pathlib.Path(self.folder.name) / f"{name}.flags"
             path.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
-            self.agents.append(self.start_agent(service))
+            self.agents.append(self.start_agent(name))
         self.wait_for(lambda: self.call("near/x")[0] == 200 and self.call("far/x")[0] == 200)
 
-    def start_agent(self, service):
-        path = pathlib.Path(self.folder.name) / f"{service}.flags"
+    def start_agent(self, name):
+        path = pathlib.Path(self.folder.name) / f"{name}.flags"
         return subprocess.Popen(
             [AGENT], env=dict(os.environ, POLLENWICK_SETTINGS=str(path)),
             stdout=subprocess.PIPE, text=True)
--- a/tests/process/standin_platform.py
+++ b/tests/process/standin_platform.py
@@ -144,10 +144,17 @@
 
 class Backend:
     """Runs every request; keeps what it saw. A request with `work=MS` in its query
-    runs for that time, or until its deadline, when it is answered with 504."""
+    runs for that time, or until its deadline, when it is answered with 504.
+    `health_headers` are those of its answers to `HEALTH_PATH`."""
 
-    def __init__(self, address):
+    HEALTH_PATH = "/healthz"
+
+    def __init__(self, address, server_id=""):
         self.seen = []
+        self.arrivals = []  # Times at which the requests in `seen` arrived.
+        self.health_requests = 0
+        self.health_headers = [("X-Pollenwick-Instance-Id", server_id),
+                               ("X-Pollenwick-Cold-Ms", "0")]
         self.delay = 0.0
         self.during = None  # Called with the headers of each request that runs.
         self.server = serve(address, self.handler())
@@ -157,6 +164,11 @@
 
         class Handler(QuietHandler):
             def run(self):
+                if self.path == backend.HEALTH_PATH:
+                    backend.health_requests += 1
+                    self.reply(200, b"", backend.health_headers)
+                    return
+                backend.arrivals.append(time.monotonic())
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
                 backend.seen.append((self.path, dict(self.headers), body))
--- /dev/null
+++ b/tests/process/test_evacuation.py
@@ -0,0 +1,76 @@
+"""Evacuation of a zone, with agents on loopback addresses."""
+
+import threading
+import time
+
+from agent_fleet import HOSTS, AgentFleetTest, configuration
+
+EVACUATE_S = 5.0  # A call may reach a server of the zone for this long.
+CALLS = 15
+
+
+class EvacuationTest(AgentFleetTest):
+    """Each service has a server in the zone z and one in the zone y."""
+
+    services = ("one", "two", "one", "two")
+    names = ("one", "two", "one-y", "two-y")
+    zones = ("z", "z", "y", "y")
+
+    def arrived(self, *servers):
+        return sum(len(self.backends[server].seen) for server in servers)
+
+    def call_all(self):
+        """Calls both services at a node of each zone; returns the answers' codes."""
+        return {self.call(path, host=host)[0] for _ in range(CALLS)
+                for host in (HOSTS[0], HOSTS[2]) for path in ("near/x", "far/x")}
+
+    def test_zone_is_evacuated_and_given_back(self):
+        """Guards against calls that reach an evacuated zone: from its own callers,
+        after the restart of a node there, or while the store is away."""
+        self.assertEqual(self.call_all(), {200})
+        self.assertGreater(self.arrived(0, 1), 0)
+        running = []
+        caller = threading.Thread(
+            target=lambda: running.append(self.call("near/x?work=1500", host=HOSTS[0])[0]))
+        caller.start()
+        self.wait_for(lambda: "/near/x?work=1500" in [
+            path for backend in self.backends for path, _, _ in backend.seen])
+        self.store.put("op/evacuate/z", "")
+        caller.join()
+        self.assertEqual(running, [200], "a running call finishes")
+        time.sleep(EVACUATE_S)
+        before = self.arrived(0, 1)
+        self.assertEqual(self.call_all(), {200})
+        self.store.put("op/config", configuration(2))
+        self.agents[0].kill()
+        self.agents[0].wait()
+        self.agents[0].stdout.close()
+        self.agents[0] = self.start_agent("one")
+        self.wait_for(lambda: self.call("near/x", host=HOSTS[0])[0] == 200)
+        self.assertEqual(self.call_all(), {200})
+        self.store.down = True
+        time.sleep(0.5)
+        self.assertEqual(self.call_all(), {200})
+        self.store.down = False
+        self.assertEqual(self.arrived(0, 1), before)
+        self.store.remove("op/evacuate/z")
+        self.wait_for(lambda: self.call_all() == {200} and self.arrived(0, 1) > before)
+
+    def test_all_zones(self):
+        """Guards against an evacuation of all zones that is not obeyed, and against
+        other keys under the prefix that are taken for a configuration."""
+        self.store.put("op/other", "not json")
+        self.store.put("op/evacuate/", "")
+        self.store.put("op/evacuate/no-such-zone", "not json")
+        time.sleep(1.0)
+        self.assertEqual(self.call_all(), {200})
+        self.store.put("op/evacuate/z", "")
+        self.store.put("op/evacuate/y", "")
+        time.sleep(EVACUATE_S)
+        before = self.arrived(0, 1, 2, 3)
+        status, body, headers = self.call("near/x")
+        self.assertEqual((status, self.arrived(0, 1, 2, 3)), (503, before))
+        self.assertIn(b"zone-evacuated", body)
+        self.assertIn("Retry-After", headers)
+        self.store.remove("op/evacuate/y")
+        self.wait_for(lambda: self.call("near/x")[0] == 200)
