--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -123,6 +123,7 @@
 Agent::~Agent() = default;
 
 void Agent::run() {
+  LocalBackend.refuseCalls(NoConfigurationCause);
   Log.logStateChange(std::move(LogLine("started", Loop.now())
                                    .field("service", Options.Service.Text)
                                    .field("zone", Options.Zone.Text)
@@ -140,16 +141,23 @@
 }
 
 void Agent::applyDirectoryChange(const ServiceRegistry::Change &Change) {
-  if (!Change.RulesChanged && !Change.ServersChanged)
-    return;
   const ServerEntry *Own =
       ServerDirectory.findServerByAddress(Options.ServerAddress);
+  LocalBackend.refuseCalls(serverRefusalCause(
+      ServerDirectory.evacuations(), Options.Zone, Own ? Own->Zone : ZoneId(),
+      ServerDirectory.recordsKnown()));
+  if (!Change.RulesChanged && !Change.ServersChanged)
+    return;
   std::uint32_t Connections = 0;
   if (ServerDirectory.rules()) {
     Listener.setLimits(ServerDirectory.rules()->Source.Limits);
     const auto Found = ServerDirectory.rules()->ByService.find(Options.Service);
     if (Found != ServerDirectory.rules()->ByService.end())
       Connections = Found->second->MaxConnections;
+    LocalBackend.coldStart().setRule(
+        Found != ServerDirectory.rules()->ByService.end()
+            ? Found->second->ColdStart
+            : ColdStartRule{});
   }
   LocalBackend.setServer(Own, Connections);
   if (Change.ServersChanged)
@@ -376,6 +384,8 @@
   Counters.setGauge("server_running", Load.Running);
   Counters.setGauge("server_waiting", Load.Waiting);
   Counters.setGauge("server_limit", Load.MaxRunning);
+  Counters.setGauge("server_cold", Load.Cold ? 1 : 0);
+  Counters.setGauge("server_cold_starts_left", Load.ColdStartsLeft);
   Counters.setGauge("server_service_us", Load.MeanServiceTime.count());
   Counters.setGauge("server_failed_permille",
                     std::lround(1000 * Load.FailureRate));
@@ -395,6 +405,9 @@
           ? static_cast<std::int64_t>(ServerDirectory.rules()->Source.Version)
           : 0);
   Records.fillMetrics(Counters);
+  Counters.setGauge(
+      "zones_evacuated",
+      static_cast<std::int64_t>(ServerDirectory.evacuations().Zones.size()));
   for (const auto &[Key, Share] : Fleet.admissionPlan().AdmittedShareByKey)
     Counters.setGauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
                       static_cast<std::int64_t>(100 * Share));
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -5,6 +5,7 @@
 
 #include "agent/BackendConnection.h"
 #include "agent/HttpMessage.h"
+#include "core/evacuation/Evacuation.h"
 
 namespace pollenwick::agent {
 namespace {
@@ -44,7 +45,8 @@
     const ResponseLimits &TheLimits)
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
-      Limits(TheLimits), Pace(TheLog), LastSweepAt(TheLoop.now()) {
+      Limits(TheLimits), ColdStart(TheLog, TheLoop.now()), Pace(TheLog),
+      LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
 
@@ -56,12 +58,14 @@
   if (!Entry) {
     if (Server)
       RemovedServerId = Server->Id.Text;
+    ColdStart.onEntryRemoved();
     Server.reset();
     return;
   }
   const bool Restarted = !Server || Server->Id != Entry->Id ||
                          Server->StartedAtUnixMs != Entry->StartedAtUnixMs;
   Server = *Entry;
+  ColdStart.onEntry(*Entry, Restarted, Loop.now());
   if (Restarted) {
     Queue.MeanServiceTime = Duration{};
     forgetMeanSlotTimes(WorkByRoute);
@@ -77,12 +81,14 @@
   Load.Running = Queue.Running;
   Load.Waiting = static_cast<std::uint32_t>(Queue.Waiting.size());
   const bool AcceptsCalls = Server && Server->State == ServerState::Ready &&
+                            RefusalCause.empty() &&
                             (!DrainDeadline || Loop.now() < *DrainDeadline);
   Load.MaxRunning = AcceptsCalls ? Queue.MaxRunning : 0;
   Load.MeanServiceTime = Queue.MeanServiceTime;
   Load.FailureRate = failureRate(RecentFailures, Loop.now());
   Load.RecentCalls = recentCalls(RecentFailures, Loop.now());
   Load.Leaving = DrainDeadline.has_value();
+  ColdStart.fillLoad(Load, Loop.now());
   return Load;
 }
 
@@ -102,6 +108,18 @@
   });
 }
 
+void Backend::refuseDropped(const std::vector<WaitingCall> &Dropped,
+                            const std::string &Cause) {
+  for (const WaitingCall &Waiting : Dropped) {
+    const auto Found = Calls.find(Waiting.Id);
+    if (Found == Calls.end())
+      continue;
+    CallResultHandler Done = std::move(Found->second.Done);
+    Calls.erase(Found);
+    refuse(std::move(Done), Cause);
+  }
+}
+
 Backend::CallNumber Backend::submit(CallRequest &&Request,
                                     CallResultHandler Done) {
   const CallNumber Number = ++LastCallNumber;
@@ -113,6 +131,10 @@
                              ? Queue.MeanServiceTime
                              : DefaultServiceTime)
             .count());
+  if (!RefusalCause.empty()) {
+    refuse(std::move(Done), RefusalCause);
+    return Number;
+  }
   if (DrainDeadline && Request.Deadline > *DrainDeadline) {
     refuse(std::move(Done), "node-leaving");
     return Number;
@@ -138,9 +160,12 @@
   Terms.Nested = Request.Nested;
   const WaitingCall Waiting{Number, dueTime(Terms), Request.Deadline,
                             latestStart(Terms)};
-  const QueueDecision Decision = offerCall(Queue, Waiting, Loop.now());
+  const bool TooCold =
+      startsTooLate(ColdStart.limiter(), Queue, Waiting, Loop.now());
+  const QueueDecision Decision =
+      offerCall(Queue, ColdStart.limiter(), Waiting, Loop.now());
   if (Decision == QueueDecision::Refuse) {
-    refuse(std::move(Done), "queue-too-long");
+    refuse(std::move(Done), TooCold ? ServerColdCause : "queue-too-long");
     return Number;
   }
   PendingCall Call;
@@ -190,6 +215,7 @@
   PendingCall &Call = Calls.at(Number);
   Call.StartedAt = Loop.now();
   ++Counts.CallsStarted;
+  ColdStart.recordStart(Loop.now());
   BackendConnection *Connection = acquireConnection(Call.Request.RequestId);
   if (!Connection) {
     Loop.callAtTurnEnd([this, Number] {
@@ -205,7 +231,7 @@
 }
 
 void Backend::dispatchWaiting() {
-  while (const auto Next = dequeueCall(Queue))
+  while (const auto Next = dequeueCall(Queue, ColdStart.limiter(), Loop.now()))
     dispatch(Next->Id);
 }
 
@@ -258,6 +284,7 @@
     if (Loop.now() - Call.LostAt <= CrashWindow)
       Fingerprints.push_back(Call.Fingerprint);
   LostCalls.clear();
+  ColdStart.assumeCold("server-unreachable", Loop.now());
   if (!Reachable && Fingerprints.empty())
     return;
   Reachable = false;
@@ -309,6 +336,35 @@
   dispatchWaiting();
 }
 
+void Backend::refuseCalls(const std::string &Cause) {
+  const std::string Previous = std::exchange(RefusalCause, Cause);
+  if (Previous == Cause)
+    return;
+  if (Cause.empty()) {
+    if (Previous == ZoneEvacuatedCause)
+      ColdStart.assumeCold("zone-returned", Loop.now());
+    return;
+  }
+  refuseDropped(removeWaiting(Queue), Cause);
+  // A call whose connection is not established has not been sent. It could
+  // reach the server long after this.
+  std::vector<CallNumber> Unsent;
+  for (const auto &[Number, Call] : Calls)
+    if (Call.Connection && !Call.Connection->connected())
+      Unsent.push_back(Number);
+  for (const CallNumber Number : Unsent) {
+    const auto Found = Calls.find(Number);
+    if (Found == Calls.end())
+      continue;
+    BackendConnection *Connection = Found->second.Connection;
+    CallResult Result;
+    Result.Cause = Cause;
+    Connection->close();
+    completeCall(Number, std::move(Result));
+    onConnectionClosed(*Connection, true);
+  }
+}
+
 void Backend::recall(CallNumber Number) {
   const auto Found = Calls.find(Number);
   if (Found == Calls.end() ||
@@ -348,18 +404,14 @@
   }
   Pace.tick(Loop.now());
   Queue.MaxRunning = Pace.limit();
-  dispatchWaiting();
-  if (Server && Server->State == ServerState::Ready)
+  if (Server && Server->State == ServerState::Ready && RefusalCause.empty())
     Counts.AvailableSlotMicros +=
         static_cast<std::uint64_t>(Elapsed.count()) * Queue.MaxRunning;
-  for (const WaitingCall &Expired : dropExpired(Queue, Loop.now())) {
-    const auto Found = Calls.find(Expired.Id);
-    if (Found == Calls.end())
-      continue;
-    CallResultHandler Done = std::move(Found->second.Done);
-    Calls.erase(Found);
-    refuse(std::move(Done), "deadline-in-queue");
-  }
+  refuseDropped(dropExpired(Queue, Loop.now()), "deadline-in-queue");
+  refuseDropped(dropLateStarts(Queue, ColdStart.limiter(), Loop.now()),
+                ServerColdCause);
+  // Calls that waited for their start on a cold server.
+  dispatchWaiting();
   std::vector<CallNumber> OverdueCalls;
   for (const auto &[Number, Call] : Calls)
     if (Call.Connection && Call.Request.Deadline + ResponseGrace <= Loop.now())
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "agent/Call.h"
+#include "agent/ColdStartState.h"
 #include "agent/EventLoop.h"
 #include "agent/Log.h"
 #include "agent/PlatformAdapter.h"
@@ -76,6 +77,16 @@
   /// server is not registered.
   void setServer(const ServerEntry *Entry, std::uint32_t MaxConnections);
 
+  /// What is known about the server being cold.
+  ColdStartState &coldStart() { return ColdStart; }
+  /// Returns whether the server answered since the last failed connection
+  /// attempt.
+  bool reachable() const { return Reachable; }
+
+  /// Refuses all calls for this reason, also those that wait; runs calls again
+  /// if `Cause` is empty. Running calls finish.
+  void refuseCalls(const std::string &Cause);
+
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
@@ -110,6 +121,9 @@
   /// Returns false if the sum exceeds its limit.
   bool updateBufferedBytes(std::size_t Previous, std::size_t Current);
   void refuse(CallResultHandler &&Done, std::string Cause);
+  /// Refuses calls that were removed from the queue.
+  void refuseDropped(const std::vector<WaitingCall> &Dropped,
+                     const std::string &Cause);
   void dispatch(CallNumber Number);
   void dispatchWaiting();
   /// Returns an idle connection that has not refused the request; null if there
@@ -134,8 +148,10 @@
   std::optional<ServerEntry> Server;
   std::string RemovedServerId; ///< Last server whose entry was removed.
   std::uint32_t MaxConnections = 0;
+  std::string RefusalCause; ///< Why all calls are refused; empty: they are not.
   std::optional<Instant> DrainDeadline; ///< Unset unless this node drains.
   DispatchQueue Queue;
+  ColdStartState ColdStart;
   ServerPace Pace;
   FailureRate RecentFailures;
   BackendCounts Counts;
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -25,6 +25,7 @@
     const bool AtLocal = Server->Entry.Address == Options.ServerAddress;
     return Server->Entry.State != ServerState::Ready ||
            Server->AvoidUntil > Loop.now() ||
+           !mayGetCalls(ServerDirectory.evacuations(), Server->Entry.Zone) ||
            Item.TriedServers.contains(Server->Entry.Id.Text) ||
            (!AtLocal && !Peers.findLiveLink(Server->NodeIp));
   });
@@ -62,6 +63,11 @@
     send(Id, *Servers[*Chosen]);
     return;
   }
+  if (Item.LastCause == ServerColdCause) {
+    // Only the queue beside a cold server lets calls wait for it.
+    giveUp(Id);
+    return;
+  }
   const Duration Wait = std::max(MinPlacementWait, Item.Route->LatencyTarget /
                                                        PlacementWaitDivisor);
   const Instant PlacementDeadline =
@@ -72,7 +78,9 @@
     return;
   }
   if (Item.LastCause.empty())
-    Item.LastCause = "no-usable-server";
+    Item.LastCause = ServerDirectory.allEvacuated(Item.Service)
+                         ? ZoneEvacuatedCause
+                         : "no-usable-server";
   giveUp(Id);
 }
 
