--- a/tests/process/agent_fleet.py
+++ b/tests/process/agent_fleet.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import resource
 import subprocess
 import sys
 import tempfile
@@ -21,7 +22,7 @@
 PORTS = dep.PortChooser()  # None from which the system connects.
 
 
-def configuration(version, keys=("k-1",), routes=(), tenants=()):
+def configuration(version, keys=("k-1",), routes=(), tenants=(), max_body_bytes=100000):
     columns = ["name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms",
                "priority", "weighted_clusters", "max_attempts", "public", "service"]
     return {
@@ -34,7 +35,7 @@
         "services": {"columns": ["name", "health_path", "max_connections"],
                      "rows": [[name, "/healthz", 50]
                               for name in ("one", "two", "three", "four")]},
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
                     "rows": [["t-1", list(keys), 1, 500, 500], *tenants]}}
@@ -51,6 +52,9 @@
     availability zone."""
 
     services = ("one", "two")
+    max_body_bytes = 100000
+    extra_flags = {}  # Settings of all agents beside those below.
+    descriptor_limit = None  # `RLIMIT_NOFILE` of each agent; None: as inherited.
 
     def setUp(self):
         store, app, caller, peer, ready, metrics = (PORTS.choose() for _ in range(6))
@@ -61,7 +65,7 @@
         # Also runs if the set-up fails, when no tear-down would.
         self.addCleanup(self.stop_all)
         self.backends, self.agents = [], []
-        self.store.put("op/config", configuration(1))
+        self.store.put("op/config", configuration(1, max_body_bytes=self.max_body_bytes))
         for host, service in zip(HOSTS, self.services):
             self.backends.append(Backend((host, app)))
             self.store.put(f"servers/i-{service}", entry(service, f"{host}:{app}"))
@@ -71,7 +75,7 @@
                      "peer_address": f"{host}:{peer}", "ready_address": f"{host}:{ready}",
                      "metrics_address": f"{host}:{metrics}",
                      "source_address": f"{host}:{store}", "first_start": "true",
-                     "drain_grace_s": "4"}
+                     "drain_grace_s": "4", **self.extra_flags}
             path = pathlib.Path(self.folder.name) / f"{service}.flags"
             path.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
             self.agents.append(self.start_agent(service))
@@ -79,9 +83,12 @@
 
     def start_agent(self, service):
         path = pathlib.Path(self.folder.name) / f"{service}.flags"
+        limit = self.descriptor_limit
         return subprocess.Popen(
             [AGENT], env=dict(os.environ, POLLENWICK_SETTINGS=str(path)),
-            stdout=subprocess.PIPE, text=True)
+            stdout=subprocess.PIPE, text=True,
+            preexec_fn=limit and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE,
+                                                             (limit, limit))))
 
     def stop_all(self):
         for agent in self.agents:
--- a/tests/process/standin_platform.py
+++ b/tests/process/standin_platform.py
@@ -144,7 +144,8 @@
 
 class Backend:
     """Runs every request; keeps what it saw. A request with `work=MS` in its query
-    runs for that time, or until its deadline, when it is answered with 504."""
+    runs for that time, or until its deadline, when it is answered with 504. One with
+    `size=BYTES` gets an answer of that size."""
 
     def __init__(self, address):
         self.seen = []
@@ -168,6 +169,8 @@
                 time.sleep(min(work, allowed))
                 if backend.during:
                     backend.during(dict(self.headers))
+                if "size" in query:
+                    body = b"b" * (int(query["size"][0]) - 4)
                 self.reply(200 if work <= allowed else 504, b"ran " + body, [
                     (ID_HEADER, self.headers.get(ID_HEADER, "")),
                     ("X-Pollenwick-Server-Stamp", "stamp")])
