Refuse messages whose body has no clear end

After "Transfer-Encoding: chunked, identity" the parser saw a request without a body, so that its body ran as a request of its own. checkFraming now judges the header of each request and answer by RFC 9112, 6.1 and 6.3: transfer codings other than a last chunked, codings together with a length, repeated, empty or signed lengths, and codings in HTTP/1.0 are malformed (400 and close; an answer counts as unreadable). Another coding before chunked gets 501.

--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "agent/Backend.h"
+#include "agent/Framing.h"
 #include "agent/StringUtil.h"
 #include "agent/TcpKeepAlive.h"
 
@@ -132,6 +133,7 @@
   while (!Bytes.empty() && ActiveCall == Call) {
     if (!Parser) {
       Parser.emplace();
+      FramingChecked = false;
       Parser->body_limit(Owner.responseLimits().MaxBodyBytes);
       Parser->header_limit(MaxResponseHeaderBytes);
       if (Method == "HEAD")
@@ -145,6 +147,10 @@
       break;
     }
     Bytes.remove_prefix(BytesParsed);
+    if (!hasValidFraming()) {
+      abortConnection("unreadable-answer");
+      break;
+    }
     if (Parser->is_done())
       finishResponse(!Bytes.empty());
     else if (BytesParsed == 0)
@@ -153,6 +159,15 @@
   return Size - Bytes.size();
 }
 
+bool BackendConnection::hasValidFraming() {
+  if (FramingChecked || !Parser->is_header_done())
+    return true;
+  FramingChecked = true;
+  const ResponseMessage &Head = Parser->get();
+  return isBodiless(Head.result_int()) || Method == "HEAD" ||
+         checkFraming(Head, Head.version()) == Framing::Valid;
+}
+
 CallResult BackendConnection::toCallResult(ResponseMessage &&Response) const {
   CallResult Result;
   Result.ReachedServer = true;
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -5,6 +5,7 @@
 
 #include "agent/Call.h"
 #include "agent/CallerListener.h"
+#include "agent/Framing.h"
 
 namespace pollenwick::agent {
 namespace {
@@ -69,6 +70,7 @@
       ReceiptTimes.empty() ? Loop.now() : ReceiptTimes.front().At;
   LastActivity = Loop.now();
   ContinueSent = false;
+  FramingChecked = false;
   Parser.emplace();
   Parser->header_limit(
       static_cast<std::uint32_t>(Port.limits().MaxHeaderBytes));
@@ -109,6 +111,8 @@
     }
     UnparsedBytes.erase(0, BytesParsed);
     ParsedOffset += BytesParsed;
+    if (!acceptsFraming())
+      return;
     if (Parser->is_done()) {
       finishRequest();
       continue;
@@ -119,6 +123,23 @@
   }
 }
 
+bool CallerConnection::acceptsFraming() {
+  if (FramingChecked || !Parser->is_header_done())
+    return true;
+  FramingChecked = true;
+  switch (checkFraming(Parser->get(), Parser->get().version())) {
+  case Framing::Valid:
+    return true;
+  case Framing::Malformed:
+    reject(400, "unreadable-request");
+    return false;
+  case Framing::UnknownCoding:
+    reject(501, "unknown-transfer-coding");
+    return false;
+  }
+  return false;
+}
+
 void CallerConnection::sendContinueIfDue() {
   if (ContinueSent || !Parser || !Parser->is_header_done() || busy() ||
       Parser->get()[http::field::expect] != "100-continue")
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -111,6 +111,9 @@
   void startHeldRequest();
   void sendReadyResponses();
   void sendContinueIfDue();
+  /// Refuses the request if its header, once complete, does not say without
+  /// doubt where the body ends. Returns whether it was not refused.
+  bool acceptsFraming();
   void recordReceipt(std::size_t Bytes);
   void reject(int Status, std::string_view Cause,
               std::string_view ExtraHeaders = {});
@@ -132,7 +135,8 @@
   /// A complete request that waits until all earlier ones are answered.
   std::optional<CallerRequest> HeldRequest;
   bool HeldRequestKeepsAlive = true;
-  bool ContinueSent = false; ///< `100 Continue` was sent for this request.
+  bool ContinueSent = false;   ///< `100 Continue` was sent for this request.
+  bool FramingChecked = false; ///< `acceptsFraming` has seen the whole header.
   bool Closing = false;
   bool Parsing = false; ///< `parse` is on the call stack.
   Instant LastActivity; ///< Start of the idle or slow period.
