Ask the server beside a node how long it stays cold

The entry of a server tells late, and not at all to a node that has read an old one, that the server became cold or warm.

For services with `cold_per_s` and a `health_path`, a node now asks its server when it is new, when its zone is taken back into service, and each second: one request at a time on a connection of its own, with 2 s to answer. An answer without the id of the server, or with a time that is negative, unreadable or over one hour, is counted and says nothing. No request is sent while the zone is evacuated, nor for services without `cold_per_s`.

agent_test passes. The process test of a server with `cold_per_s` 3, called by four callers while the node beside it is killed and started again, passes: at most 12.5 calls in a second.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -92,6 +92,11 @@
               Fleet.countCrash(Fingerprint, Loop.now());
           },
           responseLimitsFor(Options.MemoryBytes)),
+      Health(Loop, Protocol, Log, Counters, Options.ServerAddress,
+             [this](Duration ColdRemaining) {
+               LocalBackend.coldStart().onHealthReport(ColdRemaining,
+                                                       Loop.now());
+             }),
       Peers(Loop, Log, *this, Options.PeerAddress, Fleet.incarnation()),
       RequestIngress(Loop, Protocol, Options, Log, Counters, ServerDirectory,
                      Fleet, LocalBackend, Peers, Fleet.incarnation()),
@@ -142,23 +147,26 @@
 void Agent::applyDirectoryChange(const ServiceRegistry::Change &Change) {
   const ServerEntry *Own =
       ServerDirectory.findServerByAddress(Options.ServerAddress);
-  LocalBackend.refuseCalls(serverRefusalCause(
-      ServerDirectory.evacuations(), Options.Zone, Own ? Own->Zone : ZoneId(),
-      ServerDirectory.recordsKnown()));
-  if (!Change.RulesChanged && !Change.ServersChanged)
-    return;
-  std::uint32_t Connections = 0;
+  ServiceRule Limits;
   if (ServerDirectory.rules()) {
-    Listener.setLimits(ServerDirectory.rules()->Source.Limits);
     const auto Found = ServerDirectory.rules()->ByService.find(Options.Service);
     if (Found != ServerDirectory.rules()->ByService.end())
-      Connections = Found->second->MaxConnections;
-    LocalBackend.coldStart().setRule(
-        Found != ServerDirectory.rules()->ByService.end()
-            ? Found->second->ColdStart
-            : ColdStartRule{});
+      Limits = *Found->second;
   }
-  LocalBackend.setServer(Own, Connections);
+  const std::string RefusalCause = serverRefusalCause(
+      ServerDirectory.evacuations(), Options.Zone, Own ? Own->Zone : ZoneId(),
+      ServerDirectory.recordsKnown());
+  LocalBackend.coldStart().setRule(Limits.ColdStart);
+  LocalBackend.refuseCalls(RefusalCause);
+  const bool AskForHealth =
+      Own && RefusalCause.empty() && Limits.ColdStart.StartsPerS > 0;
+  Health.setTarget(AskForHealth ? HealthTarget{Limits.HealthPath, Own->Id.Text}
+                                : HealthTarget{});
+  if (!Change.RulesChanged && !Change.ServersChanged)
+    return;
+  if (ServerDirectory.rules())
+    Listener.setLimits(ServerDirectory.rules()->Source.Limits);
+  LocalBackend.setServer(Own, Limits.MaxConnections);
   if (Change.ServersChanged)
     Peers.setPeers(ServerDirectory.nodeIps());
 }
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -10,6 +10,7 @@
 #include "agent/ConfigurationSource.h"
 #include "agent/EventLoop.h"
 #include "agent/FleetState.h"
+#include "agent/HealthClient.h"
 #include "agent/Ingress.h"
 #include "agent/Log.h"
 #include "agent/Metrics.h"
@@ -79,6 +80,7 @@
   ServiceRegistry ServerDirectory;
   FleetState Fleet;
   Backend LocalBackend;
+  HealthClient Health;
   PeerLinks Peers;
   Ingress RequestIngress;
   CallerListener Listener;
--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -1,9 +1,9 @@
-"""Evacuation of a zone, with agents on loopback addresses."""
+"""Evacuation of a zone and limits on cold servers, with agents on loopback addresses."""
 
 import threading
 import time
 
-from agent_fleet import HOSTS, AgentFleetTest, configuration
+from agent_fleet import HOSTS, AgentFleetTest, configuration, entry
 
 EVACUATE_S = 5.0  # A call may reach a server of the zone for this long.
 CALLS = 15
@@ -74,3 +74,52 @@
         self.assertIn("Retry-After", headers)
         self.store.remove("op/evacuate/y")
         self.wait_for(lambda: self.call("near/x")[0] == 200)
+
+
+class ColdServerTest(AgentFleetTest):
+    COLD_PER_S = 3
+    BOUND = COLD_PER_S * 1.5 + 8
+
+    def test_cold_server_gets_few_calls(self):
+        """Guards against a server that crashes because it gets more calls than it
+        tolerates after a start, also when the node beside it restarts."""
+        cold = configuration(2)
+        cold["services"]["columns"] += ["cold_start_s", "cold_per_s"]
+        for row in cold["services"]["rows"]:
+            row += [3.0, float(self.COLD_PER_S)]
+        self.store.put("op/config", cold)
+        server = self.backends[1]
+        self.wait_for(lambda: server.health_requests > 0)
+        server.health_headers[1] = ("X-Pollenwick-Cold-Ms", "60000")
+        self.store.put("servers/i-two", entry(
+            "two", f"{HOSTS[1]}:{self.app_port}", cold_ms=60000))
+        time.sleep(1.5)
+        first = len(server.arrivals)
+        answers = []
+
+        def keep_calling(until):
+            while time.monotonic() < until:
+                try:
+                    answers.append(self.call("far/x")[0])
+                except OSError:
+                    pass
+                time.sleep(0.02)
+
+        callers = [threading.Thread(target=keep_calling, args=(time.monotonic() + 6,))
+                   for _ in range(4)]
+        for caller in callers:
+            caller.start()
+        time.sleep(3)
+        self.agents[1].kill()
+        self.agents[1].wait()
+        self.agents[1].stdout.close()
+        self.agents[1] = self.start_agent("two")
+        for caller in callers:
+            caller.join()
+        arrivals = server.arrivals[first:]
+        peak = max(sum(1 for at in arrivals if begin <= at < begin + 1) for begin in arrivals)
+        self.assertGreater(len(arrivals), self.COLD_PER_S)
+        self.assertLessEqual(peak, self.BOUND)
+        self.assertIn(503, answers)
+        server.health_headers[1] = ("X-Pollenwick-Cold-Ms", "0")
+        self.wait_for(lambda: [self.call("far/x")[0] for _ in range(20)] == [200] * 20)
