--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -11,6 +11,7 @@
 #include "agent/CustomerShareReport.h"
 #include "agent/EventLoop.h"
 #include "agent/FleetState.h"
+#include "agent/HealthClient.h"
 #include "agent/Ingress.h"
 #include "agent/Log.h"
 #include "agent/Metrics.h"
@@ -80,6 +81,7 @@
   ServiceRegistry ServerDirectory;
   FleetState Fleet;
   Backend LocalBackend;
+  HealthClient Health;
   PeerLinks Peers;
   Ingress RequestIngress;
   CallerListener Listener;
