Read the load that a server reports on its answers

Cause: the header was removed from the answer and not read, so that neither the limit nor the other nodes knew of waiting calls at the server or of the speed of its host.

The load of the server carries it relative to its mean over the calls that form the mean service time. Gauges server_pace_limit, server_slowdown_pct, server_reports_ignored.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -370,6 +370,16 @@
   Counters.setGauge("server_waiting", Load.Waiting);
   Counters.setGauge("server_limit", Load.MaxRunning);
   Counters.setGauge("server_service_us", Load.MeanServiceTime.count());
+  const ServerPace &Pace = LocalBackend.pace();
+  Counters.setGauge("server_pace_limit", Pace.limit());
+  Counters.setGauge("server_slowdown_pct",
+                    std::lround(100 * Pace.slowdown(Loop.now())));
+  Counters.setGauge(
+      "server_reports_ignored{kind=\"unreadable\"}",
+      static_cast<std::int64_t>(Pace.ignoredReports().Unreadable));
+  Counters.setGauge(
+      "server_reports_ignored{kind=\"contradictory\"}",
+      static_cast<std::int64_t>(Pace.ignoredReports().Contradictory));
   Counters.setGauge("server_failed_permille",
                     std::lround(1000 * Load.FailureRate));
   Counters.setGauge("peers_connected",
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -64,6 +64,7 @@
   Server = *Entry;
   if (Restarted) {
     Queue.MeanServiceTime = Duration{};
+    Pace.onMeanReset();
     RecentFailures = FailureRate{};
     Reachable = true;
   }
@@ -82,6 +83,7 @@
   Load.FailureRate = failureRate(RecentFailures, Loop.now());
   Load.RecentCalls = recentCalls(RecentFailures, Loop.now());
   Load.Leaving = DrainDeadline.has_value();
+  Load.ReportedSlowdown = Pace.slowdownOfMean(Loop.now());
   return Load;
 }
 
@@ -334,8 +336,10 @@
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
   const Duration Elapsed = Loop.now() - LastSweepAt;
   LastSweepAt = Loop.now();
-  if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge)
+  if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge) {
     Queue.MeanServiceTime = Duration{};
+    Pace.onMeanReset();
+  }
   Pace.tick(Loop.now());
   Queue.MaxRunning = Pace.limit();
   dispatchWaiting();
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -157,6 +157,8 @@
   CallResult Result;
   Result.ReachedServer = true;
   Result.Status = static_cast<int>(Response.result_int());
+  Result.Report =
+      parseServerReport(headerValue(Response, Protocol.ServerLoadHeader));
   const bool NotRun = !headerValue(Response, Protocol.NotRunHeader).empty() ||
                       Result.Status == 421;
   if (NotRun) {
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/attempts/Attempts.h"
+#include "core/pace/ServerReport.h"
 #include "core/placement/Placement.h"
 #include "pollenwick/Time.h"
 
@@ -39,6 +40,7 @@
   /// True when the request may have reached the server, even if it refused it.
   bool ReachedServer = false;
   ServerLoad Load;
+  ServerReport Report; ///< Load on the server's answer; not sent to peers.
 };
 
 /// Cause of a call, and reason of an answer, that a planned stop ended.
--- a/src/agent/ServerPace.cpp
+++ b/src/agent/ServerPace.cpp
@@ -13,6 +13,9 @@
 /// Change of the limit that is logged, as a share of the logged one.
 constexpr double LoggedChange = 0.1;
 constexpr Duration MinLogInterval = std::chrono::seconds(1);
+/// Interval of the lines about ignored reports. A faulty server may send one
+/// with each answer.
+constexpr Duration IgnoredLogInterval = std::chrono::seconds(10);
 
 CallEnd callEndOf(const CallResult &Result) {
   if (Result.Outcome == CallOutcome::NotRun)
@@ -53,6 +56,9 @@
 void ServerPace::onCallEnded(const CallRequest &Request,
                              const CallResult &Result, Duration SlotTime,
                              std::uint32_t Running, Instant Now) {
+  const ServerReport Report = usableReport(Result.Report, Running);
+  if (Report.Slowdown > 0)
+    recordSlowdown(Host, Report.Slowdown, Now);
   // Such a call says nothing of the server's load: it was not sent, or the
   // server has drained or been replaced.
   constexpr int MisdirectedStatus = 421;
@@ -63,6 +69,9 @@
   Sample.SlotTime = SlotTime;
   Sample.Running = Running;
   Sample.End = callEndOf(Result);
+  Sample.HostSlowdown = Report.Slowdown;
+  Sample.HasReport = Report.Quality == ServerReport::Kind::Valid;
+  Sample.ReportsFull = reportsFull(Report);
   recordCall(Limit, Sample, Now);
 }
 
@@ -76,7 +85,43 @@
   recordCall(Limit, Sample, Now);
 }
 
+ServerReport ServerPace::usableReport(ServerReport Report,
+                                      std::uint32_t Running) {
+  checkServerReport(Report, Running);
+  switch (Report.Quality) {
+  case ServerReport::Kind::Absent:
+  case ServerReport::Kind::Valid:
+    return Report;
+  case ServerReport::Kind::Unreadable:
+    ++Ignored.Unreadable;
+    break;
+  case ServerReport::Kind::Contradictory:
+    ++Ignored.Contradictory;
+    break;
+  }
+  return {};
+}
+
+void ServerPace::logIgnoredReports(Instant Now) {
+  const std::uint64_t Unreadable =
+      Ignored.Unreadable - LoggedIgnored.Unreadable;
+  const std::uint64_t Contradictory =
+      Ignored.Contradictory - LoggedIgnored.Contradictory;
+  if (Unreadable + Contradictory == 0 ||
+      (IgnoredLoggedAt != Instant{} &&
+       Now - IgnoredLoggedAt < IgnoredLogInterval))
+    return;
+  LoggedIgnored = Ignored;
+  IgnoredLoggedAt = Now;
+  Log.logStateChange(std::move(
+      LogLine("server-reports-ignored", Now)
+          .field("server", Last ? Last->Id.Text : "")
+          .field("unreadable", static_cast<std::int64_t>(Unreadable))
+          .field("contradictory", static_cast<std::int64_t>(Contradictory))));
+}
+
 void ServerPace::tick(Instant Now) {
+  logIgnoredReports(Now);
   updateIdlePace(Limit, Now);
   const double Logged = LoggedLimit > 0 ? LoggedLimit : Limit.MaxLimit;
   if (std::abs(limit() - Logged) <= LoggedChange * Logged ||
--- a/src/core/dispatch/DispatchQueue.cpp
+++ b/src/core/dispatch/DispatchQueue.cpp
@@ -17,8 +17,6 @@
 /// Time by which nested calls are due earlier, because their callers hold slots
 /// while they wait.
 constexpr Duration NestedCallAdvance = std::chrono::milliseconds(50);
-/// Weight of one call in the moving average of the service time.
-constexpr double ServiceTimeWeight = 0.05;
 
 } // namespace
 
--- a/src/core/dispatch/DispatchQueue.h
+++ b/src/core/dispatch/DispatchQueue.h
@@ -19,6 +19,9 @@
                        ///< time or later.
 };
 
+/// Weight of one call in the moving average of the service time.
+inline constexpr double ServiceTimeWeight = 0.05;
+
 /// Queue of the calls that wait for a slot of one backend server. The counts
 /// are exact because all calls to the server go through its node.
 struct DispatchQueue {
