Correct the expected time of a server for the present speed of its host

Cause: placement uses the mean over the last calls. A server whose host has just become slow keeps its share until the mean shows it.

Change: expectedServiceMicros multiplies by the reported slowdown, within a factor of three either way. Its weight falls with the age of the report (100 ms), because the speed of a host changes many times a second.

Measured: placement_test and shedding_test pass; the new case in PlacementTest covers a slow host, a fast one, an old report and a wrong one.

--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -49,6 +49,7 @@
   std::ranges::transform(Servers, Candidates.begin(), [&](const auto *Server) {
     PlacementCandidate Choice;
     Choice.Load = Server->Load;
+    Choice.LoadAge = Loop.now() - Server->LoadReceivedAt;
     Choice.SentSince = Server->SentSince;
     Choice.SameZone = Server->Entry.Zone == Options.Zone;
     Choice.Local = Server->Entry.Address == Options.ServerAddress;
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -14,6 +14,12 @@
 constexpr double AssumedMeanCalls = 10;
 /// Concurrency limit assumed for a server that has reported none.
 constexpr std::uint32_t DefaultMaxRunning = 16;
+/// Range of the factor for the speed of a host. Servers of one service differ
+/// by a factor of about three, and a report that says more may be wrong.
+constexpr double MaxHostSlowdown = 3;
+/// Time in which a report of the speed of a host loses most of its weight. The
+/// speed changes many times a second.
+constexpr Duration SlowdownFadeTime = std::chrono::milliseconds(100);
 /// Factor on the service time of a server that has just started.
 constexpr double WarmupSlowdown = 2.0;
 /// Extra service time of a fully used server, as a share of its mean service
@@ -54,6 +60,19 @@
   return std::max(0.0, Load.FailureRate - Baseline.FailureRate - Chance);
 }
 
+/// Returns the factor by which the host of a server changes its service time
+/// now. An old report says less, because the host has changed since.
+double hostSlowdown(const PlacementCandidate &Server) {
+  if (Server.Load.ReportedSlowdown <= 0)
+    return 1;
+  const double Factor = std::clamp(Server.Load.ReportedSlowdown,
+                                   1 / MaxHostSlowdown, MaxHostSlowdown);
+  const double Weight = std::exp(
+      -static_cast<double>(std::max(Server.LoadAge, Duration{}).count()) /
+      static_cast<double>(SlowdownFadeTime.count()));
+  return std::pow(Factor, Weight);
+}
+
 double concurrencyLimitOf(const ServerLoad &Load) {
   return Load.MaxRunning > 0 ? Load.MaxRunning : DefaultMaxRunning;
 }
@@ -63,7 +82,8 @@
 }
 
 /// Returns the service time expected of a server: its own mean, as far as its
-/// recent calls are evidence for it, and else the mean of the service.
+/// recent calls are evidence for it, and else the mean of the service. Both are
+/// corrected for the present speed of its host.
 double expectedServiceMicros(const PlacementCandidate &Server,
                              const ServiceBaseline &Baseline) {
   const ServerLoad &Load = Server.Load;
@@ -75,7 +95,8 @@
     return assignedCalls(Server) == 0
                ? static_cast<double>(Baseline.MinServiceTime.count())
                : Typical;
-  return (Load.RecentCalls * static_cast<double>(Load.MeanServiceTime.count()) +
+  return hostSlowdown(Server) *
+         (Load.RecentCalls * static_cast<double>(Load.MeanServiceTime.count()) +
           AssumedMeanCalls * Typical) /
          (Load.RecentCalls + AssumedMeanCalls);
 }
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -22,8 +22,9 @@
                                  ///< the mean; 0 if not reported.
   double FailureRate = 0; ///< Share of its recent calls that failed, 0 to 1.
   bool Leaving = false;   ///< Whether its node is shutting down.
-  /// Time that work takes on its host now, as a multiple of the usual time, as
-  /// the server reports it; 0 if not reported.
+  /// Time that work takes on its host now, from the server's reports, as a
+  /// multiple of that in the time in which `MeanServiceTime` was formed; 0 if
+  /// not known.
   double ReportedSlowdown = 0;
   bool Cold = false; ///< It has just started and tolerates few calls a second.
   std::uint32_t ColdStartsLeft = 0; ///< Calls that may still begin now while it
@@ -39,6 +40,7 @@
   bool SameZone = false;
   bool Local = false; ///< Whether the server belongs to this node, so that a
                       ///< call needs no hop to another node.
+  Duration LoadAge{}; ///< Time since `Load` was received.
   Duration ColdRemaining{}; ///< Rest of the warm-up time after a start; zero if
                             ///< warm.
   double Kilobytes = 0;     ///< Size of the request and the expected answer.
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -147,6 +147,33 @@
   CHECK(counts({Leaving, Leaving}, 50)[0] > 0);
 }
 
+TEST_CASE("A server whose host is slow just now gets fewer calls",
+          "[placement]") {
+  // Guards against calls that go to a host that has become slow, until its mean
+  // service time shows it.
+  PlacementCandidate Slow = server(4, 0, 30);
+  const PlacementCandidate Usual = server(8, 0, 35);
+  CHECK(counts({Slow, Usual}, 100)[0] == 100);
+  Slow.Load.ReportedSlowdown = 2;
+  CHECK(counts({Slow, Usual}, 100)[0] == 0);
+  SECTION("a busier server is chosen only up to the difference") {
+    PlacementCandidate Full = server(20, 10, 35);
+    CHECK(counts({Slow, Full}, 100)[0] == 100);
+  }
+  SECTION("an old report does not count") {
+    Slow.LoadAge = std::chrono::milliseconds(700);
+    CHECK(counts({Slow, Usual}, 100)[0] == 100);
+  }
+  SECTION("a host that has become faster gets more calls") {
+    Slow.Load.ReportedSlowdown = 0.5;
+    CHECK(counts({Slow, server(0, 0, 20)}, 100)[0] == 100);
+  }
+  SECTION("a report that is far too high has a bounded effect") {
+    Slow.Load.ReportedSlowdown = 50;
+    CHECK(counts({Slow, server(0, 0, 120)}, 100)[0] == 100);
+  }
+}
+
 TEST_CASE("A server that fails calls gets fewer of them", "[placement]") {
   PlacementCandidate Faulty = server(0, 0, 50);
   Faulty.Load.FailureRate = 0.4;
