--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -69,6 +69,7 @@
   if (Restarted) {
     Queue.MeanServiceTime = Duration{};
     forgetMeanSlotTimes(WorkByRoute);
+    Pace.onMeanReset();
     RecentFailures = FailureRate{};
     Reachable = true;
   }
@@ -89,6 +90,7 @@
   Load.RecentCalls = recentCalls(RecentFailures, Loop.now());
   Load.Leaving = DrainDeadline.has_value();
   ColdStart.fillLoad(Load, Loop.now());
+  Load.ReportedSlowdown = Pace.slowdownOfMean(Loop.now());
   return Load;
 }
 
@@ -401,6 +403,7 @@
   if (Loop.now() - LastFinishedAt >= ServiceTimeMaxAge) {
     Queue.MeanServiceTime = Duration{};
     forgetMeanSlotTimes(WorkByRoute);
+    Pace.onMeanReset();
   }
   Pace.tick(Loop.now());
   Queue.MaxRunning = Pace.limit();
