--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -394,6 +394,9 @@
   Counters.setGauge("server_limit", Load.MaxRunning);
   Counters.setGauge("server_cold", Load.Cold ? 1 : 0);
   Counters.setGauge("server_cold_starts_left", Load.ColdStartsLeft);
+  Counters.setGauge(
+      "calls_displaced_total",
+      static_cast<std::int64_t>(LocalBackend.counts().CallsDisplaced));
   Counters.setGauge("server_service_us", Load.MeanServiceTime.count());
   const ServerPace &Pace = LocalBackend.pace();
   Counters.setGauge("server_pace_limit", Pace.limit());
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -21,6 +21,8 @@
 /// call for this long, because the server may have become faster, for example
 /// after a cold start.
 constexpr Duration ServiceTimeMaxAge = std::chrono::seconds(2);
+/// Cause of a waiting call that makes room for a more important one.
+constexpr const char *DisplacedCause = "displaced";
 /// Assumed for the offered load while the mean service time is unknown.
 constexpr Duration DefaultServiceTime = std::chrono::milliseconds(50);
 /// Parts of the process's memory for one response body and for all incomplete
@@ -160,8 +162,12 @@
   Terms.LatencyTarget = Request.LatencyTarget;
   Terms.Rank = Request.Rank;
   Terms.Nested = Request.Nested;
-  const WaitingCall Waiting{Number, dueTime(Terms), Request.Deadline,
-                            latestStart(Terms)};
+  const WaitingCall Waiting{Number,
+                            dueTime(Terms),
+                            Request.Deadline,
+                            latestStart(Terms),
+                            precedence(Terms),
+                            expectedSlotTime(WorkByRoute, Request.Route, {})};
   const bool TooCold =
       startsTooLate(ColdStart.limiter(), Queue, Waiting, Loop.now());
   const QueueDecision Decision =
@@ -175,8 +181,14 @@
   Call.Done = std::move(Done);
   Call.QueueEntry = Waiting;
   Calls.emplace(Number, std::move(Call));
-  if (Decision == QueueDecision::Run)
+  if (Decision == QueueDecision::Run) {
     dispatch(Number);
+    return Number;
+  }
+  const std::vector<WaitingCall> Displaced =
+      displaceCalls(Queue, Waiting, Loop.now());
+  Counts.CallsDisplaced += Displaced.size();
+  refuseDropped(Displaced, DisplacedCause);
   return Number;
 }
 
@@ -258,8 +270,9 @@
   Pace.onCallEnded(Call.Request, Result, Loop.now() - Call.StartedAt,
                    Queue.Running, Loop.now());
   releaseSlot(Queue, Loop.now() - Call.StartedAt);
-  // A call that was never sent is no work of the server.
-  if (Connected)
+  // A call that was not sent, or that the server refused, is no work of it. A
+  // server that refuses all calls at once would make its route look cheap.
+  if (Connected && Result.Outcome != CallOutcome::NotRun)
     recordRouteWork(WorkByRoute, Call.Request.Route,
                     Loop.now() - Call.StartedAt);
   LastFinishedAt = Loop.now();
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -27,6 +27,8 @@
 struct BackendCounts {
   std::uint64_t CallsStarted = 0; ///< Calls that were given a slot.
   std::uint64_t ConnectionsOpened = 0;
+  /// Waiting calls that were refused in favour of a more important one.
+  std::uint64_t CallsDisplaced = 0;
   /// Expected slot time of all offered calls, in microseconds.
   std::uint64_t OfferedSlotMicros = 0;
   /// Slot time that the server provided while it was ready, in microseconds.
@@ -121,7 +123,7 @@
   /// Returns false if the sum exceeds its limit.
   bool updateBufferedBytes(std::size_t Previous, std::size_t Current);
   void refuse(CallResultHandler &&Done, std::string Cause);
-  /// Refuses calls that were removed from the queue.
+  /// Refuses calls that were removed from the queue before they ran.
   void refuseDropped(const std::vector<WaitingCall> &Dropped,
                      const std::string &Cause);
   void dispatch(CallNumber Number);
