--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -102,7 +102,7 @@
   }
   if (ServerDirectory.allEvacuated(Item.Service)) {
     // The plan would refuse it too, but as an overload.
-    Details = {503, ZoneEvacuatedCause, addJitter(RetryAfterShed)};
+    Details = {503, ZoneEvacuatedCause, retryAfterRefusal(Item)};
     return false;
   }
   Fleet.countRequest(*Item.Route, Item.Service, Loop.now());
