--- a/src/agent/ServerPace.cpp
+++ b/src/agent/ServerPace.cpp
@@ -37,8 +37,10 @@
   const bool Restarted =
       Last &&
       (Last->Id != Entry.Id || Last->StartedAtUnixMs != Entry.StartedAtUnixMs);
-  const bool BecameCold = Entry.ColdRemaining.count() > 0 &&
-                          (!Last || Entry.ColdRemaining > Last->ColdRemaining);
+  const Duration Remaining = Entry.ColdRemaining.value_or(Duration{});
+  const bool BecameCold =
+      Remaining.count() > 0 &&
+      (!Last || Remaining > Last->ColdRemaining.value_or(Duration{}));
   Last = Entry;
   if (BecameCold)
     startSlowly("cold", Now);
