Test the watch over op/, repeated cold times and the choice at the ingress

The tests guard against a watch that follows changes of unused keys without a pause, a second cold time of one server that is not applied, and an ingress that still sends to an evacuated zone.

--- a/tests/agent/ServiceRegistryTest.cpp
+++ b/tests/agent/ServiceRegistryTest.cpp
@@ -141,3 +141,27 @@
     CHECK_FALSE(Restarted.recordsKnown());
   }
 }
+
+TEST_CASE("A server that becomes cold again is known to be cold", "[agent]") {
+  // Guards against an entry whose cold time is used only when it is new.
+  PlatformAdapter Adapter = spacedEntries();
+  Adapter.DecodeServer = [Decode = Adapter.DecodeServer](
+                             const std::string &Id, std::string_view Value) {
+    absl::StatusOr<ServerEntry> Entry =
+        Decode(Id, Value.substr(0, Value.rfind(' ')));
+    Entry->ColdRemaining = std::chrono::milliseconds(
+        std::stoi(std::string(Value.substr(Value.rfind(' ')))));
+    return Entry;
+  };
+  LogWriter Log("test");
+  ServiceRegistry Registry(Adapter, Log);
+  Record Entry = serverRecord("i-1", 5, "10.0.0.1:80", 1000);
+  Entry.Value += " 0";
+  Registry.applyRecords({Entry}, "source", Start);
+  Entry = serverRecord("i-1", 6, "10.0.0.1:80", 1000);
+  Entry.Value += " 3000";
+  Registry.applyRecords({Entry}, "source", Start);
+  CHECK(Registry.findServer("i-1")->ColdUntil ==
+        Start + std::chrono::seconds(3));
+  CHECK(Registry.findServerByAddress("10.0.0.1:80")->Revision == 6);
+}
--- a/tests/platform/StoreReaderTest.cpp
+++ b/tests/platform/StoreReaderTest.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <future>
+#include <memory>
+#include <mutex>
 #include <thread>
 
 #include <Poco/Exception.h>
@@ -120,8 +122,120 @@
   std::thread Thread;
 };
 
+/// A store that answers the reads of the prefix `op/` one after the other with
+/// given bodies, and then no more.
+class OperatorStore {
+public:
+  explicit OperatorStore(std::vector<std::string> TheBodies)
+      : Bodies(std::move(TheBodies)),
+        Listener(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        Thread([this] { serve(); }) {}
+  ~OperatorStore() {
+    Stopping = true;
+    Thread.join();
+  }
+
+  std::string address() const { return Listener.address().toString(); }
+  /// Returns the first lines of the requests so far.
+  std::vector<std::string> requests() {
+    const std::scoped_lock Lock(Mutex);
+    return Requests;
+  }
+
+private:
+  void serve() {
+    while (!Stopping) {
+      if (Listener.poll(Poco::Timespan(20'000), Poco::Net::Socket::SELECT_READ))
+        Peers.push_back(Listener.acceptConnection());
+      for (Poco::Net::StreamSocket &Peer : Peers)
+        if (Peer.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+          answer(Peer);
+    }
+  }
+
+  void answer(Poco::Net::StreamSocket &Peer) {
+    char Buffer[4096];
+    const int ReceivedBytes = Peer.receiveBytes(Buffer, sizeof(Buffer));
+    const std::string Request(
+        Buffer, static_cast<std::size_t>(std::max(0, ReceivedBytes)));
+    if (Request.find("path_prefix=op") == std::string::npos)
+      return;
+    const std::scoped_lock Lock(Mutex);
+    Requests.push_back(Request.substr(0, Request.find("\r\n")));
+    if (Requests.size() > Bodies.size())
+      return;
+    const std::string &Body = Bodies[Requests.size() - 1];
+    const std::string Text =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+        "\r\n\r\n" + Body;
+    Peer.sendBytes(Text.data(), static_cast<int>(Text.size()));
+  }
+
+  std::vector<std::string> Bodies;
+  std::mutex Mutex;
+  std::vector<std::string> Requests; ///< Guarded by `Mutex`.
+  Poco::Net::ServerSocket Listener;
+  std::vector<Poco::Net::StreamSocket> Peers;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
 } // namespace
 
+TEST_CASE("One watch reads the configuration and the evacuations",
+          "[platform]") {
+  // Guards against more calls of the store, against keys of others that are
+  // taken for a configuration, and against a reading that ends at a value that
+  // has no meaning.
+  OperatorStore Store(
+      {R"({"items":[{"key":"op/config","revision":5,"value":"e30="},
+           {"key":"op/evacuate/z","revision":6,"value":"%"},
+           {"key":"op/other","revision":7,"value":"%"}],
+          "as_of":8,"has_more":false})",
+       R"({"events":[{"key":"op/other","revision":9,"value":"%"}],"as_of":9})",
+       R"({"events":[{"key":"op/evacuate/z","revision":10,"deleted":true}],
+          "as_of":10})"});
+  // The reader's threads may outlive the test.
+  struct Received {
+    std::mutex Mutex;
+    std::vector<agent::ConfigurationUpdate> Updates;
+    std::promise<void> Done;
+  };
+  const auto State = std::make_shared<Received>();
+  auto Reader = std::make_unique<StoreReader>(Store.address(), Limits);
+  const auto Begin = std::chrono::steady_clock::now();
+  Reader->start([State](agent::ConfigurationUpdate &&Update) {
+    const std::scoped_lock Lock(State->Mutex);
+    if (Update.Kind != RecordKind::Rules || State->Updates.size() == 3)
+      return;
+    State->Updates.push_back(std::move(Update));
+    if (State->Updates.size() == 3)
+      State->Done.set_value();
+  });
+  REQUIRE(State->Done.get_future().wait_for(std::chrono::seconds(10)) ==
+          std::future_status::ready);
+  const auto Time = std::chrono::steady_clock::now() - Begin;
+  const std::scoped_lock Lock(State->Mutex);
+  const std::vector<agent::ConfigurationUpdate> &Updates = State->Updates;
+  REQUIRE(Updates[0].Records.size() == 2);
+  CHECK(Updates[0].Records[0].Id == "op/config");
+  CHECK(Updates[0].Records[0].Value == "{}");
+  CHECK(Updates[0].Records[1].Id == "op/evacuate/z");
+  CHECK(Updates[0].Records[1].Value.empty());
+  // The watch goes on after a change that is not used, and not at once.
+  CHECK(Updates[1].Records.empty());
+  CHECK(Updates[1].AsOfRevision == 9);
+  CHECK(Time >= std::chrono::milliseconds(400));
+  REQUIRE(Updates[2].Records.size() == 1);
+  CHECK(Updates[2].Records[0].Deleted);
+  const std::vector<std::string> Requests = Store.requests();
+  CHECK(Requests[0].find("kv-range") != std::string::npos);
+  CHECK(Requests[2].find("after=9") != std::string::npos);
+  // Leak the reader: its threads wait for the store until the process ends.
+  Reader->stop();
+  [[maybe_unused]] const StoreReader *Waiting = Reader.release();
+}
+
 TEST_CASE("Bytes without end from the store are cut off", "[platform]") {
   // Guards against memory that grows until the process ends, and against rules
   // that stay as they are because one read never ends.
--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -1,5 +1,6 @@
 """Evacuation of a zone and limits on cold servers, with agents on loopback addresses."""
 
+import http.client
 import threading
 import time
 
@@ -19,6 +20,18 @@
     def arrived(self, *servers):
         return sum(len(self.backends[server].seen) for server in servers)
 
+    def refused_there(self):
+        """Counts the calls that a node of the zone refused, over both ingresses."""
+        total = 0
+        for host in (HOSTS[0], HOSTS[2]):
+            own = http.client.HTTPConnection(host, self.ports["metrics"], timeout=5)
+            own.request("GET", "/metrics")
+            for line in own.getresponse().read().decode().splitlines():
+                if line.startswith("replacements_total") and "zone-evacuated" in line:
+                    total += int(line.split()[-1])
+            own.close()
+        return total
+
     def call_all(self):
         """Calls both services at a node of each zone; returns the answers' codes."""
         return {self.call(path, host=host)[0] for _ in range(CALLS)
@@ -39,8 +52,9 @@
         caller.join()
         self.assertEqual(running, [200], "a running call finishes")
         time.sleep(EVACUATE_S)
-        before = self.arrived(0, 1)
+        before, refused = self.arrived(0, 1), self.refused_there()
         self.assertEqual(self.call_all(), {200})
+        self.assertEqual(self.refused_there(), refused, "an ingress still sends there")
         self.store.put("op/config", configuration(2))
         self.agents[0].kill()
         self.agents[0].wait()
