Raise the limit of an idle server sooner after its start

Cause: a server without load returned to its full limit only 14 s after a start (seven steps of 2 s), longer than most servers are cold. Until then placement takes it for smaller than it is.

Change: these steps take 1 s.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -340,7 +340,7 @@
     Queue.MeanServiceTime = Duration{};
     Pace.onMeanReset();
   }
-  Pace.tick(Loop.now());
+  Pace.tick(Queue.Running, Loop.now());
   Queue.MaxRunning = Pace.limit();
   dispatchWaiting();
   if (Server && Server->State == ServerState::Ready)
--- a/src/agent/ServerPace.cpp
+++ b/src/agent/ServerPace.cpp
@@ -120,9 +120,9 @@
           .field("contradictory", static_cast<std::int64_t>(Contradictory))));
 }
 
-void ServerPace::tick(Instant Now) {
+void ServerPace::tick(std::uint32_t Running, Instant Now) {
   logIgnoredReports(Now);
-  updateIdlePace(Limit, Now);
+  updateIdlePace(Limit, Running, Now);
   const double Logged = LoggedLimit > 0 ? LoggedLimit : Limit.MaxLimit;
   if (std::abs(limit() - Logged) <= LoggedChange * Logged ||
       Now - LoggedAt < MinLogInterval)
--- a/src/agent/ServerPace.h
+++ b/src/agent/ServerPace.h
@@ -38,8 +38,8 @@
   /// Records a running call whose caller left.
   void onCallCancelled(const CallRequest &Request, Duration SlotTime,
                        std::uint32_t Running, Instant Now);
-  /// Call it periodically.
-  void tick(Instant Now);
+  /// Call it periodically; `Running` calls hold a slot.
+  void tick(std::uint32_t Running, Instant Now);
 
   /// Notes that the mean service time is reset.
   void onMeanReset() { resetMeanSlowdown(Host); }
--- a/src/core/pace/PaceLimit.cpp
+++ b/src/core/pace/PaceLimit.cpp
@@ -15,6 +15,9 @@
 /// measure the effect.
 constexpr double SlowStartGrowth = 1.5;
 constexpr double UnmeasuredGrowth = 1.25;
+/// Interval of this growth while few calls end. A server with no load returns
+/// to its maximum in about 7 s, longer than most servers are cold.
+constexpr Duration IdleGrowthInterval = std::chrono::seconds(1);
 /// Time for which a limit is kept at which further growth lost throughput.
 /// Cold servers warm up within seconds, so it is tried again soon.
 constexpr Duration GrowthHold = std::chrono::milliseconds(500);
@@ -285,9 +288,12 @@
     endRound(Pace, Now);
 }
 
-void updateIdlePace(PaceLimit &Pace, Instant Now) {
+void updateIdlePace(PaceLimit &Pace, std::uint32_t Running, Instant Now) {
+  const bool Idle = Pace.Current == PaceLimit::Phase::SlowStart &&
+                    Running < LoadedShare * Pace.Limit;
   if ((Pace.Limit < Pace.MaxLimit || Pace.Measured.Calls > 0) &&
-      Now - Pace.Measured.StartedAt >= MaxMeasuringTime)
+      Now - Pace.Measured.StartedAt >=
+          (Idle ? IdleGrowthInterval : MaxMeasuringTime))
     endRound(Pace, Now);
 }
 
--- a/src/core/pace/PaceLimit.h
+++ b/src/core/pace/PaceLimit.h
@@ -87,8 +87,8 @@
 void recordCall(PaceLimit &Pace, const PaceSample &Sample, Instant Now);
 
 /// Ends a measurement that lasts long because few calls end; a low limit grows
-/// then. Call it periodically.
-void updateIdlePace(PaceLimit &Pace, Instant Now);
+/// then. `Running` calls hold a slot now. Call it periodically.
+void updateIdlePace(PaceLimit &Pace, std::uint32_t Running, Instant Now);
 
 /// Returns how many calls may run at once, from 1 to the maximum.
 std::uint32_t currentPace(const PaceLimit &Pace);
--- a/tests/pace/ServerModel.h
+++ b/tests/pace/ServerModel.h
@@ -17,6 +17,7 @@
   double WorkMs = 50; ///< Mean time of a call at usual speed and low load.
   Duration Length = std::chrono::seconds(20);
   bool StartsCold = false; ///< Whether it has just started.
+  bool StartsWarm = false; ///< It has just started, and is not cold.
   /// Calls at once with the highest throughput while it is cold.
   double ColdKnee = 8;
   /// Share of the slots above which calls take longer; 1: never.
