--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -418,7 +418,7 @@
     forgetMeanSlotTimes(WorkByRoute);
     Pace.onMeanReset();
   }
-  Pace.tick(Loop.now());
+  Pace.tick(Queue.Running, Loop.now());
   Queue.MaxRunning = Pace.limit();
   if (Server && Server->State == ServerState::Ready && RefusalCause.empty())
     Counts.AvailableSlotMicros +=
