--- a/apps/pollenwick-trace/LogTrace.cpp
+++ b/apps/pollenwick-trace/LogTrace.cpp
@@ -28,12 +28,13 @@
   std::string_view AnswerField;
 };
 
-constexpr std::array<BeliefKind, 12> BeliefKinds{{
+constexpr std::array<BeliefKind, 13> BeliefKinds{{
     {"rules-in-force", "", ""},
     {"records-held", "", ""},
     {"settings-reloaded", "", ""},
     {"drain-started", "", ""},
     {"admission-changed", "service", ""},
+    {"customer-limited", "key", ""},
     {"server-known", "server", "server"},
     {"server-state", "server", "server"},
     {"server-gone", "server", "server"},
@@ -66,6 +67,10 @@
   if (Belief.Event == "admission-changed")
     return fieldOf(Answer, "reason") == "overload" &&
            fieldOf(Belief, "keep_pct") != "100";
+  // A plan key begins with the route.
+  if (Belief.Event == "customer-limited")
+    return fieldOf(Answer, "reason") == "overload" &&
+           fieldOf(Belief, "key").starts_with(fieldOf(Answer, "route") + '@');
   const BeliefKind &Kind = *kindOf(Belief.Event);
   return Kind.AnswerField.empty() ||
          fieldOf(Belief, std::string(Kind.Subject)) ==
--- a/tests/trace/LogTraceTest.cpp
+++ b/tests/trace/LogTraceTest.cpp
@@ -48,6 +48,19 @@
     CHECK(Text.starts_with("r-1 on a: 503 overload\n"));
     CHECK(Text.find("0.000 s before: {\"at_us\":1,") != std::string::npos);
   }
+  SECTION("which customer was limited on the route") {
+    // Guards against a refusal that looks like one of the common share.
+    const std::string OnRoute =
+        R"("request":"r-1","status":503,"reason":"overload","route":"lookup")";
+    const LogTrace Trace = traceOf(
+        "r-1", false,
+        {line(1, "customer-limited", R"("key":"lookup@0","customer":"c")"),
+         line(2, "customer-limited", R"("key":"photo@0","customer":"d")"),
+         line(3, "request-answered", OnRoute)});
+    REQUIRE(Trace.answers().size() == 1);
+    REQUIRE(Trace.answers()[0].Beliefs.size() == 1);
+    CHECK(Trace.answers()[0].Beliefs[0].Fields.at("customer") == "c");
+  }
   SECTION("how old the rules and servers were, and who had read them") {
     // Guards against a refusal by old rules that looks like one by new rules.
     const LogTrace Trace =
