--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -185,8 +185,10 @@
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
-  if (TickCount % TicksPerTrafficLine == 0)
+  if (TickCount % TicksPerTrafficLine == 0) {
     logPeerTraffic();
+    logTrafficTotals();
+  }
 }
 
 void Agent::logPeerTraffic() {
@@ -197,6 +199,17 @@
   Log.logStateChange(std::move(Line));
 }
 
+void Agent::logTrafficTotals() {
+  Log.logStateChange(std::move(
+      LogLine("traffic-totals", Loop.now())
+          .field("zone", Options.Zone.Text)
+          .field("service", Options.Service.Text)
+          .field("server", LocalBackend.serverId())
+          .field("runs_since_start",
+                 static_cast<std::int64_t>(LocalBackend.counts().CallsStarted))
+          .field("requests", RequestIngress.totals().takeRows())));
+}
+
 void Agent::logAdmissionChanges() {
   for (const auto &[Service, State] : Fleet.admissionPlan().Services) {
     double &Logged =
@@ -349,6 +362,7 @@
   const bool AnswersSent = CallersDone && Loop.now() >= Stop->AnswerBy;
   if ((CallersDone && LocalBackend.pendingCount() == 0) || AnswersSent ||
       Loop.now() >= Stop->ExitBy) {
+    logTrafficTotals();
     const std::vector<std::string> Unsent = Listener.unsentResponses();
     for (const std::string &Id : Unsent)
       Log.logStateChange(std::move(LogLine("request-unanswered", Loop.now())
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -62,6 +62,7 @@
   void tick();
   void logAdmissionChanges();
   void logPeerTraffic();
+  void logTrafficTotals();
   void reloadChangedSettings();
   void advanceDrain();
   /// Gives up what has not begun when the stop's call deadline has passed.
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -117,6 +117,7 @@
   if (Found == Exchanges.end())
     return;
   Counters.incrementCounter("answers_total", "caller-left");
+  countOutcome(*Found->second, "caller", "caller-left");
   removeExchange(Number);
 }
 
@@ -138,8 +139,15 @@
   Micros += (AnswerMicros - Micros) * (Micros == 0 ? 1 : AnswerTimeWeight);
   double &Bytes = MeanResponseBytes[Item.Route->Name];
   Bytes += (static_cast<double>(Message.size()) - Bytes) * ResponseBytesWeight;
-  if (isServerError(Result.Status))
+  if (isServerError(Result.Status)) {
     logOutcome(Item, Result.Status, "server-answer");
+    countOutcome(Item, "server", "server-answer");
+  } else {
+    const Duration Target = Item.Route->LatencyTarget;
+    const bool Late =
+        Target.count() > 0 && Loop.now() - Item.ReceivedAt > Target;
+    countOutcome(Item, "answer", Late ? "late" : "in-target");
+  }
   const std::shared_ptr<CallerConnection> From = Item.Caller;
   removeExchange(Id);
   From->respond(Id, std::move(Message));
@@ -150,6 +158,7 @@
   Counters.incrementCounter("answers_total",
                             concat(Details.Status, "-", Details.Reason));
   logOutcome(Item, Details.Status, Details.Reason, Details.RetryAfter);
+  countOutcome(Item, refusalHop(Item), Details.Reason);
   std::string ExtraHeaders;
   if (Details.RetryAfter.count() > 0)
     ExtraHeaders = retryAfterHeader(Details.RetryAfter);
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -16,6 +16,7 @@
 #include "agent/PeerLinks.h"
 #include "agent/ServiceRegistry.h"
 #include "agent/Settings.h"
+#include "agent/TrafficTotals.h"
 #include "core/attempts/Attempts.h"
 #include "core/drain/StopPlan.h"
 
@@ -54,6 +55,8 @@
   void answerRemaining();
   /// Returns the number of requests without a final answer.
   std::size_t pendingCount() const { return Exchanges.size(); }
+  /// Counts of the requests that have ended, for the log.
+  TrafficTotals &totals() { return Totals; }
 
 private:
   /// State of one request from its arrival to its answer.
@@ -67,6 +70,7 @@
     int CustomerPriority = -1; ///< Negative when no customer was identified.
     Instant ReceivedAt;
     Instant AdmittedAt;
+    std::optional<Instant> FirstSentAt; ///< Unset until sent to a server.
     Instant Deadline;
     TimerId DeadlineTimer = 0;
     TimerId PlacementTimer = 0;
@@ -123,6 +127,10 @@
   void removeExchange(ExchangeNumber Id);
   void logOutcome(const Exchange &Item, int Status, std::string_view Reason,
                   Duration RetryAfter = {});
+  /// Returns where a request without an answer of a server ended.
+  static std::string_view refusalHop(const Exchange &Item);
+  void countOutcome(const Exchange &Item, std::string_view Hop,
+                    std::string_view Reason);
   std::vector<KnownServer *> usableServers(const Exchange &Item);
   Duration addJitter(Duration Base);
   /// Returns the time after which the caller of a request that has a route and
@@ -141,6 +149,7 @@
   std::vector<std::string> StrippedHeaders;
   std::minstd_rand Random;
   WeightedRoundRobin Split;
+  TrafficTotals Totals;
   /// Moving average of the answer size in bytes, by route.
   std::map<std::string, double> MeanResponseBytes;
   /// Moving average of the time from admission to answer in microseconds, by
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -85,6 +85,8 @@
   const std::uint32_t Attempt = ++Item.AttemptsSoFar.Placements;
   Sent.Attempt = Attempt;
   ++Server.SentSince;
+  if (!Item.FirstSentAt)
+    Item.FirstSentAt = Loop.now();
   CallRequest Call = Item.Request;
   Call.ServerId = Sent.ServerId;
   Call.Deadline = limitDeadline(Stop, Item.Deadline);
--- a/tests/process/test_agent.py
+++ b/tests/process/test_agent.py
@@ -18,6 +18,26 @@
 
 
 class AgentTest(AgentFleetTest):
+    def test_summary_counts_all_requests(self):
+        """Guards against requests that end without a place in the summary of a day."""
+        for _ in range(5):
+            self.call("far/x")
+        self.assertEqual(self.call("near/x", key="unknown")[0], 401)
+        self.assertEqual(self.call("nowhere/x")[0], 404)
+        self.agents[0].send_signal(signal.SIGTERM)
+        log = self.agents[0].communicate(timeout=20)[0]
+        shown = subprocess.run([AGENT.parent / "pollenwick-trace", "--summary", "--json", "-"],
+                               input=log, capture_output=True, text=True, check=True)
+        summary = json.loads(shown.stdout)
+        reasons = {(end["hop"], end["reason"]) for group in summary["routes"]
+                   for end in group["unanswered"]}
+        self.assertIn(("ingress", "unknown-key"), reasons)
+        self.assertIn(("ingress", "no-route"), reasons)
+        answered = {group["name"]: group["in_target"] + group["late"]
+                    for group in summary["customers"]}
+        self.assertGreaterEqual(answered["t-1"], 5)
+        self.assertEqual(summary["unreadable_rows"], 0)
+
     def test_call_passes_the_node_beside_the_server(self):
         """Guards against a key, or a forged header, that reaches a backend server."""
         forged = [("X-Pollenwick-Tenant-Id", "other"), ("X-Pollenwick-Caller-Service", "other")]
