--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -206,6 +206,7 @@
   if (TickCount % TicksPerTrafficLine == 0) {
     logPeerTraffic();
     RequestIngress.logZoneTraffic();
+    logTrafficTotals();
   }
 }
 
@@ -217,6 +218,17 @@
   Log.logStateChange(std::move(Line));
 }
 
+void Agent::logTrafficTotals() {
+  Log.logStateChange(std::move(
+      LogLine("traffic-totals", Loop.now())
+          .field("zone", Options.Zone.Text)
+          .field("service", Options.Service.Text)
+          .field("server", LocalBackend.serverId())
+          .field("runs_since_start",
+                 static_cast<std::int64_t>(LocalBackend.counts().CallsStarted))
+          .field("requests", RequestIngress.totals().takeRows())));
+}
+
 void Agent::logAdmissionChanges() {
   for (const auto &[Service, State] : Fleet.admissionPlan().Services) {
     double &Logged =
@@ -369,6 +381,7 @@
   const bool AnswersSent = CallersDone && Loop.now() >= Stop->AnswerBy;
   if ((CallersDone && LocalBackend.pendingCount() == 0) || AnswersSent ||
       Loop.now() >= Stop->ExitBy) {
+    logTrafficTotals();
     const std::vector<std::string> Unsent = Listener.unsentResponses();
     for (const std::string &Id : Unsent)
       Log.logStateChange(std::move(LogLine("request-unanswered", Loop.now())
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -102,6 +102,8 @@
         Item.Request.Headers.size() + Item.Request.Body.size();
   }
   ++Server.SentSince;
+  if (!Item.FirstSentAt)
+    Item.FirstSentAt = Loop.now();
   CallRequest Call = Item.Request;
   Call.ServerId = Sent.ServerId;
   Call.Deadline = limitDeadline(Stop, Item.Deadline);
