--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -371,6 +371,9 @@
   Counters.setGauge("server_running", Load.Running);
   Counters.setGauge("server_waiting", Load.Waiting);
   Counters.setGauge("server_limit", Load.MaxRunning);
+  for (const auto &[Route, Work] : LocalBackend.routeWork().Routes)
+    Counters.setGauge(concat("server_route_us{route=\"", Route, "\"}"),
+                      Work.MeanSlotTime.count());
   Counters.setGauge(
       "calls_displaced_total",
       static_cast<std::int64_t>(LocalBackend.counts().CallsDisplaced));
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -149,6 +149,8 @@
   const Exchange &Item = *Exchanges.at(Id);
   Counters.incrementCounter("answers_total",
                             concat(Details.Status, "-", Details.Reason));
+  if (Item.Request.Nested)
+    Counters.incrementCounter("nested_calls_failed_total", Item.Service.Text);
   logOutcome(Item, Details.Status, Details.Reason);
   std::string ExtraHeaders;
   if (Details.RetryAfter.count() > 0)
