--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -407,6 +407,9 @@
   Counters.setGauge("server_limit", Load.MaxRunning);
   Counters.setGauge("server_cold", Load.Cold ? 1 : 0);
   Counters.setGauge("server_cold_starts_left", Load.ColdStartsLeft);
+  for (const auto &[Route, Work] : LocalBackend.routeWork().Routes)
+    Counters.setGauge(concat("server_route_us{route=\"", Route, "\"}"),
+                      Work.MeanSlotTime.count());
   Counters.setGauge(
       "calls_displaced_total",
       static_cast<std::int64_t>(LocalBackend.counts().CallsDisplaced));
