--- a/apps/pollenwick-agent/main.cpp
+++ b/apps/pollenwick-agent/main.cpp
@@ -36,6 +36,10 @@
 int main(int Argc, char **Argv) {
   using namespace pollenwick;
   mallopt(M_ARENA_MAX, 1);
+  // Large bodies are mapped one by one, so that their memory is returned as
+  // soon as they are freed. Otherwise the threshold grows with the bodies, and
+  // blocks stay in the heap behind small ones.
+  mallopt(M_MMAP_THRESHOLD, 256 * 1024);
   gflags::SetVersionString(POLLENWICK_VERSION);
   gflags::SetUsageMessage(
       "runs beside one backend server on the users' platform.\n"
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -1,6 +1,8 @@
 #include "agent/Agent.h"
 #include "agent/StringUtil.h"
+#include "core/memory/DescriptorShares.h"
 
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <cmath>
@@ -17,6 +19,8 @@
 constexpr double MinLoggedShareChange = 0.1;
 constexpr std::uint64_t TicksPerSettingsCheck = 4;
 constexpr std::uint64_t TicksPerTrafficLine = 40;
+/// Readiness and metrics are read by few clients.
+constexpr std::size_t MaxStatusConnections = 16;
 
 std::uint64_t randomStartId() {
   std::random_device Device;
@@ -58,7 +62,9 @@
       std::function<std::pair<int, std::string>(const std::string &)>;
   StatusEndpoint(EventLoop &Loop, const std::string &Address,
                  Render TheRenderBody)
-      : RenderBody(std::move(TheRenderBody)), Port(Loop, *this, Address) {}
+      : RenderBody(std::move(TheRenderBody)), Port(Loop, *this, Address) {
+    Port.setConnectionLimit(MaxStatusConnections);
+  }
 
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override {
@@ -103,6 +109,8 @@
               }),
       Statuses(Options, ServerDirectory, Peers), LastTickAt(Loop.now()),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
+  limitConnections(0);
+  Loop.memory().setLimit(accountLimitFor(Options.MemoryBytes));
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
       Loop, Options.ReadyAddress, [this](const std::string &Target) {
         if (Target != Protocol.ReadyPath)
@@ -151,10 +159,19 @@
       Connections = Found->second->MaxConnections;
   }
   LocalBackend.setServer(Own, Connections);
+  limitConnections(Connections);
   if (Change.ServersChanged)
     Peers.setPeers(ServerDirectory.nodeIps());
 }
 
+void Agent::limitConnections(std::size_t ServerConnections) {
+  struct rlimit Limit {};
+  if (::getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Listener.setConnectionLimit(callerConnectionLimit(
+      Limit.rlim_cur, {ServerDirectory.nodeIps().size(), ServerConnections}));
+}
+
 StatusFrame Agent::localStatus() const {
   StatusFrame Status;
   Status.SentAt = Loop.now();
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -58,6 +58,9 @@
   class StatusEndpoint;
 
   void applyDirectoryChange(const ServiceRegistry::Change &Change);
+  /// Bounds the connections of callers by the descriptors that the other parts
+  /// leave.
+  void limitConnections(std::size_t ServerConnections);
   void tick();
   void logAdmissionChanges();
   void logPeerTraffic();
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -22,19 +22,15 @@
 constexpr Duration ServiceTimeMaxAge = std::chrono::seconds(2);
 /// Assumed for the offered load while the mean service time is unknown.
 constexpr Duration DefaultServiceTime = std::chrono::milliseconds(50);
-/// Parts of the process's memory for one response body and for all incomplete
-/// ones. A buffer may have twice the size of its contents while it grows, and
-/// requests and finished answers need memory as well.
+/// Part of the process's memory for one response body.
 constexpr std::size_t MemoryPerResponseBody = 16;
-constexpr std::size_t MemoryPerBufferedResponses = 8;
 
 } // namespace
 
 ResponseLimits responseLimitsFor(std::size_t MemoryBytes) {
   if (MemoryBytes == 0)
     return {};
-  return {MemoryBytes / MemoryPerResponseBody,
-          MemoryBytes / MemoryPerBufferedResponses};
+  return {MemoryBytes / MemoryPerResponseBody, accountLimitFor(MemoryBytes)};
 }
 
 Backend::Backend(
@@ -44,7 +40,7 @@
     const ResponseLimits &TheLimits)
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
-      Limits(TheLimits), LastSweepAt(TheLoop.now()) {
+      Limits(TheLimits), WaitingForRoom(TheLoop), LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
 
@@ -81,6 +77,7 @@
   Load.FailureRate = failureRate(RecentFailures, Loop.now());
   Load.RecentCalls = recentCalls(RecentFailures, Loop.now());
   Load.Leaving = DrainDeadline.has_value();
+  Load.MemoryShort = Loop.memory().isShort();
   return Load;
 }
 
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -13,6 +13,7 @@
 #include "agent/EventLoop.h"
 #include "agent/Log.h"
 #include "agent/PlatformAdapter.h"
+#include "agent/RoomQueue.h"
 #include "core/dispatch/DispatchQueue.h"
 #include "core/placement/FailureRate.h"
 
@@ -126,6 +127,7 @@
   std::function<void(const std::vector<std::uint64_t> &)> OnCrash;
   ResponseLimits Limits;
   std::size_t BufferedBytes = 0;
+  RoomQueue WaitingForRoom; ///< Connections whose answers wait for memory.
   std::optional<ServerEntry> Server;
   std::string RemovedServerId; ///< Last server whose entry was removed.
   std::uint32_t MaxConnections = 0;
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -22,6 +22,9 @@
 /// them without end.
 constexpr int MaxSkippedResponses = 8;
 
+/// An answer without a length reserves this much at a time.
+constexpr std::size_t ReservedPieceBytes = std::size_t{256} * 1024;
+
 /// Refused requests whose ids a connection keeps. A connection with more is
 /// closed.
 constexpr std::size_t MaxRefusedIds = 64;
@@ -41,6 +44,7 @@
                                      const PlatformAdapter &TheProtocol,
                                      Backend &TheOwner)
     : Loop(TheLoop), Protocol(TheProtocol), Owner(TheOwner),
+      AnswerCharge(TheLoop.memory(), MemoryKind::Answers),
       IdleDeadline(Instant::max()) {}
 
 bool BackendConnection::open(const std::string &Address) {
@@ -52,6 +56,7 @@
 }
 
 void BackendConnection::close() {
+  AnswerCharge.resize(0);
   if (Transport)
     Transport->close();
   Owner.updateBufferedBytes(BufferedBytes, 0);
@@ -84,8 +89,12 @@
   if (!Request.Body.empty() || Request.Method == "POST" ||
       Request.Method == "PUT")
     appendAll(Message, "Content-Length: ", Request.Body.size(), "\r\n");
-  appendAll(Message, "\r\n", Request.Body);
+  appendAll(Message, "\r\n");
+  if (!Request.Body.isLarge())
+    appendAll(Message, Request.Body.view());
   Transport->send(std::move(Message));
+  if (Request.Body.isLarge())
+    Transport->send(SharedBytes(Request.Body));
 }
 
 void BackendConnection::onData(std::string_view Bytes) {
@@ -109,10 +118,47 @@
     UnparsedBytes.assign(Bytes.substr(BytesParsed));
   if (UnparsedBytes.size() > MaxUnparsedBytes)
     abortConnection("unreadable-answer");
-  else if (!updateBufferedBytes())
+  else if (!updateBufferedBytes() || !reserveMemory())
     abortConnection("answer-too-large");
 }
 
+bool BackendConnection::reserveMemory() {
+  MemoryAccount &Memory = Loop.memory();
+  const std::size_t Received = BufferedBytes;
+  std::size_t Needed =
+      Received < LargeBytes / 2 ? Received : Received + ReservedPieceBytes;
+  if (Parser && Parser->is_header_done() && Parser->content_length())
+    Needed = std::max<std::size_t>(Received, *Parser->content_length());
+  const std::size_t Reserved = AnswerCharge.bytes();
+  if (Needed <= Reserved)
+    return true;
+  // A small answer is read in any case: its call has a slot, and reading it is
+  // what frees memory.
+  if (Needed < LargeBytes ||
+      Memory.hasRoom(MemoryUse::Begun, Needed - Reserved)) {
+    AnswerCharge.resize(Needed);
+    return true;
+  }
+  if (!Memory.canEverHold(MemoryUse::Begun, Needed))
+    return false;
+  AnswerCharge.resize(Received);
+  Transport->holdReading(true);
+  Owner.WaitingForRoom.add(weak_from_this(), [this, Call = ActiveCall, Needed] {
+    return resumeWithRoom(Call, Needed);
+  });
+  return true;
+}
+
+bool BackendConnection::resumeWithRoom(std::uint64_t Call, std::size_t Needed) {
+  if (ActiveCall != Call || Transport->closed())
+    return true;
+  if (!Loop.memory().hasRoom(MemoryUse::Begun, Needed - AnswerCharge.bytes()))
+    return false;
+  AnswerCharge.resize(Needed);
+  Transport->holdReading(false);
+  return true;
+}
+
 void BackendConnection::closeUnusable() {
   NotReusable = true;
   close();
@@ -188,7 +234,10 @@
   }
   Result.Outcome = CallOutcome::Complete;
   Result.Headers = forwardedHeaders(Response, {Protocol.ServerLoadHeader});
-  Result.Body = std::move(Response.body());
+  const std::size_t Size = Response.body().size();
+  Result.Body =
+      SharedBytes(std::move(Response.body()),
+                  MemoryCharge(Loop.memory(), MemoryKind::Answers, Size));
   return Result;
 }
 
@@ -233,6 +282,7 @@
   const bool Reuse = Persistent && !NotReusable && !MoreReceived &&
                      Transport->unsentBytes() == 0 && IdleTimeout.count() > 0 &&
                      RefusedIds.size() < MaxRefusedIds;
+  AnswerCharge.resize(0);
   CallResult Result = toCallResult(std::move(Response));
   const std::uint64_t FinishedCall = ActiveCall;
   ActiveCall = 0;
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -15,7 +15,9 @@
 class Backend;
 
 /// One HTTP connection to the backend server. It carries one call at a time.
-class BackendConnection : public StreamOwner {
+class BackendConnection
+    : public StreamOwner,
+      public std::enable_shared_from_this<BackendConnection> {
 public:
   BackendConnection(EventLoop &Loop, const PlatformAdapter &Protocol,
                     Backend &Owner);
@@ -55,6 +57,11 @@
   /// Reports the size of the received part of an answer to `Owner`. Returns
   /// false when it has to be dropped for lack of memory.
   bool updateBufferedBytes();
+  /// Reserves memory for the answer, or stops reading it until there is room.
+  /// Returns false if it can never fit.
+  bool reserveMemory();
+  /// Returns true when the answer to `Call` is read again or no longer needed.
+  bool resumeWithRoom(std::uint64_t Call, std::size_t Needed);
   void closeUnusable();
   /// Logs how the connection ended under the active call.
   void logEnd(const StreamEnd &End) const;
@@ -67,6 +74,7 @@
   std::shared_ptr<Stream> Transport;
   std::optional<IncrementalParser<ResponseParser>> Parser;
   std::string UnparsedBytes;     ///< Received but not parsed.
+  MemoryCharge AnswerCharge;     ///< What is reserved for the answer.
   std::size_t BufferedBytes = 0; ///< Last size that was reported to `Owner`.
   bool FramingChecked = false;   ///< `hasValidFraming` has seen the header.
   int SkippedResponses = 0;      ///< Since the start of the active call.
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "agent/SharedBytes.h"
 #include "core/attempts/Attempts.h"
 #include "core/placement/Placement.h"
 #include "pollenwick/Time.h"
@@ -26,7 +27,7 @@
   std::string Method;
   std::string Target;
   std::string Headers; ///< Header lines except framing and deadline.
-  std::string Body;
+  SharedBytes Body;
 };
 
 /// Result of one attempt to run a call on a backend server.
@@ -35,7 +36,7 @@
   int Status = 0;    ///< HTTP status of the server; 0 without an answer.
   std::string Cause; ///< Why the call failed; empty when it is complete.
   std::string Headers;
-  std::string Body;
+  SharedBytes Body;
   /// True when the request may have reached the server, even if it refused it.
   bool ReachedServer = false;
   ServerLoad Load;
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -21,12 +21,17 @@
 /// Limit on an incomplete line beyond the limit on the header. The parser has
 /// none for the line of a chunk size.
 constexpr std::size_t MaxLineExcessBytes = 1024;
+/// Capacity that an input buffer keeps.
+constexpr std::size_t KeptInputBytes = std::size_t{8} * 1024;
+/// The header is held as text and as fields, which have pointers of their own.
+constexpr std::size_t MemoryPerHeaderByte = 3;
 
 } // namespace
 
 CallerConnection::CallerConnection(EventLoop &TheLoop, CallerListener &ThePort,
                                    std::string TheCallerIp)
     : Loop(TheLoop), Port(ThePort), CallerIp(std::move(TheCallerIp)),
+      InputCharge(TheLoop.memory(), MemoryKind::Incoming),
       LastActivity(TheLoop.now()) {}
 
 void CallerConnection::start(const Poco::Net::StreamSocket &Socket) {
@@ -38,6 +43,8 @@
   if (Closing)
     return;
   recordReceipt(Bytes.size());
+  if (Parser)
+    Progress.Bytes += Bytes.size();
   UnparsedBytes.append(Bytes);
   parse();
 }
@@ -69,6 +76,8 @@
   RequestFirstByteAt =
       ReceiptTimes.empty() ? Loop.now() : ReceiptTimes.front().At;
   LastActivity = Loop.now();
+  RequestOffset = ParsedOffset;
+  Progress = {Loop.now(), 0};
   ContinueSent = false;
   FramingChecked = false;
   Parser.emplace();
@@ -85,11 +94,13 @@
   Parsing = true;
   parseRequests();
   Parsing = false;
-  const bool MustWait = !acceptsRequest();
-  Transport->pauseReading(MustWait &&
-                          UnparsedBytes.size() >=
-                              Port.pipelineLimits().MaxWaitingBytes);
-  if (!MustWait &&
+  // An idle connection must not keep the room of its last request.
+  if (UnparsedBytes.capacity() > KeptInputBytes &&
+      UnparsedBytes.size() < UnparsedBytes.capacity() / 2)
+    UnparsedBytes.shrink_to_fit();
+  reserveMemory();
+  updateReading();
+  if (acceptsRequest() &&
       UnparsedBytes.size() > Port.limits().MaxHeaderBytes + MaxLineExcessBytes)
     reject(400, "unreadable-request");
 }
@@ -152,14 +163,31 @@
   const bool KeepAlive = Parser->keep_alive();
   auto Message = Parser->release();
   Parser.reset();
+  const std::size_t BodyBytes = Message.body().size();
+  const std::uint64_t HeaderBytes =
+      ParsedOffset - RequestOffset -
+      std::min<std::uint64_t>(ParsedOffset - RequestOffset, BodyBytes);
   CallerRequest Request;
   Request.Number = Port.newRequestNumber();
   Request.Method = std::string(Message.method_string());
   Request.Target = std::string(Message.target());
-  Request.Body = std::move(Message.body());
+  // What was reserved for the body becomes its own charge.
+  InputCharge.resize(0);
+  Request.Body =
+      SharedBytes(std::move(Message.body()),
+                  MemoryCharge(Loop.memory(), MemoryKind::Requests, BodyBytes));
+  // The framing of chunks is not held.
+  Request.HeaderCharge = MemoryCharge(
+      Loop.memory(), MemoryKind::Requests,
+      MemoryPerHeaderByte * static_cast<std::size_t>(std::min<std::uint64_t>(
+                                HeaderBytes, Port.limits().MaxHeaderBytes)));
   Request.Headers = std::move(Message.base());
   Request.CallerIp = CallerIp;
   Request.FirstByteAt = RequestFirstByteAt;
+  if (!Loop.memory().hasRoom(MemoryUse::Small, 0)) {
+    rejectForMemory(503, "memory-short");
+    return;
+  }
   if (busy() && !Port.Handler.mayOverlap(Request)) {
     HeldRequest = std::move(Request);
     HeldRequestKeepsAlive = KeepAlive;
@@ -169,9 +197,11 @@
 }
 
 void CallerConnection::startRequest(CallerRequest &&Request, bool KeepAlive) {
-  Outstanding.push_back({Request.Number, KeepAlive,
+  Outstanding.push_back({Request.Number,
+                         KeepAlive,
                          Port.Handler.requestId(Request.Headers),
-                         std::nullopt});
+                         std::nullopt,
+                         {}});
   Port.Handler.onRequest(shared_from_this(), std::move(Request));
 }
 
@@ -195,7 +225,7 @@
 }
 
 void CallerConnection::respond(CallerRequestNumber Number,
-                               std::string &&Message) {
+                               std::string &&Message, SharedBytes Body) {
   if (Transport->closed())
     return;
   const auto Found =
@@ -203,6 +233,7 @@
   if (Found == Outstanding.end())
     return;
   Found->Response = std::move(Message);
+  Found->ResponseBody = std::move(Body);
   sendReadyResponses();
 }
 
@@ -215,6 +246,9 @@
             ? CloseMode::Linger
             : CloseMode::Immediate;
     Transport->send(std::move(*Outstanding.front().Response));
+    Transport->send(std::move(Outstanding.front().ResponseBody));
+    if (!Parser)
+      Progress = {Loop.now(), Transport->unsentBytes()};
     RespondedIds.push_back(std::move(Outstanding.front().RequestId));
     if (RespondedIds.size() > MaxRespondedIds)
       RespondedIds.erase(RespondedIds.begin());
@@ -235,8 +269,13 @@
   // The rest of the request may still arrive, so the close must not reset the
   // connection: `sendReadyResponses` lingers while bytes are left.
   Parser.reset();
-  Outstanding.push_back({Port.newRequestNumber(), false, "",
-                         makeLocalReply(Status, Cause, ExtraHeaders, false)});
+  RoomAwaitedSince.reset();
+  InputCharge.resize(UnparsedBytes.size());
+  Outstanding.push_back({Port.newRequestNumber(),
+                         false,
+                         "",
+                         makeLocalReply(Status, Cause, ExtraHeaders, false),
+                         {}});
   sendReadyResponses();
 }
 
@@ -244,12 +283,13 @@
   Closing = true;
   Outstanding.clear();
   HeldRequest.reset();
-  UnparsedBytes.clear();
+  releaseInput();
   Transport->closeWhenFlushed(Mode);
   Port.removeConnection(*this);
 }
 
 void CallerConnection::close() {
+  releaseInput();
   Transport->close();
   Port.removeConnection(*this);
 }
@@ -293,7 +333,7 @@
 
 void CallerConnection::enforceTimeouts(Instant Now,
                                        const CallerLimits &Limits) {
-  if (busy())
+  if (abandonStalled(Now, Limits) || busy())
     return;
   const Duration SinceActivity = Now - LastActivity;
   if (hasUnsentBytes()) {
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -10,6 +10,7 @@
 
 #include "agent/EventLoop.h"
 #include "agent/HttpMessage.h"
+#include "agent/SharedBytes.h"
 #include "agent/Stream.h"
 #include "pollenwick/Rules.h"
 
@@ -26,7 +27,8 @@
   std::string Method;
   std::string Target;
   HeaderFields Headers;
-  std::string Body;
+  SharedBytes Body;
+  MemoryCharge HeaderCharge; ///< Of the header, until the request is answered.
   std::string CallerIp;
   Instant FirstByteAt; ///< When the first byte was received. The caller's
                        ///< waiting time is counted from then.
@@ -53,7 +55,9 @@
   void start(const Poco::Net::StreamSocket &Socket);
   /// Sends a complete HTTP response, or keeps it until the earlier requests are
   /// answered. Does nothing if the caller has left.
-  void respond(CallerRequestNumber Number, std::string &&Message);
+  /// `Body` is the part of the response that is shared instead of copied.
+  void respond(CallerRequestNumber Number, std::string &&Message,
+               SharedBytes Body = {});
   /// Returns whether the connection stays open after the response to this
   /// request. Otherwise the response must have the header `Connection: close`.
   bool keepsAlive(CallerRequestNumber Number) const;
@@ -70,6 +74,11 @@
   }
   bool hasUnsentBytes() const { return Transport->unsentBytes() > 0; }
   bool closed() const { return Transport->closed(); }
+  /// Returns since when the connection has been idle, or has kept the header of
+  /// a request incomplete for longer than `ProgressGrace`; `Now` otherwise.
+  Instant idleSince(Instant Now) const;
+  /// Closes a connection that `idleSince` has found idle.
+  void closeIdle() { close(); }
   /// Returns the ids of the requests whose responses are not sent wholly.
   std::vector<std::string> unsentResponses() const;
   /// Handles the requests that have been received, then closes the connection.
@@ -93,6 +102,7 @@
     bool KeepAlive = true; ///< What the caller asked for.
     std::string RequestId; ///< For the log.
     std::optional<std::string> Response;
+    SharedBytes ResponseBody; ///< Follows `Response`.
   };
   /// When the bytes before an offset of the stream had been received.
   struct ReceiptTime {
@@ -111,13 +121,30 @@
   void startHeldRequest();
   void sendReadyResponses();
   void sendContinueIfDue();
+  /// Counts what has been received of the current request, and reserves what
+  /// its body needs. Pauses the reading, or refuses the request, if there is no
+  /// room.
+  void reserveMemory();
+  /// Returns what the current request needs to be received further.
+  std::size_t neededBytes() const;
+  void waitForRoom();
+  /// Returns true when the request has its memory or no longer waits.
+  bool retryReservation();
+  /// Refuses or closes what makes no progress while memory is short. Returns
+  /// whether it did.
+  bool abandonStalled(Instant Now, const CallerLimits &Limits);
+  void updateReading();
   /// Refuses the request if its header, once complete, does not say without
   /// doubt where the body ends. Returns whether it was not refused.
   bool acceptsFraming();
   void recordReceipt(std::size_t Bytes);
   void reject(int Status, std::string_view Cause,
               std::string_view ExtraHeaders = {});
+  /// Refuses a request that has not run for lack of memory.
+  void rejectForMemory(int Status, std::string_view Cause);
   void close();
+  /// Drops what was received and not started.
+  void releaseInput();
   void closeAfterResponse(CloseMode Mode);
 
   EventLoop &Loop;
@@ -137,6 +164,13 @@
   bool HeldRequestKeepsAlive = true;
   bool ContinueSent = false;   ///< `100 Continue` was sent for this request.
   bool FramingChecked = false; ///< `acceptsFraming` has seen the whole header.
+  /// Received bytes of requests that have not been started, and what is
+  /// reserved for the current body.
+  MemoryCharge InputCharge;
+  std::optional<Instant>
+      RoomAwaitedSince;            ///< Set while reading waits for room.
+  BodyProgress Progress;           ///< Of the current body, or of unsent bytes.
+  std::uint64_t RequestOffset = 0; ///< `ParsedOffset` at the first byte.
   bool Closing = false;
   bool Parsing = false; ///< `parse` is on the call stack.
   Instant LastActivity; ///< Start of the idle or slow period.
--- a/src/agent/CallerListener.cpp
+++ b/src/agent/CallerListener.cpp
@@ -19,7 +19,8 @@
                                CallerEventHandler &TheHandler,
                                const std::string &ListenAddress,
                                const PipelineLimits &ThePipeline)
-    : Loop(TheLoop), Handler(TheHandler), Pipeline(ThePipeline) {
+    : Loop(TheLoop), Handler(TheHandler), Pipeline(ThePipeline),
+      Waiting(TheLoop) {
   ListenSocket.bind(Poco::Net::SocketAddress(ListenAddress), true);
   ListenSocket.listen(ListenBacklog);
   ListenSocket.setBlocking(false);
@@ -28,13 +29,21 @@
 }
 
 void CallerListener::onReady(const Readiness & /*State*/) {
-  if (!Listening)
-    return;
+  if (Listening)
+    acceptPending();
+}
+
+void CallerListener::acceptPending() {
   try {
     while (true) {
       Poco::Net::SocketAddress CallerAddress;
       Poco::Net::StreamSocket Socket =
           ListenSocket.acceptConnection(CallerAddress);
+      if (Connections.size() >= ConnectionLimit) {
+        ++RefusedConnections;
+        if (!closeLongestIdle())
+          continue; // Leaving the scope closes the new connection.
+      }
       Socket.setBlocking(false);
       Socket.setNoDelay(true);
       auto Connection = std::make_shared<CallerConnection>(
@@ -43,11 +52,23 @@
       Connection->start(Socket);
     }
   } catch (const Poco::Exception &) {
-    // Either no connection is pending or none can be accepted now. The next
-    // incoming connection raises another event.
+    // Either no connection is pending or none can be accepted now, for example
+    // for lack of descriptors. `sweep` tries again.
   }
 }
 
+bool CallerListener::closeLongestIdle() {
+  const auto IdleSince = [this](const auto &Entry) {
+    return Entry.second->idleSince(Loop.now());
+  };
+  const auto Longest = std::ranges::min_element(Connections, {}, IdleSince);
+  if (Longest == Connections.end() || IdleSince(*Longest) >= Loop.now())
+    return false;
+  const std::shared_ptr<CallerConnection> Closed = Longest->second;
+  Closed->closeIdle();
+  return true;
+}
+
 void CallerListener::removeConnection(CallerConnection &Connection) {
   const auto Found = Connections.find(&Connection);
   if (Found == Connections.end())
@@ -78,6 +99,7 @@
 
 void CallerListener::sweep() {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
+  onReady({});
   for (const std::shared_ptr<CallerConnection> &Connection :
        openConnections()) {
     if (Connection->closed())
--- a/src/agent/CallerListener.h
+++ b/src/agent/CallerListener.h
@@ -10,6 +10,7 @@
 
 #include "agent/CallerConnection.h"
 #include "agent/EventLoop.h"
+#include "agent/RoomQueue.h"
 #include "pollenwick/Rules.h"
 
 namespace pollenwick::agent {
@@ -33,6 +34,9 @@
   /// A request that was received in part is refused because this process ends.
   /// `Headers` holds the part of its header that was received.
   virtual void onUnfinishedRequest(const HeaderFields & /*Headers*/) {}
+  /// A request is refused that was received in part, or a connection is closed
+  /// (`Status` is 0), because memory is short.
+  virtual void onMemoryRefusal(int /*Status*/, std::string_view /*Cause*/) {}
   /// The caller closed its connection while this request was running.
   virtual void onCallerDisconnected(CallerRequestNumber Number) = 0;
 };
@@ -46,6 +50,11 @@
 
   void setLimits(const CallerLimits &NewLimits) { Limits = NewLimits; }
   const CallerLimits &limits() const { return Limits; }
+  /// Sets the number of connections above which the one that has been idle
+  /// longest is closed for a new one, or else the new one.
+  void setConnectionLimit(std::size_t Limit) { ConnectionLimit = Limit; }
+  /// Returns how many connections were closed because of the limit.
+  std::uint64_t refusedConnections() const { return RefusedConnections; }
   const PipelineLimits &pipelineLimits() const { return Pipeline; }
   /// Closes idle connections now and busy ones after their last response.
   void drain();
@@ -69,6 +78,9 @@
   void removeConnection(CallerConnection &Connection);
   CallerRequestNumber newRequestNumber() { return ++LastRequestNumber; }
   void sweep();
+  void acceptPending();
+  /// Closes a connection that serves nobody. Returns false if there is none.
+  bool closeLongestIdle();
   std::vector<std::shared_ptr<CallerConnection>> openConnections() const;
 
   EventLoop &Loop;
@@ -78,7 +90,10 @@
   bool Draining = false;
   CallerLimits Limits;
   PipelineLimits Pipeline;
+  std::size_t ConnectionLimit = SIZE_MAX;
+  std::uint64_t RefusedConnections = 0;
   CallerRequestNumber LastRequestNumber = 0;
+  RoomQueue Waiting; ///< Connections whose bodies wait for room.
   std::map<CallerConnection *, std::shared_ptr<CallerConnection>> Connections;
 };
 
--- a/src/agent/EventLoop.h
+++ b/src/agent/EventLoop.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "core/memory/MemoryAccount.h"
 #include "pollenwick/Time.h"
 
 namespace pollenwick::agent {
@@ -62,6 +63,9 @@
   /// Runs `Task` on the loop's thread. Safe to call from any thread.
   void post(std::function<void()> Task);
 
+  /// Account of the bytes that the objects on this loop hold for others.
+  MemoryAccount &memory() { return Memory; }
+
   /// Runs the loop until `stop` is called.
   void run();
   void stop() { Stopping = true; }
@@ -79,6 +83,7 @@
   void runTurnEndTasks();
   int waitTimeoutMs() const;
 
+  MemoryAccount Memory; ///< Before the tasks, which may hold charges.
   int EpollFd = -1;
   int WakeupFd = -1;
   bool Stopping = false;
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -12,17 +12,17 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include "agent/MessageBody.h"
 #include "pollenwick/Time.h"
 
 namespace pollenwick::agent {
 
 namespace http = boost::beast::http;
 
-using RequestParser = http::request_parser<http::string_body>;
-using ResponseParser = http::response_parser<http::string_body>;
-using ResponseMessage = http::response<http::string_body>;
+using RequestParser = http::request_parser<MessageBody>;
+using ResponseParser = http::response_parser<MessageBody>;
+using ResponseMessage = http::response<MessageBody>;
 using HeaderFields = http::fields;
 
 /// A parser of a message that arrives in pieces.
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -39,6 +39,7 @@
   Exchanges.emplace(Id, std::move(Owned));
   Item.Caller = From;
   Item.Rules = ServerDirectory.rules();
+  Item.HeaderCharge = std::move(Request.HeaderCharge);
   Item.ReceivedAt = Request.FirstByteAt;
   Item.AdmittedAt = Loop.now();
   Item.Request.RequestId = requestId(Request.Headers);
@@ -83,6 +84,20 @@
                                    .field("last_cause", "received-in-part")));
 }
 
+void Ingress::onMemoryRefusal(int Status, std::string_view Cause) {
+  Counters.incrementCounter("answers_total", concat(Status, "-", Cause));
+  const MemoryAccount &Memory = Loop.memory();
+  Log.logRequest(
+      Cause,
+      std::move(
+          LogLine("request-answered", Loop.now())
+              .field("status", Status)
+              .field("reason", Cause)
+              .field("held_bytes", static_cast<std::int64_t>(Memory.held()))
+              .field("limit_bytes", static_cast<std::int64_t>(Memory.limit()))),
+      Loop.now());
+}
+
 void Ingress::recallWaiting() {
   std::vector<ExchangeNumber> Unplaced;
   for (const auto &[Id, Item] : Exchanges) {
@@ -129,20 +144,24 @@
     appendAll(Message, "Connection: close\r\n");
   if (Result.Status != 204 && Result.Status != 304)
     appendAll(Message, "Content-Length: ", Result.Body.size(), "\r\n");
-  appendAll(Message, "\r\n", Result.Body);
+  appendAll(Message, "\r\n");
+  if (!Result.Body.isLarge())
+    appendAll(Message, Result.Body.view());
   Counters.incrementCounter("answers_total", concat(Result.Status / 100, "xx"));
   Counters.recordLatency(Item.Route->Name, Loop.now() - Item.ReceivedAt);
   double &Micros = MeanAnswerMicros[Item.Route->Name];
   const auto AnswerMicros =
       static_cast<double>((Loop.now() - Item.AdmittedAt).count());
   Micros += (AnswerMicros - Micros) * (Micros == 0 ? 1 : AnswerTimeWeight);
+  SharedBytes LargeBody = Result.Body.isLarge() ? Result.Body : SharedBytes();
   double &Bytes = MeanResponseBytes[Item.Route->Name];
-  Bytes += (static_cast<double>(Message.size()) - Bytes) * ResponseBytesWeight;
+  Bytes += (static_cast<double>(Message.size() + LargeBody.size()) - Bytes) *
+           ResponseBytesWeight;
   if (isServerError(Result.Status))
     logOutcome(Item, Result.Status, "server-answer");
   const std::shared_ptr<CallerConnection> From = Item.Caller;
   removeExchange(Id);
-  From->respond(Id, std::move(Message));
+  From->respond(Id, std::move(Message), std::move(LargeBody));
 }
 
 void Ingress::refuse(ExchangeNumber Id, const Refusal &Details) {
--- a/src/agent/Ingress.h
+++ b/src/agent/Ingress.h
@@ -44,6 +44,7 @@
   bool mayOverlap(const CallerRequest &Request) const override;
   std::string requestId(const HeaderFields &Headers) const override;
   void onUnfinishedRequest(const HeaderFields &Headers) override;
+  void onMemoryRefusal(int Status, std::string_view Cause) override;
   void onCallerDisconnected(CallerRequestNumber Number) override;
   /// Begins a planned stop: takes only requests that can end before the stop's
   /// call deadline, and passes none on with more time than that.
@@ -65,6 +66,7 @@
     CallRequest Request; ///< `ServerId` is empty here and set for each attempt.
     std::string Customer;      ///< Empty when no customer was identified.
     int CustomerPriority = -1; ///< Negative when no customer was identified.
+    MemoryCharge HeaderCharge; ///< Of `Request.Headers`.
     Instant ReceivedAt;
     Instant AdmittedAt;
     Instant Deadline;
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -28,7 +28,7 @@
 /// Nodes count the crashes of a request under its fingerprint, so it must be
 /// the same at every node.
 std::uint64_t fingerprintOf(const CallRequest &Request) {
-  return stableHash({Request.Method, Request.Target, Request.Body});
+  return stableHash({Request.Method, Request.Target, Request.Body.view()});
 }
 
 } // namespace
--- a/src/agent/PeerLink.cpp
+++ b/src/agent/PeerLink.cpp
@@ -18,7 +18,7 @@
                    std::uint64_t TheLinkNumber)
     : Loop(TheLoop), Links(TheLinks), Ip(std::move(TheIp)),
       LinkNumber(TheLinkNumber), PeerLinkId{Ip, 0, 0},
-      LastReceivedAt(TheLoop.now()) {}
+      Reader(&TheLoop.memory()), LastReceivedAt(TheLoop.now()) {}
 
 bool PeerLink::dial(const std::string &Address, const std::string &LocalIp) {
   Connection =
@@ -41,10 +41,11 @@
 }
 
 void PeerLink::send(const PeerFrame &Frame) {
-  std::string Bytes;
-  encodeFrame(Frame, Loop.now(), Bytes);
-  Links.SentBytes[Frame.index()] += Bytes.size();
-  Connection->send(std::move(Bytes));
+  EncodedFrame Encoded = encodeFrame(Frame, Loop.now());
+  Links.SentBytes[Frame.index()] += Encoded.size();
+  Connection->send(std::move(Encoded.Begin));
+  Connection->send(std::move(Encoded.Body));
+  Connection->send(std::string_view(Encoded.End));
 }
 
 std::uint64_t PeerLink::call(CallRequest &&Request, CallResultHandler Done,
@@ -84,8 +85,11 @@
               },
               std::move(Frame));
       });
-  if (Result.ok())
+  if (Result.ok()) {
+    if (!Closed && !Reader.reserve())
+      waitForRoom();
     return;
+  }
   Links.Log.logStateChange(
       std::move(LogLine("peer-frame-unreadable", Loop.now())
                     .field("peer", Ip)
@@ -93,6 +97,18 @@
   close();
 }
 
+void PeerLink::waitForRoom() {
+  Connection->pauseReading(true);
+  Links.WaitingForRoom.add(weak_from_this(), [this] {
+    if (Closed)
+      return true;
+    if (!Reader.reserve())
+      return false;
+    Connection->pauseReading(false);
+    return true;
+  });
+}
+
 void PeerLink::handle(HelloFrame &&Frame) {
   PeerLinkId.Incarnation = Frame.Incarnation;
   PeerLinkId.LinkNumber = Frame.LinkNumber;
@@ -169,16 +185,20 @@
 void PeerLink::handle(ResumeFrame &&Frame) { Links.handleResume(*this, Frame); }
 
 void PeerLink::sendAnswer(std::uint64_t Id, CallResult &&Answer) {
-  const bool MustKeep = shouldKeepAnswer(Ledger, Id);
+  // A kept answer is a second copy. Without it, the outcome of the call is
+  // unknown if the connection is lost with the answer.
+  const bool MustKeep = shouldKeepAnswer(Ledger, Id) &&
+                        Answer.Body.size() < MaxKeptAnswerBytes &&
+                        !(Answer.Body.isLarge() && Loop.memory().isShort());
   removeCall(Ledger, Id);
-  std::string Bytes;
   const PeerFrame Frame = AnswerFrame{Id, std::move(Answer)};
-  encodeFrame(Frame, Loop.now(), Bytes);
-  Links.SentBytes[Frame.index()] += Bytes.size();
   if (!MustKeep) {
-    Connection->send(std::move(Bytes));
+    send(Frame);
     return;
   }
+  std::string Bytes;
+  encodeFrame(Frame, Loop.now(), Bytes);
+  Links.SentBytes[Frame.index()] += Bytes.size();
   Connection->send(std::string_view(Bytes));
   keepAnswer(Ledger, Id, std::move(Bytes), Loop.now());
 }
--- a/src/agent/PeerLink.h
+++ b/src/agent/PeerLink.h
@@ -64,6 +64,8 @@
   /// Sends the answer to the peer's call `Id` and keeps it if the peer may ask
   /// for it after a loss of the connection.
   void sendAnswer(std::uint64_t Id, CallResult &&Answer);
+  /// Stops reading until there is memory for the frame that has begun.
+  void waitForRoom();
   /// Cancels an outstanding call. Returns whether it was sent on this link.
   bool cancel(std::uint64_t Id);
   /// Recalls an outstanding call. Returns whether it was sent on this link.
--- a/src/agent/PeerLinks.cpp
+++ b/src/agent/PeerLinks.cpp
@@ -42,7 +42,7 @@
                      const std::string &ListenAddress,
                      std::uint64_t TheIncarnation)
     : Loop(TheLoop), Log(TheLog), Handler(TheHandler),
-      Incarnation(TheIncarnation) {
+      Incarnation(TheIncarnation), WaitingForRoom(TheLoop) {
   const Poco::Net::SocketAddress Address(ListenAddress);
   OwnIp = Address.host().toString();
   Port = Address.port();
--- a/src/agent/PeerLinks.h
+++ b/src/agent/PeerLinks.h
@@ -17,6 +17,7 @@
 #include "agent/Log.h"
 #include "agent/PeerLink.h"
 #include "agent/PeerWire.h"
+#include "agent/RoomQueue.h"
 
 namespace pollenwick::agent {
 
@@ -147,6 +148,7 @@
   std::string OwnIp;
   std::uint16_t Port;
   Poco::Net::ServerSocket Listener;
+  RoomQueue WaitingForRoom; ///< Links whose frames wait for memory.
   std::set<std::string> PeerIps;
   std::array<std::uint64_t, PeerFrameKinds> SentBytes{};
   /// Since when a peer has had no live link and none being dialed; has no entry
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 
 #include <capnp/message.h>
+#include <capnp/orphan.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
@@ -19,6 +20,30 @@
 constexpr std::size_t MaxFrameBytes = std::size_t{72} * 1024 * 1024;
 constexpr std::size_t WordBytes = sizeof(capnp::word);
 constexpr std::size_t ScratchWords = 1024;
+
+/// Sets the body of a call or answer. A large one is not copied: the message
+/// refers to it until it is sent.
+template <typename Builder> void putBody(Builder Out, const SharedBytes &Body) {
+  const capnp::Data::Reader Bytes(
+      reinterpret_cast<const capnp::byte *>(Body.view().data()), Body.size());
+  if (Body.isPadded())
+    Out.adoptBody(
+        capnp::Orphanage::getForMessageContaining(Out).referenceExternalData(
+            Bytes));
+  else
+    Out.setBody(Bytes);
+}
+
+/// Returns the body of a call or answer. A large one stays in `Whole`, the
+/// frame that it is part of.
+SharedBytes readBody(capnp::Data::Reader Body, const SharedBytes &Whole) {
+  const std::string_view View(reinterpret_cast<const char *>(Body.begin()),
+                              Body.size());
+  return Whole.empty() || View.size() < LargeBytes
+             ? SharedBytes(std::string(View))
+             : Whole.part(View);
+}
+
 void put(mesh::wire::Frame::Builder Root, const CallFrame &Frame, Instant Now) {
   auto Out = Root.initCall();
   const CallRequest &Request = Frame.Request;
@@ -36,7 +61,7 @@
   Out.setMethod(text(Request.Method));
   Out.setTarget(text(Request.Target));
   Out.setHead(data(Request.Headers));
-  Out.setBody(data(Request.Body));
+  putBody(Out, Request.Body);
 }
 
 void put(mesh::wire::Frame::Builder Root, const AnswerFrame &Frame, Instant) {
@@ -48,8 +73,8 @@
   Out.setArrived(Answer.ReachedServer);
   Out.setCause(text(Answer.Cause));
   Out.setHead(data(Answer.Headers));
-  Out.setBody(data(Answer.Body));
   putLoad(Out.initLoad(), Answer.Load);
+  putBody(Out, Answer.Body);
 }
 
 void put(mesh::wire::Frame::Builder Root, const CancelFrame &Frame, Instant) {
@@ -125,7 +150,8 @@
   }
 }
 
-CallFrame readCall(mesh::wire::Call::Reader In, Instant Now) {
+CallFrame readCall(mesh::wire::Call::Reader In, Instant Now,
+                   const SharedBytes &Whole) {
   CallFrame Frame;
   CallRequest &Request = Frame.Request;
   Frame.Id = In.getId();
@@ -142,11 +168,12 @@
   Request.Method = toString(In.getMethod());
   Request.Target = toString(In.getTarget());
   Request.Headers = toString(In.getHead());
-  Request.Body = toString(In.getBody());
+  Request.Body = readBody(In.getBody(), Whole);
   return Frame;
 }
 
-AnswerFrame readAnswer(mesh::wire::Answer::Reader In) {
+AnswerFrame readAnswer(mesh::wire::Answer::Reader In,
+                       const SharedBytes &Whole) {
   AnswerFrame Frame;
   CallResult &Answer = Frame.Answer;
   Frame.Id = In.getId();
@@ -157,7 +184,7 @@
   Answer.ReachedServer = In.getArrived();
   Answer.Cause = toString(In.getCause());
   Answer.Headers = toString(In.getHead());
-  Answer.Body = toString(In.getBody());
+  Answer.Body = readBody(In.getBody(), Whole);
   Answer.Load = readLoad(In.getLoad());
   return Frame;
 }
@@ -194,12 +221,12 @@
 }
 
 absl::StatusOr<PeerFrame> decodeFrame(mesh::wire::Frame::Reader Root,
-                                      Instant Now) {
+                                      Instant Now, const SharedBytes &Whole) {
   switch (Root.which()) {
   case mesh::wire::Frame::CALL:
-    return readCall(Root.getCall(), Now);
+    return readCall(Root.getCall(), Now, Whole);
   case mesh::wire::Frame::ANSWER:
-    return readAnswer(Root.getAnswer());
+    return readAnswer(Root.getAnswer(), Whole);
   case mesh::wire::Frame::CANCEL:
     return CancelFrame{Root.getCancel()};
   case mesh::wire::Frame::STATUS: {
@@ -230,6 +257,27 @@
       "frame of an unknown kind; run the same release on all nodes");
 }
 
+/// Appends the start of Cap'n Proto's stream framing: the number of segments
+/// less one and their sizes in words, as 32-bit little-endian numbers.
+void appendSegmentTable(
+    kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> Segments,
+    std::string &Out) {
+  const auto AppendNumber = [&Out](std::size_t Number) {
+    for (int Shift = 0; Shift < 32; Shift += 8)
+      Out.push_back(static_cast<char>((Number >> Shift) & 0xff));
+  };
+  std::size_t TotalBytes = (Segments.size() / 2 + 1) * WordBytes;
+  for (const auto Segment : Segments)
+    TotalBytes +=
+        Segment.asBytes().size() < LargeBytes ? Segment.asBytes().size() : 0;
+  Out.reserve(TotalBytes);
+  AppendNumber(Segments.size() - 1);
+  for (const auto Segment : Segments)
+    AppendNumber(Segment.size());
+  if (Segments.size() % 2 == 0)
+    AppendNumber(0);
+}
+
 } // namespace
 
 std::string_view peerFrameName(std::size_t Kind) {
@@ -239,7 +287,7 @@
   return Names.at(Kind);
 }
 
-void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out) {
+EncodedFrame encodeFrame(const PeerFrame &Frame, Instant Now) {
   alignas(8) static thread_local std::array<capnp::word, ScratchWords> Scratch;
   std::memset(Scratch.data(), 0, sizeof(Scratch));
   capnp::MallocMessageBuilder Message(
@@ -247,15 +295,77 @@
   auto Root = Message.initRoot<mesh::wire::Frame>();
   std::visit([&](const auto &TypedFrame) { put(Root, TypedFrame, Now); },
              Frame);
-  const kj::Array<capnp::word> Words = capnp::messageToFlatArray(Message);
-  const auto Bytes = Words.asBytes();
-  Out.append(reinterpret_cast<const char *>(Bytes.begin()), Bytes.size());
+  const SharedBytes *Body = nullptr;
+  if (const auto *Call = std::get_if<CallFrame>(&Frame))
+    Body = &Call->Request.Body;
+  else if (const auto *Answer = std::get_if<AnswerFrame>(&Frame))
+    Body = &Answer->Answer.Body;
+  EncodedFrame Result;
+  const auto Segments = Message.getSegmentsForOutput();
+  appendSegmentTable(Segments, Result.Begin);
+  for (const auto Segment : Segments) {
+    const auto Bytes = Segment.asBytes();
+    const std::string_view View(reinterpret_cast<const char *>(Bytes.begin()),
+                                Bytes.size());
+    if (Body && Body->isPadded() && View.data() == Body->view().data())
+      Result.Body = Body->part(Body->paddedView());
+    else
+      (Result.Body.empty() ? Result.Begin : Result.End).append(View);
+  }
+  return Result;
+}
+
+void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out) {
+  EncodedFrame Encoded = encodeFrame(Frame, Now);
+  if (Out.empty())
+    Out = std::move(Encoded.Begin);
+  else
+    Out.append(Encoded.Begin);
+  Out.append(Encoded.Body.view()).append(Encoded.End);
+}
+
+FrameReader::FrameReader(MemoryAccount *TheAccount) : Account(TheAccount) {
+  if (Account)
+    Charge = MemoryCharge(*Account, MemoryKind::Frames);
+}
+
+bool FrameReader::reserve() {
+  const std::size_t Needed = std::max(FrameBytes, Buffer.size());
+  if (!Account || (FrameBytes > 0 && Needed == Charge.bytes()))
+    return true;
+  // The charge of the last frame has passed to its body.
+  const std::size_t Held = std::min(Charge.bytes(), Needed);
+  if (Needed < LargeBytes ||
+      Account->hasRoom(MemoryUse::Begun, Needed - Held)) {
+    Charge.resize(Needed);
+    return true;
+  }
+  Charge.resize(Buffer.size());
+  return false;
 }
 
 absl::Status
 FrameReader::feed(std::string_view Bytes, Instant Now,
                   const std::function<void(PeerFrame &&)> &OnFrame) {
-  Buffer.append(Bytes);
+  absl::Status Result;
+  while (!Bytes.empty() && Result.ok()) {
+    // A large frame ends where its buffer ends, so that its body can stay
+    // there.
+    const std::size_t Taken =
+        FrameBytes > 0 ? std::min(Bytes.size(), FrameBytes - Buffer.size())
+                       : Bytes.size();
+    Buffer.append(Bytes.substr(0, Taken));
+    Bytes.remove_prefix(Taken);
+    if (Buffer.size() >= FrameBytes)
+      Result = readFrames(Now, OnFrame);
+  }
+  return Result;
+}
+
+absl::Status
+FrameReader::readFrames(Instant Now,
+                        const std::function<void(PeerFrame &&)> &OnFrame) {
+  FrameBytes = 0;
   std::size_t Offset = 0;
   absl::Status Result;
   while (Buffer.size() - Offset >= WordBytes && Result.ok()) {
@@ -265,23 +375,34 @@
     try {
       const std::size_t FrameWords = capnp::expectedSizeInWordsFromPrefix(
           kj::arrayPtr(Words, std::min<std::size_t>(AvailableWords, 64)));
-      if (FrameWords * WordBytes > MaxFrameBytes) {
+      const std::size_t Size = FrameWords * WordBytes;
+      if (Size > MaxFrameBytes ||
+          (Account && !Account->canEverHold(MemoryUse::Begun, Size))) {
         Result = absl::InvalidArgumentError(
-            absl::StrCat("frame of ", FrameWords * WordBytes,
+            absl::StrCat("frame of ", Size,
                          " bytes is too large; check that the peer is a node"));
         break;
       }
       if (FrameWords > AvailableWords) {
-        Buffer.reserve(Offset + FrameWords * WordBytes);
+        FrameBytes = Size;
         break;
       }
+      SharedBytes Whole;
+      if (Size >= LargeBytes && Size == Buffer.size()) {
+        Whole = SharedBytes(std::move(Buffer), std::move(Charge));
+        if (Account)
+          Charge = MemoryCharge(*Account, MemoryKind::Frames);
+        Buffer.clear();
+        Words = reinterpret_cast<const capnp::word *>(Whole.view().data());
+      } else {
+        Offset += Size;
+      }
       capnp::ReaderOptions Options;
       Options.traversalLimitInWords = 2 * MaxFrameBytes / WordBytes;
       capnp::FlatArrayMessageReader Message(kj::arrayPtr(Words, FrameWords),
                                             Options);
       absl::StatusOr<PeerFrame> Frame =
-          decodeFrame(Message.getRoot<mesh::wire::Frame>(), Now);
-      Offset += FrameWords * WordBytes;
+          decodeFrame(Message.getRoot<mesh::wire::Frame>(), Now, Whole);
       if (Frame.ok())
         OnFrame(std::move(*Frame));
       else
@@ -293,7 +414,9 @@
     }
   }
   Buffer.erase(0, Offset);
-  if (Buffer.empty() && Buffer.capacity() > MaxFrameBytes / 64)
+  if (FrameBytes > 0)
+    Buffer.reserve(FrameBytes);
+  else if (Buffer.empty() && Buffer.capacity() > LargeBytes)
     std::string().swap(Buffer);
   return Result;
 }
--- a/src/agent/PeerWire.h
+++ b/src/agent/PeerWire.h
@@ -86,6 +86,18 @@
 /// Returns the name of a kind of frame, by its index in `PeerFrame`.
 std::string_view peerFrameName(std::size_t Kind);
 
+/// An encoded frame, in the order in which its parts are sent.
+struct EncodedFrame {
+  std::string Begin;
+  SharedBytes Body; ///< A large body with its padding, which is not copied.
+  std::string End;
+  std::size_t size() const { return Begin.size() + Body.size() + End.size(); }
+};
+
+/// Returns the encoded frame. Deadlines are encoded as the time that remains
+/// after `Now`.
+EncodedFrame encodeFrame(const PeerFrame &Frame, Instant Now);
+
 /// Appends the encoded frame to `Out`. Deadlines are encoded as the time that
 /// remains after `Now`.
 void encodeFrame(const PeerFrame &Frame, Instant Now, std::string &Out);
@@ -93,14 +105,29 @@
 /// Splits the byte stream of a connection into frames.
 class FrameReader {
 public:
+  /// `TheAccount` counts the bytes that are held; null: they are not counted.
+  explicit FrameReader(MemoryAccount *TheAccount = nullptr);
+
   /// Calls `OnFrame` for each complete frame and keeps the rest for the next
   /// call. Returns InvalidArgument if the bytes are not valid frames; then the
   /// connection must be closed.
   absl::Status feed(std::string_view Bytes, Instant Now,
                     const std::function<void(PeerFrame &&)> &OnFrame);
 
+  /// Reserves memory for the frame that is received in part. Returns false if
+  /// there is no room now; then no more bytes should be read.
+  bool reserve();
+
 private:
+  absl::Status readFrames(Instant Now,
+                          const std::function<void(PeerFrame &&)> &OnFrame);
+
+  MemoryAccount *Account;
+  MemoryCharge Charge; ///< Of `Buffer` and of what is reserved.
   std::string Buffer;
+  /// Size of the incomplete frame at the start of the buffer; 0 if it is not
+  /// known yet.
+  std::size_t FrameBytes = 0;
 };
 
 } // namespace pollenwick::agent
--- a/src/agent/Stream.cpp
+++ b/src/agent/Stream.cpp
@@ -17,6 +17,8 @@
 /// Sent bytes are erased from the front of the buffer once there are at least
 /// this many. An empty buffer with a larger capacity is freed.
 constexpr std::size_t CompactThresholdBytes = std::size_t{64} * 1024;
+/// Objects and buffers of an open connection.
+constexpr std::size_t ConnectionBytes = std::size_t{4} * 1024;
 /// Time that a peer has to close its end after everything was sent.
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 
@@ -30,6 +32,8 @@
 Stream::Stream(EventLoop &TheLoop, const Poco::Net::StreamSocket &TheSocket,
                StreamOwner &TheOwner, bool IsConnecting)
     : Loop(TheLoop), Socket(TheSocket), Owner(TheOwner),
+      SendCharge(TheLoop.memory(), MemoryKind::SendBuffers),
+      OpenCharge(TheLoop.memory(), MemoryKind::Connections, ConnectionBytes),
       Connecting(IsConnecting) {}
 
 Stream::~Stream() {
@@ -45,19 +49,36 @@
 void Stream::send(std::string_view Bytes) {
   if (Closed || Bytes.empty())
     return;
-  SendBuffer.append(Bytes);
+  if (SendQueue.empty() || !SendQueue.back().Shared.empty())
+    SendQueue.emplace_back();
+  SendQueue.back().Copied.append(Bytes);
+  UnsentBytes += Bytes.size();
   scheduleFlush();
 }
 
 void Stream::send(std::string &&Bytes) {
-  if (Closed || Bytes.empty())
+  if (UnsentBytes > 0 || Closed || Bytes.empty()) {
+    send(std::string_view(Bytes));
     return;
-  if (unsentBytes() == 0) {
-    SendBuffer = std::move(Bytes);
-    SendOffset = 0;
-  } else {
-    SendBuffer.append(Bytes);
   }
+  if (SendQueue.empty())
+    SendQueue.emplace_back();
+  UnsentBytes = Bytes.size();
+  SendQueue.back().Copied = std::move(Bytes);
+  scheduleFlush();
+}
+
+void Stream::send(SharedBytes &&Bytes) {
+  if (!Bytes.isLarge()) {
+    send(Bytes.view());
+    return;
+  }
+  if (Closed)
+    return;
+  if (SendQueue.empty() || !SendQueue.back().Shared.empty())
+    SendQueue.emplace_back();
+  UnsentBytes += Bytes.size();
+  SendQueue.back().Shared = std::move(Bytes);
   scheduleFlush();
 }
 
@@ -78,9 +99,8 @@
   if (Watched)
     Loop.unwatch(Socket.impl()->sockfd());
   Socket.close();
-  SendBuffer.clear();
-  SendBuffer.shrink_to_fit();
-  SendOffset = 0;
+  releaseSendBuffers();
+  OpenCharge.resize(0);
   Loop.deferRelease(shared_from_this());
 }
 
@@ -97,6 +117,7 @@
 void Stream::lingerAndClose() {
   Lingering = true;
   ReadingPaused = false;
+  ReadingHeld = false;
   ::shutdown(Socket.impl()->sockfd(), SHUT_WR);
   Loop.callAt(Loop.now() + LingerTimeout,
               [Self = shared_from_this()] { Self->close(); });
@@ -108,8 +129,20 @@
     return;
   ReadingPaused = Pause;
   if (!Pause)
-    // The event for the bytes that wait in the socket has been reported.
-    Loop.callAtTurnEnd([Self = shared_from_this()] { Self->readAvailable(); });
+    resumeReading();
+}
+
+void Stream::holdReading(bool Hold) {
+  if (Closed || Lingering || ReadingHeld == Hold)
+    return;
+  ReadingHeld = Hold;
+  if (!Hold)
+    resumeReading();
+}
+
+void Stream::resumeReading() {
+  // The event for the bytes that wait in the socket has been reported.
+  Loop.callAtTurnEnd([Self = shared_from_this()] { Self->readAvailable(); });
 }
 
 void Stream::readAvailable() {
@@ -166,7 +199,7 @@
 }
 
 void Stream::readAll() {
-  while (!Closed && !ReadingPaused) {
+  while (!Closed && !ReadingPaused && !ReadingHeld) {
     const ssize_t Received =
         ::recv(Socket.impl()->sockfd(), readBuffer(), ReadBufferBytes, 0);
     if (Received > 0) {
@@ -192,44 +225,88 @@
     return;
   }
   // The end may have come together with the bytes that paused the reading.
-  if (ReportedEnd)
+  if (ReportedEnd && !ReadingHeld)
     closeAndNotify(*ReportedEnd);
 }
 
+void Stream::dropSentBytes(std::size_t Count) {
+  UnsentBytes -= Count;
+  SendOffset += Count;
+  while (!SendQueue.empty() && UnsentBytes > 0) {
+    Segment &First = SendQueue.front();
+    const std::size_t Size = First.Copied.size() + First.Shared.size();
+    if (SendOffset < Size)
+      break;
+    SendOffset -= Size;
+    SendQueue.pop_front();
+  }
+  // A segment with shared bytes has few copied ones.
+  if (!SendQueue.empty() && SendQueue.front().Shared.empty() &&
+      UnsentBytes > 0 && SendOffset >= CompactThresholdBytes) {
+    SendQueue.front().Copied.erase(0, SendOffset);
+    SendOffset = 0;
+  }
+}
+
+bool Stream::sendPending() {
+  while (UnsentBytes > 0) {
+    const Segment &First = SendQueue.front();
+    std::string_view Bytes;
+    bool HasMore = SendQueue.size() > 1;
+    if (SendOffset < First.Copied.size()) {
+      Bytes = std::string_view(First.Copied).substr(SendOffset);
+      HasMore |= !First.Shared.empty();
+    } else {
+      Bytes = First.Shared.view().substr(SendOffset - First.Copied.size());
+    }
+    const ssize_t Written =
+        ::send(Socket.impl()->sockfd(), Bytes.data(), Bytes.size(),
+               MSG_NOSIGNAL | (HasMore ? MSG_MORE : 0));
+    if (Written >= 0) {
+      dropSentBytes(static_cast<std::size_t>(Written));
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno == EAGAIN || errno == EWOULDBLOCK)
+      return true;
+    SendError = errno;
+    return false;
+  }
+  return true;
+}
+
+void Stream::releaseSendBuffers() {
+  // The string of the usual case, one message at a time, is kept.
+  if (!Closed && SendQueue.size() == 1 && SendQueue.front().Shared.empty() &&
+      SendQueue.front().Copied.capacity() <= CompactThresholdBytes)
+    SendQueue.front().Copied.clear();
+  else
+    std::deque<Segment>().swap(SendQueue);
+  SendOffset = 0;
+  UnsentBytes = 0;
+  SendCharge.resize(0);
+}
+
 void Stream::flush() {
   if (Closed || Connecting)
     return;
   const std::shared_ptr<Stream> Self = shared_from_this();
-  while (unsentBytes() > 0) {
-    const ssize_t Written =
-        ::send(Socket.impl()->sockfd(), SendBuffer.data() + SendOffset,
-               unsentBytes(), MSG_NOSIGNAL);
-    if (Written < 0) {
-      if (errno == EINTR)
-        continue;
-      if (errno == EAGAIN || errno == EWOULDBLOCK)
-        break;
-      SendError = errno;
-      // Bytes that the peer sent before the failure may still be unread.
-      ReportedEnd = StreamCloseReason::Reset;
-      readAll();
-      closeAndNotify(StreamCloseReason::Reset);
-      return;
-    }
-    SendOffset += static_cast<std::size_t>(Written);
+  if (!sendPending()) {
+    // Bytes that the peer sent before the failure may still be unread.
+    ReportedEnd = StreamCloseReason::Reset;
+    readAll();
+    closeAndNotify(StreamCloseReason::Reset);
+    return;
   }
-  if (unsentBytes() > 0) {
-    if (SendOffset >= CompactThresholdBytes) {
-      SendBuffer.erase(0, SendOffset);
-      SendOffset = 0;
-    }
+  if (UnsentBytes > 0) {
+    std::size_t Copied = 0;
+    for (const Segment &Item : SendQueue)
+      Copied += Item.Copied.capacity();
+    SendCharge.resize(Copied);
     return;
   }
-  if (SendBuffer.capacity() > CompactThresholdBytes)
-    std::string().swap(SendBuffer);
-  else
-    SendBuffer.clear();
-  SendOffset = 0;
+  releaseSendBuffers();
   if (CloseAfterFlush == CloseMode::Immediate) {
     close();
     return;
--- a/src/agent/Stream.h
+++ b/src/agent/Stream.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_AGENT_STREAM_H
 #define POLLENWICK_AGENT_STREAM_H
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include "agent/EventLoop.h"
+#include "agent/SharedBytes.h"
 
 namespace pollenwick::agent {
 
@@ -61,6 +63,8 @@
 
   void send(std::string_view Bytes);
   void send(std::string &&Bytes);
+  /// Sends bytes that are shared. Large ones are not copied.
+  void send(SharedBytes &&Bytes);
   /// Closes the connection immediately without calling `onClosed`.
   void close();
   /// Closes the connection once the send buffer is empty, without calling
@@ -69,11 +73,14 @@
   /// Stops or resumes reading. A paused stream still notices that the peer has
   /// closed the connection, and then discards the unread bytes.
   void pauseReading(bool Pause);
+  /// Stops or resumes reading. A stream that is held notices the end of the
+  /// connection only when it is resumed, and passes on all bytes before it.
+  void holdReading(bool Hold);
   /// Passes on the bytes that have been received but not read yet.
   void readAvailable();
 
   bool closed() const { return Closed; }
-  std::size_t unsentBytes() const { return SendBuffer.size() - SendOffset; }
+  std::size_t unsentBytes() const { return UnsentBytes; }
   Poco::Net::StreamSocket &socket() { return Socket; }
 
   void onReady(const Readiness &State) override;
@@ -84,6 +91,11 @@
   /// Returns how a stream has ended that has no more bytes to read.
   StreamCloseReason reasonOfEnd() const;
   void flush();
+  /// Sends until the socket takes no more. Returns false after an error.
+  bool sendPending();
+  void dropSentBytes(std::size_t Count);
+  void releaseSendBuffers();
+  void resumeReading();
   void scheduleFlush();
   void lingerAndClose();
   void closeAndNotify(StreamCloseReason Reason);
@@ -91,14 +103,26 @@
   EventLoop &Loop;
   Poco::Net::StreamSocket Socket;
   StreamOwner &Owner;
-  std::string SendBuffer;
-  std::size_t SendOffset = 0;
+  /// Bytes that are sent together: copied ones, then shared ones.
+  struct Segment {
+    std::string Copied;
+    SharedBytes Shared;
+  };
+  /// Segments before the last one end with large shared bytes.
+  std::deque<Segment> SendQueue;
+  std::size_t SendOffset = 0;  ///< Bytes of the first segment that were sent.
+  std::size_t UnsentBytes = 0; ///< Of all segments.
+  /// Copied bytes that were left when the socket took no more. Shared bytes are
+  /// counted by their owner.
+  MemoryCharge SendCharge;
+  MemoryCharge OpenCharge; ///< Overhead of the connection.
   bool Connecting;
   bool Closed = false;
   bool Watched = false;
   bool FlushScheduled = false;
   std::optional<CloseMode> CloseAfterFlush;
   bool ReadingPaused = false;
+  bool ReadingHeld = false;
   bool Lingering = false; ///< All is sent; received bytes are discarded.
   /// How the stream has ended, as far as epoll has reported it. No further
   /// event follows.
--- a/src/core/resume/CallLedger.cpp
+++ b/src/core/resume/CallLedger.cpp
@@ -8,7 +8,6 @@
 /// Time for which an answer is kept. Covers the 0.8 s after which a connection
 /// counts as silent and the 0.3 s until a new connection is open.
 constexpr Duration AnswerRetention = std::chrono::milliseconds(1500);
-constexpr std::size_t MaxKeptAnswerBytes = std::size_t{4} * 1024 * 1024;
 
 /// Moves a call or its kept answer from the ledger of a lost connection to that
 /// of a new one. Returns false if the lost ledger has neither.
--- a/src/core/resume/CallLedger.h
+++ b/src/core/resume/CallLedger.h
@@ -12,6 +12,9 @@
 
 namespace pollenwick {
 
+/// Largest total size of the answers that are kept for one connection.
+inline constexpr std::size_t MaxKeptAnswerBytes = std::size_t{4} * 1024 * 1024;
+
 /// Calls that one node received from another on one connection, and their
 /// recent answers. The ledger outlives the connection for a short time, so that
 /// the sender can ask for the status of calls whose answers did not arrive.
--- a/tests/agent/BackendAnswerTest.cpp
+++ b/tests/agent/BackendAnswerTest.cpp
@@ -221,7 +221,7 @@
     CallRequest Request = Fixture.request("a", 3000);
     Request.Method = "POST";
     Request.Retryable = false;
-    Request.Body.assign(UploadBytes, 'u');
+    Request.Body = std::string(UploadBytes, 'u');
     const CallResult Answer = Fixture.callAndWait(std::move(Request));
     CHECK(Answer.Outcome == CallOutcome::Unknown);
   }
--- a/tests/agent/FramingTest.cpp
+++ b/tests/agent/FramingTest.cpp
@@ -8,6 +8,7 @@
 #include "BackendFixture.h"
 #include "ScriptedServer.h"
 #include "agent/CallerListener.h"
+#include "agent/StringUtil.h"
 
 using namespace pollenwick;
 using namespace pollenwick::agent;
@@ -22,8 +23,9 @@
                  CallerRequest &&Request) override {
     ++Requests;
     From->respond(Request.Number,
-                  makeLocalReply(200, Request.Target + Request.Body, "",
-                                 From->keepsAlive(Request.Number)));
+                  makeLocalReply(200,
+                                 concat(Request.Target, Request.Body.view()),
+                                 "", From->keepsAlive(Request.Number)));
   }
   bool mayOverlap(const CallerRequest & /*Request*/) const override {
     return false;
--- a/tests/agent/PeerWireTest.cpp
+++ b/tests/agent/PeerWireTest.cpp
@@ -27,6 +27,50 @@
 
 } // namespace
 
+TEST_CASE("Large bodies of any length arrive as they were sent", "[agent]") {
+  // Guards against the padding of a body that is sent in place, and against the
+  // bytes around a body that stays in the frame it came in.
+  MemoryAccount Account;
+  const std::size_t Size =
+      GENERATE(LargeBytes - 1, LargeBytes, LargeBytes + 3, 3 * LargeBytes + 7);
+  CallFrame Call{9, {}};
+  // The header fills more than the first segment of the message.
+  Call.Request.Headers = std::string(16'000, 'h');
+  Call.Request.Body = std::string(Size, 'x');
+  AnswerFrame Answer{9, {}};
+  Answer.Answer.Status = 200;
+  Answer.Answer.Load.Running = 4;
+  Answer.Answer.Body = std::string(Size, 'y');
+  std::string Bytes;
+  encodeFrame(Call, Now, Bytes);
+  encodeFrame(Answer, Now, Bytes);
+  encodeFrame(HelloFrame{77, 3}, Now, Bytes);
+  for (const std::size_t ChunkBytes : {std::size_t{1000}, Bytes.size()}) {
+    FrameReader Reader(&Account);
+    std::vector<PeerFrame> Frames;
+    for (std::size_t At = 0; At < Bytes.size(); At += ChunkBytes) {
+      REQUIRE(Reader
+                  .feed(std::string_view(Bytes).substr(At, ChunkBytes), Now,
+                        [&](PeerFrame &&Frame) {
+                          Frames.push_back(std::move(Frame));
+                        })
+                  .ok());
+      REQUIRE(Reader.reserve());
+    }
+    REQUIRE(Frames.size() == 3U);
+    CHECK(std::get<CallFrame>(Frames[0]).Request.Headers ==
+          Call.Request.Headers);
+    CHECK(std::get<CallFrame>(Frames[0]).Request.Body == Call.Request.Body);
+    CHECK(std::get<AnswerFrame>(Frames[1]).Answer.Body == Answer.Answer.Body);
+    CHECK(std::get<AnswerFrame>(Frames[1]).Answer.Load.Running == 4U);
+    CHECK(std::get<HelloFrame>(Frames[2]).LinkNumber == 3U);
+    if (Size >= LargeBytes && ChunkBytes < Size)
+      CHECK(Account.held(MemoryKind::Frames) >= 2 * Size);
+    Frames.clear();
+    CHECK(Account.held() < LargeBytes);
+  }
+}
+
 TEST_CASE("Frames are decoded as they were sent, however the bytes are split",
           "[agent]") {
   CallFrame Call{9, {}};
