--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -54,6 +54,11 @@
   return std::max(0.0, Load.FailureRate - Baseline.FailureRate - Chance);
 }
 
+/// Returns whether a call goes to the server only if there is no other.
+bool isLastResort(const PlacementCandidate &Server) {
+  return Server.Load.Leaving || Server.Load.MemoryShort;
+}
+
 double concurrencyLimitOf(const ServerLoad &Load) {
   return Load.MaxRunning > 0 ? Load.MaxRunning : DefaultMaxRunning;
 }
@@ -132,7 +137,7 @@
 
 bool servesWithinZone(const PlacementCandidate &Server,
                       const ServiceBaseline &Baseline, Duration LatencyTarget) {
-  return Server.SameZone && !Server.Load.Leaving &&
+  return Server.SameZone && !isLastResort(Server) &&
          excessFailureRate(Server.Load, Baseline) == 0 &&
          assignedCalls(Server) <
              ZoneUtilization * concurrencyLimitOf(Server.Load) &&
@@ -152,14 +157,11 @@
   double BestTime = 0;
   std::uniform_real_distribution<double> Factor(1 - JitterFraction,
                                                 1 + JitterFraction);
-  const bool AllLeave =
-      std::ranges::all_of(Servers, [](const PlacementCandidate &Server) {
-        return Server.Load.Leaving;
-      });
+  const bool NoneIsFit = std::ranges::all_of(Servers, isLastResort);
   for (std::size_t I = 0; I < Servers.size(); ++I) {
     if (WithinZone && !Servers[I].SameZone)
       continue;
-    if (Servers[I].Load.Leaving && !AllLeave)
+    if (isLastResort(Servers[I]) && !NoneIsFit)
       continue;
     const double Time =
         static_cast<double>(
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -74,8 +74,8 @@
 /// if none of its own zone can serve the call within `LatencyTarget`, the time
 /// left until the caller's target; zero if there is none. Each time is varied
 /// by a small random factor so that nodes with the same reports do not all
-/// choose the same server. A server whose node is leaving is chosen only if all
-/// are leaving.
+/// choose the same server. A server whose node is leaving or short of memory is
+/// chosen only if all are.
 std::optional<std::size_t>
 chooseServer(std::span<const PlacementCandidate> Servers,
              Duration LatencyTarget, std::minstd_rand &Random);
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -147,6 +147,16 @@
   CHECK(counts({Leaving, Leaving}, 50)[0] > 0);
 }
 
+TEST_CASE("A server whose node is short of memory is chosen only if all are",
+          "[placement]") {
+  // Guards against large bodies that are sent to a node which cannot hold them,
+  // while another has room.
+  PlacementCandidate Short = server(0, 0, 15);
+  Short.Load.MemoryShort = true;
+  CHECK(counts({Short, server(20, 30, 200)}, 50)[0] == 0);
+  CHECK(counts({Short, Short}, 50)[0] > 0);
+}
+
 TEST_CASE("A server that fails calls gets fewer of them", "[placement]") {
   PlacementCandidate Faulty = server(0, 0, 50);
   Faulty.Load.FailureRate = 0.4;
