--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -102,6 +102,7 @@
       RequestIngress(Loop, Protocol, Options, Log, Counters, ServerDirectory,
                      Fleet, LocalBackend, Peers, Fleet.incarnation()),
       Listener(Loop, RequestIngress, Options.CallerAddress, Options.Pipeline),
+      MemoryState(Loop.memory(), Listener),
       ConfigSource(std::move(TheConfigSource)),
       Records(Loop, Options, Log, ServerDirectory, Peers, *ConfigSource,
               [this](const ServiceRegistry::Change &Change) {
@@ -196,6 +197,7 @@
   Fleet.planQuotasAndAdmission(ServerDirectory, Own, Elapsed, Loop.now());
   logAdmissionChanges();
   Statuses.send(std::move(Own));
+  MemoryState.tick(Log, Loop.now());
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
@@ -404,6 +406,7 @@
       ServerDirectory.rules()
           ? static_cast<std::int64_t>(ServerDirectory.rules()->Source.Version)
           : 0);
+  MemoryState.fillMetrics(Counters);
   Records.fillMetrics(Counters);
   for (const auto &[Key, Share] : Fleet.admissionPlan().AdmittedShareByKey)
     Counters.setGauge(concat("admitted_share_pct{key=\"", Key, "\"}"),
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -12,6 +12,7 @@
 #include "agent/FleetState.h"
 #include "agent/Ingress.h"
 #include "agent/Log.h"
+#include "agent/MemoryReport.h"
 #include "agent/Metrics.h"
 #include "agent/PeerLinks.h"
 #include "agent/PlatformAdapter.h"
@@ -85,6 +86,7 @@
   PeerLinks Peers;
   Ingress RequestIngress;
   CallerListener Listener;
+  MemoryReport MemoryState;
   std::unique_ptr<StatusEndpoint> ReadinessEndpoint;
   std::unique_ptr<StatusEndpoint> MetricsEndpoint;
   std::unique_ptr<ConfigurationSource> ConfigSource;
--- a/src/agent/CallerListener.h
+++ b/src/agent/CallerListener.h
@@ -53,6 +53,9 @@
   /// Sets the number of connections above which the one that has been idle
   /// longest is closed for a new one, or else the new one.
   void setConnectionLimit(std::size_t Limit) { ConnectionLimit = Limit; }
+  std::size_t connectionLimit() const { return ConnectionLimit; }
+  /// Returns the number of connections whose bodies wait for memory.
+  std::size_t waitingBodies() const { return Waiting.size(); }
   /// Returns how many connections were closed because of the limit.
   std::uint64_t refusedConnections() const { return RefusedConnections; }
   const PipelineLimits &pipelineLimits() const { return Pipeline; }
--- a/src/agent/Settings.cpp
+++ b/src/agent/Settings.cpp
@@ -35,8 +35,8 @@
 DEFINE_int32(retry_window_s, 10,
              "length of the retry budget's window in seconds");
 DEFINE_int32(memory_mb, 0,
-             "memory limit of this process in MB, from which the limits on "
-             "buffered responses follow; 0 if unknown");
+             "memory of this process in MB, from which the limits on what is "
+             "held for callers, servers and peers follow; 0 if unknown");
 DEFINE_int32(pipeline_requests, 8,
              "requests of one caller connection that may run at once");
 DEFINE_int32(pipeline_kb, 256,
