--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -1,6 +1,8 @@
 #include "agent/Agent.h"
 #include "agent/StringUtil.h"
+#include "core/memory/DescriptorShares.h"
 
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <cmath>
@@ -17,6 +19,8 @@
 constexpr double MinLoggedShareChange = 0.1;
 constexpr std::uint64_t TicksPerSettingsCheck = 4;
 constexpr std::uint64_t TicksPerTrafficLine = 40;
+/// Readiness and metrics are read by few clients.
+constexpr std::size_t MaxStatusConnections = 16;
 
 std::uint64_t randomStartId() {
   std::random_device Device;
@@ -58,7 +62,9 @@
       std::function<std::pair<int, std::string>(const std::string &)>;
   StatusEndpoint(EventLoop &Loop, const std::string &Address,
                  Render TheRenderBody)
-      : RenderBody(std::move(TheRenderBody)), Port(Loop, *this, Address) {}
+      : RenderBody(std::move(TheRenderBody)), Port(Loop, *this, Address) {
+    Port.setConnectionLimit(MaxStatusConnections);
+  }
 
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override {
@@ -101,6 +107,7 @@
       RequestIngress(Loop, Protocol, Options, Log, Counters, ServerDirectory,
                      Fleet, LocalBackend, Peers, Fleet.incarnation()),
       Listener(Loop, RequestIngress, Options.CallerAddress, Options.Pipeline),
+      MemoryState(Loop.memory(), Listener),
       ConfigSource(std::move(TheConfigSource)),
       Records(Loop, Options, Log, ServerDirectory, Peers, *ConfigSource,
               [this](const ServiceRegistry::Change &Change) {
@@ -109,6 +116,8 @@
       Statuses(Options, ServerDirectory, Peers), LastTickAt(Loop.now()),
       CustomerReport(Log),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
+  limitConnections(0);
+  Loop.memory().setLimit(accountLimitFor(Options.MemoryBytes));
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
       Loop, Options.ReadyAddress, [this](const std::string &Target) {
         if (Target != Protocol.ReadyPath)
@@ -168,10 +177,19 @@
   if (ServerDirectory.rules())
     Listener.setLimits(ServerDirectory.rules()->Source.Limits);
   LocalBackend.setServer(Own, Limits.MaxConnections);
+  limitConnections(Limits.MaxConnections);
   if (Change.ServersChanged)
     Peers.setPeers(ServerDirectory.nodeIps());
 }
 
+void Agent::limitConnections(std::size_t ServerConnections) {
+  struct rlimit Limit {};
+  if (::getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Listener.setConnectionLimit(callerConnectionLimit(
+      Limit.rlim_cur, {ServerDirectory.nodeIps().size(), ServerConnections}));
+}
+
 StatusFrame Agent::localStatus() const {
   StatusFrame Status;
   Status.SentAt = Loop.now();
@@ -200,6 +218,7 @@
   CustomerReport.logChanges(Fleet.customerShares(), Fleet.admissionPlan(),
                             Loop.now());
   Statuses.send(std::move(Own));
+  MemoryState.tick(Log, Loop.now());
   Log.tick(Loop.now());
   if (++TickCount % TicksPerSettingsCheck == 0)
     reloadChangedSettings();
@@ -441,6 +460,7 @@
       ServerDirectory.rules()
           ? static_cast<std::int64_t>(ServerDirectory.rules()->Source.Version)
           : 0);
+  MemoryState.fillMetrics(Counters);
   Records.fillMetrics(Counters);
   Counters.setGauge(
       "zones_evacuated",
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -14,6 +14,7 @@
 #include "agent/HealthClient.h"
 #include "agent/Ingress.h"
 #include "agent/Log.h"
+#include "agent/MemoryReport.h"
 #include "agent/Metrics.h"
 #include "agent/PeerLinks.h"
 #include "agent/PlatformAdapter.h"
@@ -60,6 +61,9 @@
   class StatusEndpoint;
 
   void applyDirectoryChange(const ServiceRegistry::Change &Change);
+  /// Bounds the connections of callers by the descriptors that the other parts
+  /// leave.
+  void limitConnections(std::size_t ServerConnections);
   void tick();
   void logAdmissionChanges();
   void logPeerTraffic();
@@ -86,6 +90,7 @@
   PeerLinks Peers;
   Ingress RequestIngress;
   CallerListener Listener;
+  MemoryReport MemoryState;
   std::unique_ptr<StatusEndpoint> ReadinessEndpoint;
   std::unique_ptr<StatusEndpoint> MetricsEndpoint;
   std::unique_ptr<ConfigurationSource> ConfigSource;
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -80,6 +80,11 @@
   return std::pow(Factor, Weight);
 }
 
+/// Returns whether a call goes to the server only if there is no other.
+bool isLastResort(const PlacementCandidate &Server) {
+  return Server.Load.Leaving || Server.Load.MemoryShort;
+}
+
 double concurrencyLimitOf(const ServerLoad &Load) {
   return Load.MaxRunning > 0 ? Load.MaxRunning : DefaultMaxRunning;
 }
@@ -182,7 +187,7 @@
 
 bool servesWithinZone(const PlacementCandidate &Server,
                       const ServiceBaseline &Baseline, Duration LatencyTarget) {
-  return Server.SameZone && !Server.Load.Leaving && hasStartLeft(Server) &&
+  return Server.SameZone && !isLastResort(Server) && hasStartLeft(Server) &&
          excessFailureRate(Server.Load, Baseline) == 0 &&
          assignedCalls(Server) <
              ZoneUtilization * concurrencyLimitOf(Server.Load) &&
@@ -198,13 +203,10 @@
       std::ranges::any_of(Servers, [&](const PlacementCandidate &Server) {
         return servesWithinZone(Server, Baseline, LatencyTarget);
       });
-  const bool AllLeave =
-      std::ranges::all_of(Servers, [](const PlacementCandidate &Server) {
-        return Server.Load.Leaving;
-      });
+  const bool NoneIsFit = std::ranges::all_of(Servers, isLastResort);
   const bool AnyStartLeft = std::ranges::any_of(
-      Servers, [AllLeave](const PlacementCandidate &Server) {
-        return hasStartLeft(Server) && (AllLeave || !Server.Load.Leaving);
+      Servers, [NoneIsFit](const PlacementCandidate &Server) {
+        return hasStartLeft(Server) && (NoneIsFit || !isLastResort(Server));
       });
   std::uniform_real_distribution<double> Factor(1 - JitterFraction,
                                                 1 + JitterFraction);
@@ -215,7 +217,7 @@
       continue;
     if (WithinZone && !Servers[I].SameZone)
       continue;
-    if (Servers[I].Load.Leaving && !AllLeave)
+    if (isLastResort(Servers[I]) && !NoneIsFit)
       continue;
     const double Time =
         static_cast<double>(
