--- a/src/core/dispatch/DispatchQueue.cpp
+++ b/src/core/dispatch/DispatchQueue.cpp
@@ -40,29 +40,6 @@
              : First;
 }
 
-Duration workOf(const DispatchQueue &Queue, const WaitingCall &Call) {
-  return Call.Work.count() > 0 ? Call.Work : Queue.MeanServiceTime;
-}
-
-/// Returns the time until a slot is free after the work of the waiting calls.
-/// One more call of mean length stands for the rest of those that run.
-Duration waitBehind(const DispatchQueue &Queue, Duration Work) {
-  return (Work + Queue.MeanServiceTime) /
-         static_cast<std::int64_t>(Queue.MaxRunning);
-}
-
-/// Returns the next call to run; `Waiting` must not be empty.
-auto nextCall(const DispatchQueue &Queue) {
-  const auto First = Queue.Waiting.begin();
-  WaitingCall BeforeNew;
-  BeforeNew.Precedence = NestedPrecedence + 1;
-  BeforeNew.Due = Instant::min();
-  const auto FirstNew = Queue.Waiting.lower_bound(BeforeNew);
-  return FirstNew != Queue.Waiting.end() && goesBefore(*FirstNew, *First)
-             ? FirstNew
-             : First;
-}
-
 } // namespace
 
 std::uint32_t concurrencyLimit(std::uint32_t Slots) {
