Make the process test of an evacuation find an ingress that still sends there

The test looked for a counter by a name without its prefix, so that it passed without the check of zones in `Ingress::usableServers`.

--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -17,6 +17,11 @@
     names = ("one", "two", "one-y", "two-y")
     zones = ("z", "z", "y", "y")
 
+    def setUp(self):
+        super().setUp()
+        # The nodes of both zones serve.
+        self.wait_for(lambda: self.call_all() == {200})
+
     def arrived(self, *servers):
         return sum(len(self.backends[server].seen) for server in servers)
 
@@ -27,7 +32,7 @@
             own = http.client.HTTPConnection(host, self.ports["metrics"], timeout=5)
             own.request("GET", "/metrics")
             for line in own.getresponse().read().decode().splitlines():
-                if line.startswith("replacements_total") and "zone-evacuated" in line:
+                if line.startswith("pollenwick_replacements_total") and "zone-evacuated" in line:
                     total += int(line.split()[-1])
             own.close()
         return total
