--- a/src/agent/CallerMemory.cpp
+++ b/src/agent/CallerMemory.cpp
@@ -45,10 +45,9 @@
     // A body in pieces keeps what is left of its piece.
     if (!Parser || Reserved - Needed > ReservedPieceBytes)
       InputCharge.resize(Needed);
-  } else if (Memory.hasRoom(Use, Needed - Reserved, Reserved)) {
-    InputCharge.resize(Needed);
-  } else if (!Parser) {
-    // Bytes that wait behind unanswered requests; `updateReading` bounds them.
+  } else if (!Parser || Memory.hasRoom(Use, Needed - Reserved, Reserved)) {
+    // Bytes that wait behind unanswered requests are bounded by
+    // `updateReading`.
     InputCharge.resize(Needed);
   } else if (!Memory.canEverHold(Use, Needed)) {
     rejectForMemory(413, "body-exceeds-memory");
--- a/src/agent/MessageBody.h
+++ b/src/agent/MessageBody.h
@@ -27,6 +27,7 @@
 
   static std::uint64_t size(const value_type &Body) { return Body.size(); }
 
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.Beast fixes the name.
   class reader {
   public:
     template <bool IsRequest, class Fields>
