--- a/tests/agent/StreamEndTest.cpp
+++ b/tests/agent/StreamEndTest.cpp
@@ -203,3 +203,20 @@
     CHECK(Fixture.Received == "data");
   }
 }
+
+TEST_CASE("A stream whose reading is held passes on all bytes before its end",
+          "[agent]") {
+  // Guards against an answer without a length that is cut where memory was
+  // short, and then passed on as a whole one.
+  StreamFixture Fixture;
+  Fixture.run(5);
+  Fixture.Target->holdReading(true);
+  Fixture.perform(Step::Data);
+  Fixture.perform(Step::End);
+  Fixture.run();
+  CHECK(Fixture.Received.empty());
+  CHECK_FALSE(Fixture.End.has_value());
+  Fixture.Target->holdReading(false);
+  Fixture.runToEnd(Closed);
+  CHECK(Fixture.Received == "data");
+}
