Count the slots of a server as far as it completes its calls

Change: the slots and slot time of a server count by the share of its calls that it completes beyond the failures common to its service. Result: FleetStateTest, one of two servers rejects all calls: admitted share above 0.9 before, between 0.3 and 0.7 now.

--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -46,18 +46,34 @@
   double OfferedPerS = 0;
 };
 
+/// Least share of a server's calls that counts as completed. A service whose
+/// servers all fail is not one without servers.
+constexpr double MinServingShare = 0.05;
+
+/// Returns the share of its calls that a server completes, as far as it differs
+/// from the others of its service. Failures that are common to all servers come
+/// from the services that they call.
+double servingShare(const ServerLoad &Load, const ServiceBaseline &Baseline) {
+  return std::max(MinServingShare, 1 - excessFailureRate(Load, Baseline));
+}
+
+/// Adds the report of a node whose server completes `ServingShare` of its
+/// calls.
 void addReport(ServiceTotals &Total, const StatusFrame &Latest,
-               const StatusFrame &Previous) {
+               const StatusFrame &Previous, double ServingShare) {
   Total.OfferedSlotMicros += static_cast<double>(
       counterIncrease(Latest.OfferedSlotMicros, Previous.OfferedSlotMicros));
-  Total.AvailableSlotMicros += static_cast<double>(counterIncrease(
-      Latest.AvailableSlotMicros, Previous.AvailableSlotMicros));
-  Total.Slots += Latest.Load.MaxRunning;
+  // Slots of a server that fails or rejects calls complete fewer requests.
+  const double Slots = Latest.Load.MaxRunning * ServingShare;
+  Total.AvailableSlotMicros +=
+      ServingShare *
+      static_cast<double>(counterIncrease(Latest.AvailableSlotMicros,
+                                          Previous.AvailableSlotMicros));
+  Total.Slots += Slots;
   Total.Waiting += Latest.Load.Waiting;
   if (Latest.Load.MeanServiceTime.count() > 0) {
-    Total.SlotsWithCallTime += Latest.Load.MaxRunning;
-    Total.MaxCallsPerS +=
-        Latest.Load.MaxRunning / toSeconds(Latest.Load.MeanServiceTime);
+    Total.SlotsWithCallTime += Slots;
+    Total.MaxCallsPerS += Slots / toSeconds(Latest.Load.MeanServiceTime);
   }
   Total.Runs += static_cast<double>(Latest.Runs);
   for (const NamedCount &Call : Latest.NestedCallCounts)
@@ -319,16 +335,38 @@
           Node.LatestAt);
 }
 
+std::map<std::string, ServiceBaseline>
+FleetState::failureBaselines(Instant Now) const {
+  std::map<std::string, ServiceBaseline> Baselines;
+  for (const auto &[Ip, Node] : Reports) {
+    if (Now - Node.LatestAt > MaxReportAge)
+      continue;
+    const ServerLoad &Load = Node.Latest.Load;
+    ServiceBaseline &Baseline =
+        Baselines
+            .try_emplace(Node.Latest.Service,
+                         ServiceBaseline{Duration{}, Duration{}, 1.0})
+            .first->second;
+    if (Load.MaxRunning > 0)
+      Baseline.FailureRate = std::min(Baseline.FailureRate, Load.FailureRate);
+  }
+  return Baselines;
+}
+
 void FleetState::planAdmission(const RouteTable &Rules, Duration Interval,
                                Instant Now) {
   std::map<std::string, ServiceTotals> Totals;
   std::map<std::string, PlanKeyRates> Rates;
+  const std::map<std::string, ServiceBaseline> Baselines =
+      failureBaselines(Now);
   for (const auto &[Ip, Node] : Reports) {
     // Keep a service whose nodes have all stopped reporting, with no slots.
     Totals.try_emplace(Node.Latest.Service);
     if (Now - Node.LatestAt > MaxReportAge)
       continue;
-    addReport(Totals[Node.Latest.Service], Node.Latest, Node.Previous);
+    addReport(
+        Totals[Node.Latest.Service], Node.Latest, Node.Previous,
+        servingShare(Node.Latest.Load, Baselines.at(Node.Latest.Service)));
     if (Node.LatestAt > Node.PreviousAt)
       addRouteRates(Rates, Node.Latest, Node.Previous,
                     toSeconds(Node.LatestAt - Node.PreviousAt));
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -92,6 +92,8 @@
   QuotaBucket &bucketOf(const std::string &Customer);
   void reportIdlePeers(QuotaBucket &Bucket, const std::string &Customer,
                        Instant Now) const;
+  /// Returns the lowest failure rate of the servers of each service.
+  std::map<std::string, ServiceBaseline> failureBaselines(Instant Now) const;
   void planAdmission(const RouteTable &Rules, Duration Interval, Instant Now);
 
   const Settings &Options;
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -58,15 +58,6 @@
 /// calls. When all servers fail calls, their rates differ by chance.
 constexpr double ChanceStdDevs = 0.25;
 
-/// Returns the part of a server's failure rate that exceeds the baseline by
-/// more than chance.
-double excessFailureRate(const ServerLoad &Load,
-                         const ServiceBaseline &Baseline) {
-  const double Chance = ChanceStdDevs * std::sqrt(Baseline.FailureRate *
-                                                  (1 - Baseline.FailureRate));
-  return std::max(0.0, Load.FailureRate - Baseline.FailureRate - Chance);
-}
-
 /// Returns the factor by which the host of a server changes its service time
 /// now. An old report says less, because the host has changed since.
 double hostSlowdown(const PlacementCandidate &Server) {
@@ -137,6 +128,13 @@
 
 } // namespace
 
+double excessFailureRate(const ServerLoad &Load,
+                         const ServiceBaseline &Baseline) {
+  const double Chance = ChanceStdDevs * std::sqrt(Baseline.FailureRate *
+                                                  (1 - Baseline.FailureRate));
+  return std::max(0.0, Load.FailureRate - Baseline.FailureRate - Chance);
+}
+
 ServiceBaseline serviceBaseline(std::span<const PlacementCandidate> Servers) {
   double ServiceTimeSum = 0;
   double WeightSum = 0;
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -60,6 +60,11 @@
 /// Computes the baseline of a service from the candidates for a call.
 ServiceBaseline serviceBaseline(std::span<const PlacementCandidate> Servers);
 
+/// Returns the part of a server's failure rate that exceeds the baseline by
+/// more than chance.
+double excessFailureRate(const ServerLoad &Load,
+                         const ServiceBaseline &Baseline);
+
 /// Returns the estimated time until the server answers a call that is placed on
 /// it now, plus a penalty for its failure rate in excess of the baseline.
 Duration expectedResponseTime(const PlacementCandidate &Server,
--- a/tests/agent/FleetStateTest.cpp
+++ b/tests/agent/FleetStateTest.cpp
@@ -65,6 +65,7 @@
     Status.Service = "deep";
     Status.Load.MaxRunning = 5;
     Status.Load.MeanServiceTime = std::chrono::milliseconds(100);
+    Status.Load.FailureRate = FailureRates.at(I);
     Status.AvailableSlotMicros = static_cast<std::uint64_t>(
         Now.time_since_epoch().count() * Status.Load.MaxRunning);
     Nodes.at(I).fillStatus(Status);
@@ -76,7 +77,8 @@
     return Status;
   }
 
-  bool Linked = true; ///< Whether the nodes hear each other.
+  bool Linked = true;                   ///< Whether the nodes hear each other.
+  std::array<double, 2> FailureRates{}; ///< Of the servers of the nodes.
 
 private:
   void offer(FleetState &Node, const CustomerRule &Customer, double PerSecond) {
@@ -151,3 +153,25 @@
     CHECK(Fleet.fraction(0, "other") == 1);
   }
 }
+
+TEST_CASE("A server that rejects its calls is no capacity", "[fleet]") {
+  // Guards against requests that are admitted for servers which refuse their
+  // nested calls, so that the work before these calls is lost.
+  TwoNodes Fleet;
+  const auto SettledShare = [&Fleet] {
+    for (int I = 0; I < 40; ++I)
+      Fleet.tick(50, 50);
+    return Fleet.fraction(0, "other");
+  };
+  REQUIRE(SettledShare() > 0.9);
+  SECTION("one of two servers rejects all calls") {
+    Fleet.FailureRates = {1.0, 0.0};
+    const double Share = SettledShare();
+    CHECK(Share > 0.3);
+    CHECK(Share < 0.7);
+  }
+  SECTION("failures that both servers have come from below") {
+    Fleet.FailureRates = {0.5, 0.5};
+    CHECK(SettledShare() > 0.9);
+  }
+}
