--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -25,7 +25,7 @@
 constexpr const char *DisplacedCause = "displaced";
 /// Assumed for the offered load while the mean service time is unknown.
 constexpr Duration DefaultServiceTime = std::chrono::milliseconds(50);
-/// Part of the process's memory for one response body.
+/// The process's memory / the largest response body.
 constexpr std::size_t MemoryPerResponseBody = 16;
 
 } // namespace
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -80,20 +80,19 @@
   /// server is not registered.
   void setServer(const ServerEntry *Entry, std::uint32_t MaxConnections);
 
-  /// What is known about the server being cold.
   ColdStartState &coldStart() { return ColdStart; }
   /// Returns whether the server answered since the last failed connection
   /// attempt.
   bool reachable() const { return Reachable; }
 
-  /// Refuses all calls for this reason, also those that wait; runs calls again
-  /// if `Cause` is empty. Running calls finish.
+  /// Refuses new and waiting calls with this cause until it is called with an
+  /// empty `Cause`. Running calls finish.
   void refuseCalls(const std::string &Cause);
 
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
   ServerLoad load() const;
   const BackendCounts &counts() const { return Counts; }
-  /// Returns the calls that have ended at the server, by route.
+  /// Returns the work of the calls that have ended at the server, by route.
   const RouteWork &routeWork() const { return WorkByRoute; }
   const ServerPace &pace() const { return Pace; }
   const ResponseLimits &responseLimits() const { return Limits; }
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -125,7 +125,8 @@
   /// its body needs. Pauses the reading, or refuses the request, if there is no
   /// room.
   void reserveMemory();
-  /// Returns what the current request needs to be received further.
+  /// Returns the bytes that must be reserved before more of the current request
+  /// is read, including what has been received.
   std::size_t neededBytes() const;
   void waitForRoom();
   /// Returns true when the request has its memory or no longer waits.
--- a/src/agent/CallerListener.h
+++ b/src/agent/CallerListener.h
@@ -34,8 +34,8 @@
   /// A request that was received in part is refused because this process ends.
   /// `Headers` holds the part of its header that was received.
   virtual void onUnfinishedRequest(const HeaderFields & /*Headers*/) {}
-  /// A request is refused that was received in part, or a connection is closed
-  /// (`Status` is 0), because memory is short.
+  /// A request that was received in part is refused, or its connection is
+  /// closed without an answer (`Status` is 0), because memory is short.
   virtual void onMemoryRefusal(int /*Status*/, std::string_view /*Cause*/) {}
   /// The caller closed its connection while this request was running.
   virtual void onCallerDisconnected(CallerRequestNumber Number) = 0;
@@ -50,8 +50,9 @@
 
   void setLimits(const CallerLimits &NewLimits) { Limits = NewLimits; }
   const CallerLimits &limits() const { return Limits; }
-  /// Sets the number of connections above which the one that has been idle
-  /// longest is closed for a new one, or else the new one.
+  /// Sets the largest number of connections. A new connection beyond it
+  /// replaces the one that has been idle longest (see
+  /// `CallerConnection::idleSince`), or is closed if none is idle.
   void setConnectionLimit(std::size_t Limit) { ConnectionLimit = Limit; }
   std::size_t connectionLimit() const { return ConnectionLimit; }
   /// Returns the number of connections whose bodies wait for memory.
@@ -82,7 +83,8 @@
   CallerRequestNumber newRequestNumber() { return ++LastRequestNumber; }
   void sweep();
   void acceptPending();
-  /// Closes a connection that serves nobody. Returns false if there is none.
+  /// Closes the connection that has been idle longest. Returns false if none is
+  /// idle.
   bool closeLongestIdle();
   std::vector<std::shared_ptr<CallerConnection>> openConnections() const;
 
--- a/src/agent/CallerMemory.cpp
+++ b/src/agent/CallerMemory.cpp
@@ -11,9 +11,9 @@
 
 /// A body without a length reserves this much at a time.
 constexpr std::size_t ReservedPieceBytes = std::size_t{256} * 1024;
-/// A request is refused if its body finds no room for this long. Stalled bodies
-/// make room after `ProgressGrace`, so that those behind two of them are
-/// served.
+/// A request is refused if its body finds no room for this long. A stalled body
+/// is refused after `ProgressGrace`, so a body that waits for two stalled ones
+/// in turn is still served.
 constexpr Duration MaxRoomWait = std::chrono::seconds(3);
 /// A caller that reads nothing for this long while memory is short is closed.
 constexpr Duration UnreadGrace = std::chrono::seconds(5);
--- a/src/agent/RoomQueue.cpp
+++ b/src/agent/RoomQueue.cpp
@@ -5,8 +5,8 @@
 namespace pollenwick::agent {
 namespace {
 
-/// Memory becomes free in many places, so that waiting connections ask again
-/// instead of being told. This is short against the time of a large body.
+/// Memory becomes free in many places, so waiting connections poll for it. The
+/// interval is short compared with the time to receive a large body.
 constexpr Duration RetryInterval = std::chrono::milliseconds(10);
 
 } // namespace
@@ -28,7 +28,7 @@
 
 void RoomQueue::tryAll() {
   Timer = 0;
-  // An attempt may add connections, which are asked the next time.
+  // An attempt may add connections, which are tried the next time.
   std::deque<Item> Asked = std::exchange(Waiting, {});
   while (!Asked.empty()) {
     const std::shared_ptr<void> Owner = Asked.front().Owner.lock();
--- a/src/agent/RoomQueue.h
+++ b/src/agent/RoomQueue.h
@@ -10,11 +10,12 @@
 namespace pollenwick::agent {
 
 /// Connections of one kind whose reading is paused until there is memory for
-/// what they receive. They are asked in the order in which they began to wait,
-/// so that a large body is not overtaken for ever by smaller ones.
+/// what they receive. They are tried in the order in which they began to wait,
+/// and only until one finds no room, so that smaller bodies do not overtake a
+/// large one without end.
 class RoomQueue {
 public:
-  /// Returns true once it no longer waits.
+  /// Tries to resume one connection. Returns true once it no longer waits.
   using Attempt = std::function<bool()>;
 
   explicit RoomQueue(EventLoop &TheLoop) : Loop(TheLoop) {}
--- a/src/core/coldstart/ColdStart.h
+++ b/src/core/coldstart/ColdStart.h
@@ -53,8 +53,8 @@
 /// Records a start. Call it for warm servers too, because they may become cold.
 void recordStart(ColdStartLimiter &Limiter, Instant Now);
 
-/// Returns whether the call would start on a cold server after its latest
-/// start, and therefore is refused.
+/// Returns whether the call must be refused because it would start on a cold
+/// server after its latest start, or when its deadline has come.
 bool startsTooLate(const ColdStartLimiter &Limiter, const DispatchQueue &Queue,
                    const WaitingCall &Call, Instant Now);
 /// Decides on a new call like the function without a limiter, but lets it wait
--- a/src/core/dispatch/DispatchQueue.h
+++ b/src/core/dispatch/DispatchQueue.h
@@ -37,7 +37,8 @@
   /// Mean time that a call holds a slot; zero until the first has finished.
   Duration MeanServiceTime{};
 
-  /// Orders calls by precedence, then by due time, then by id.
+  /// Keeps nested calls apart from new requests. It is not the order in which
+  /// they run: `goesBefore` is.
   struct PrecedenceOrder {
     bool operator()(const WaitingCall &A, const WaitingCall &B) const {
       return std::tie(A.Precedence, A.Due, A.Id) <
@@ -62,9 +63,10 @@
 /// slow down when they are nearly full.
 std::uint32_t concurrencyLimit(std::uint32_t Slots);
 
-/// Returns the precedence of a call, which is the cost of losing it: nested
-/// calls come first, because the work of their callers is lost with them. New
-/// requests follow by rank.
+/// Returns the precedence of a call by the cost of losing it; a smaller value
+/// is more important. Nested calls have the smallest, because the work of their
+/// callers is lost with them. New requests follow by rank. The order in which
+/// calls run also depends on due times, see `goesBefore`.
 int precedence(const CallRequirements &Requirements);
 
 /// Returns the time by which a call should start. Nested calls are due before
@@ -77,8 +79,8 @@
 /// end.
 bool goesBefore(const WaitingCall &A, const WaitingCall &B);
 
-/// Returns the expected time until a call gets a slot, which the waiting calls
-/// that go before it are given first.
+/// Returns the expected time until a call gets a slot, after the waiting calls
+/// that go before it.
 Duration expectedWait(const DispatchQueue &Queue, const WaitingCall &Call);
 
 /// Returns the time until which a call may wait for its slot. A new request
--- a/src/core/memory/MemoryAccount.cpp
+++ b/src/core/memory/MemoryAccount.cpp
@@ -10,6 +10,8 @@
 /// reports of peers, the queue of the log, and blocks that the allocator cannot
 /// reuse. A process with one peer and 230 idle callers took 11 MB.
 constexpr std::size_t MinProcessBytes = std::size_t{40} * 1024 * 1024;
+/// All memory / the part beside the account, if that is more than
+/// `MinProcessBytes`.
 constexpr std::size_t MemoryPerProcessByte = 4;
 /// The smallest limit, for a process whose memory is about `MinProcessBytes`.
 constexpr std::size_t MinLimit = std::size_t{8} * 1024 * 1024;
--- a/src/core/pace/PaceLimit.cpp
+++ b/src/core/pace/PaceLimit.cpp
@@ -15,10 +15,11 @@
 /// measure the effect.
 constexpr double SlowStartGrowth = 1.5;
 constexpr double UnmeasuredGrowth = 1.25;
-/// Interval of this growth while few calls end. A server with no load returns
-/// to its maximum in about 7 s, longer than most servers are cold.
+/// Interval of `UnmeasuredGrowth` while few calls end. A server with no load
+/// returns to its maximum in about 7 s, longer than most servers are cold.
 constexpr Duration IdleGrowthInterval = std::chrono::seconds(1);
-/// Time for which a limit is kept at which further growth lost throughput.
+/// Time without growth after a larger limit lost throughput or calls were
+/// rejected.
 /// Cold servers warm up within seconds, so it is tried again soon.
 constexpr Duration GrowthHold = std::chrono::milliseconds(500);
 /// Calls of a slow start round, if the limit is not larger. The mean of fewer
--- a/src/core/pace/PaceLimit.h
+++ b/src/core/pace/PaceLimit.h
@@ -72,8 +72,11 @@
   /// Limit and throughput before the latest change; 0 if not measured.
   double PreviousLimit = 0;
   double PreviousThroughput = 0;
-  std::uint32_t OverloadedRounds = 0; ///< Steady rounds in a row.
-  Instant HoldUntil;                  ///< No growth and no trial before.
+  /// Steady rounds in a row with a sign of overload.
+  std::uint32_t OverloadedRounds = 0;
+  Instant HoldUntil; ///< No slow-start growth and no trial before.
+  /// Pause after the latest trial; zero if there was none or it kept the lower
+  /// limit.
   Duration TrialPause{};
 };
 
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -39,9 +39,10 @@
 /// Share of the latency target within which a server of the own zone must be
 /// expected to answer. Response times vary by about their mean.
 constexpr double ZoneTargetShare = 0.5;
-/// Share of the latency target by which a server of another zone must answer
-/// sooner. When all zones are equally busy their expected times differ by
-/// chance only, and most calls would cross zones without any gain for callers.
+/// Share of the time left until the latency target by which a server of another
+/// zone must answer sooner. When all zones are equally busy their expected
+/// times differ by chance only, and most calls would cross zones without any
+/// gain for callers.
 constexpr double ZoneGainShare = 0.3;
 /// Share of its slots up to which a server of another zone counts as idle. It
 /// takes calls of a busy zone without that gain.
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -26,7 +26,7 @@
   /// multiple of that in the time in which `MeanServiceTime` was formed; 0 if
   /// not known.
   double ReportedSlowdown = 0;
-  bool Cold = false; ///< It has just started and tolerates few calls a second.
+  bool Cold = false; ///< Whether the starts of calls on it are limited now.
   std::uint32_t ColdStartsLeft = 0; ///< Calls that may still begin now while it
                                     ///< is cold.
   bool MemoryShort = false; ///< Whether its node is near its memory limit.
@@ -80,11 +80,11 @@
 /// nothing if there is no candidate. Servers in other zones are considered only
 /// if none of its own zone can serve the call within `LatencyTarget`, the time
 /// left until the caller's target; zero if there is none. One of them is chosen
-/// if it is expected to answer sooner by a part of that time. Each time is
-/// varied by a small random factor so that nodes with the same reports do not
-/// all choose the same server. A server whose node is leaving or short of
-/// memory is chosen only if all are, and a cold one without starts left only if
-/// no other remains.
+/// if it is the fastest of all and is nearly idle or expected to answer sooner
+/// by a part of that time. Each time is varied by a small random factor so that
+/// nodes with the same reports do not all choose the same server. A server
+/// whose node is leaving or short of memory is chosen only if all are, and a
+/// cold one without starts left only if no other remains.
 std::optional<std::size_t>
 chooseServer(std::span<const PlacementCandidate> Servers,
              Duration LatencyTarget, std::minstd_rand &Random);
--- a/src/core/shedding/AdmissionPlan.h
+++ b/src/core/shedding/AdmissionPlan.h
@@ -82,12 +82,11 @@
 /// each service, and the slots of the services. A request costs the mean slot
 /// time of its own route at its service, and that of nested calls for each call
 /// that follows from it; the mean over all calls stands for what is not known.
-/// The predicted utilization is
-/// corrected by the observed one. A part of each service's capacity is
-/// allocated by route priority alone, so that every customer gets some; the
-/// rest is allocated by customer priority first and route priority second.
-/// Requests of equal rank get equal shares, except that cheap requests are
-/// admitted more often.
+/// The predicted utilization is corrected by the observed one. A part of each
+/// service's capacity is allocated by route priority alone, so that every
+/// customer gets some; the rest is allocated by customer priority first and
+/// route priority second. Requests of equal rank get equal shares, except that
+/// cheap requests are admitted more often.
 void updatePlan(AdmissionPlan &Plan, const std::vector<RouteDemand> &Demand,
                 const std::map<std::string, ServiceStats> &Services,
                 Duration Elapsed);
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -15,11 +15,12 @@
   leaving @4 :Bool;
   failedPermille @5 :UInt16; # Part of its calls that failed of late.
   recentCalls @6 :UInt16;    # Calls that ended of late.
-  slowdownPercent @7 :UInt16; # Time of work on its host, 100: as usual; 0: not
-                              # reported.
+  slowdownPercent @7 :UInt16; # Time of work on its host now, relative to the
+                              # mean over the calls that form serviceMicros
+                              # (100: no different from then); 0: not known.
   cold @8 :Bool;             # It tolerates few calls a second now.
   coldStartsLeft @9 :UInt16; # Calls that it may still begin while cold.
-  memoryShort @10 :Bool;     # The node is near its memory limit.
+  memoryShort @10 :Bool;     # New large bodies may soon find no room there.
 }
 
 struct Call {
