--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -336,7 +336,8 @@
   }
   BackendConnection *Connection = Call.Connection;
   const Duration SlotTime = Loop.now() - Call.StartedAt;
-  recordRouteWork(WorkByRoute, Call.Request.Route, SlotTime);
+  if (Connection && Connection->connected())
+    recordRouteWork(WorkByRoute, Call.Request.Route, SlotTime);
   Pace.onCallCancelled(Call.Request, SlotTime, Queue.Running, Loop.now());
   Calls.erase(Found);
   releaseSlot(Queue, SlotTime);
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -29,7 +29,8 @@
   bool Cold = false; ///< Whether the starts of calls on it are limited now.
   std::uint32_t ColdStartsLeft = 0; ///< Calls that may still begin now while it
                                     ///< is cold.
-  bool MemoryShort = false; ///< Whether its node is near its memory limit.
+  bool MemoryShort =
+      false; ///< Its node holds half of its memory bound or more.
 };
 
 /// Backend server that a call can be placed on.
