--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -43,8 +43,9 @@
     const ResponseLimits &TheLimits)
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
-      Limits(TheLimits), ColdStart(TheLog, TheLoop.now()), Pace(TheLog),
-      WaitingForRoom(TheLoop), LastSweepAt(TheLoop.now()) {
+      Limits(TheLimits), WaitingForRoom(TheLoop),
+      ColdStart(TheLog, TheLoop.now()), Pace(TheLog),
+      LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
 
