Read what a server says of its limit and its end, log and count it

Cause: logs and metrics could not tell whether a server that is in need names a limit, whether the node beside it has heard so, or lost it again. Change: answers are read for both headers; each change has a line and a gauge. A limit ends only with an answer to a call that started after it was named, since answers overtake each other. Nothing acts on it yet.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -443,6 +443,12 @@
   Counters.setGauge(
       "server_reports_ignored{kind=\"contradictory\"}",
       static_cast<std::int64_t>(Pace.ignoredReports().Contradictory));
+  const ServerTerms &Terms = LocalBackend.terms();
+  Counters.setGauge("server_request_limit_per_1000_s",
+                    std::llround(1000 * Terms.limit().RequestsPerS));
+  Counters.setGauge("server_leaving", Terms.leaving() ? 1 : 0);
+  Counters.setGauge("server_limits_unreadable",
+                    static_cast<std::int64_t>(Terms.unreadableLimits()));
   Counters.setGauge("server_failed_permille",
                     std::lround(1000 * Load.FailureRate));
   Counters.setGauge("peers_connected",
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -44,7 +44,7 @@
     : Loop(TheLoop), Protocol(TheProtocol), Log(TheLog),
       Address(std::move(TheAddress)), OnCrash(std::move(CrashHandler)),
       Limits(TheLimits), WaitingForRoom(TheLoop),
-      ColdStart(TheLog, TheLoop.now()), Pace(TheLog),
+      ColdStart(TheLog, TheLoop.now()), Pace(TheLog), Terms(TheLog),
       LastSweepAt(TheLoop.now()) {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
 }
@@ -65,6 +65,7 @@
                          Server->StartedAtUnixMs != Entry->StartedAtUnixMs;
   Server = *Entry;
   ColdStart.onEntry(*Entry, Restarted, Loop.now());
+  Terms.setServer(*Entry);
   if (Restarted) {
     Queue.MeanServiceTime = Duration{};
     forgetMeanSlotTimes(WorkByRoute);
@@ -261,6 +262,8 @@
   } else if (Result.Cause == "server-connection-lost") {
     recordLostCall(Call);
   }
+  if (Result.Notice)
+    Terms.onAnswer(*Result.Notice, Call.StartedAt, Loop.now());
   recordCallResult(RecentFailures,
                    Result.Outcome != CallOutcome::Complete ||
                        isServerError(Result.Status),
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -16,6 +16,7 @@
 #include "agent/PlatformAdapter.h"
 #include "agent/RoomQueue.h"
 #include "agent/ServerPace.h"
+#include "agent/ServerTerms.h"
 #include "core/dispatch/DispatchQueue.h"
 #include "core/placement/FailureRate.h"
 #include "core/shedding/RouteWork.h"
@@ -95,6 +96,7 @@
   /// Returns the work of the calls that have ended at the server, by route.
   const RouteWork &routeWork() const { return WorkByRoute; }
   const ServerPace &pace() const { return Pace; }
+  const ServerTerms &terms() const { return Terms; }
   const ResponseLimits &responseLimits() const { return Limits; }
   /// Returns the size of the received parts of incomplete responses.
   std::size_t bufferedBytes() const { return BufferedBytes; }
@@ -156,6 +158,7 @@
   DispatchQueue Queue;
   ColdStartState ColdStart;
   ServerPace Pace;
+  ServerTerms Terms;
   FailureRate RecentFailures;
   BackendCounts Counts;
   RouteWork WorkByRoute;
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -29,6 +29,9 @@
 /// closed.
 constexpr std::size_t MaxRefusedIds = 64;
 
+/// The request met another server than the one that is named in it.
+constexpr int MisdirectedStatus = 421;
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 /// Returns what marks the end of the answer whose head was parsed.
@@ -214,6 +217,13 @@
          checkFraming(Head, Head.version()) == Framing::Valid;
 }
 
+ServerNotice
+BackendConnection::noticeOf(const ResponseMessage &Response) const {
+  return parseServerNotice(
+      firstHeaderValue(Response, Protocol.RequestLimitHeaders),
+      firstHeaderValue(Response, Protocol.ServerLeavingHeaders));
+}
+
 CallResult BackendConnection::toCallResult(ResponseMessage &&Response) const {
   CallResult Result;
   Result.ReachedServer = true;
@@ -221,10 +231,12 @@
   Result.Report =
       parseServerReport(headerValue(Response, Protocol.ServerLoadHeader));
   const bool NotRun = !headerValue(Response, Protocol.NotRunHeader).empty() ||
-                      Result.Status == 421;
+                      Result.Status == MisdirectedStatus;
   if (NotRun) {
     Result.Outcome = CallOutcome::NotRun;
     Result.Cause = concat("server-refused-", Result.Status);
+    if (Result.Status != MisdirectedStatus)
+      Result.Notice = noticeOf(Response);
     return Result;
   }
   const bool Stamped =
@@ -235,6 +247,7 @@
     return Result;
   }
   Result.Outcome = CallOutcome::Complete;
+  Result.Notice = noticeOf(Response);
   Result.Headers = forwardedHeaders(Response, {Protocol.ServerLoadHeader});
   const std::size_t Size = Response.body().size();
   Result.Body =
@@ -259,7 +272,7 @@
   const std::string_view EchoedId =
       headerValue(Response, Protocol.RequestIdHeader);
   const bool NotRun = !headerValue(Response, Protocol.NotRunHeader).empty() ||
-                      Response.result_int() == 421;
+                      Response.result_int() == MisdirectedStatus;
   const bool Anonymous = EchoedId.empty() && NotRun;
   if (EchoedId != RequestId && !Anonymous) {
     // This is an extra answer to an earlier call. The answer to the current
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -66,6 +66,7 @@
   /// Logs how the connection ended under the active call.
   void logEnd(const StreamEnd &End) const;
   void abortConnection(std::string Cause);
+  ServerNotice noticeOf(const ResponseMessage &Response) const;
   CallResult toCallResult(ResponseMessage &&Response) const;
 
   EventLoop &Loop;
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "agent/SharedBytes.h"
 #include "core/attempts/Attempts.h"
 #include "core/pace/ServerReport.h"
 #include "core/placement/Placement.h"
+#include "core/serverlimit/ServerNotice.h"
 #include "pollenwick/Time.h"
 
 namespace pollenwick::agent {
@@ -42,6 +44,8 @@
   bool ReachedServer = false;
   ServerLoad Load;
   ServerReport Report; ///< Load on the server's answer; not sent to peers.
+  /// Unset unless the server called has answered; not sent to peers.
+  std::optional<ServerNotice> Notice;
 };
 
 /// Cause of a call, and reason of an answer, that a planned stop ended.
--- a/src/agent/HttpMessage.cpp
+++ b/src/agent/HttpMessage.cpp
@@ -65,6 +65,15 @@
   return view(Headers[boost::beast::string_view(Name.data(), Name.size())]);
 }
 
+std::string_view firstHeaderValue(const HeaderFields &Headers,
+                                  const std::vector<std::string> &Names) {
+  for (const std::string &Name : Names)
+    if (const std::string_view Value = headerValue(Headers, Name);
+        !Value.empty())
+      return Value;
+  return {};
+}
+
 std::optional<std::int64_t> parseInteger(std::string_view Text) {
   std::int64_t Value = 0;
   const auto [End, Error] =
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -72,6 +72,11 @@
 std::string_view headerValue(const HeaderFields &Headers,
                              std::string_view Name);
 
+/// Returns the value of the first of the headers that is present; empty if none
+/// is.
+std::string_view firstHeaderValue(const HeaderFields &Headers,
+                                  const std::vector<std::string> &Names);
+
 /// Parses a decimal integer. Returns no value when `Text` is anything else.
 std::optional<std::int64_t> parseInteger(std::string_view Text);
 
--- a/src/agent/PlatformAdapter.h
+++ b/src/agent/PlatformAdapter.h
@@ -25,6 +25,11 @@
   std::string ServerStampHeader; ///< Set on answers that a server made.
   std::string ServerLoadHeader;  ///< Load of the server, on its answers.
   std::string NotRunHeader;      ///< Set when the server did not run the call.
+  /// Spellings of the header with the requests per second that the server takes
+  /// from all nodes together, on its answers; the first one present counts.
+  std::vector<std::string> RequestLimitHeaders;
+  /// Spellings of the header on the answers of a server that is about to end.
+  std::vector<std::string> ServerLeavingHeaders;
   /// How much longer a server stays cold in ms, on its health answers.
   std::string ColdRemainingHeader;
   std::string ServerIdHeader; ///< Id of the server, on its health answers.
