--- a/tests/process/standin_platform.py
+++ b/tests/process/standin_platform.py
@@ -146,7 +146,8 @@
     """Runs every request; keeps what it saw. A request with `work=MS` in its query
     runs for that time, or until its deadline, when it is answered with 504. One with
     `size=BYTES` gets an answer of that size.
-    `health_headers` are those of its answers to `HEALTH_PATH`."""
+    `health_headers` are those of its answers to `HEALTH_PATH`, `notices` are added
+    to all other answers."""
 
     HEALTH_PATH = "/healthz"
 
@@ -156,6 +157,7 @@
         self.health_requests = 0
         self.health_headers = [("X-Pollenwick-Instance-Id", server_id),
                                ("X-Pollenwick-Cold-Ms", "0")]
+        self.notices = []
         self.delay = 0.0
         self.during = None  # Called with the headers of each request that runs.
         self.server = serve(address, self.handler())
@@ -185,7 +187,7 @@
                     body = b"b" * (int(query["size"][0]) - 4)
                 self.reply(200 if work <= allowed else 504, b"ran " + body, [
                     (ID_HEADER, self.headers.get(ID_HEADER, "")),
-                    ("X-Pollenwick-Server-Stamp", "stamp")])
+                    ("X-Pollenwick-Server-Stamp", "stamp"), *backend.notices])
 
             do_GET = do_POST = run
 
