Hold a server to the limit that it names

Change: the node beside the server, through which all its calls pass, paces their starts at the limit; a call that would start too late is refused as not run, and its node places it elsewhere. Placement weighs the wait for a turn, the admission plan counts only the slots that the limit lets calls use. Nodes that have heard of a limit name it in their calls, so that a node that has restarted has it with the first of them. Limits on a cold server and this one are one question to the queue now (src/core/startlimits); its functions moved there from coldstart.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -298,12 +298,7 @@
 
 void Agent::onPeerStatus(const std::string &Ip, StatusFrame &&Status) {
   Fleet.applyStatus(Ip, Status, Loop.now());
-  if (KnownServer *Server = ServerDirectory.findServer(Status.ServerId);
-      Server && Status.Load.MaxRunning > 0) {
-    Server->Load = Status.Load;
-    Server->LoadReceivedAt = Loop.now();
-    Server->SentSince = 0;
-  }
+  ServerDirectory.applyLoad(Status.ServerId, Status.Load, Loop.now());
   Records.onPeerStatus(Ip, Status);
 }
 
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -90,6 +90,7 @@
   Load.RecentCalls = recentCalls(RecentFailures, Loop.now());
   Load.Leaving = DrainDeadline.has_value();
   ColdStart.fillLoad(Load, Loop.now());
+  Terms.fillLoad(Load, Loop.now());
   Load.ReportedSlowdown = Pace.slowdownOfMean(Loop.now());
   Load.MemoryShort = Loop.memory().isShort();
   return Load;
@@ -155,24 +156,27 @@
     refuse(std::move(Done), "server-gone");
     return Number;
   }
-  CallRequirements Terms;
-  Terms.ArrivedAt = Loop.now();
-  Terms.Deadline = Request.Deadline;
-  Terms.LatencyTarget = Request.LatencyTarget;
-  Terms.Rank = Request.Rank;
-  Terms.Nested = Request.Nested;
+  Terms.onPeerReport(Request.ServerRequestsPerS, Loop.now());
+  CallRequirements Needs;
+  Needs.ArrivedAt = Loop.now();
+  Needs.Deadline = Request.Deadline;
+  Needs.LatencyTarget = Request.LatencyTarget;
+  Needs.Rank = Request.Rank;
+  Needs.Nested = Request.Nested;
   const WaitingCall Waiting{Number,
-                            dueTime(Terms),
+                            dueTime(Needs),
                             Request.Deadline,
-                            latestStart(Terms),
-                            precedence(Terms),
+                            latestStart(Needs),
+                            precedence(Needs),
                             expectedSlotTime(WorkByRoute, Request.Route, {})};
-  const bool TooCold =
-      startsTooLate(ColdStart.limiter(), Queue, Waiting, Loop.now());
+  const bool StartsTooLate =
+      startsTooLate(startLimits(), Queue, Waiting, Loop.now());
   const QueueDecision Decision =
-      offerCall(Queue, ColdStart.limiter(), Waiting, Loop.now());
+      offerCall(Queue, startLimits(), Waiting, Loop.now());
   if (Decision == QueueDecision::Refuse) {
-    refuse(std::move(Done), TooCold ? ServerColdCause : "queue-too-long");
+    refuse(std::move(Done), StartsTooLate
+                                ? lateStartCause(startLimits(), Loop.now())
+                                : "queue-too-long");
     return Number;
   }
   PendingCall Call;
@@ -229,6 +233,7 @@
   Call.StartedAt = Loop.now();
   ++Counts.CallsStarted;
   ColdStart.recordStart(Loop.now());
+  Terms.recordRequest(Loop.now());
   BackendConnection *Connection = acquireConnection(Call.Request.RequestId);
   if (!Connection) {
     Loop.callAtTurnEnd([this, Number] {
@@ -244,7 +249,7 @@
 }
 
 void Backend::dispatchWaiting() {
-  while (const auto Next = dequeueCall(Queue, ColdStart.limiter(), Loop.now()))
+  while (const auto Next = dequeueCall(Queue, startLimits(), Loop.now()))
     dispatch(Next->Id);
 }
 
@@ -423,12 +428,12 @@
   Pace.tick(Queue.Running, Loop.now());
   Queue.MaxRunning = Pace.limit();
   if (Server && Server->State == ServerState::Ready && RefusalCause.empty())
-    Counts.AvailableSlotMicros +=
-        static_cast<std::uint64_t>(Elapsed.count()) * Queue.MaxRunning;
+    Counts.AvailableSlotMicros += static_cast<std::uint64_t>(
+        static_cast<double>(Elapsed.count()) * usableSlots(load()));
   refuseDropped(dropExpired(Queue, Loop.now()), "deadline-in-queue");
-  refuseDropped(dropLateStarts(Queue, ColdStart.limiter(), Loop.now()),
-                ServerColdCause);
-  // Calls that waited for their start on a cold server.
+  refuseDropped(dropLateStarts(Queue, startLimits(), Loop.now()),
+                lateStartCause(startLimits(), Loop.now()));
+  // Calls that waited for their start on a server that limits them.
   dispatchWaiting();
   std::vector<CallNumber> OverdueCalls;
   for (const auto &[Number, Call] : Calls)
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -20,6 +20,7 @@
 #include "core/dispatch/DispatchQueue.h"
 #include "core/placement/FailureRate.h"
 #include "core/shedding/RouteWork.h"
+#include "core/startlimits/StartLimits.h"
 
 namespace pollenwick::agent {
 
@@ -121,6 +122,9 @@
     bool Abandoned = false; ///< Cancelled while running; `Done` is not called.
   };
 
+  StartLimits startLimits() const {
+    return {ColdStart.limiter(), Terms.limit()};
+  }
   /// Replaces the part of `bufferedBytes` that one connection reported.
   /// Returns false if the sum exceeds its limit.
   bool updateBufferedBytes(std::size_t Previous, std::size_t Current);
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -25,7 +25,10 @@
   int Rank = 0;           ///< Dispatch rank; 0 is the most important.
   bool Nested = false;    ///< Made by a server while it serves another request.
   bool Retryable = false; ///< Running the call more than once is safe.
-  bool Redispatched = false;     ///< Another node has already refused the call.
+  bool Redispatched = false; ///< Another node has already refused the call.
+  /// Requests per second that the server takes, as far as the node of the
+  /// caller has heard; 0: it knows of no limit.
+  double ServerRequestsPerS = 0;
   std::uint64_t Fingerprint = 0; ///< Hash of the method, target and body.
   std::string Method;
   std::string Target;
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -64,7 +64,7 @@
   Total.OfferedSlotMicros += static_cast<double>(
       counterIncrease(Latest.OfferedSlotMicros, Previous.OfferedSlotMicros));
   // Slots of a server that fails or rejects calls complete fewer requests.
-  const double Slots = Latest.Load.MaxRunning * ServingShare;
+  const double Slots = usableSlots(Latest.Load) * ServingShare;
   Total.AvailableSlotMicros +=
       ServingShare *
       static_cast<double>(counterIncrease(Latest.AvailableSlotMicros,
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -64,8 +64,8 @@
     send(Id, *Servers[*Chosen]);
     return;
   }
-  if (Item.LastCause == ServerColdCause) {
-    // Only the queue beside a cold server lets calls wait for it.
+  if (Item.LastCause == ServerColdCause || Item.LastCause == ServerLimitCause) {
+    // Only the queue beside such a server lets calls wait for it.
     giveUp(Id);
     return;
   }
@@ -108,6 +108,7 @@
   Call.ServerId = Sent.ServerId;
   Call.Deadline = limitDeadline(Stop, Item.Deadline);
   Call.Redispatched = Attempt > 1;
+  Call.ServerRequestsPerS = Server.Heard.RequestsPerS;
   auto Done = [this, Id, Attempt](CallResult &&Result) {
     onCallResult(Id, Attempt, std::move(Result));
   };
@@ -211,15 +212,9 @@
 
 void Ingress::updateServerLoad(const std::string &ServerId,
                                const CallResult &Result) {
+  ServerDirectory.applyLoad(ServerId, Result.Load, Loop.now());
   KnownServer *Server = ServerDirectory.findServer(ServerId);
-  if (!Server)
-    return;
-  if (Result.Load.MaxRunning > 0) {
-    Server->Load = Result.Load;
-    Server->LoadReceivedAt = Loop.now();
-    Server->SentSince = 0;
-  }
-  if (!Result.ReachedServer && Result.Cause == "server-unreachable")
+  if (Server && !Result.ReachedServer && Result.Cause == "server-unreachable")
     Server->AvoidUntil = Loop.now() + UnreachableBackoff;
 }
 
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -57,6 +57,7 @@
   Out.setNested(Request.Nested);
   Out.setRepeatable(Request.Retryable);
   Out.setPlacedAgain(Request.Redispatched);
+  Out.setLimitMilliPerS(toMilliPerS(Request.ServerRequestsPerS));
   Out.setFingerprint(Request.Fingerprint);
   Out.setMethod(text(Request.Method));
   Out.setTarget(text(Request.Target));
@@ -164,6 +165,7 @@
   Request.Nested = In.getNested();
   Request.Retryable = In.getRepeatable();
   Request.Redispatched = In.getPlacedAgain();
+  Request.ServerRequestsPerS = fromMilliPerS(In.getLimitMilliPerS());
   Request.Fingerprint = In.getFingerprint();
   Request.Method = toString(In.getMethod());
   Request.Target = toString(In.getTarget());
--- a/src/agent/ServerTerms.cpp
+++ b/src/agent/ServerTerms.cpp
@@ -25,6 +25,19 @@
       std::move(LogLine("server-leaving", Now).field("server", ServerId)));
 }
 
+void ServerTerms::onPeerReport(double RequestsPerS, Instant Now) {
+  if (applyPeerReport(Limit, RequestsPerS, Now))
+    logLimit("peer", Now);
+}
+
+void ServerTerms::fillLoad(ServerLoad &Load, Instant Now) const {
+  Load.RequestsPerS = Limit.RequestsPerS;
+  Load.RequestsLeft = requestsLeft(Limit, Now);
+  Load.LimitHeard = Limit.HeardFrom == RequestLimit::Source::Server;
+  Load.ServerLeaving = Leaving;
+  Load.ServerStartedAtUnixMs = StartedAtUnixMs;
+}
+
 void ServerTerms::logLimit(std::string_view Source, Instant Now) {
   // A faulty server may name another limit in each answer.
   Log.logRequest("server-limit",
--- a/src/agent/ServerTerms.h
+++ b/src/agent/ServerTerms.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "agent/Log.h"
+#include "core/placement/Placement.h"
 #include "core/serverlimit/RequestLimit.h"
 #include "pollenwick/Rules.h"
 
@@ -23,6 +24,14 @@
   /// Applies the notice of an answer to a call that started at `CallStartedAt`.
   void onAnswer(const ServerNotice &Notice, Instant CallStartedAt, Instant Now);
 
+  /// Applies what the node of a call knows of the limit, in requests per
+  /// second; zero if it knows none. It may have heard of the limit before this
+  /// process started.
+  void onPeerReport(double RequestsPerS, Instant Now);
+  /// Records that a request is sent to the server.
+  void recordRequest(Instant Now) { pollenwick::recordRequest(Limit, Now); }
+  void fillLoad(ServerLoad &Load, Instant Now) const;
+
   const RequestLimit &limit() const { return Limit; }
   bool leaving() const { return Leaving; }
   /// Returns the number of limits that could not be read.
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -262,6 +262,25 @@
   return Found == Servers.end() ? nullptr : &Found->second;
 }
 
+void ServiceRegistry::applyLoad(const std::string &ServerId,
+                                const ServerLoad &Load, Instant Now) {
+  KnownServer *Server = findServer(ServerId);
+  if (!Server)
+    return;
+  const bool SameRun =
+      Load.ServerStartedAtUnixMs == 0 ||
+      Load.ServerStartedAtUnixMs == Server->Entry.StartedAtUnixMs;
+  if (SameRun && Load.LimitHeard)
+    Server->Heard.RequestsPerS = Load.RequestsPerS;
+  if (SameRun && Load.ServerLeaving)
+    Server->Heard.Leaving = true;
+  if (Load.MaxRunning == 0)
+    return;
+  Server->Load = Load;
+  Server->LoadReceivedAt = Now;
+  Server->SentSince = 0;
+}
+
 const ServerEntry *
 ServiceRegistry::findServerByAddress(const std::string &Address) const {
   const auto Found = LatestByAddress.find(Address);
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -17,6 +17,13 @@
 
 namespace pollenwick::agent {
 
+/// What a run of a backend server has said, as far as this node has heard. It
+/// is kept when the node beside the server restarts and has heard nothing.
+struct HeardTerms {
+  double RequestsPerS = 0; ///< Limit that it named; 0: none.
+  bool Leaving = false;    ///< It will end; never taken back.
+};
+
 /// A registered backend server and the latest load that this node knows.
 struct KnownServer {
   ServerEntry Entry;
@@ -26,6 +33,7 @@
   ServerLoad Load;
   Instant LoadReceivedAt;      ///< When `Load` was received.
   std::uint32_t SentSince = 0; ///< Calls sent there since `LoadReceivedAt`.
+  HeardTerms Heard;
   /// End of the time in which the server gets no calls because it could not be
   /// reached; in the past if it may be used.
   Instant AvoidUntil;
@@ -84,6 +92,9 @@
   std::vector<KnownServer *> serversOf(const ServiceId &Service);
   /// Returns the registered server with this id; null if there is none.
   KnownServer *findServer(const std::string &ServerId);
+  /// Applies the load that the node beside the server reported.
+  void applyLoad(const std::string &ServerId, const ServerLoad &Load,
+                 Instant Now);
   /// Returns the registered server with this address; if there are several,
   /// the one whose record changed last; if there is none, null.
   const ServerEntry *findServerByAddress(const std::string &Address) const;
--- a/src/agent/WireFields.cpp
+++ b/src/agent/WireFields.cpp
@@ -43,6 +43,14 @@
       std::numeric_limits<std::uint32_t>::max()));
 }
 
+std::uint32_t toMilliPerS(double PerS) {
+  return static_cast<std::uint32_t>(
+      std::clamp(std::ceil(PerS * Permille), 0.0,
+                 double{std::numeric_limits<std::uint32_t>::max()}));
+}
+
+double fromMilliPerS(std::uint32_t MilliPerS) { return MilliPerS / Permille; }
+
 void putLoad(mesh::wire::Load::Builder Out, const ServerLoad &Load) {
   Out.setRunning(Load.Running);
   Out.setWaiting(Load.Waiting);
@@ -58,6 +66,11 @@
   Out.setCold(Load.Cold);
   Out.setColdStartsLeft(toUInt16(Load.ColdStartsLeft));
   Out.setMemoryShort(Load.MemoryShort);
+  Out.setMilliPerS(toMilliPerS(Load.RequestsPerS));
+  Out.setRequestsLeft(toUInt16(Load.RequestsLeft));
+  Out.setLimitHeard(Load.LimitHeard);
+  Out.setServerLeaving(Load.ServerLeaving);
+  Out.setServerStartedAt(Load.ServerStartedAtUnixMs);
 }
 
 ServerLoad readLoad(mesh::wire::Load::Reader In) {
@@ -73,6 +86,11 @@
   Load.Cold = In.getCold();
   Load.ColdStartsLeft = In.getColdStartsLeft();
   Load.MemoryShort = In.getMemoryShort();
+  Load.RequestsPerS = fromMilliPerS(In.getMilliPerS());
+  Load.RequestsLeft = In.getRequestsLeft();
+  Load.LimitHeard = In.getLimitHeard();
+  Load.ServerLeaving = In.getServerLeaving();
+  Load.ServerStartedAtUnixMs = In.getServerStartedAt();
   return Load;
 }
 
--- a/src/agent/WireFields.h
+++ b/src/agent/WireFields.h
@@ -22,6 +22,10 @@
 /// Returns the time in milliseconds, limited to the range of the field.
 std::uint32_t toMillis(Duration Time);
 
+/// Returns a rate in thousandths, limited to the range of the field.
+std::uint32_t toMilliPerS(double PerS);
+double fromMilliPerS(std::uint32_t MilliPerS);
+
 void putLoad(mesh::wire::Load::Builder Out, const ServerLoad &Load);
 ServerLoad readLoad(mesh::wire::Load::Reader In);
 
--- a/src/core/coldstart/ColdStart.cpp
+++ b/src/core/coldstart/ColdStart.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 namespace pollenwick {
 namespace {
@@ -87,54 +86,4 @@
     Limiter.LatestStarts.pop_front();
 }
 
-bool startsTooLate(const ColdStartLimiter &Limiter, const DispatchQueue &Queue,
-                   const WaitingCall &Call, Instant Now) {
-  if (!isCold(Limiter, Now))
-    return false;
-  const auto CallsAhead =
-      std::distance(Queue.Waiting.begin(), Queue.Waiting.lower_bound(Call));
-  const Instant Start =
-      startTime(Limiter, static_cast<std::size_t>(CallsAhead), Now);
-  return Start > Call.LatestStart || Start >= Call.Deadline;
-}
-
-QueueDecision offerCall(DispatchQueue &Queue, const ColdStartLimiter &Limiter,
-                        const WaitingCall &Call, Instant Now) {
-  if (startsTooLate(Limiter, Queue, Call, Now))
-    return QueueDecision::Refuse;
-  const bool MayStart =
-      Queue.Waiting.empty() && startTime(Limiter, 0, Now) <= Now;
-  if (!isCold(Limiter, Now) || MayStart || Queue.Running >= Queue.MaxRunning)
-    return offerCall(Queue, Call, Now);
-  Queue.Waiting.insert(Call);
-  return QueueDecision::Wait;
-}
-
-std::optional<WaitingCall> dequeueCall(DispatchQueue &Queue,
-                                       const ColdStartLimiter &Limiter,
-                                       Instant Now) {
-  if (startTime(Limiter, 0, Now) > Now)
-    return std::nullopt;
-  return dequeueCall(Queue);
-}
-
-std::vector<WaitingCall> dropLateStarts(DispatchQueue &Queue,
-                                        const ColdStartLimiter &Limiter,
-                                        Instant Now) {
-  std::vector<WaitingCall> Late;
-  if (!isCold(Limiter, Now))
-    return Late;
-  std::size_t Ahead = 0;
-  for (auto It = Queue.Waiting.begin(); It != Queue.Waiting.end();) {
-    if (startTime(Limiter, Ahead, Now) <= It->LatestStart) {
-      ++Ahead;
-      ++It;
-      continue;
-    }
-    Late.push_back(*It);
-    It = Queue.Waiting.erase(It);
-  }
-  return Late;
-}
-
 } // namespace pollenwick
--- a/src/core/coldstart/ColdStart.h
+++ b/src/core/coldstart/ColdStart.h
@@ -4,9 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <vector>
 
-#include "core/dispatch/DispatchQueue.h"
 #include "pollenwick/Rules.h"
 #include "pollenwick/Time.h"
 
@@ -53,25 +51,6 @@
 /// Records a start. Call it for warm servers too, because they may become cold.
 void recordStart(ColdStartLimiter &Limiter, Instant Now);
 
-/// Returns whether the call must be refused because it would start on a cold
-/// server after its latest start, or when its deadline has come.
-bool startsTooLate(const ColdStartLimiter &Limiter, const DispatchQueue &Queue,
-                   const WaitingCall &Call, Instant Now);
-/// Decides on a new call like the function without a limiter, but lets it wait
-/// for its start while the server is cold.
-QueueDecision offerCall(DispatchQueue &Queue, const ColdStartLimiter &Limiter,
-                        const WaitingCall &Call, Instant Now);
-/// Removes the next call to run from the queue and takes a slot for it. Returns
-/// nothing if no call waits, or none may start now.
-std::optional<WaitingCall>
-dequeueCall(DispatchQueue &Queue, const ColdStartLimiter &Limiter, Instant Now);
-/// Removes and returns the waiting calls that would start on a cold server
-/// after their latest start: the server became cold while they waited, or more
-/// important calls arrived.
-std::vector<WaitingCall> dropLateStarts(DispatchQueue &Queue,
-                                        const ColdStartLimiter &Limiter,
-                                        Instant Now);
-
 } // namespace pollenwick
 
 #endif
--- a/src/core/placement/Placement.cpp
+++ b/src/core/placement/Placement.cpp
@@ -111,9 +111,20 @@
          (Load.RecentCalls + AssumedMeanCalls);
 }
 
+/// Returns the time until a call may begin at the limit that the server named.
+double requestWaitMicros(const PlacementCandidate &Server) {
+  const ServerLoad &Load = Server.Load;
+  if (Load.RequestsPerS <= 0)
+    return 0;
+  const double Ahead =
+      Load.Waiting + Server.SentSince + 1.0 - Load.RequestsLeft;
+  return std::max(0.0, Ahead) * 1e6 / Load.RequestsPerS;
+}
+
 bool hasIdleSlots(const PlacementCandidate &Server) {
-  return assignedCalls(Server) <
-         IdleUtilization * concurrencyLimitOf(Server.Load);
+  return requestWaitMicros(Server) == 0 &&
+         assignedCalls(Server) <
+             IdleUtilization * concurrencyLimitOf(Server.Load);
 }
 
 /// The server with the shortest expected time among those considered so far.
@@ -129,6 +140,14 @@
 
 } // namespace
 
+double usableSlots(const ServerLoad &Load) {
+  const double Slots = Load.MaxRunning;
+  const auto ServiceMicros = static_cast<double>(Load.MeanServiceTime.count());
+  if (Load.RequestsPerS <= 0 || ServiceMicros <= 0)
+    return Slots;
+  return std::min(Slots, Load.RequestsPerS * ServiceMicros / 1e6);
+}
+
 double excessFailureRate(const ServerLoad &Load,
                          const ServiceBaseline &Baseline) {
   const double Chance = ChanceStdDevs * std::sqrt(Baseline.FailureRate *
@@ -171,8 +190,9 @@
   const double Assigned = assignedCalls(Server);
   const double Utilization = std::min(1.0, Assigned / Limit);
   const double QueuedAhead = std::max(0.0, Assigned + 1 - Limit);
-  double Time = Service * (1 + FullLoadSlowdown * Utilization * Utilization) +
-                QueuedAhead * Service / Limit;
+  double Time =
+      Service * (1 + FullLoadSlowdown * Utilization * Utilization) +
+      std::max(QueuedAhead * Service / Limit, requestWaitMicros(Server));
   Time += excessFailureRate(Load, Baseline) *
           static_cast<double>(FailureTimeCost.count());
   if (!Server.SameZone)
@@ -187,6 +207,7 @@
 bool servesWithinZone(const PlacementCandidate &Server,
                       const ServiceBaseline &Baseline, Duration LatencyTarget) {
   return Server.SameZone && !isLastResort(Server) && hasStartLeft(Server) &&
+         requestWaitMicros(Server) == 0 &&
          excessFailureRate(Server.Load, Baseline) == 0 &&
          assignedCalls(Server) <
              ZoneUtilization * concurrencyLimitOf(Server.Load) &&
--- a/src/core/placement/Placement.h
+++ b/src/core/placement/Placement.h
@@ -31,8 +31,23 @@
                                     ///< is cold.
   bool MemoryShort =
       false; ///< Its node holds half of its memory bound or more.
+  /// Requests per second that the server takes, by its own word; 0: it named no
+  /// limit.
+  double RequestsPerS = 0;
+  std::uint32_t RequestsLeft = 0; ///< Calls that may begin now at that limit.
+  /// Whether the server itself has told its node of that limit, or of none,
+  /// since the node started.
+  bool LimitHeard = false;
+  bool ServerLeaving = false; ///< The server has said that it will end.
+  /// Start of the run of the server that said so, Unix milliseconds; 0 if its
+  /// node does not know it.
+  std::int64_t ServerStartedAtUnixMs = 0;
 };
 
+/// Returns the number of slots that calls can use: fewer than may run at once
+/// if the server takes few requests.
+double usableSlots(const ServerLoad &Load);
+
 /// Backend server that a call can be placed on.
 struct PlacementCandidate {
   ServerLoad Load;
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -21,6 +21,14 @@
   cold @8 :Bool;             # It tolerates few calls a second now.
   coldStartsLeft @9 :UInt16; # Calls that it may still begin while cold.
   memoryShort @10 :Bool;     # New large bodies may soon find no room there.
+  milliPerS @11 :UInt32;     # Thousandths of requests a second that it takes,
+                             # by its own word; 0: it named no limit.
+  requestsLeft @12 :UInt16;  # Calls that may begin now at that limit.
+  limitHeard @13 :Bool;      # The node has an answer of the server on which
+                             # milliPerS rests.
+  serverLeaving @14 :Bool;   # The server has said that it will end.
+  serverStartedAt @15 :Int64; # Start of the run that said so, Unix time in ms;
+                             # 0: not known.
 }
 
 struct Call {
@@ -39,6 +47,8 @@
   head @12 :Data;            # Header lines, each ended by CR LF.
   body @13 :Data;
   placedAgain @14 :Bool;     # Another node has refused the call before.
+  limitMilliPerS @15 :UInt32; # Limit of the server as the sender has heard of
+                             # it, like milliPerS.
 }
 
 enum Outcome { complete @0; notRun @1; unknown @2; }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e616a312dc2792ae, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e616a312dc2792ae, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -311,6 +311,16 @@
 
   inline bool getMemoryShort() const;
 
+  inline  ::uint32_t getMilliPerS() const;
+
+  inline  ::uint16_t getRequestsLeft() const;
+
+  inline bool getLimitHeard() const;
+
+  inline bool getServerLeaving() const;
+
+  inline  ::int64_t getServerStartedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -372,6 +382,21 @@
   inline bool getMemoryShort();
   inline void setMemoryShort(bool value);
 
+  inline  ::uint32_t getMilliPerS();
+  inline void setMilliPerS( ::uint32_t value);
+
+  inline  ::uint16_t getRequestsLeft();
+  inline void setRequestsLeft( ::uint16_t value);
+
+  inline bool getLimitHeard();
+  inline void setLimitHeard(bool value);
+
+  inline bool getServerLeaving();
+  inline void setServerLeaving(bool value);
+
+  inline  ::int64_t getServerStartedAt();
+  inline void setServerStartedAt( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -452,6 +477,8 @@
 
   inline bool getPlacedAgain() const;
 
+  inline  ::uint32_t getLimitMilliPerS() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -553,6 +580,9 @@
   inline bool getPlacedAgain();
   inline void setPlacedAgain(bool value);
 
+  inline  ::uint32_t getLimitMilliPerS();
+  inline void setLimitMilliPerS( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2099,6 +2129,76 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Load::Reader::getMilliPerS() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getMilliPerS() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setMilliPerS( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getRequestsLeft() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getRequestsLeft() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRequestsLeft( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getLimitHeard() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getLimitHeard() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLimitHeard(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getServerLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getServerLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setServerLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Load::Reader::getServerStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getServerStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setServerStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2449,6 +2549,20 @@
       ::capnp::bounded<146>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Call::Reader::getLimitMilliPerS() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Call::Builder::getLimitMilliPerS() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setLimitMilliPerS( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/coldstart/ColdStartTest.cpp
+++ b/tests/coldstart/ColdStartTest.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <random>
 
-#include "core/coldstart/ColdStart.h"
+#include "core/startlimits/StartLimits.h"
 
 using namespace pollenwick;
 using std::chrono::milliseconds;
@@ -59,13 +59,13 @@
       for (int I = 0; I < Arrivals; ++I) {
         const WaitingCall Offered{++Id, Now, Now + seconds(5),
                                   Now + milliseconds(400)};
-        if (offerCall(Queue, Limiter, Offered, Now) == QueueDecision::Run) {
+        if (offerCall(Queue, {Limiter}, Offered, Now) == QueueDecision::Run) {
           recordStart(Limiter, Now);
           Starts.push_back(Now);
         }
       }
-      dropLateStarts(Queue, Limiter, Now);
-      while (dequeueCall(Queue, Limiter, Now)) {
+      dropLateStarts(Queue, {Limiter}, Now);
+      while (dequeueCall(Queue, {Limiter}, Now)) {
         recordStart(Limiter, Now);
         Starts.push_back(Now);
       }
@@ -91,17 +91,17 @@
     DispatchQueue Queue;
     Queue.MaxRunning = 10;
     for (std::uint64_t Id = 1; Id <= 3; ++Id) {
-      REQUIRE(offerCall(Queue, Limiter, call(Id, 400), Start) ==
+      REQUIRE(offerCall(Queue, {Limiter}, call(Id, 400), Start) ==
               QueueDecision::Run);
       recordStart(Limiter, Start);
     }
-    CHECK(startsTooLate(Limiter, Queue, call(4, 400), Start));
-    CHECK(offerCall(Queue, Limiter, call(4, 400), Start) ==
+    CHECK(startsTooLate({Limiter}, Queue, call(4, 400), Start));
+    CHECK(offerCall(Queue, {Limiter}, call(4, 400), Start) ==
           QueueDecision::Refuse);
-    CHECK(offerCall(Queue, Limiter, call(5, 1000), Start) ==
+    CHECK(offerCall(Queue, {Limiter}, call(5, 1000), Start) ==
           QueueDecision::Wait);
-    CHECK_FALSE(dequeueCall(Queue, Limiter, Start + milliseconds(999)));
-    CHECK(dequeueCall(Queue, Limiter, Start + seconds(1)));
+    CHECK_FALSE(dequeueCall(Queue, {Limiter}, Start + milliseconds(999)));
+    CHECK(dequeueCall(Queue, {Limiter}, Start + seconds(1)));
   }
   SECTION("waiting calls that become late are removed from the queue") {
     ColdStartLimiter Limiter = coldLimiter(3);
@@ -110,7 +110,7 @@
     for (std::uint64_t Id = 1; Id <= 8; ++Id)
       Queue.Waiting.insert(call(Id, 1500));
     // Three start now and three after a second.
-    CHECK(dropLateStarts(Queue, Limiter, Start).size() == 2);
+    CHECK(dropLateStarts(Queue, {Limiter}, Start).size() == 2);
     CHECK(Queue.Waiting.size() == 6);
   }
 }
--- a/tests/placement/PlacementTest.cpp
+++ b/tests/placement/PlacementTest.cpp
@@ -263,3 +263,35 @@
     CHECK(counts(Servers, 50)[0] == 50);
   }
 }
+
+TEST_CASE("A server that takes few requests gets few", "[placement]") {
+  // Guards against calls that wait at a server that named a limit while another
+  // one can run them, and against a plan that counts slots which the limit
+  // leaves empty.
+  std::vector<PlacementCandidate> Servers{server(0, 0, 10), server(5, 0, 80)};
+  Servers[0].Load.RequestsPerS = 4;
+  Servers[0].Load.RequestsLeft = 1;
+  SECTION("it is chosen while it takes one now") {
+    CHECK(counts(Servers, 50)[0] == 50);
+  }
+  SECTION("the other is chosen once calls have used that up") {
+    Servers[0].SentSince = 1;
+    CHECK(counts(Servers, 50)[1] == 50);
+    Servers[1].SameZone = false;
+    CHECK(counts(Servers, 50, 1000)[1] == 50);
+  }
+  SECTION("a wait for its turn is weighed against a queue") {
+    Servers[0].SentSince = 1;
+    Servers[1].Load.Waiting = 200;
+    CHECK(counts(Servers, 50)[0] == 50);
+  }
+  SECTION("its slots count as far as requests can fill them") {
+    Servers[0].Load.MeanServiceTime = std::chrono::milliseconds(500);
+    Servers[0].Load.MaxRunning = 16;
+    CHECK(usableSlots(Servers[0].Load) == Approx(2));
+    Servers[0].Load.RequestsPerS = 400;
+    CHECK(usableSlots(Servers[0].Load) == 16);
+    Servers[0].Load.RequestsPerS = 0;
+    CHECK(usableSlots(Servers[0].Load) == 16);
+  }
+}
--- a/tests/process/agent_fleet.py
+++ b/tests/process/agent_fleet.py
@@ -41,9 +41,9 @@
                     "rows": [["t-1", list(keys), 1, 500, 500], *tenants]}}
 
 
-def entry(service, address, state="ready", zone="z", cold_ms=0):
+def entry(service, address, state="ready", zone="z", cold_ms=0, slots=8):
     return {"address": address, "born": 1,
-            "info": {"service": service, "version": "v1", "zone": zone, "slots": 8},
+            "info": {"service": service, "version": "v1", "zone": zone, "slots": slots},
             "status": {"state": state, "seq_no": 1, "cold_remaining_ms": cold_ms}}
 
 
--- a/tests/process/test_server_limit.py
+++ b/tests/process/test_server_limit.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from agent_fleet import HOSTS, AgentFleetTest
+from agent_fleet import HOSTS, AgentFleetTest, entry
 
 LIMIT_PER_S = 5.0
 WINDOW_S = 4.0
@@ -27,7 +27,7 @@
         for server in self.backends[1:3]:
             server.delay = 0.05
 
-    def keep_calling(self, seconds):
+    def keep_calling(self, seconds, callers_each=CALLERS):
         """Starts the callers; returns a function that waits for their end."""
         until = time.monotonic() + seconds
 
@@ -40,7 +40,7 @@
                 time.sleep(0.07)
 
         callers = [threading.Thread(target=run, args=(host,))
-                   for host in self.INGRESSES for _ in range(self.CALLERS)]
+                   for host in self.INGRESSES for _ in range(callers_each)]
         for caller in callers:
             caller.start()
         return lambda: [caller.join() for caller in callers]
@@ -77,10 +77,14 @@
         """Guards against a limit that is lost with the process of the node beside
         the server, while the nodes where the requests begin know it."""
         self.name_limit(1)
-        wait = self.keep_calling(HEARD_S + 8)
-        since = time.monotonic() + HEARD_S
-        for _ in range(3):
-            time.sleep(2.5)
+        self.keep_calling(HEARD_S)()
+        since = time.monotonic()
+        # Until a new process has an answer of the server, all slots could fill.
+        self.backends[1].delay = 1.0
+        self.store.put("servers/i-two", entry("two", f"{HOSTS[1]}:{self.app_port}", slots=60))
+        wait = self.keep_calling(9, callers_each=25)
+        for _ in range(2):
+            time.sleep(3)
             self.restart(1)
         wait()
         self.assertLessEqual(self.peak(1, since), BOUND)
