Send nothing more to a server that ends, and empty its queue

Cause: whether a call may be sent was asked once, when it arrived at the node beside the server; what changed afterwards (draining, gone, replaced) was not told to the queue. Leaving was not read at all. Change: serverRefusal() alone says whether a call may be sent, and each change that it rests on goes through refuseUnsentCalls(): waiting calls, and calls whose connection is not established, are refused as not run, and their nodes place them elsewhere. Leaving is one of these changes. Each node keeps what it has heard of a run of a server, also when the node beside the server restarts or the entry is away, and places nothing there. The unit test of removeWaiting() goes with that function; "Calls that wait for a server leave it when it takes no more" asks the same of the node, for four causes, and also that nothing of them reaches the server.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -59,6 +59,7 @@
       RemovedServerId = Server->Id.Text;
     ColdStart.onEntryRemoved();
     Server.reset();
+    refuseUnsentCalls();
     return;
   }
   const bool Restarted = !Server || Server->Id != Entry->Id ||
@@ -75,6 +76,7 @@
   }
   Pace.setServer(*Entry, Loop.now());
   Queue.MaxRunning = Pace.limit();
+  refuseUnsentCalls();
 }
 
 ServerLoad Backend::load() const {
@@ -82,7 +84,7 @@
   Load.Running = Queue.Running;
   Load.Waiting = static_cast<std::uint32_t>(Queue.Waiting.size());
   const bool AcceptsCalls = Server && Server->State == ServerState::Ready &&
-                            RefusalCause.empty() &&
+                            !Terms.leaving() && RefusalCause.empty() &&
                             (!DrainDeadline || Loop.now() < *DrainDeadline);
   Load.MaxRunning = AcceptsCalls ? Queue.MaxRunning : 0;
   Load.MeanServiceTime = Queue.MeanServiceTime;
@@ -135,27 +137,14 @@
                              ? Queue.MeanServiceTime
                              : DefaultServiceTime)
             .count());
-  if (!RefusalCause.empty()) {
-    refuse(std::move(Done), RefusalCause);
+  if (std::string Cause = serverRefusal(Request.ServerId); !Cause.empty()) {
+    refuse(std::move(Done), std::move(Cause));
     return Number;
   }
   if (DrainDeadline && Request.Deadline > *DrainDeadline) {
     refuse(std::move(Done), "node-leaving");
     return Number;
   }
-  if (Server && (Server->Id.Text != Request.ServerId ||
-                 Server->State == ServerState::Draining)) {
-    refuse(std::move(Done), Server->Id.Text == Request.ServerId
-                                ? "server-draining"
-                                : "server-replaced");
-    return Number;
-  }
-  // A node without an entry accepts calls for other ids, because peers may have
-  // heard of a new server first.
-  if (!Server && Request.ServerId == RemovedServerId) {
-    refuse(std::move(Done), "server-gone");
-    return Number;
-  }
   Terms.onPeerReport(Request.ServerRequestsPerS, Loop.now());
   CallRequirements Needs;
   Needs.ArrivedAt = Loop.now();
@@ -267,6 +256,7 @@
   } else if (Result.Cause == "server-connection-lost") {
     recordLostCall(Call);
   }
+  const bool WasLeaving = Terms.leaving();
   if (Result.Notice)
     Terms.onAnswer(*Result.Notice, Call.StartedAt, Loop.now());
   recordCallResult(RecentFailures,
@@ -288,6 +278,8 @@
   Queue.MaxRunning = Pace.limit();
   if (Call.Connection && Call.Connection->usable(Loop.now()))
     IdleConnections.push_back(Call.Connection);
+  if (Terms.leaving() && !WasLeaving)
+    refuseUnsentCalls();
   dispatchWaiting();
   if (Call.Abandoned)
     return;
@@ -367,34 +359,61 @@
       ColdStart.assumeCold("zone-returned", Loop.now());
     return;
   }
-  refuseDropped(removeWaiting(Queue), Cause);
+  refuseUnsentCalls();
+}
+
+std::string Backend::serverRefusal(const std::string &ServerId) const {
+  if (!RefusalCause.empty())
+    return RefusalCause;
+  // A node without an entry accepts calls for other ids, because peers may have
+  // heard of a new server first.
+  if (!Server)
+    return ServerId == RemovedServerId ? "server-gone" : "";
+  if (ServerId != Server->Id.Text)
+    return "server-replaced";
+  return Server->State == ServerState::Draining || Terms.leaving()
+             ? "server-draining"
+             : "";
+}
+
+void Backend::refuseUnsentCalls() {
+  const auto Waiting = Queue.Waiting;
+  for (const WaitingCall &Call : Waiting)
+    if (std::string Cause = serverRefusal(Calls.at(Call.Id).Request.ServerId);
+        !Cause.empty())
+      refuseWaiting(Call.Id, std::move(Cause));
   // A call whose connection is not established has not been sent. It could
   // reach the server long after this.
-  std::vector<CallNumber> Unsent;
+  std::vector<CallNumber> Connecting;
   for (const auto &[Number, Call] : Calls)
-    if (Call.Connection && !Call.Connection->connected())
-      Unsent.push_back(Number);
-  for (const CallNumber Number : Unsent) {
+    if (Call.Connection && !Call.Connection->connected() &&
+        !serverRefusal(Call.Request.ServerId).empty())
+      Connecting.push_back(Number);
+  for (const CallNumber Number : Connecting) {
     const auto Found = Calls.find(Number);
     if (Found == Calls.end())
       continue;
     BackendConnection *Connection = Found->second.Connection;
     CallResult Result;
-    Result.Cause = Cause;
+    Result.Cause = serverRefusal(Found->second.Request.ServerId);
     Connection->close();
     completeCall(Number, std::move(Result));
     onConnectionClosed(*Connection, true);
   }
 }
 
-void Backend::recall(CallNumber Number) {
+void Backend::refuseWaiting(CallNumber Number, std::string Cause) {
   const auto Found = Calls.find(Number);
   if (Found == Calls.end() ||
       !cancelWaitingCall(Queue, Found->second.QueueEntry))
     return;
   CallResultHandler Done = std::move(Found->second.Done);
   Calls.erase(Found);
-  refuse(std::move(Done), NodeStoppingCause);
+  refuse(std::move(Done), std::move(Cause));
+}
+
+void Backend::recall(CallNumber Number) {
+  refuseWaiting(Number, NodeStoppingCause);
 }
 
 void Backend::recallAll() {
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -79,7 +79,8 @@
   void giveUpRunning();
 
   /// Sets the registration of the backend server; `Entry` is null when the
-  /// server is not registered.
+  /// server is not registered. Calls that wait for a server that drains, is
+  /// gone or was replaced are refused as not run.
   void setServer(const ServerEntry *Entry, std::uint32_t MaxConnections);
 
   ColdStartState &coldStart() { return ColdStart; }
@@ -87,8 +88,8 @@
   /// attempt.
   bool reachable() const { return Reachable; }
 
-  /// Refuses new and waiting calls with this cause until it is called with an
-  /// empty `Cause`. Running calls finish.
+  /// Refuses calls that have not been sent with this cause until it is called
+  /// with an empty `Cause`. Running calls finish.
   void refuseCalls(const std::string &Cause);
 
   /// Returns the current load. `MaxRunning` is 0 when no calls are accepted.
@@ -129,6 +130,14 @@
   /// Returns false if the sum exceeds its limit.
   bool updateBufferedBytes(std::size_t Previous, std::size_t Current);
   void refuse(CallResultHandler &&Done, std::string Cause);
+  /// Returns why a call to this server must not be sent, by what is known of
+  /// the server; empty if it may be.
+  std::string serverRefusal(const std::string &ServerId) const;
+  /// Refuses the calls that have not been sent and must not be any more. Called
+  /// whenever what `serverRefusal` rests on has changed.
+  void refuseUnsentCalls();
+  /// Refuses a call if it still waits for a slot.
+  void refuseWaiting(CallNumber Number, std::string Cause);
   /// Refuses calls that were removed from the queue before they ran.
   void refuseDropped(const std::vector<WaitingCall> &Dropped,
                      const std::string &Cause);
--- a/src/agent/IngressAttempts.cpp
+++ b/src/agent/IngressAttempts.cpp
@@ -23,7 +23,7 @@
   std::vector<KnownServer *> Servers = ServerDirectory.serversOf(Item.Service);
   std::erase_if(Servers, [&](const KnownServer *Server) {
     const bool AtLocal = Server->Entry.Address == Options.ServerAddress;
-    return Server->Entry.State != ServerState::Ready ||
+    return Server->Entry.State != ServerState::Ready || Server->Heard.Leaving ||
            Server->AvoidUntil > Loop.now() ||
            !mayGetCalls(ServerDirectory.evacuations(), Server->Entry.Zone) ||
            Item.TriedServers.contains(Server->Entry.Id.Text) ||
--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -7,6 +7,10 @@
 namespace pollenwick::agent {
 namespace {
 
+/// Servers whose terms are kept after their entries were removed. Beyond it the
+/// one that was removed first is forgotten.
+constexpr std::size_t MaxRemovedServers = 1024;
+
 /// Returns when a record is removed that a list lacks. Only entries of servers
 /// expire in an outage of the source; other records were removed on purpose.
 Instant removalTime(RecordKind Kind, Instant KeepMissingUntil, Instant Now) {
@@ -78,8 +82,21 @@
                     .field("source", Source)));
 }
 
+void ServiceRegistry::keepTerms(const KnownServer &Removed, Instant Now) {
+  if (!Removed.Heard.Leaving && Removed.Heard.RequestsPerS == 0)
+    return;
+  RemovedServers[Removed.Entry.Id.Text] = {Removed.Entry.StartedAtUnixMs,
+                                           Removed.Heard, Now};
+  if (RemovedServers.size() > MaxRemovedServers)
+    RemovedServers.erase(
+        std::ranges::min_element(RemovedServers, {}, [](const auto &Item) {
+          return Item.second.RemovedAt;
+        }));
+}
+
 void ServiceRegistry::removeServer(
-    std::map<std::string, KnownServer>::iterator Existing) {
+    std::map<std::string, KnownServer>::iterator Existing, Instant Now) {
+  keepTerms(Existing->second, Now);
   const std::string Address = Existing->second.Entry.Address;
   const bool WasLatest = LatestByAddress.at(Address) == &Existing->second;
   std::erase(ServersByService[Existing->second.Entry.Service.Text],
@@ -117,7 +134,7 @@
               .field("revision", static_cast<std::int64_t>(Item.Revision))
               .field("reason", toStdStringView(Entry.status().message()))));
     if (Existing != Servers.end())
-      removeServer(Existing);
+      removeServer(Existing, Now);
     return;
   }
   Entry->Revision = Item.Revision;
@@ -141,13 +158,17 @@
       noteLatest(Existing->second);
       return;
     }
-    removeServer(Existing);
+    removeServer(Existing, Now);
   }
   KnownServer &New = Servers[Id];
   New.Entry = *Entry;
   New.Revision = Item.Revision;
   New.NodeIp = Entry->Address.substr(0, Entry->Address.find(':'));
   New.ColdUntil = Now + Entry->ColdRemaining.value_or(Duration{});
+  if (const auto Kept = RemovedServers.find(Id);
+      Kept != RemovedServers.end() &&
+      Kept->second.StartedAtUnixMs == Entry->StartedAtUnixMs)
+    New.Heard = Kept->second.Heard;
   ServersByService[Entry->Service.Text].push_back(&New);
   noteLatest(New);
   Log.logStateChange(std::move(
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -133,12 +133,23 @@
   void updateRulesRecord(const Record &Item, std::string_view Source,
                          Instant Now, Change &Result);
   void updateServer(const std::string &Id, Instant Now);
-  void removeServer(std::map<std::string, KnownServer>::iterator Existing);
+  void removeServer(std::map<std::string, KnownServer>::iterator Existing,
+                    Instant Now);
   /// Records the server in `LatestByAddress` if it is the newest there.
   void noteLatest(const KnownServer &Server);
 
+  /// Terms of a run of a server whose entry was removed. The entry may come
+  /// back, for instance after an outage of the source.
+  struct RemovedServer {
+    std::int64_t StartedAtUnixMs = 0;
+    HeardTerms Heard;
+    Instant RemovedAt;
+  };
+  void keepTerms(const KnownServer &Removed, Instant Now);
+
   const PlatformAdapter &Adapter;
   LogWriter &Log;
+  std::map<std::string, RemovedServer> RemovedServers; ///< Keyed by id.
   RecordTable RuleRecords;
   RecordTable ServerRecords;
   std::shared_ptr<const RouteTable> Rules;
--- a/src/core/evacuation/Evacuation.cpp
+++ b/src/core/evacuation/Evacuation.cpp
@@ -20,10 +20,4 @@
   return RecordsKnown ? "" : NoConfigurationCause;
 }
 
-std::vector<WaitingCall> removeWaiting(DispatchQueue &Queue) {
-  std::vector<WaitingCall> Removed(Queue.Waiting.begin(), Queue.Waiting.end());
-  Queue.Waiting.clear();
-  return Removed;
-}
-
 } // namespace pollenwick
--- a/src/core/evacuation/Evacuation.h
+++ b/src/core/evacuation/Evacuation.h
@@ -2,9 +2,7 @@
 #define POLLENWICK_CORE_EVACUATION_EVACUATION_H
 
 #include <set>
-#include <vector>
 
-#include "core/dispatch/DispatchQueue.h"
 #include "pollenwick/Ids.h"
 
 namespace pollenwick {
@@ -35,10 +33,6 @@
 const char *serverRefusalCause(const Evacuations &State, const ZoneId &NodeZone,
                                const ZoneId &ServerZone, bool RecordsKnown);
 
-/// Removes and returns all waiting calls, which are then placed elsewhere.
-/// Running calls keep their slots until they finish.
-std::vector<WaitingCall> removeWaiting(DispatchQueue &Queue);
-
 } // namespace pollenwick
 
 #endif
--- a/tests/agent/BackendFixture.h
+++ b/tests/agent/BackendFixture.h
@@ -22,6 +22,8 @@
   Protocol.ServerStampHeader = "X-Stamp";
   Protocol.ServerLoadHeader = "X-Load";
   Protocol.NotRunHeader = "X-Not-Run";
+  Protocol.RequestLimitHeaders = {"X-Limit"};
+  Protocol.ServerLeavingHeaders = {"X-Leaving"};
   return Protocol;
 }
 
--- a/tests/agent/ServerRefusalTest.cpp
+++ b/tests/agent/ServerRefusalTest.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+
 #include <Poco/Thread.h>
 
 #include "BackendFixture.h"
@@ -125,6 +127,122 @@
   }
 }
 
+TEST_CASE("Calls that wait for a server leave it when it takes no more",
+          "[agent]") {
+  // Guards against calls that stay in the queue of a server that ends, reach it
+  // after the time in which it may get calls, and are cut off when it exits.
+  std::vector<std::string> Received;
+  std::string Notice;
+  Server FakeServer({[&](Socket &Peer) {
+    for (std::string Id = Server::readRequest(Peer); !Id.empty();
+         Id = Server::readRequest(Peer)) {
+      Received.push_back(Id);
+      Poco::Thread::sleep(300);
+      Server::write(Peer, "HTTP/1.1 200 OK\r\nX-Id: " + Id +
+                              "\r\nX-Stamp: s\r\n" + Notice +
+                              "Content-Length: 2\r\n\r\nok");
+    }
+  }});
+  BackendFixture Fixture(FakeServer.address());
+  Fixture.Entry.Slots = 1;
+  Fixture.Target.setServer(&Fixture.Entry, 100);
+  std::map<std::string, CallResult> Results;
+  const auto Submit = [&](const std::string &Id) {
+    Fixture.Target.submit(Fixture.request(Id, 4000),
+                          [&, Id](CallResult &&Got) { Results[Id] = Got; });
+  };
+  Submit("running");
+  Fixture.runFor(50);
+  Submit("waiting-1");
+  Submit("waiting-2");
+  Fixture.runFor(20);
+  REQUIRE(Results.empty());
+  std::string Cause;
+  int UntilKnownMs = 20;
+  SECTION("it drains") {
+    Cause = "server-draining";
+    Fixture.Entry.State = ServerState::Draining;
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+  }
+  SECTION("its entry is gone") {
+    Cause = "server-gone";
+    Fixture.Target.setServer(nullptr, 100);
+  }
+  SECTION("another server has its address") {
+    Cause = "server-replaced";
+    Fixture.Entry.Id = HostId("i-2");
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+  }
+  SECTION("it says in an answer that it ends") {
+    Cause = "server-draining";
+    Notice = "X-Leaving: 1\r\n";
+    UntilKnownMs = 300;
+  }
+  Fixture.runFor(UntilKnownMs);
+  for (const std::string Id : {"waiting-1", "waiting-2"}) {
+    REQUIRE(Results.contains(Id));
+    CHECK(Results.at(Id).Outcome == CallOutcome::NotRun);
+    CHECK(Results.at(Id).Cause == Cause);
+    CHECK_FALSE(Results.at(Id).ReachedServer);
+  }
+  CHECK(Fixture.Target.load().Waiting == 0);
+  Fixture.runFor(400);
+  CHECK(Results.at("running").Outcome == CallOutcome::Complete);
+  CHECK(Received == std::vector<std::string>{"running"});
+  CHECK(Fixture.Target.pendingCount() == 0);
+}
+
+TEST_CASE("The node beside a server keeps what the server said", "[agent]") {
+  const std::string Limited = "X-Limit: 2\r\n";
+  std::string Notice = Limited;
+  int Status = 200;
+  Server FakeServer({[&](Socket &Peer) {
+    for (std::string Id = Server::readRequest(Peer); !Id.empty();
+         Id = Server::readRequest(Peer))
+      Server::write(Peer, "HTTP/1.1 " + std::to_string(Status) +
+                              " X\r\nX-Id: " + Id + "\r\nX-Stamp: s\r\n" +
+                              Notice + "Content-Length: 0\r\n\r\n");
+  }});
+  BackendFixture Fixture(FakeServer.address());
+  Fixture.Entry.StartedAtUnixMs = 17;
+  Fixture.Target.setServer(&Fixture.Entry, 100);
+  REQUIRE(Fixture.callAndWait("a").Load.RequestsPerS == 2);
+  SECTION("calls wait for their turn, or are refused as not run") {
+    Fixture.callAndWait("b");
+    CallRequest Hasty = Fixture.request("c", 2000);
+    Hasty.LatencyTarget = std::chrono::milliseconds(200);
+    const CallResult Refused = Fixture.callAndWait(std::move(Hasty));
+    CHECK(Refused.Outcome == CallOutcome::NotRun);
+    CHECK(Refused.Cause == "server-limited");
+    CHECK_FALSE(Refused.ReachedServer);
+  }
+  SECTION("its report says that the server said so, and which run") {
+    const ServerLoad Load = Fixture.Target.load();
+    CHECK(Load.LimitHeard);
+    CHECK(Load.ServerStartedAtUnixMs == 17);
+    CHECK_FALSE(Load.ServerLeaving);
+  }
+  SECTION("while its entry is away") {
+    Fixture.Target.setServer(nullptr, 100);
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK(Fixture.Target.load().RequestsPerS == 2);
+  }
+  SECTION("not beyond its run") {
+    Fixture.Entry.StartedAtUnixMs = 18;
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK(Fixture.Target.load().RequestsPerS == 0);
+    CHECK_FALSE(Fixture.Target.load().LimitHeard);
+    CHECK(Fixture.callAndWait("b").Load.RequestsPerS == 2);
+  }
+  SECTION("another server that answers at its address says nothing of it") {
+    Status = 421;
+    Notice = "X-Leaving: 1\r\n";
+    CHECK(Fixture.callAndWait("b").Cause == "server-refused-421");
+    CHECK(Fixture.Target.load().RequestsPerS == 2);
+    CHECK_FALSE(Fixture.Target.load().ServerLeaving);
+  }
+}
+
 TEST_CASE("A call that was not sent yet does not reach an evacuated server",
           "[agent]") {
   // Guards against a connection attempt that succeeds seconds after the
--- a/tests/agent/ServiceRegistryTest.cpp
+++ b/tests/agent/ServiceRegistryTest.cpp
@@ -165,3 +165,60 @@
         Start + std::chrono::seconds(3));
   CHECK(Registry.findServerByAddress("10.0.0.1:80")->Revision == 6);
 }
+
+TEST_CASE("A node keeps what it has heard of a run of a server", "[agent]") {
+  // Guards against calls to a server that has said that it ends, from a node
+  // that passed that on, because the node beside the server has restarted.
+  const PlatformAdapter Adapter = spacedEntries();
+  LogWriter Log("test");
+  ServiceRegistry Registry(Adapter, Log);
+  Registry.applyRecords({serverRecord("i-1", 5, "10.0.0.1:80", 1000)}, "source",
+                        Start);
+  ServerLoad Said;
+  Said.ServerStartedAtUnixMs = 1000;
+  Said.LimitHeard = true;
+  Said.RequestsPerS = 4;
+  Said.ServerLeaving = true;
+  Registry.applyLoad("i-1", Said, Start);
+  const auto Heard = [&] { return Registry.findServer("i-1")->Heard; };
+  REQUIRE(Heard().Leaving);
+  REQUIRE(Heard().RequestsPerS == 4);
+  ServerLoad Restarted;
+  Restarted.MaxRunning = 8;
+  Restarted.ServerStartedAtUnixMs = 1000;
+  SECTION("when the node beside it knows nothing yet") {
+    Registry.applyLoad("i-1", Restarted, Start);
+    CHECK(Heard().Leaving);
+    CHECK(Heard().RequestsPerS == 4);
+  }
+  SECTION("a limit ends when the node beside it has heard so") {
+    Restarted.LimitHeard = true;
+    Registry.applyLoad("i-1", Restarted, Start);
+    CHECK(Heard().RequestsPerS == 0);
+    CHECK(Heard().Leaving);
+  }
+  SECTION("when its entry expires and comes back") {
+    Record Removal = serverRecord("i-1", 6, "", 0);
+    Removal.Deleted = true;
+    Registry.applyRecords({Removal}, "source", Start);
+    REQUIRE_FALSE(Registry.findServer("i-1"));
+    SECTION("for the same run") {
+      Registry.applyRecords({serverRecord("i-1", 7, "10.0.0.1:80", 1000)},
+                            "source", Start);
+      CHECK(Heard().Leaving);
+    }
+    SECTION("not for the next one") {
+      Registry.applyRecords({serverRecord("i-1", 7, "10.0.0.1:80", 2000)},
+                            "source", Start);
+      CHECK_FALSE(Heard().Leaving);
+      CHECK(Heard().RequestsPerS == 0);
+    }
+  }
+  SECTION("what is said late of an earlier run is ignored") {
+    Registry.applyRecords({serverRecord("i-1", 7, "10.0.0.1:80", 2000)},
+                          "source", Start);
+    Registry.applyLoad("i-1", Said, Start);
+    CHECK_FALSE(Heard().Leaving);
+    CHECK(Heard().RequestsPerS == 0);
+  }
+}
--- a/tests/evacuation/EvacuationTest.cpp
+++ b/tests/evacuation/EvacuationTest.cpp
@@ -41,18 +41,3 @@
     CHECK(Cause(A, A, false) == ZoneEvacuatedCause);
   }
 }
-
-TEST_CASE("Calls that wait in an evacuated zone are placed elsewhere",
-          "[evacuation]") {
-  DispatchQueue Queue;
-  Queue.MaxRunning = 1;
-  const Instant Now(std::chrono::seconds(10));
-  const Instant Late = Now + std::chrono::seconds(1);
-  REQUIRE(offerCall(Queue, {1, Now, Late, Late}, Now) == QueueDecision::Run);
-  REQUIRE(offerCall(Queue, {2, Now, Late, Late}, Now) == QueueDecision::Wait);
-  const std::vector<WaitingCall> Removed = removeWaiting(Queue);
-  REQUIRE(Removed.size() == 1);
-  CHECK(Removed[0].Id == 2);
-  CHECK(Queue.Waiting.empty());
-  CHECK(Queue.Running == 1);
-}
--- a/tests/process/test_server_limit.py
+++ b/tests/process/test_server_limit.py
@@ -11,7 +11,7 @@
 HEARD_S = 3.0  # The bound holds this long after the limit was first named.
 
 
-class ServerLimitTest(AgentFleetTest):
+class TwoServersTest(AgentFleetTest):
     """The service two has two servers. Callers enter at two nodes that keep running."""
 
     services = ("one", "two", "two", "one")
@@ -63,6 +63,7 @@
     def statuses(self):
         return {status for status, _, _ in self.answers}
 
+class ServerLimitTest(TwoServersTest):
     def test_one_server_names_a_limit(self):
         """Guards against a server in need that gets what it got before."""
         self.name_limit(1)
@@ -115,3 +116,50 @@
         since = time.monotonic()
         self.keep_calling(3)()
         self.assertGreater(self.peak(1, since), 30)
+
+
+class ServerLeavingTest(TwoServersTest):
+    DRAIN_S = 2.0  # A node that has heard of it may send for this long.
+
+    def setUp(self):
+        super().setUp()
+        self.backends[1].notices = [("X-Pollenwick-Server-Leaving", "1")]
+        # Each node at which requests begin passes such an answer on.
+        for host in self.INGRESSES:
+            self.wait_for(lambda host=host: "X-Pollenwick-Server-Leaving"
+                          in self.call("far/x", host=host)[2]
+                          or self.arrivals_stopped())
+
+    def arrivals_stopped(self):
+        before = len(self.backends[1].arrivals)
+        time.sleep(0.5)
+        return len(self.backends[1].arrivals) == before
+
+    def test_leaving_server_gets_no_more(self):
+        """Guards against requests for a server that has said that it ends: from
+        nodes that passed that on, after restarts of the node beside it, and when
+        its entry was away for a moment."""
+        time.sleep(self.DRAIN_S)
+        before = len(self.backends[1].arrivals)
+        wait = self.keep_calling(6)
+        self.restart(1)
+        time.sleep(2)
+        self.store.remove("servers/i-two")
+        time.sleep(1)
+        self.store.put("servers/i-two", entry("two", f"{HOSTS[1]}:{self.app_port}"))
+        self.restart(1)
+        wait()
+        self.assertEqual(len(self.backends[1].arrivals), before)
+        self.assertEqual(self.statuses(), {200}, "the other server has room")
+
+    def test_new_run_of_the_server_gets_requests(self):
+        """Guards against a server that gets nothing because an earlier run of it,
+        with the same id, has ended."""
+        time.sleep(1)
+        self.backends[1].notices = []
+        before = len(self.backends[1].arrivals)
+        self.store.put("servers/i-two",
+                       dict(entry("two", f"{HOSTS[1]}:{self.app_port}"), born=2))
+        time.sleep(1)
+        self.keep_calling(2)()
+        self.assertGreater(len(self.backends[1].arrivals), before + 5)
