Take no status outside of HTTP for an answer

Operators of other systems saw an answer with the status 000 reach a client. Here pollenwick-agent passed on 600 and above as answers, and took 000 to 099 and 101 for interim ones, so that the call waited until its deadline; pollenwick-node passed on 600 and above. Cause: only the range below 200 was looked at. Change: one place says which statuses are interim and which are final; a head with another one makes the answer unreadable, for the server's answers, health answers and the store's.

--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -182,7 +182,7 @@
   while (!Bytes.empty() && ActiveCall == Call) {
     if (!Parser) {
       Parser.emplace();
-      FramingChecked = false;
+      HeadChecked = false;
       Parser->body_limit(Owner.responseLimits().MaxBodyBytes);
       Parser->header_limit(MaxResponseHeaderBytes);
       if (Method == "HEAD")
@@ -196,7 +196,7 @@
       break;
     }
     Bytes.remove_prefix(BytesParsed);
-    if (!hasValidFraming()) {
+    if (!hasValidHead()) {
       abortConnection("unreadable-answer");
       break;
     }
@@ -208,11 +208,13 @@
   return Size - Bytes.size();
 }
 
-bool BackendConnection::hasValidFraming() {
-  if (FramingChecked || !Parser->is_header_done())
+bool BackendConnection::hasValidHead() {
+  if (HeadChecked || !Parser->is_header_done())
     return true;
-  FramingChecked = true;
+  HeadChecked = true;
   const ResponseMessage &Head = Parser->get();
+  if (!isInterimStatus(Head.result_int()) && !isFinalStatus(Head.result_int()))
+    return false;
   return isBodiless(Head.result_int()) || Method == "HEAD" ||
          checkFraming(Head, Head.version()) == Framing::Valid;
 }
@@ -265,7 +267,7 @@
   const bool Persistent = Parser->keep_alive();
   ResponseMessage Response = Parser->release();
   Parser.reset();
-  if (Response.result_int() < 200) {
+  if (isInterimStatus(Response.result_int())) {
     skipResponse();
     return;
   }
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -45,9 +45,9 @@
   /// Parses the answer to the active call. Returns the number of bytes that
   /// are parsed; the rest is an incomplete line of a header or chunk.
   std::size_t parse(std::string_view Bytes);
-  /// Returns false once the header is complete and does not say without doubt
-  /// where the body ends.
-  bool hasValidFraming();
+  /// Returns false once the header is complete and its status is none of HTTP,
+  /// or does not say without doubt where the body ends.
+  bool hasValidHead();
   /// Handles a complete response. `MoreReceived` is true when bytes after it
   /// have arrived already.
   void finishResponse(bool MoreReceived);
@@ -77,7 +77,7 @@
   std::string UnparsedBytes;     ///< Received but not parsed.
   MemoryCharge AnswerCharge;     ///< What is reserved for the answer.
   std::size_t BufferedBytes = 0; ///< Last size that was reported to `Owner`.
-  bool FramingChecked = false;   ///< `hasValidFraming` has seen the header.
+  bool HeadChecked = false;      ///< `hasValidHead` has seen the header.
   int SkippedResponses = 0;      ///< Since the start of the active call.
   int CallsStarted = 0;          ///< On this connection.
   /// Ids of the requests that the server refused on this connection.
--- a/src/agent/HealthClient.cpp
+++ b/src/agent/HealthClient.cpp
@@ -117,11 +117,12 @@
     }
     const ResponseMessage Answer = Parser->release();
     Parser.reset();
-    if (Answer.result_int() >= 200) {
+    if (isFinalStatus(Answer.result_int())) {
       finish(evaluate(Answer));
       return;
     }
-    if (++InterimAnswers > MaxInterimAnswers) {
+    if (!isInterimStatus(Answer.result_int()) ||
+        ++InterimAnswers > MaxInterimAnswers) {
       finish("unreadable");
       return;
     }
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -95,6 +95,17 @@
 
 std::string_view reasonPhrase(int Status);
 
+/// Returns whether a response with this status comes before the answer. 101
+/// would end HTTP on the connection, which no request asks for.
+inline bool isInterimStatus(unsigned Status) {
+  return Status >= 100 && Status < 200 && Status != 101;
+}
+
+/// Returns whether an answer may have this status (RFC 9110, 15).
+inline bool isFinalStatus(unsigned Status) {
+  return Status >= 200 && Status < 600;
+}
+
 inline bool isServerError(int Status) { return Status >= 500; }
 
 } // namespace pollenwick::agent
--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -31,6 +31,8 @@
 /// Maximum length, in bytes, of a chunk-size or trailer line of a chunked
 /// answer.
 constexpr std::size_t MaxChunkLine = 256;
+/// Largest status of HTTP (RFC 9110, 15).
+constexpr int MaxStatus = 599;
 
 Poco::Timespan timespan(Duration D) {
   return Poco::Timespan(std::max<std::int64_t>(D.count(), 1000));
@@ -256,6 +258,11 @@
     Out.flush();
     HTTPResponse Response;
     std::istream &In = Session->receiveResponse(Response);
+    if (Response.getStatus() < HTTPResponse::HTTP_OK ||
+        Response.getStatus() > MaxStatus)
+      return connectionLost(
+          RefusalReason::BackendServerLost,
+          "status of the backend server's answer is none of HTTP");
     BackendResult Result;
     std::size_t Limit = 0;
     {
--- a/tests/agent/BackendAnswerTest.cpp
+++ b/tests/agent/BackendAnswerTest.cpp
@@ -315,6 +315,26 @@
   CHECK(Fixture.callAndWait("b").Body == "well");
 }
 
+TEST_CASE("A status that is none of HTTP is no answer", "[agent]") {
+  // Guards against a caller that gets such a status as the server's answer, or
+  // that waits until its deadline because it counts as an interim one.
+  const std::string Status = GENERATE("000", "001", "099", "101", "600", "999");
+  Server FakeServer({[&](Socket &Peer) {
+    const std::string Id = Server::readRequest(Peer);
+    Server::write(Peer, "HTTP/1.1 " + Status + " X\r\nX-Id: " + Id +
+                            "\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
+    Server::waitForClose(Peer, 2000);
+  }});
+  BackendFixture Fixture(FakeServer.address());
+  const Instant Begin = Fixture.Loop.now();
+  const CallResult Answer = Fixture.callAndWait("a", 1000);
+  INFO(Status);
+  CHECK(Answer.Outcome == CallOutcome::Unknown);
+  CHECK(Answer.Cause == "unreadable-answer");
+  CHECK(Answer.ReachedServer);
+  CHECK(Fixture.Loop.now() - Begin < std::chrono::milliseconds(500));
+}
+
 TEST_CASE("Bytes that come slowly without end stop at the call's deadline",
           "[agent]") {
   Server FakeServer({[](Socket &Peer) {
--- a/tests/node/BackendClientTest.cpp
+++ b/tests/node/BackendClientTest.cpp
@@ -83,6 +83,8 @@
       std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                   "ffffffffffffffff\r\nhello\r\n0\r\n\r\n"),
       std::string("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nhello"),
+      std::string("HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello"),
+      std::string("HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nhello"),
       std::string("HTTP/1.1 2"), std::string());
   SECTION("an incomplete or invalid response: " + Cut.substr(0, 60)) {
     const CallReply Reply = replyForResponse(Cut);
