Drop a call for a caller that has left unless it was sent

Cause: that a call may have run was derived from its slot; a call whose connection to the server is still being established has a slot, and nothing of it has left the node. Change: wasSent() is the one place that says so, by the connection; cancel, recall at a planned stop, refusals and the result of a call ask it. Elsewhere that was derived from the slot: recall, which left such calls to run.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -248,8 +248,8 @@
     return;
   PendingCall Call = std::move(Found->second);
   Calls.erase(Found);
-  const bool Connected = Call.Connection && Call.Connection->connected();
-  if (Call.Connection && !Connected) {
+  const bool Sent = wasSent(Call);
+  if (Call.Connection && !Sent) {
     // Nothing was sent because the connection was never established.
     Result.Outcome = CallOutcome::NotRun;
     Result.ReachedServer = false;
@@ -268,7 +268,7 @@
   releaseSlot(Queue, Loop.now() - Call.StartedAt);
   // A call that was not sent, or that the server refused, is no work of it. A
   // server that refuses all calls at once would make its route look cheap.
-  if (Connected && Result.Outcome != CallOutcome::NotRun)
+  if (Sent && Result.Outcome != CallOutcome::NotRun)
     recordRouteWork(WorkByRoute, Call.Request.Route,
                     Loop.now() - Call.StartedAt);
   LastFinishedAt = Loop.now();
@@ -331,15 +331,17 @@
     Calls.erase(Found);
     return;
   }
-  if (!Call.Request.Retryable) {
+  const bool Sent = wasSent(Call);
+  if (Sent && !Call.Request.Retryable) {
     Call.Abandoned = true;
     return;
   }
   BackendConnection *Connection = Call.Connection;
   const Duration SlotTime = Loop.now() - Call.StartedAt;
-  if (Connection && Connection->connected())
+  if (Sent) {
     recordRouteWork(WorkByRoute, Call.Request.Route, SlotTime);
-  Pace.onCallCancelled(Call.Request, SlotTime, Queue.Running, Loop.now());
+    Pace.onCallCancelled(Call.Request, SlotTime, Queue.Running, Loop.now());
+  }
   Calls.erase(Found);
   releaseSlot(Queue, SlotTime);
   Queue.MaxRunning = Pace.limit();
@@ -376,50 +378,61 @@
              : "";
 }
 
+bool Backend::wasSent(const PendingCall &Call) const {
+  return Call.Connection && Call.Connection->connected();
+}
+
 void Backend::refuseUnsentCalls() {
+  // The most important calls are the first to be placed elsewhere.
   const auto Waiting = Queue.Waiting;
   for (const WaitingCall &Call : Waiting)
     if (std::string Cause = serverRefusal(Calls.at(Call.Id).Request.ServerId);
         !Cause.empty())
-      refuseWaiting(Call.Id, std::move(Cause));
-  // A call whose connection is not established has not been sent. It could
-  // reach the server long after this.
+      refuseUnsent(Call.Id, std::move(Cause));
   std::vector<CallNumber> Connecting;
   for (const auto &[Number, Call] : Calls)
-    if (Call.Connection && !Call.Connection->connected() &&
-        !serverRefusal(Call.Request.ServerId).empty())
+    if (!wasSent(Call) && !serverRefusal(Call.Request.ServerId).empty())
       Connecting.push_back(Number);
-  for (const CallNumber Number : Connecting) {
-    const auto Found = Calls.find(Number);
-    if (Found == Calls.end())
-      continue;
-    BackendConnection *Connection = Found->second.Connection;
-    CallResult Result;
-    Result.Cause = serverRefusal(Found->second.Request.ServerId);
-    Connection->close();
-    completeCall(Number, std::move(Result));
-    onConnectionClosed(*Connection, true);
-  }
+  for (const CallNumber Number : Connecting)
+    if (const auto Found = Calls.find(Number); Found != Calls.end())
+      refuseUnsent(Number, serverRefusal(Found->second.Request.ServerId));
 }
 
-void Backend::refuseWaiting(CallNumber Number, std::string Cause) {
+void Backend::refuseUnsent(CallNumber Number, std::string Cause) {
   const auto Found = Calls.find(Number);
-  if (Found == Calls.end() ||
-      !cancelWaitingCall(Queue, Found->second.QueueEntry))
+  if (Found == Calls.end() || wasSent(Found->second))
     return;
-  CallResultHandler Done = std::move(Found->second.Done);
-  Calls.erase(Found);
-  refuse(std::move(Done), std::move(Cause));
+  if (cancelWaitingCall(Queue, Found->second.QueueEntry)) {
+    CallResultHandler Done = std::move(Found->second.Done);
+    Calls.erase(Found);
+    refuse(std::move(Done), std::move(Cause));
+    return;
+  }
+  // A call whose connection is not established could reach the server long
+  // after this. One without a connection is about to fail by itself.
+  BackendConnection *Connection = Found->second.Connection;
+  if (!Connection)
+    return;
+  CallResult Result;
+  Result.Cause = std::move(Cause);
+  Connection->close();
+  completeCall(Number, std::move(Result));
+  onConnectionClosed(*Connection, true);
 }
 
 void Backend::recall(CallNumber Number) {
-  refuseWaiting(Number, NodeStoppingCause);
+  refuseUnsent(Number, NodeStoppingCause);
 }
 
 void Backend::recallAll() {
-  const auto Waiting = Queue.Waiting;
-  for (const WaitingCall &Call : Waiting)
-    recall(Call.Id);
+  // Waiting calls first: a slot that is given up would start one of them.
+  std::vector<CallNumber> Numbers;
+  for (const WaitingCall &Call : Queue.Waiting)
+    Numbers.push_back(Call.Id);
+  for (const auto &[Number, Call] : Calls)
+    Numbers.push_back(Number);
+  for (const CallNumber Number : Numbers)
+    recall(Number);
 }
 
 void Backend::giveUpRunning() {
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -68,11 +68,11 @@
   /// once unless the call is cancelled, and never before `submit` returns.
   CallNumber submit(CallRequest &&Request, CallResultHandler Done);
   /// Drops a call whose caller no longer waits. A call that is not retryable
-  /// and has already started keeps its slot until it ends.
+  /// and may have reached the server keeps its slot until it ends.
   void cancel(CallNumber Number);
-  /// Refuses a call that still waits for a slot; one that has started runs on.
+  /// Refuses a call of which nothing was sent; any other runs on.
   void recall(CallNumber Number);
-  /// Refuses all calls that wait for a slot, because this process ends.
+  /// Refuses all calls of which nothing was sent, because this process ends.
   void recallAll();
   /// Reports that the outcome of all running calls is unknown, because this
   /// process ends before their answers.
@@ -136,8 +136,11 @@
   /// Refuses the calls that have not been sent and must not be any more. Called
   /// whenever what `serverRefusal` rests on has changed.
   void refuseUnsentCalls();
-  /// Refuses a call if it still waits for a slot.
-  void refuseWaiting(CallNumber Number, std::string Cause);
+  /// Returns whether the server may have received a part of the call. Until its
+  /// connection is established, nothing of it has left this node.
+  bool wasSent(const PendingCall &Call) const;
+  /// Refuses a call if nothing of it was sent.
+  void refuseUnsent(CallNumber Number, std::string Cause);
   /// Refuses calls that were removed from the queue before they ran.
   void refuseDropped(const std::vector<WaitingCall> &Dropped,
                      const std::string &Cause);
--- a/tests/agent/ServerRefusalTest.cpp
+++ b/tests/agent/ServerRefusalTest.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include <Poco/Exception.h>
 #include <Poco/Thread.h>
 
 #include "BackendFixture.h"
@@ -243,11 +244,11 @@
   }
 }
 
-TEST_CASE("A call that was not sent yet does not reach an evacuated server",
+TEST_CASE("A call that was not sent yet does not reach the server any more",
           "[agent]") {
-  // Guards against a connection attempt that succeeds seconds after the
-  // evacuation and then sends its call. The server's listen queue is full, so
-  // that further connections wait.
+  // Guards against a connection attempt that succeeds seconds after the zone
+  // was evacuated, the caller left or the stop began, and then sends its call.
+  // The server's listen queue is full, so that further connections wait.
   Poco::Net::ServerSocket Full(Poco::Net::SocketAddress("127.0.0.1", 0), 1);
   std::vector<Poco::Net::StreamSocket> Others(4);
   for (Poco::Net::StreamSocket &Other : Others)
@@ -255,12 +256,47 @@
   Poco::Thread::sleep(50);
   BackendFixture Fixture(Full.address().toString());
   std::optional<CallResult> Result;
-  Fixture.Target.submit(Fixture.request("a", 4000),
-                        [&](CallResult &&Got) { Result = std::move(Got); });
+  CallRequest Request = Fixture.request("a", 4000);
+  Request.Retryable = GENERATE(true, false);
+  const auto Number = Fixture.Target.submit(
+      std::move(Request), [&](CallResult &&Got) { Result = std::move(Got); });
   Fixture.runFor(50);
   REQUIRE_FALSE(Result);
-  Fixture.Target.refuseCalls("zone-evacuated");
-  REQUIRE(Result);
-  CHECK(Result->Outcome == CallOutcome::NotRun);
+  REQUIRE(Fixture.Target.load().Running == 1);
+  SECTION("the zone is evacuated") {
+    Fixture.Target.refuseCalls("zone-evacuated");
+    REQUIRE(Result);
+    CHECK(Result->Outcome == CallOutcome::NotRun);
+    CHECK(Result->Cause == "zone-evacuated");
+  }
+  SECTION("the server drains") {
+    Fixture.Entry.State = ServerState::Draining;
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    REQUIRE(Result);
+    CHECK(Result->Outcome == CallOutcome::NotRun);
+  }
+  SECTION("the process stops") {
+    Fixture.Target.recallAll();
+    REQUIRE(Result);
+    CHECK(Result->Outcome == CallOutcome::NotRun);
+    CHECK(Result->Cause == NodeStoppingCause);
+  }
+  SECTION("the caller leaves") {
+    Fixture.Target.cancel(Number);
+    CHECK_FALSE(Result);
+  }
   CHECK(Fixture.Target.pendingCount() == 0);
+  CHECK(Fixture.Target.load().Running == 0);
+  // Once the server takes connections again, none of them brings the call.
+  Full.setBlocking(false);
+  for (int I = 0; I < 5; ++I) {
+    Fixture.runFor(50);
+    Poco::Net::StreamSocket Peer;
+    if (!Full.poll(Poco::Timespan(0, 1000), Poco::Net::Socket::SELECT_READ))
+      break;
+    Peer = Full.acceptConnection();
+    Peer.setReceiveTimeout(Poco::Timespan(0, 20'000));
+    char Byte = 0;
+    CHECK_THROWS_AS(Peer.receiveBytes(&Byte, 1), Poco::TimeoutException);
+  }
 }
