Frame a response where it is sent

Two faults with one cause: the message to a caller was written whole before its place on the connection was known. Change: handlers pass a CallerResponse without framing; the connection adds status line, Connection and Content-Length when it sends it, by the method, the status (RFC 9110, 8.6 and 9.3.2) and the order of the requests. A response that says the connection closes closes it in the same step. The length of a body that a server left out travels with the answer. On the way: all Connection lines are read, of callers and servers; an answer to HTTP/1.0 confirms an open connection.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -69,12 +69,8 @@
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override {
     const auto [Status, Body] = RenderBody(Request.Target);
-    From->respond(
-        Request.Number,
-        concat("HTTP/1.1 ", Status, " ", reasonPhrase(Status),
-               "\r\nContent-Type: text/plain\r\n",
-               From->keepsAlive(Request.Number) ? "" : "Connection: close\r\n",
-               "Content-Length: ", Body.size(), "\r\n\r\n", Body));
+    From->respond(Request.Number,
+                  {Status, "Content-Type: text/plain\r\n", Body, Body.size()});
   }
   bool mayOverlap(const CallerRequest & /*Request*/) const override {
     return false;
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -251,6 +251,8 @@
   Result.Outcome = CallOutcome::Complete;
   Result.Notice = noticeOf(Response);
   Result.Headers = forwardedHeaders(Response, {Protocol.ServerLoadHeader});
+  if (Method == "HEAD" || isBodiless(Response.result_int()))
+    Result.UnsentLength = contentLength(Response);
   const std::size_t Size = Response.body().size();
   Result.Body =
       SharedBytes(std::move(Response.body()),
@@ -264,7 +266,8 @@
 }
 
 void BackendConnection::finishResponse(bool MoreReceived) {
-  const bool Persistent = Parser->keep_alive();
+  const bool Persistent = Parser->keep_alive() &&
+                          !isListedInConnectionHeader(Parser->get(), "close");
   ResponseMessage Response = Parser->release();
   Parser.reset();
   if (isInterimStatus(Response.result_int())) {
--- a/src/agent/Call.h
+++ b/src/agent/Call.h
@@ -43,6 +43,8 @@
   std::string Cause; ///< Why the call failed; empty when it is complete.
   std::string Headers;
   SharedBytes Body;
+  /// Length of the body that a server has not sent, see `CallerResponse`.
+  std::optional<std::uint64_t> UnsentLength;
   /// True when the request may have reached the server, even if it refused it.
   bool ReachedServer = false;
   ServerLoad Load;
--- a/src/agent/CallerConnection.cpp
+++ b/src/agent/CallerConnection.cpp
@@ -160,7 +160,8 @@
 }
 
 void CallerConnection::finishRequest() {
-  const bool KeepAlive = Parser->keep_alive();
+  const bool KeepAlive = Parser->keep_alive() &&
+                         !isListedInConnectionHeader(Parser->get(), "close");
   auto Message = Parser->release();
   Parser.reset();
   const std::size_t BodyBytes = Message.body().size();
@@ -171,6 +172,7 @@
   Request.Number = Port.newRequestNumber();
   Request.Method = std::string(Message.method_string());
   Request.Target = std::string(Message.target());
+  Request.HttpVersion = Message.version();
   // What was reserved for the body becomes its own charge.
   InputCharge.resize(0);
   Request.Body =
@@ -197,11 +199,10 @@
 }
 
 void CallerConnection::startRequest(CallerRequest &&Request, bool KeepAlive) {
-  Outstanding.push_back({Request.Number,
-                         KeepAlive,
+  Outstanding.push_back({Request.Number, KeepAlive, Request.Method == "HEAD",
+                         Request.HttpVersion < Http11,
                          Port.Handler.requestId(Request.Headers),
-                         std::nullopt,
-                         {}});
+                         std::nullopt});
   Port.Handler.onRequest(shared_from_this(), std::move(Request));
 }
 
@@ -213,40 +214,51 @@
   startRequest(std::move(Request), HeldRequestKeepsAlive);
 }
 
-bool CallerConnection::keepsAlive(CallerRequestNumber Number) const {
-  const auto Found =
-      std::ranges::find(Outstanding, Number, &OutstandingRequest::Number);
-  if (Found == Outstanding.end() || !Found->KeepAlive)
-    return false;
+bool CallerConnection::closesAfterFirst() const {
+  if (!Outstanding.front().KeepAlive)
+    return true;
   // During a drain the last response closes the connection. A request that was
   // received behind it gets a response of its own.
-  return !Port.draining() || Found->Number != Outstanding.back().Number ||
-         hasUnfinishedInput();
+  return Port.draining() && Outstanding.size() == 1 && !hasUnfinishedInput();
 }
 
 void CallerConnection::respond(CallerRequestNumber Number,
-                               std::string &&Message, SharedBytes Body) {
+                               CallerResponse &&Response) {
   if (Transport->closed())
     return;
   const auto Found =
       std::ranges::find(Outstanding, Number, &OutstandingRequest::Number);
   if (Found == Outstanding.end())
     return;
-  Found->Response = std::move(Message);
-  Found->ResponseBody = std::move(Body);
+  Found->Response = std::move(Response);
   sendReadyResponses();
 }
 
+void CallerConnection::send(const OutstandingRequest &Request,
+                            bool CloseAfterwards) {
+  const CallerResponse &Response = *Request.Response;
+  const ResponseFraming Framing{Request.ToHead, CloseAfterwards,
+                                Request.ToHttp10};
+  std::string Message = responseHead(Response, Framing);
+  const bool SendBody = sendsBody(Response, Framing);
+  if (SendBody && !Response.Body.isLarge())
+    Message.append(Response.Body.view());
+  Transport->send(std::move(Message));
+  if (SendBody && Response.Body.isLarge())
+    Transport->send(SharedBytes(Response.Body));
+}
+
 void CallerConnection::sendReadyResponses() {
   while (!Outstanding.empty() && Outstanding.front().Response) {
-    const bool Close = !keepsAlive(Outstanding.front().Number);
+    // What a response says of its connection must hold, so this is asked only
+    // now, when the order of the responses is known, and acted on at once.
+    const bool Close = closesAfterFirst();
     // A caller that asked for the close sends nothing more.
     const CloseMode Mode =
         Outstanding.front().KeepAlive || !UnparsedBytes.empty()
             ? CloseMode::Linger
             : CloseMode::Immediate;
-    Transport->send(std::move(*Outstanding.front().Response));
-    Transport->send(std::move(Outstanding.front().ResponseBody));
+    send(Outstanding.front(), Close);
     if (!Parser)
       Progress = {Loop.now(), Transport->unsentBytes()};
     RespondedIds.push_back(std::move(Outstanding.front().RequestId));
@@ -268,14 +280,12 @@
                               std::string_view ExtraHeaders) {
   // The rest of the request may still arrive, so the close must not reset the
   // connection: `sendReadyResponses` lingers while bytes are left.
+  const bool ToHead = Parser && Parser->get().method() == http::verb::head;
   Parser.reset();
   RoomAwaitedSince.reset();
   InputCharge.resize(UnparsedBytes.size());
-  Outstanding.push_back({Port.newRequestNumber(),
-                         false,
-                         "",
-                         makeLocalReply(Status, Cause, ExtraHeaders, false),
-                         {}});
+  Outstanding.push_back({Port.newRequestNumber(), false, ToHead, false, "",
+                         makeLocalReply(Status, Cause, ExtraHeaders)});
   sendReadyResponses();
 }
 
--- a/src/agent/CallerConnection.h
+++ b/src/agent/CallerConnection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "agent/CallerResponse.h"
 #include "agent/EventLoop.h"
 #include "agent/HttpMessage.h"
 #include "agent/SharedBytes.h"
@@ -26,6 +27,7 @@
   CallerRequestNumber Number = 0;
   std::string Method;
   std::string Target;
+  unsigned HttpVersion = Http11;
   HeaderFields Headers;
   SharedBytes Body;
   MemoryCharge HeaderCharge; ///< Of the header, until the request is answered.
@@ -53,14 +55,10 @@
   CallerConnection(EventLoop &Loop, CallerListener &Port, std::string PeerIp);
 
   void start(const Poco::Net::StreamSocket &Socket);
-  /// Sends a complete HTTP response, or keeps it until the earlier requests are
-  /// answered. Does nothing if the caller has left.
-  /// `Body` is the part of the response that is shared instead of copied.
-  void respond(CallerRequestNumber Number, std::string &&Message,
-               SharedBytes Body = {});
-  /// Returns whether the connection stays open after the response to this
-  /// request. Otherwise the response must have the header `Connection: close`.
-  bool keepsAlive(CallerRequestNumber Number) const;
+  /// Sends a response, or keeps it until the earlier requests are answered.
+  /// Does nothing if the caller has left. Whether the connection closes after
+  /// it is decided, and said in it, when it is sent.
+  void respond(CallerRequestNumber Number, CallerResponse &&Response);
   /// Returns whether a request has no complete response yet.
   bool busy() const { return !Outstanding.empty(); }
   /// Returns whether the caller can expect nothing more from this connection.
@@ -100,9 +98,10 @@
   struct OutstandingRequest {
     CallerRequestNumber Number = 0;
     bool KeepAlive = true; ///< What the caller asked for.
+    bool ToHead = false;   ///< See `ResponseFraming`.
+    bool ToHttp10 = false;
     std::string RequestId; ///< For the log.
-    std::optional<std::string> Response;
-    SharedBytes ResponseBody; ///< Follows `Response`.
+    std::optional<CallerResponse> Response;
   };
   /// When the bytes before an offset of the stream had been received.
   struct ReceiptTime {
@@ -120,6 +119,10 @@
   void startRequest(CallerRequest &&Request, bool KeepAlive);
   void startHeldRequest();
   void sendReadyResponses();
+  /// Returns whether the connection closes after the response to the earliest
+  /// request. Nothing that was received may be left then.
+  bool closesAfterFirst() const;
+  void send(const OutstandingRequest &Request, bool CloseAfterwards);
   void sendContinueIfDue();
   /// Counts what has been received of the current request, and reserves what
   /// its body needs. Pauses the reading, or refuses the request, if there is no
--- a/src/agent/Framing.cpp
+++ b/src/agent/Framing.cpp
@@ -1,6 +1,7 @@
 #include "agent/Framing.h"
 
 #include <algorithm>
+#include <charconv>
 #include <string_view>
 
 #include "absl/strings/match.h"
@@ -10,8 +11,6 @@
 namespace pollenwick::agent {
 namespace {
 
-constexpr unsigned Http11 = 11; ///< HTTP/1.1 as Boost.Beast encodes versions.
-
 bool isLength(std::string_view Text) {
   return !Text.empty() && std::ranges::all_of(Text, [](char Digit) {
     return Digit >= '0' && Digit <= '9';
@@ -60,6 +59,16 @@
              : Framing::Malformed;
 }
 
+std::optional<std::uint64_t> contentLength(const HeaderFields &Headers) {
+  const std::string_view Text = headerValue(Headers, "Content-Length");
+  std::uint64_t Length = 0;
+  if (Headers.count(http::field::content_length) != 1 || !isLength(Text) ||
+      std::from_chars(Text.data(), Text.data() + Text.size(), Length).ec !=
+          std::errc{})
+    return std::nullopt;
+  return Length;
+}
+
 bool isBodiless(unsigned Status) {
   return Status < 200 || Status == 204 || Status == 304;
 }
--- a/src/agent/Framing.h
+++ b/src/agent/Framing.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_AGENT_FRAMING_H
 
 #include <cstdint>
+#include <optional>
 
 #include "agent/HttpMessage.h"
 
@@ -22,6 +23,10 @@
 /// `chunked`.
 Framing checkFraming(const HeaderFields &Headers, unsigned HttpVersion);
 
+/// Returns the value of `Content-Length`; no value if the header has none, has
+/// several, or has one that is no length.
+std::optional<std::uint64_t> contentLength(const HeaderFields &Headers);
+
 /// Returns whether an answer with this status has no body, whatever its header
 /// says.
 bool isBodiless(unsigned Status);
--- a/src/agent/HttpMessage.cpp
+++ b/src/agent/HttpMessage.cpp
@@ -32,10 +32,11 @@
 
 bool isListedInConnectionHeader(const HeaderFields &Headers,
                                 std::string_view Name) {
-  const auto Connection = Headers[http::field::connection];
-  return !Connection.empty() &&
-         http::token_list(Connection)
-             .exists(boost::beast::string_view(Name.data(), Name.size()));
+  const auto Lines = Headers.equal_range(http::field::connection);
+  return std::any_of(Lines.first, Lines.second, [Name](const auto &Line) {
+    return http::token_list(Line.value())
+        .exists(boost::beast::string_view(Name.data(), Name.size()));
+  });
 }
 
 std::string forwardedHeaders(const HeaderFields &Headers,
@@ -106,13 +107,4 @@
       http::int_to_status(static_cast<unsigned>(Status))));
 }
 
-std::string makeLocalReply(int Status, std::string_view Cause,
-                           std::string_view ExtraHeaders, bool KeepAlive) {
-  const std::string Body = concat("{\"error\":\"", Cause, "\"}");
-  return concat("HTTP/1.1 ", Status, " ", reasonPhrase(Status),
-                "\r\nContent-Type: application/json\r\n", ExtraHeaders,
-                KeepAlive ? "" : "Connection: close\r\n",
-                "Content-Length: ", Body.size(), "\r\n\r\n", Body);
-}
-
 } // namespace pollenwick::agent
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -25,6 +25,9 @@
 using ResponseMessage = http::response<MessageBody>;
 using HeaderFields = http::fields;
 
+/// HTTP/1.1 as Boost.Beast encodes versions.
+inline constexpr unsigned Http11 = 11;
+
 /// A parser of a message that arrives in pieces.
 template <typename MessageParser>
 class IncrementalParser : public MessageParser {
@@ -58,8 +61,8 @@
   std::size_t UnparsedSize = 0; ///< Bytes that the previous call left.
 };
 
-/// Returns whether the `Connection` header lists `Name`. Such a header applies
-/// to one connection only and is not forwarded.
+/// Returns whether one of the `Connection` lines lists `Name`. Such a header
+/// applies to one connection only and is not forwarded.
 bool isListedInConnectionHeader(const HeaderFields &Headers,
                                 std::string_view Name);
 
@@ -85,11 +88,6 @@
 std::optional<std::int64_t>
 keepAliveTimeoutSeconds(const HeaderFields &Headers);
 
-/// Returns a complete HTTP response that the agent itself generates, with
-/// `Cause` in a JSON body. Each line of `ExtraHeaders` ends with CR LF.
-std::string makeLocalReply(int Status, std::string_view Cause,
-                           std::string_view ExtraHeaders, bool KeepAlive);
-
 /// Returns a `Retry-After` header line for a time in hundredths of seconds.
 std::string retryAfterHeader(Duration Time);
 
--- a/src/agent/Ingress.cpp
+++ b/src/agent/Ingress.cpp
@@ -138,25 +138,15 @@
 
 void Ingress::deliver(ExchangeNumber Id, const CallResult &Result) {
   const Exchange &Item = *Exchanges.at(Id);
-  std::string Message =
-      concat("HTTP/1.1 ", Result.Status, " ", reasonPhrase(Result.Status),
-             "\r\n", Result.Headers);
-  if (!Item.Caller->keepsAlive(Id))
-    appendAll(Message, "Connection: close\r\n");
-  if (Result.Status != 204 && Result.Status != 304)
-    appendAll(Message, "Content-Length: ", Result.Body.size(), "\r\n");
-  appendAll(Message, "\r\n");
-  if (!Result.Body.isLarge())
-    appendAll(Message, Result.Body.view());
   Counters.incrementCounter("answers_total", concat(Result.Status / 100, "xx"));
   Counters.recordLatency(Item.Route->Name, Loop.now() - Item.ReceivedAt);
   double &Micros = MeanAnswerMicros[Item.Route->Name];
   const auto AnswerMicros =
       static_cast<double>((Loop.now() - Item.AdmittedAt).count());
   Micros += (AnswerMicros - Micros) * (Micros == 0 ? 1 : AnswerTimeWeight);
-  SharedBytes LargeBody = Result.Body.isLarge() ? Result.Body : SharedBytes();
   double &Bytes = MeanResponseBytes[Item.Route->Name];
-  Bytes += (static_cast<double>(Message.size() + LargeBody.size()) - Bytes) *
+  Bytes += (static_cast<double>(Result.Headers.size() + Result.Body.size()) -
+            Bytes) *
            ResponseBytesWeight;
   if (isServerError(Result.Status)) {
     logOutcome(Item, Result.Status, "server-answer");
@@ -169,7 +159,8 @@
   }
   const std::shared_ptr<CallerConnection> From = Item.Caller;
   removeExchange(Id);
-  From->respond(Id, std::move(Message), std::move(LargeBody));
+  From->respond(
+      Id, {Result.Status, Result.Headers, Result.Body, Result.UnsentLength});
 }
 
 void Ingress::refuse(ExchangeNumber Id, const Refusal &Details) {
@@ -187,10 +178,10 @@
     appendAll(ExtraHeaders, Protocol.RequestIdHeader, ": ",
               Item.Request.RequestId, "\r\n");
   const std::shared_ptr<CallerConnection> From = Item.Caller;
-  std::string Message = makeLocalReply(Details.Status, Details.Reason,
-                                       ExtraHeaders, From->keepsAlive(Id));
+  CallerResponse Reply =
+      makeLocalReply(Details.Status, Details.Reason, ExtraHeaders);
   removeExchange(Id);
-  From->respond(Id, std::move(Message));
+  From->respond(Id, std::move(Reply));
 }
 
 void Ingress::removeExchange(ExchangeNumber Id) {
--- a/src/agent/PeerWire.cpp
+++ b/src/agent/PeerWire.cpp
@@ -75,6 +75,8 @@
   Out.setCause(text(Answer.Cause));
   Out.setHead(data(Answer.Headers));
   putLoad(Out.initLoad(), Answer.Load);
+  Out.setHasUnsentLength(Answer.UnsentLength.has_value());
+  Out.setUnsentLength(Answer.UnsentLength.value_or(0));
   putBody(Out, Answer.Body);
 }
 
@@ -188,6 +190,8 @@
   Answer.Headers = toString(In.getHead());
   Answer.Body = readBody(In.getBody(), Whole);
   Answer.Load = readLoad(In.getLoad());
+  if (In.getHasUnsentLength())
+    Answer.UnsentLength = In.getUnsentLength();
   return Frame;
 }
 
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -62,6 +62,9 @@
   body @5 :Data;
   load @6 :Load;
   arrived @7 :Bool;          # The server received the request.
+  unsentLength @8 :UInt64;   # Length of the body that the answer to HEAD, or one
+                             # with the status 304, leaves out,
+  hasUnsentLength @9 :Bool;  # if the server has told it.
 }
 
 struct Count { name @0 :Text; a @1 :UInt64; b @2 :UInt64; }
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -85,7 +85,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfa4dad750d64b29, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cfa4dad750d64b29, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -646,6 +646,10 @@
 
   inline bool getArrived() const;
 
+  inline  ::uint64_t getUnsentLength() const;
+
+  inline bool getHasUnsentLength() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -714,6 +718,12 @@
   inline bool getArrived();
   inline void setArrived(bool value);
 
+  inline  ::uint64_t getUnsentLength();
+  inline void setUnsentLength( ::uint64_t value);
+
+  inline bool getHasUnsentLength();
+  inline void setHasUnsentLength(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2760,6 +2770,34 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Answer::Reader::getUnsentLength() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getUnsentLength() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setUnsentLength( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Answer::Reader::getHasUnsentLength() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool Answer::Builder::getHasUnsentLength() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setHasUnsentLength(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Count::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/agent/CallerListenerTest.cpp
+++ b/tests/agent/CallerListenerTest.cpp
@@ -25,7 +25,7 @@
                  CallerRequest &&Request) override {
     LastRequest = std::move(Request);
     ReceivedAt = Loop.now();
-    From->respond(LastRequest->Number, makeLocalReply(200, "", "", true));
+    From->respond(LastRequest->Number, makeLocalReply(200, ""));
     Loop.stop();
   }
   bool mayOverlap(const CallerRequest & /*Request*/) const override {
--- a/tests/agent/FramingTest.cpp
+++ b/tests/agent/FramingTest.cpp
@@ -22,10 +22,9 @@
   void onRequest(const std::shared_ptr<CallerConnection> &From,
                  CallerRequest &&Request) override {
     ++Requests;
-    From->respond(Request.Number,
-                  makeLocalReply(200,
-                                 concat(Request.Target, Request.Body.view()),
-                                 "", From->keepsAlive(Request.Number)));
+    From->respond(
+        Request.Number,
+        makeLocalReply(200, concat(Request.Target, Request.Body.view())));
   }
   bool mayOverlap(const CallerRequest & /*Request*/) const override {
     return false;
--- a/tests/agent/PeerWireTest.cpp
+++ b/tests/agent/PeerWireTest.cpp
@@ -86,6 +86,12 @@
   std::string Bytes;
   encodeFrame(Call, Now, Bytes);
   Answer.Answer.Load.FailureRate = 0.25;
+  Answer.Answer.Load.RequestsPerS = 2.9;
+  Answer.Answer.Load.RequestsLeft = 3;
+  Answer.Answer.Load.LimitHeard = true;
+  Answer.Answer.Load.ServerLeaving = true;
+  Answer.Answer.Load.ServerStartedAtUnixMs = 1'700'000'000'000;
+  Answer.Answer.UnsentLength = 4000;
   encodeFrame(Answer, Now, Bytes);
   encodeFrame(HelloFrame{77, 3}, Now, Bytes);
   encodeFrame(ResumeFrame{{2, 3}, {{8, 2}, {9, 3}}}, Now, Bytes);
@@ -101,6 +107,12 @@
     CHECK(Second.Answer.Outcome == CallOutcome::NotRun);
     CHECK(Second.Answer.Cause == "queue-too-long");
     CHECK(Second.Answer.Load.FailureRate == Approx(0.25));
+    CHECK(Second.Answer.Load.RequestsPerS == Approx(2.9));
+    CHECK(Second.Answer.Load.RequestsLeft == 3);
+    CHECK(Second.Answer.Load.LimitHeard);
+    CHECK(Second.Answer.Load.ServerLeaving);
+    CHECK(Second.Answer.Load.ServerStartedAtUnixMs == 1'700'000'000'000);
+    CHECK(Second.Answer.UnsentLength == 4000U);
     CHECK(std::get<HelloFrame>(Frames[2]).Incarnation == 77);
     CHECK(std::get<HelloFrame>(Frames[2]).LinkNumber == 3);
     const auto &Fourth = std::get<ResumeFrame>(Frames[3]);
--- a/tests/agent/PipelineTest.cpp
+++ b/tests/agent/PipelineTest.cpp
@@ -50,10 +50,8 @@
   }
   void answer(std::size_t Index) {
     const Started &Item = Requests.at(Index);
-    Item.From->respond(
-        Item.Request.Number,
-        makeLocalReply(200, Item.Request.Target, "",
-                       Item.From->keepsAlive(Item.Request.Number)));
+    Item.From->respond(Item.Request.Number,
+                       makeLocalReply(200, Item.Request.Target));
   }
 };
 
@@ -212,6 +210,50 @@
     Fixture.send(PipelineFixture::request("POST", "/once/4"));
     CHECK(Fixture.Handler.targets() == Started);
   }
+  SECTION("a request arrives behind an answer that waits for its turn") {
+    // Guards against an answer that announces the end of the connection when it
+    // arrives, and is sent when requests have been received behind it.
+    Fixture.send(PipelineFixture::request("GET", "/safe/1") +
+                 PipelineFixture::request("GET", "/safe/2"));
+    Fixture.Port.drain();
+    Fixture.answer(1);
+    Fixture.send(PipelineFixture::request("POST", "/once/3"));
+    REQUIRE(Fixture.Handler.targets().size() == 2);
+    Fixture.answer(0);
+    REQUIRE(Fixture.Handler.targets().size() == 3);
+    std::string Answers = Fixture.received();
+    CHECK(Answers.find("/safe/2") != std::string::npos);
+    CHECK(Answers.find("Connection: close") == std::string::npos);
+    Fixture.answer(2);
+    Answers = Fixture.received();
+    CHECK(Answers.find("/once/3") != std::string::npos);
+    CHECK(Answers.find("Connection: close") != std::string::npos);
+    CHECK(Answers.ends_with("[closed]"));
+  }
+  SECTION("the caller asks for the close in the second of two lines") {
+    Fixture.send(PipelineFixture::request("POST", "/once/1",
+                                          "Connection: x-other\r\n"
+                                          "Connection: close\r\n") +
+                 PipelineFixture::request("POST", "/once/2"));
+    Fixture.answer(0);
+    CHECK(Fixture.Handler.targets() == std::vector<std::string>{"/once/1"});
+    CHECK(Fixture.received().ends_with("[closed]"));
+  }
+  SECTION("the caller speaks HTTP/1.0") {
+    const std::string Text = "GET /safe/1 HTTP/1.0\r\nHost: h\r\n";
+    SECTION("and expects the close") {
+      Fixture.send(Text + "\r\n");
+      Fixture.answer(0);
+      CHECK(Fixture.received().ends_with("[closed]"));
+    }
+    SECTION("and asks for an open connection, which the answer confirms") {
+      Fixture.send(Text + "Connection: keep-alive\r\n\r\n");
+      Fixture.answer(0);
+      const std::string Answer = Fixture.received();
+      CHECK(Answer.find("Connection: keep-alive") != std::string::npos);
+      CHECK_FALSE(Answer.ends_with("[closed]"));
+    }
+  }
   SECTION("a drain answers all requests that run before it closes") {
     Fixture.send(PipelineFixture::request("GET", "/safe/1") +
                  PipelineFixture::request("GET", "/safe/2"));
@@ -312,8 +354,7 @@
       void onRequest(const std::shared_ptr<CallerConnection> &From,
                      CallerRequest &&Request) override {
         ++Refused;
-        From->respond(Request.Number,
-                      makeLocalReply(404, "no-route", "", true));
+        From->respond(Request.Number, makeLocalReply(404, "no-route"));
       }
       std::size_t Refused = 0;
     };
@@ -332,3 +373,24 @@
     CHECK(Handler.Refused == 1000);
   }
 }
+
+TEST_CASE("An answer to HEAD leaves the connection in step", "[agent]") {
+  // Guards against a body that the caller does not read, and takes for the
+  // begin of the next answer.
+  PipelineFixture Fixture;
+  Fixture.send(PipelineFixture::request("HEAD", "/once/1") +
+               PipelineFixture::request("GET", "/once/2"));
+  Fixture.answer(0);
+  Fixture.answer(1);
+  const std::string Answers = Fixture.received();
+  const std::size_t EndOfFirst = Answers.find("\r\n\r\n");
+  REQUIRE(EndOfFirst != std::string::npos);
+  CHECK(Answers.find("Content-Length: 19") < EndOfFirst);
+  CHECK(Answers.substr(EndOfFirst + 4).starts_with("HTTP/1.1 200"));
+  CHECK(Answers.ends_with("{\"error\":\"/once/2\"}"));
+  SECTION("also where the request is refused before it is read") {
+    Fixture.send("HEAD /once/3 HTTP/1.1\r\nHost: h\r\n"
+                 "Content-Length: 1, 2\r\n\r\n");
+    CHECK(Fixture.received().ends_with("\r\n\r\n[closed]"));
+  }
+}
