Count the crash of a server at once, without further calls

Cause: a crash was counted only when a call happened to open a connection within 1.5 s of it. Change: when a running call loses its connection, the node beside the server connects to it by itself, 50 and 400 ms later, unless the server has answered a call since; the connection is kept for the next call. A new run of the server in its entry counts as well. Calls to a server that is known to end are not counted, and at most 1,024 lost calls are kept: their number had no bound.

--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -1,6 +1,7 @@
 #include "agent/Backend.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "agent/BackendConnection.h"
@@ -17,6 +18,14 @@
 /// Calls that were lost at most this long before the server became unreachable
 /// are considered to have been running when it crashed.
 constexpr Duration CrashWindow = std::chrono::milliseconds(1500);
+/// Calls that were lost at most this long before a new run of the server is
+/// known were running at the end of the earlier one. Its entry takes seconds.
+constexpr Duration RestartWindow = std::chrono::seconds(5);
+/// When the server is probed after a call was lost. The second probe is for a
+/// server whose connections end before its listening socket.
+constexpr std::array<Duration, 2> ProbeDelays{std::chrono::milliseconds(50),
+                                              std::chrono::milliseconds(400)};
+constexpr std::size_t MaxLostCalls = 1024;
 /// The mean service time is reset to unknown when the server has finished no
 /// call for this long, because the server may have become faster, for example
 /// after a cold start.
@@ -64,6 +73,11 @@
   }
   const bool Restarted = !Server || Server->Id != Entry->Id ||
                          Server->StartedAtUnixMs != Entry->StartedAtUnixMs;
+  if (const Instant Since = Loop.now() - RestartWindow;
+      Server && Restarted && !LostCalls.empty() &&
+      LostCalls.back().LostAt >= Since &&
+      LastAnswerAt < LostCalls.back().LostAt)
+    reportCrash(Since);
   Server = *Entry;
   ColdStart.onEntry(*Entry, Restarted, Loop.now());
   Terms.setServer(*Entry);
@@ -272,9 +286,11 @@
     recordRouteWork(WorkByRoute, Call.Request.Route,
                     Loop.now() - Call.StartedAt);
   LastFinishedAt = Loop.now();
-  if (Result.Outcome == CallOutcome::Complete &&
-      !std::exchange(Reachable, true))
-    Pace.onRecovered(Loop.now());
+  if (Result.Outcome == CallOutcome::Complete) {
+    LastAnswerAt = Loop.now();
+    if (!std::exchange(Reachable, true))
+      Pace.onRecovered(Loop.now());
+  }
   Queue.MaxRunning = Pace.limit();
   if (Call.Connection && Call.Connection->usable(Loop.now()))
     IdleConnections.push_back(Call.Connection);
@@ -288,26 +304,60 @@
 }
 
 void Backend::recordLostCall(const PendingCall &Call) {
-  LostCalls.push_back({Loop.now(), Call.Request.Fingerprint});
+  // A server that is known to end may cut what still runs.
+  if (!serverRefusal(Call.Request.ServerId).empty())
+    return;
+  if (LostCalls.size() >= MaxLostCalls)
+    LostCalls.pop_front();
+  const Instant LostAt = Loop.now();
+  const bool Checked = !LostCalls.empty() && LostCalls.back().LostAt == LostAt;
+  LostCalls.push_back({LostAt, Call.Request.Fingerprint});
+  if (Checked)
+    return;
+  for (const Duration Delay : ProbeDelays)
+    Loop.callAt(LostAt + Delay, [this, LostAt] { probeServer(LostAt); });
 }
 
-void Backend::onServerUnreachable() {
+void Backend::probeServer(Instant LostAt) {
+  if (LastAnswerAt > LostAt || !Server)
+    return;
+  auto New = std::make_shared<BackendConnection>(Loop, Protocol, *this);
+  if (!New->open(Address)) {
+    onServerUnreachable();
+    return;
+  }
+  ++Counts.ConnectionsOpened;
+  BackendConnection *Raw = New.get();
+  Connections.emplace(Raw, std::move(New));
+}
+
+void Backend::onProbeConnected(BackendConnection &Connection) {
+  IdleConnections.push_back(&Connection);
+}
+
+void Backend::reportCrash(Instant Since) {
   std::vector<std::uint64_t> Fingerprints;
   for (const LostCall &Call : LostCalls)
-    if (Loop.now() - Call.LostAt <= CrashWindow)
+    if (Call.LostAt >= Since)
       Fingerprints.push_back(Call.Fingerprint);
   LostCalls.clear();
-  ColdStart.assumeCold("server-unreachable", Loop.now());
-  if (!Reachable && Fingerprints.empty())
-    return;
-  Reachable = false;
   Log.logStateChange(
-      std::move(LogLine("server-unreachable", Loop.now())
+      std::move(LogLine("server-crashed", Loop.now())
                     .field("server", serverId())
                     .field("lost_calls",
                            static_cast<std::int64_t>(Fingerprints.size()))));
-  if (!Fingerprints.empty())
-    OnCrash(Fingerprints);
+  OnCrash(Fingerprints);
+}
+
+void Backend::onServerUnreachable() {
+  ColdStart.assumeCold("server-unreachable", Loop.now());
+  const Instant Since = Loop.now() - CrashWindow;
+  const bool Crashed = !LostCalls.empty() && LostCalls.back().LostAt >= Since;
+  if (std::exchange(Reachable, false))
+    Log.logStateChange(std::move(
+        LogLine("server-unreachable", Loop.now()).field("server", serverId())));
+  if (Crashed)
+    reportCrash(Since);
 }
 
 void Backend::onConnectionClosed(BackendConnection &Connection,
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -1,6 +1,7 @@
 #ifndef POLLENWICK_AGENT_BACKEND_H
 #define POLLENWICK_AGENT_BACKEND_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -154,7 +155,16 @@
   BackendConnection *acquireConnection(const std::string &RequestId);
   void completeCall(CallNumber Number, CallResult &&Result);
   void onConnectionClosed(BackendConnection &Connection, bool WasConnected);
+  /// Keeps a running call whose connection was lost as one that may have
+  /// crashed the server, and has that checked.
   void recordLostCall(const PendingCall &Call);
+  /// Connects to the server unless it has answered a call since `LostAt`.
+  void probeServer(Instant LostAt);
+  /// Takes a connection that was established without a call.
+  void onProbeConnected(BackendConnection &Connection);
+  /// Reports the requests of the calls that were lost since `Since` as running
+  /// at a crash.
+  void reportCrash(Instant Since);
   void onServerUnreachable();
   void sweep();
 
@@ -187,9 +197,10 @@
     Instant LostAt;
     std::uint64_t Fingerprint;
   };
-  std::vector<LostCall> LostCalls;
+  std::deque<LostCall> LostCalls; ///< Oldest first, at most `MaxLostCalls`.
   Instant LastSweepAt;
   Instant LastFinishedAt;
+  Instant LastAnswerAt; ///< End of the last call with a complete answer.
   /// False from a failed connection attempt until the next complete answer or a
   /// restart of the server.
   bool Reachable = true;
--- a/src/agent/BackendConnection.cpp
+++ b/src/agent/BackendConnection.cpp
@@ -58,6 +58,14 @@
   return true;
 }
 
+void BackendConnection::onConnected() {
+  Connected = true;
+  if (ActiveCall != 0)
+    return;
+  IdleDeadline = Loop.now() + IdleTimeout;
+  Owner.onProbeConnected(*this);
+}
+
 void BackendConnection::close() {
   AnswerCharge.resize(0);
   if (Transport)
--- a/src/agent/BackendConnection.h
+++ b/src/agent/BackendConnection.h
@@ -37,7 +37,7 @@
   /// when it is sent once more.
   bool hasRefused(const std::string &Id) const;
 
-  void onConnected() override { Connected = true; }
+  void onConnected() override;
   void onData(std::string_view Bytes) override;
   void onClosed(const StreamEnd &End) override;
 
--- a/tests/agent/BackendTest.cpp
+++ b/tests/agent/BackendTest.cpp
@@ -269,6 +269,56 @@
   CHECK(Fixture.CrashFingerprints == std::vector<std::uint64_t>{7});
 }
 
+TEST_CASE("A crash is counted without further calls", "[agent]") {
+  // Guards against a request that crashes one server after another on a service
+  // that gets few other calls.
+  std::optional<Server> FakeServer(
+      std::in_place, std::vector<Server::Script>{
+                         [](Socket &Peer) { Server::readRequest(Peer); }});
+  BackendFixture Fixture(FakeServer->address());
+  CHECK(Fixture.callAndWait("a").Outcome == CallOutcome::Unknown);
+  SECTION("its port refuses connections") {
+    FakeServer.reset();
+    Fixture.runFor(600);
+    CHECK(Fixture.CrashFingerprints == std::vector<std::uint64_t>{7});
+    CHECK_FALSE(Fixture.Target.reachable());
+  }
+  SECTION("a new run of it is known before that") {
+    Fixture.Entry.StartedAtUnixMs = 2;
+    Fixture.Target.setServer(&Fixture.Entry, 100);
+    CHECK(Fixture.CrashFingerprints == std::vector<std::uint64_t>{7});
+    FakeServer.reset();
+    Fixture.runFor(600);
+    CHECK(Fixture.CrashFingerprints.size() == 1);
+  }
+  SECTION("not while it accepts connections") {
+    Fixture.runFor(600);
+    CHECK(Fixture.CrashFingerprints.empty());
+  }
+}
+
+TEST_CASE("The end of a server that was to end is no crash", "[agent]") {
+  // Guards against a quarantine of requests that run when servers are replaced.
+  std::optional<Server> FakeServer(
+      std::in_place, std::vector<Server::Script>{[](Socket &Peer) {
+        Server::readRequest(Peer);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      }});
+  BackendFixture Fixture(FakeServer->address());
+  std::optional<CallResult> Result;
+  Fixture.Target.submit(Fixture.request("a"),
+                        [&](CallResult &&Got) { Result = std::move(Got); });
+  Fixture.runFor(50);
+  Fixture.Entry.State = ServerState::Draining;
+  Fixture.Target.setServer(&Fixture.Entry, 100);
+  Fixture.runFor(250);
+  REQUIRE(Result);
+  CHECK(Result->Outcome == CallOutcome::Unknown);
+  FakeServer.reset();
+  Fixture.runFor(600);
+  CHECK(Fixture.CrashFingerprints.empty());
+}
+
 TEST_CASE("Keepalive probes watch an idle connection to the server",
           "[agent]") {
   // Guards against a call that is sent on a dead idle connection and stays
