Clear a suspected request that servers answer

Cause: all calls that run at a crash count alike. One that crashes each server that begins to run it is answered nowhere. The customer is part of what makes two requests the same, since the same path may do another thing for another customer.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -112,6 +112,9 @@
       Statuses(Options, ServerDirectory, Peers), LastTickAt(Loop.now()),
       CustomerReport(Log),
       SettingsModifiedNs(fileModifiedNs(settingsFilePath())) {
+  LocalBackend.setCompletionHandler([this](std::uint64_t Fingerprint) {
+    Fleet.countCompletion(Fingerprint);
+  });
   limitConnections(0);
   Loop.memory().setLimit(accountLimitFor(Options.MemoryBytes));
   ReadinessEndpoint = std::make_unique<StatusEndpoint>(
--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -288,6 +288,8 @@
   LastFinishedAt = Loop.now();
   if (Result.Outcome == CallOutcome::Complete) {
     LastAnswerAt = Loop.now();
+    if (OnCompletion)
+      OnCompletion(Call.Request.Fingerprint);
     if (!std::exchange(Reachable, true))
       Pace.onRecovered(Loop.now());
   }
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -65,6 +65,11 @@
 
   using CallNumber = std::uint64_t;
 
+  /// Sets the receiver of the fingerprint of each call that the server answers.
+  void setCompletionHandler(std::function<void(std::uint64_t)> Handler) {
+    OnCompletion = std::move(Handler);
+  }
+
   /// Runs a call as soon as a slot is free, or refuses it. Calls `Done` exactly
   /// once unless the call is cancelled, and never before `submit` returns.
   CallNumber submit(CallRequest &&Request, CallResultHandler Done);
@@ -173,6 +178,7 @@
   LogWriter &Log;
   std::string Address;
   std::function<void(const std::vector<std::uint64_t> &)> OnCrash;
+  std::function<void(std::uint64_t)> OnCompletion; ///< Empty: not reported.
   ResponseLimits Limits;
   std::size_t BufferedBytes = 0;
   RoomQueue WaitingForRoom; ///< Connections whose answers wait for memory.
--- a/src/agent/FleetState.cpp
+++ b/src/agent/FleetState.cpp
@@ -278,7 +278,7 @@
     applyRetryReport(RetryBudgets[Item.Name], retryBudgetLimits(), Ip,
                      Status.Incarnation, {Item.A, Item.B}, Now);
   for (const CrashReport &Item : Status.Crashes)
-    applyCrashReport(Crashes, Item.Fingerprint, Ip, Item.Count, Now);
+    applyCrashReport(Crashes, Item.Fingerprint, Ip, Item.Runs, Now);
 }
 
 void FleetState::fillStatus(StatusFrame &Status) const {
@@ -294,8 +294,8 @@
   for (const auto &[Name, Count] : NestedCalls)
     Status.NestedCallCounts.push_back({Name, Count, 0});
   for (const auto &[Fingerprint, Entry] : Crashes.EntriesByFingerprint) {
-    const auto Own = Entry.CrashesByNode.find(Options.Ip);
-    if (Own != Entry.CrashesByNode.end())
+    const auto Own = Entry.RunsByNode.find(Options.Ip);
+    if (Own != Entry.RunsByNode.end())
       Status.Crashes.push_back({Fingerprint, Own->second});
   }
 }
--- a/src/agent/FleetState.h
+++ b/src/agent/FleetState.h
@@ -56,6 +56,10 @@
 
   /// Counts a server crash during a request with this fingerprint.
   void countCrash(std::uint64_t Fingerprint, Instant Now);
+  /// Counts a call with this fingerprint that the local server answered.
+  void countCompletion(std::uint64_t Fingerprint) {
+    pollenwick::countCompletion(Crashes, Fingerprint, Options.Ip);
+  }
   bool isFingerprintQuarantined(std::uint64_t Fingerprint) const {
     return isQuarantined(Crashes, Fingerprint);
   }
--- a/src/agent/IngressAdmission.cpp
+++ b/src/agent/IngressAdmission.cpp
@@ -26,9 +26,12 @@
 constexpr Duration RetryAfterNoConfiguration = std::chrono::milliseconds(300);
 
 /// Nodes count the crashes of a request under its fingerprint, so it must be
-/// the same at every node.
-std::uint64_t fingerprintOf(const CallRequest &Request) {
-  return stableHash({Request.Method, Request.Target, Request.Body.view()});
+/// the same at every node. The same request of another customer may have other
+/// effects.
+std::uint64_t fingerprintOf(const CallRequest &Request,
+                            const std::string &Customer) {
+  return stableHash(
+      {Request.Method, Request.Target, Request.Body.view(), Customer});
 }
 
 } // namespace
@@ -153,7 +156,7 @@
     appendAll(Call.Headers, Protocol.CustomerHeader, ": ", Item.Customer,
               "\r\n");
   Call.Body = std::move(Request.Body);
-  Call.Fingerprint = fingerprintOf(Call);
+  Call.Fingerprint = fingerprintOf(Call, Item.Customer);
 }
 
 } // namespace pollenwick::agent
--- a/src/agent/StatusFrame.cpp
+++ b/src/agent/StatusFrame.cpp
@@ -65,7 +65,8 @@
   auto Crashes = Out.initCrashes(static_cast<unsigned>(Frame.Crashes.size()));
   for (unsigned I = 0; I < Frame.Crashes.size(); ++I) {
     Crashes[I].setFingerprint(Frame.Crashes[I].Fingerprint);
-    Crashes[I].setCount(Frame.Crashes[I].Count);
+    Crashes[I].setCount(Frame.Crashes[I].Runs.Crashes);
+    Crashes[I].setCompletions(Frame.Crashes[I].Runs.Completions);
   }
 }
 
@@ -103,7 +104,8 @@
   Frame.NestedCallCounts = readCounts(In.getCalls());
   Frame.RouteWork = readCounts(In.getRouteWork());
   for (const auto Item : In.getCrashes())
-    Frame.Crashes.push_back({Item.getFingerprint(), Item.getCount()});
+    Frame.Crashes.push_back(
+        {Item.getFingerprint(), {Item.getCount(), Item.getCompletions()}});
   return Frame;
 }
 
--- a/src/agent/StatusFrame.h
+++ b/src/agent/StatusFrame.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
+#include "core/fleet/CrashCounts.h"
 #include "core/hosts/SourceReaders.h"
 #include "core/placement/Placement.h"
 #include "pollenwick/Time.h"
@@ -26,10 +27,10 @@
     absl::flat_hash_map<std::string_view, const NamedCount *>;
 NamedCountIndex indexByName(const std::vector<NamedCount> &Counts);
 
-/// Number of server crashes during requests with one fingerprint.
+/// Runs at the server of the node of the requests with one fingerprint.
 struct CrashReport {
   std::uint64_t Fingerprint = 0;
-  std::uint32_t Count = 0;
+  SuspectRuns Runs;
 };
 
 /// The periodic report of a node to its peers: its load and its totals since
--- a/src/core/fleet/CrashCounts.cpp
+++ b/src/core/fleet/CrashCounts.cpp
@@ -1,7 +1,6 @@
 #include "core/fleet/CrashCounts.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace pollenwick {
 namespace {
@@ -19,21 +18,34 @@
       !Counts.EntriesByFingerprint.contains(Fingerprint))
     return;
   CrashCounts::Entry &Entry = Counts.EntriesByFingerprint[Fingerprint];
-  ++Entry.CrashesByNode[Node];
+  ++Entry.RunsByNode[Node].Crashes;
   Entry.LastCrashAt = Now;
 }
 
+void countCompletion(CrashCounts &Counts, std::uint64_t Fingerprint,
+                     const std::string &Node) {
+  const auto Found = Counts.EntriesByFingerprint.find(Fingerprint);
+  if (Found == Counts.EntriesByFingerprint.end())
+    return;
+  std::uint32_t &Completions = Found->second.RunsByNode[Node].Completions;
+  Completions = std::min(Completions + 1, MaxCountedCompletions);
+}
+
 void applyCrashReport(CrashCounts &Counts, std::uint64_t Fingerprint,
-                      const std::string &Node, std::uint32_t Count,
+                      const std::string &Node, const SuspectRuns &Runs,
                       Instant Now) {
-  if (Counts.EntriesByFingerprint.size() >= MaxTrackedRequests &&
-      !Counts.EntriesByFingerprint.contains(Fingerprint))
+  // Only a crash makes a request a suspect.
+  if (!Counts.EntriesByFingerprint.contains(Fingerprint) &&
+      (Runs.Crashes == 0 ||
+       Counts.EntriesByFingerprint.size() >= MaxTrackedRequests))
     return;
   CrashCounts::Entry &Entry = Counts.EntriesByFingerprint[Fingerprint];
-  std::uint32_t &KnownCount = Entry.CrashesByNode[Node];
-  if (Count <= KnownCount)
+  SuspectRuns &Known = Entry.RunsByNode[Node];
+  Known.Completions = std::max(
+      Known.Completions, std::min(Runs.Completions, MaxCountedCompletions));
+  if (Runs.Crashes <= Known.Crashes)
     return;
-  KnownCount = Count;
+  Known.Crashes = Runs.Crashes;
   Entry.LastCrashAt = Now;
 }
 
@@ -41,11 +53,14 @@
   const auto Found = Counts.EntriesByFingerprint.find(Fingerprint);
   if (Found == Counts.EntriesByFingerprint.end())
     return false;
-  const std::uint32_t Total = std::accumulate(
-      Found->second.CrashesByNode.begin(), Found->second.CrashesByNode.end(),
-      0U,
-      [](std::uint32_t Sum, const auto &Node) { return Sum + Node.second; });
-  return Total >= CrashesToQuarantine;
+  std::uint64_t Crashes = 0;
+  std::uint64_t Completions = 0;
+  for (const auto &[Node, Runs] : Found->second.RunsByNode) {
+    Crashes += Runs.Crashes;
+    Completions += Runs.Completions;
+  }
+  return Crashes >= CrashesToQuarantine &&
+         Completions <= CompletionsPerCrash * Crashes;
 }
 
 void expireCrashes(CrashCounts &Counts, Instant Now) {
--- a/src/peer/Mesh.capnp
+++ b/src/peer/Mesh.capnp
@@ -69,7 +69,12 @@
 
 struct Count { name @0 :Text; a @1 :UInt64; b @2 :UInt64; }
 
-struct Crash { fingerprint @0 :UInt64; count @1 :UInt32; }
+# Runs of a request that was running when a server crashed.
+struct Crash {
+  fingerprint @0 :UInt64;
+  count @1 :UInt32;          # The server beside the node crashed.
+  completions @2 :UInt32;    # The server answered, since the first crash.
+}
 
 # What a node tells each peer from time to time. Counts only grow while the
 # node's start number stays the same.
--- a/src/peer/Mesh.capnp.h
+++ b/src/peer/Mesh.capnp.h
@@ -863,6 +863,8 @@
 
   inline  ::uint32_t getCount() const;
 
+  inline  ::uint32_t getCompletions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -897,6 +899,9 @@
   inline  ::uint32_t getCount();
   inline void setCount( ::uint32_t value);
 
+  inline  ::uint32_t getCompletions();
+  inline void setCompletions( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2888,6 +2893,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Crash::Reader::getCompletions() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getCompletions() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setCompletions( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Status::Reader::getStart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/agent/PeerWireTest.cpp
+++ b/tests/agent/PeerWireTest.cpp
@@ -162,7 +162,7 @@
   Status.CustomerCounts = {{"parish-7", 512, 530}, {"parish-8", 77, 77}};
   Status.RouteCounts = {{"wick-lookup@1", 400, 410}, {"deposit@0", 90, 90}};
   Status.NestedCallCounts = {{"galeria", 4321, 0}};
-  Status.Crashes = {{0xfedcba0987654321, 2}};
+  Status.Crashes = {{0xfedcba0987654321, {2, 5}}};
   std::string Bytes;
   encodeFrame(Status, Now, Bytes);
   const auto Frames = decodeAll(Bytes, Bytes.size());
@@ -178,6 +178,8 @@
   CHECK(Decoded.CustomerCounts[0].B == 530);
   REQUIRE(Decoded.Crashes.size() == 1);
   CHECK(Decoded.Crashes[0].Fingerprint == 0xfedcba0987654321);
+  CHECK(Decoded.Crashes[0].Runs.Crashes == 2);
+  CHECK(Decoded.Crashes[0].Runs.Completions == 5);
   const auto Relayed = decodeAll(
       [&] {
         std::string Frame;
--- a/tests/fleet/RetryBudgetTest.cpp
+++ b/tests/fleet/RetryBudgetTest.cpp
@@ -54,17 +54,63 @@
   CHECK_FALSE(isQuarantined(Counts, 42));
 
   SECTION("a repeated report of one crash counts once") {
-    applyCrashReport(Counts, 43, "peer", 1, Now);
-    applyCrashReport(Counts, 43, "peer", 1, Now);
+    applyCrashReport(Counts, 43, "peer", {1, 0}, Now);
+    applyCrashReport(Counts, 43, "peer", {1, 0}, Now);
     CHECK_FALSE(isQuarantined(Counts, 43));
   }
   SECTION("crashes at two nodes are added up") {
-    applyCrashReport(Counts, 42, "peer", 1, Now);
+    applyCrashReport(Counts, 42, "peer", {1, 0}, Now);
     CHECK(isQuarantined(Counts, 42));
     CHECK_FALSE(isQuarantined(Counts, 41));
+    SECTION("also beside a few runs that were answered") {
+      for (std::uint32_t I = 0; I < 2 * CompletionsPerCrash; ++I)
+        countCompletion(Counts, 42, "own");
+      CHECK(isQuarantined(Counts, 42));
+    }
     SECTION("and expire after five minutes") {
       expireCrashes(Counts, Now + std::chrono::minutes(5));
       CHECK_FALSE(isQuarantined(Counts, 42));
     }
   }
 }
+
+TEST_CASE("A request that is often answered is not refused for two crashes",
+          "[fleet]") {
+  // Guards against a popular lookup that the whole fleet refuses for minutes,
+  // because it was running each time another request crashed a server.
+  CrashCounts Counts;
+  const Instant Now(std::chrono::seconds(5));
+  constexpr std::uint64_t Popular = 42;
+  constexpr std::uint64_t Crashing = 43;
+  for (const std::uint64_t Request : {Popular, Crashing}) {
+    countCrash(Counts, Request, "own", Now);
+    applyCrashReport(Counts, Request, "peer", {1, 0}, Now);
+  }
+  REQUIRE(isQuarantined(Counts, Popular));
+  SECTION("by the servers of all nodes together") {
+    for (std::uint32_t I = 0; I < CompletionsPerCrash; ++I)
+      countCompletion(Counts, Popular, "own");
+    CHECK(isQuarantined(Counts, Popular));
+    applyCrashReport(Counts, Popular, "third", {0, CompletionsPerCrash + 1},
+                     Now);
+    CHECK_FALSE(isQuarantined(Counts, Popular));
+    CHECK(isQuarantined(Counts, Crashing));
+  }
+  SECTION("a report that was overtaken changes nothing") {
+    applyCrashReport(Counts, Popular, "peer", {1, 100}, Now);
+    applyCrashReport(Counts, Popular, "peer", {1, 2}, Now);
+    CHECK_FALSE(isQuarantined(Counts, Popular));
+  }
+  SECTION("answers alone make no suspect") {
+    applyCrashReport(Counts, 44, "peer", {0, 9}, Now);
+    countCompletion(Counts, 45, "own");
+    CHECK(Counts.EntriesByFingerprint.size() == 2);
+  }
+  SECTION("what is counted is bounded, so that crashes weigh again") {
+    for (std::uint32_t I = 0; I < 2 * MaxCountedCompletions; ++I)
+      countCompletion(Counts, Popular, "own");
+    applyCrashReport(Counts, Popular, "peer",
+                     {MaxCountedCompletions / CompletionsPerCrash, 0}, Now);
+    CHECK(isQuarantined(Counts, Popular));
+  }
+}
