Bound the timeout of a Keep-Alive header

Found by the review: timeout= overflowed when it was added to a time. The new test fails without the bound.

--- a/src/agent/HttpMessage.cpp
+++ b/src/agent/HttpMessage.cpp
@@ -16,6 +16,9 @@
   return {Text.data(), Text.size()};
 }
 
+/// Longer idle timeouts make no difference. It keeps sums of times in range.
+constexpr std::int64_t MaxKeepAliveSeconds = 24 * 60 * 60;
+
 bool isFramingHeader(http::field Name) {
   return Name == http::field::content_length ||
          Name == http::field::transfer_encoding;
@@ -93,8 +96,10 @@
     return std::nullopt;
   const std::string_view TimeoutText =
       Value.substr(At + TimeoutParameter.size());
-  return parseInteger(
+  const auto Seconds = parseInteger(
       TimeoutText.substr(0, TimeoutText.find_first_not_of("0123456789")));
+  return Seconds ? std::optional(std::min(*Seconds, MaxKeepAliveSeconds))
+                 : std::nullopt;
 }
 
 std::string retryAfterHeader(Duration Time) {
--- a/src/agent/HttpMessage.h
+++ b/src/agent/HttpMessage.h
@@ -83,8 +83,8 @@
 /// Parses a decimal integer. Returns no value when `Text` is anything else.
 std::optional<std::int64_t> parseInteger(std::string_view Text);
 
-/// Returns the idle timeout in seconds from the `Keep-Alive` header; no value
-/// when the header or its timeout is missing or invalid.
+/// Returns the idle timeout in seconds from the `Keep-Alive` header, from 0 to
+/// one day; no value when the header or its timeout is missing or invalid.
 std::optional<std::int64_t>
 keepAliveTimeoutSeconds(const HeaderFields &Headers);
 
--- a/tests/agent/HttpMessageTest.cpp
+++ b/tests/agent/HttpMessageTest.cpp
@@ -105,6 +105,21 @@
 
 } // namespace
 
+TEST_CASE("The timeout of a Keep-Alive header is bounded", "[agent]") {
+  // Guards against a signed overflow when it is added to a time.
+  const auto TimeoutOf = [](const std::string &Value) {
+    HeaderFields Headers;
+    Headers.set("Keep-Alive", Value);
+    return keepAliveTimeoutSeconds(Headers);
+  };
+  CHECK(TimeoutOf("timeout=5, max=100") == 5);
+  CHECK(TimeoutOf("timeout=0") == 0);
+  CHECK(TimeoutOf("timeout=99999999999999") == 24 * 60 * 60);
+  CHECK_FALSE(TimeoutOf("timeout=99999999999999999999").has_value());
+  CHECK_FALSE(TimeoutOf("timeout=-5").has_value());
+  CHECK_FALSE(TimeoutOf("timeout=").has_value());
+}
+
 TEST_CASE("A message means the same however it is split", "[agent]") {
   // Guards against an assertion of the parser that ends the process when the
   // last chunk's "0\r\n" arrives alone, or with fewer than two more bytes.
