Let a node that starts beside an absent store learn from its peers

Callers saw: 503 from a restarted node until the store was back. Cause: reports of nodes that are not registered were dropped at each tick, and a node that has just started knows of no registered node, so that it never found out that its peers have newer records. Change: reports of peers with a live connection are kept. What they have is taken over by revision, as always.

--- a/src/agent/RecordSync.cpp
+++ b/src/agent/RecordSync.cpp
@@ -247,8 +247,11 @@
     const bool Heard = Report != ReportsByIp.end() && Peers.findLiveLink(Ip);
     ZonePeers.push_back({Ip, Heard, Heard && cannotRead(Report->second)});
   }
-  std::erase_if(ReportsByIp,
-                [&](const auto &Item) { return !Nodes.contains(Item.first); });
+  // A node that has just started knows no nodes. It learns of them from the
+  // peers that connect to it.
+  std::erase_if(ReportsByIp, [&](const auto &Item) {
+    return !Nodes.contains(Item.first) && !Peers.hasLiveLink(Item.first);
+  });
   SourceUse Wanted =
       Registry.rules()
           ? chooseSourceUse(Options.Ip, ZonePeers, readersPerZone(Zones.size()))
--- a/tests/process/test_store_troubles.py
+++ b/tests/process/test_store_troubles.py
@@ -151,6 +151,40 @@
 
         self.trouble_after_a_change("silent", meanwhile=restart)
 
+    def test_node_restarts_while_the_store_is_away(self):
+        """Guards against a node that refuses all requests until the store is back,
+        although its peers know what is in force."""
+        self.store.trouble = "busy"
+        time.sleep(0.5)
+        self.agents[1].kill()
+        self.agents[1].wait()
+        self.agents[1].stdout.close()
+        self.agents[1] = self.start_agent("two")
+        self.wait_for(lambda: self.call("near/x", host=HOSTS[1])[0] == 200, seconds=4)
+        self.wait_for(lambda: self.call("far/x", host=HOSTS[0])[0] == 200, seconds=2)
+        self.assertEqual(self.call("near/x", host=HOSTS[1], key="k-none")[0], 401)
+        self.store.trouble = None
+        self.store.put("op/config", last_configuration(9))
+        self.wait_for(lambda: self.call("new/x", host=HOSTS[1])[0] == 200)
+
+    def test_entry_of_another_writer_at_the_address_of_a_server(self):
+        """Guards against an entry that names no server and hides one: its service
+        is none of the configuration's."""
+        self.store.put("servers/i-other", entry("nowhere", f"{HOSTS[1]}:{self.app_port}"))
+        time.sleep(1.0)
+        self.assertEqual({self.call("far/x", host=host)[0]
+                          for host in HOSTS for _ in range(3)}, {200})
+        # A server of a service that comes with the next configuration.
+        self.store.remove("servers/i-two")
+        self.store.remove("servers/i-other")
+        self.store.put("servers/i-new", entry("five", f"{HOSTS[1]}:{self.app_port}"))
+        later = first_configuration(9)
+        later["routes"]["rows"].append(
+            ["five", "a.example", "/five/", "safe", 3000, 1000, 0, None, 2, False, "five"])
+        later["services"]["rows"].append(["five", "/healthz", 50])
+        self.store.put("op/config", later)
+        self.wait_for(lambda: self.call("five/x")[0] == 200)
+
     def test_held_records_are_logged(self):
         """Guards against a log that does not say what is in force, how old it is
         and who has read it."""
