Do not let an entry without a configured service hide a server

Cause: of the entries with one address the newest counts, whatever it claims. Change: one whose service the configuration names goes before one whose service it does not; they are weighed anew with each configuration. Not covered: an entry with a configured service at the address of a live server.

--- a/src/agent/ServiceRegistry.cpp
+++ b/src/agent/ServiceRegistry.cpp
@@ -40,6 +40,7 @@
   auto Table = std::make_shared<RouteTable>();
   indexRules(*Table, std::move(*Decoded));
   Rules = std::move(Table);
+  updateLatest();
   Log.logStateChange(std::move(
       LogLine("rules-in-force", Now)
           .field("version", static_cast<std::int64_t>(Rules->Source.Version))
@@ -114,11 +115,26 @@
   // The entry of a server that has ended does not change until it expires, so
   // the newest record belongs to the server that runs. Times of start do not
   // tell it: clocks of hosts may jump.
+  // An entry with a service that nobody has configured comes from another
+  // writer; it must not hide the server that runs there.
   const KnownServer *&Latest = LatestByAddress[Server.Entry.Address];
-  if (!Latest || Server.Revision > Latest->Revision)
+  const auto Order = [this](const KnownServer &Item) {
+    return std::pair(hasNamedService(Item), Item.Revision);
+  };
+  if (!Latest || Order(Server) > Order(*Latest))
     Latest = &Server;
 }
 
+bool ServiceRegistry::hasNamedService(const KnownServer &Server) const {
+  return !Rules || Rules->NamedServices.contains(Server.Entry.Service);
+}
+
+void ServiceRegistry::updateLatest() {
+  LatestByAddress.clear();
+  for (const auto &[Id, Server] : Servers)
+    noteLatest(Server);
+}
+
 void ServiceRegistry::updateServer(const std::string &Id, Instant Now) {
   const Record &Item = ServerRecords.Records.at(Id);
   const auto Existing = Servers.find(Id);
--- a/src/agent/ServiceRegistry.h
+++ b/src/agent/ServiceRegistry.h
@@ -135,8 +135,14 @@
   void updateServer(const std::string &Id, Instant Now);
   void removeServer(std::map<std::string, KnownServer>::iterator Existing,
                     Instant Now);
-  /// Records the server in `LatestByAddress` if it is the newest there.
+  /// Records the server in `LatestByAddress` if it is the newest there, among
+  /// those whose service the rules name.
   void noteLatest(const KnownServer &Server);
+  /// Returns whether the rules name the service of the server, or are not known
+  /// yet.
+  bool hasNamedService(const KnownServer &Server) const;
+  /// Chooses the servers of all addresses anew, by new rules.
+  void updateLatest();
 
   /// Terms of a run of a server whose entry was removed. The entry may come
   /// back, for instance after an outage of the source.
--- a/src/core/rules/RouteTable.cpp
+++ b/src/core/rules/RouteTable.cpp
@@ -16,8 +16,13 @@
   for (const CustomerRule &Customer : Table.Source.Customers)
     for (const std::string &Key : Customer.Keys)
       Table.ByKey.emplace(Key, &Customer);
-  for (const ServiceRule &Service : Table.Source.Services)
+  for (const ServiceRule &Service : Table.Source.Services) {
     Table.ByService.emplace(Service.Service, &Service);
+    Table.NamedServices.insert(Service.Service);
+  }
+  for (const RouteRule &Route : Table.Source.Routes)
+    for (const WeightedService &Part : Route.Services)
+      Table.NamedServices.insert(Part.Service);
 }
 
 const RouteRule *findRoute(const RouteTable &Table, std::string_view Host,
--- a/src/core/rules/RouteTable.h
+++ b/src/core/rules/RouteTable.h
@@ -2,6 +2,7 @@
 #define POLLENWICK_CORE_RULES_ROUTETABLE_H
 
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -18,6 +19,8 @@
   std::map<std::string, std::vector<const RouteRule *>, std::less<>> ByHost;
   std::map<std::string, const CustomerRule *, std::less<>> ByKey;
   std::map<ServiceId, const ServiceRule *> ByService;
+  /// The services that have a rule or a route.
+  std::set<ServiceId> NamedServices;
 
   RouteTable() = default;
   RouteTable(const RouteTable &) = delete;
