Bound a queue while no service time is known

Cause: without a mean service time no wait is expected, so that nothing is refused. Change: 50 ms are assumed until a call has finished, as placement does. The new test fails without it.

--- a/src/core/dispatch/DispatchQueue.cpp
+++ b/src/core/dispatch/DispatchQueue.cpp
@@ -19,14 +19,23 @@
 /// while they wait.
 constexpr Duration NestedCallAdvance = std::chrono::milliseconds(50);
 
+/// Assumed while no call has finished of late. Without it any number of calls
+/// would be expected to start at once.
+constexpr Duration DefaultServiceTime = std::chrono::milliseconds(50);
+
+Duration meanServiceTime(const DispatchQueue &Queue) {
+  return Queue.MeanServiceTime.count() > 0 ? Queue.MeanServiceTime
+                                           : DefaultServiceTime;
+}
+
 Duration workOf(const DispatchQueue &Queue, const WaitingCall &Call) {
-  return Call.Work.count() > 0 ? Call.Work : Queue.MeanServiceTime;
+  return Call.Work.count() > 0 ? Call.Work : meanServiceTime(Queue);
 }
 
 /// Returns the time until a slot is free after the work of the waiting calls.
 /// One more call of mean length stands for the rest of those that run.
 Duration waitBehind(const DispatchQueue &Queue, Duration Work) {
-  return (Work + Queue.MeanServiceTime) /
+  return (Work + meanServiceTime(Queue)) /
          static_cast<std::int64_t>(Queue.MaxRunning);
 }
 
--- a/tests/dispatch/DispatchQueueTest.cpp
+++ b/tests/dispatch/DispatchQueueTest.cpp
@@ -91,6 +91,21 @@
   }
 }
 
+TEST_CASE("A queue is bounded while no service time is known", "[dispatch]") {
+  // Guards against a burst after a quiet time that waits as a whole, and of
+  // which most calls end at their deadlines.
+  DispatchQueue Queue = queue(8, 0);
+  std::uint64_t Id = 0;
+  std::size_t Refused = 0;
+  while (++Id <= 1000)
+    if (offerCall(Queue, call(Id, 0, 750), Start) == QueueDecision::Refuse)
+      ++Refused;
+  // 750 ms at 8 calls in 50 ms.
+  CHECK(Queue.Waiting.size() <= 120);
+  CHECK(Queue.Waiting.size() >= 100);
+  CHECK(Refused + Queue.Waiting.size() + Queue.Running == 1000);
+}
+
 TEST_CASE("A call that would start too late is refused at once", "[dispatch]") {
   // Guards against calls that wait until their deadline and are then refused.
   DispatchQueue Queue = queue(2, 100);
