--- a/src/agent/HttpMessage.cpp
+++ b/src/agent/HttpMessage.cpp
@@ -17,7 +17,7 @@
 }
 
 /// Longer idle timeouts make no difference. It keeps sums of times in range.
-constexpr std::int64_t MaxKeepAliveSeconds = 24 * 60 * 60;
+constexpr std::int64_t MaxKeepAliveSeconds = 86'400;
 
 bool isFramingHeader(http::field Name) {
   return Name == http::field::content_length ||
--- a/tests/agent/ServerRefusalTest.cpp
+++ b/tests/agent/ServerRefusalTest.cpp
@@ -7,6 +7,7 @@
 
 #include "BackendFixture.h"
 #include "ScriptedServer.h"
+#include "agent/StringUtil.h"
 
 using namespace pollenwick;
 using namespace pollenwick::agent;
@@ -139,9 +140,9 @@
          Id = Server::readRequest(Peer)) {
       Received.push_back(Id);
       Poco::Thread::sleep(300);
-      Server::write(Peer, "HTTP/1.1 200 OK\r\nX-Id: " + Id +
-                              "\r\nX-Stamp: s\r\n" + Notice +
-                              "Content-Length: 2\r\n\r\nok");
+      Server::write(Peer, concat("HTTP/1.1 200 OK\r\nX-Id: ", Id,
+                                 "\r\nX-Stamp: s\r\n", Notice,
+                                 "Content-Length: 2\r\n\r\nok"));
     }
   }});
   BackendFixture Fixture(FakeServer.address());
@@ -200,9 +201,9 @@
   Server FakeServer({[&](Socket &Peer) {
     for (std::string Id = Server::readRequest(Peer); !Id.empty();
          Id = Server::readRequest(Peer))
-      Server::write(Peer, "HTTP/1.1 " + std::to_string(Status) +
-                              " X\r\nX-Id: " + Id + "\r\nX-Stamp: s\r\n" +
-                              Notice + "Content-Length: 0\r\n\r\n");
+      Server::write(Peer, concat("HTTP/1.1 ", Status, " X\r\nX-Id: ", Id,
+                                 "\r\nX-Stamp: s\r\n", Notice,
+                                 "Content-Length: 0\r\n\r\n"));
   }});
   BackendFixture Fixture(FakeServer.address());
   Fixture.Entry.StartedAtUnixMs = 17;
