--- a/src/agent/Backend.cpp
+++ b/src/agent/Backend.cpp
@@ -1,12 +1,10 @@
 #include "agent/Backend.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "agent/BackendConnection.h"
 #include "agent/HttpMessage.h"
-#include "core/evacuation/Evacuation.h"
 
 namespace pollenwick::agent {
 namespace {
@@ -15,17 +13,6 @@
 /// Time after the deadline at which a call without an answer is aborted. A
 /// working server answers by itself when the deadline passes.
 constexpr Duration ResponseGrace = std::chrono::milliseconds(200);
-/// Calls that were lost at most this long before the server became unreachable
-/// are considered to have been running when it crashed.
-constexpr Duration CrashWindow = std::chrono::milliseconds(1500);
-/// Calls that were lost at most this long before a new run of the server is
-/// known were running at the end of the earlier one. Its entry takes seconds.
-constexpr Duration RestartWindow = std::chrono::seconds(5);
-/// When the server is probed after a call was lost. The second probe is for a
-/// server whose connections end before its listening socket.
-constexpr std::array<Duration, 2> ProbeDelays{std::chrono::milliseconds(50),
-                                              std::chrono::milliseconds(400)};
-constexpr std::size_t MaxLostCalls = 1024;
 /// The mean service time is reset to unknown when the server has finished no
 /// call for this long, because the server may have become faster, for example
 /// after a cold start.
@@ -73,11 +60,8 @@
   }
   const bool Restarted = !Server || Server->Id != Entry->Id ||
                          Server->StartedAtUnixMs != Entry->StartedAtUnixMs;
-  if (const Instant Since = Loop.now() - RestartWindow;
-      Server && Restarted && !LostCalls.empty() &&
-      LostCalls.back().LostAt >= Since &&
-      LastAnswerAt < LostCalls.back().LostAt)
-    reportCrash(Since);
+  if (Server && Restarted)
+    reportCrashBeforeRestart();
   Server = *Entry;
   ColdStart.onEntry(*Entry, Restarted, Loop.now());
   Terms.setServer(*Entry);
@@ -118,28 +102,6 @@
   return Current <= Previous || BufferedBytes <= Limits.MaxBufferedBytes;
 }
 
-void Backend::refuse(CallResultHandler &&Done, std::string Cause) {
-  Loop.callAtTurnEnd([this, Done = std::move(Done), Cause = std::move(Cause)] {
-    CallResult Result;
-    Result.Outcome = CallOutcome::NotRun;
-    Result.Cause = Cause;
-    Result.Load = load();
-    Done(std::move(Result));
-  });
-}
-
-void Backend::refuseDropped(const std::vector<WaitingCall> &Dropped,
-                            const std::string &Cause) {
-  for (const WaitingCall &Waiting : Dropped) {
-    const auto Found = Calls.find(Waiting.Id);
-    if (Found == Calls.end())
-      continue;
-    CallResultHandler Done = std::move(Found->second.Done);
-    Calls.erase(Found);
-    refuse(std::move(Done), Cause);
-  }
-}
-
 Backend::CallNumber Backend::submit(CallRequest &&Request,
                                     CallResultHandler Done) {
   const CallNumber Number = ++LastCallNumber;
@@ -305,63 +267,6 @@
   Call.Done(std::move(Result));
 }
 
-void Backend::recordLostCall(const PendingCall &Call) {
-  // A server that is known to end may cut what still runs.
-  if (!serverRefusal(Call.Request.ServerId).empty())
-    return;
-  if (LostCalls.size() >= MaxLostCalls)
-    LostCalls.pop_front();
-  const Instant LostAt = Loop.now();
-  const bool Checked = !LostCalls.empty() && LostCalls.back().LostAt == LostAt;
-  LostCalls.push_back({LostAt, Call.Request.Fingerprint});
-  if (Checked)
-    return;
-  for (const Duration Delay : ProbeDelays)
-    Loop.callAt(LostAt + Delay, [this, LostAt] { probeServer(LostAt); });
-}
-
-void Backend::probeServer(Instant LostAt) {
-  if (LastAnswerAt > LostAt || !Server)
-    return;
-  auto New = std::make_shared<BackendConnection>(Loop, Protocol, *this);
-  if (!New->open(Address)) {
-    onServerUnreachable();
-    return;
-  }
-  ++Counts.ConnectionsOpened;
-  BackendConnection *Raw = New.get();
-  Connections.emplace(Raw, std::move(New));
-}
-
-void Backend::onProbeConnected(BackendConnection &Connection) {
-  IdleConnections.push_back(&Connection);
-}
-
-void Backend::reportCrash(Instant Since) {
-  std::vector<std::uint64_t> Fingerprints;
-  for (const LostCall &Call : LostCalls)
-    if (Call.LostAt >= Since)
-      Fingerprints.push_back(Call.Fingerprint);
-  LostCalls.clear();
-  Log.logStateChange(
-      std::move(LogLine("server-crashed", Loop.now())
-                    .field("server", serverId())
-                    .field("lost_calls",
-                           static_cast<std::int64_t>(Fingerprints.size()))));
-  OnCrash(Fingerprints);
-}
-
-void Backend::onServerUnreachable() {
-  ColdStart.assumeCold("server-unreachable", Loop.now());
-  const Instant Since = Loop.now() - CrashWindow;
-  const bool Crashed = !LostCalls.empty() && LostCalls.back().LostAt >= Since;
-  if (std::exchange(Reachable, false))
-    Log.logStateChange(std::move(
-        LogLine("server-unreachable", Loop.now()).field("server", serverId())));
-  if (Crashed)
-    reportCrash(Since);
-}
-
 void Backend::onConnectionClosed(BackendConnection &Connection,
                                  bool WasConnected) {
   std::erase(IdleConnections, &Connection);
@@ -404,102 +309,6 @@
   dispatchWaiting();
 }
 
-void Backend::refuseCalls(const std::string &Cause) {
-  const std::string Previous = std::exchange(RefusalCause, Cause);
-  if (Previous == Cause)
-    return;
-  if (Cause.empty()) {
-    if (Previous == ZoneEvacuatedCause)
-      ColdStart.assumeCold("zone-returned", Loop.now());
-    return;
-  }
-  refuseUnsentCalls();
-}
-
-std::string Backend::serverRefusal(const std::string &ServerId) const {
-  if (!RefusalCause.empty())
-    return RefusalCause;
-  // A node without an entry accepts calls for other ids, because peers may have
-  // heard of a new server first.
-  if (!Server)
-    return ServerId == RemovedServerId ? "server-gone" : "";
-  if (ServerId != Server->Id.Text)
-    return "server-replaced";
-  return Server->State == ServerState::Draining || Terms.leaving()
-             ? "server-draining"
-             : "";
-}
-
-bool Backend::wasSent(const PendingCall &Call) const {
-  return Call.Connection && Call.Connection->connected();
-}
-
-void Backend::refuseUnsentCalls() {
-  // The most important calls are the first to be placed elsewhere.
-  const auto Waiting = Queue.Waiting;
-  for (const WaitingCall &Call : Waiting)
-    if (std::string Cause = serverRefusal(Calls.at(Call.Id).Request.ServerId);
-        !Cause.empty())
-      refuseUnsent(Call.Id, std::move(Cause));
-  std::vector<CallNumber> Connecting;
-  for (const auto &[Number, Call] : Calls)
-    if (!wasSent(Call) && !serverRefusal(Call.Request.ServerId).empty())
-      Connecting.push_back(Number);
-  for (const CallNumber Number : Connecting)
-    if (const auto Found = Calls.find(Number); Found != Calls.end())
-      refuseUnsent(Number, serverRefusal(Found->second.Request.ServerId));
-}
-
-void Backend::refuseUnsent(CallNumber Number, std::string Cause) {
-  const auto Found = Calls.find(Number);
-  if (Found == Calls.end() || wasSent(Found->second))
-    return;
-  if (cancelWaitingCall(Queue, Found->second.QueueEntry)) {
-    CallResultHandler Done = std::move(Found->second.Done);
-    Calls.erase(Found);
-    refuse(std::move(Done), std::move(Cause));
-    return;
-  }
-  // A call whose connection is not established could reach the server long
-  // after this. One without a connection is about to fail by itself.
-  BackendConnection *Connection = Found->second.Connection;
-  if (!Connection)
-    return;
-  CallResult Result;
-  Result.Cause = std::move(Cause);
-  Connection->close();
-  completeCall(Number, std::move(Result));
-  onConnectionClosed(*Connection, true);
-}
-
-void Backend::recall(CallNumber Number) {
-  refuseUnsent(Number, NodeStoppingCause);
-}
-
-void Backend::recallAll() {
-  // Waiting calls first: a slot that is given up would start one of them.
-  std::vector<CallNumber> Numbers;
-  for (const WaitingCall &Call : Queue.Waiting)
-    Numbers.push_back(Call.Id);
-  for (const auto &[Number, Call] : Calls)
-    Numbers.push_back(Number);
-  for (const CallNumber Number : Numbers)
-    recall(Number);
-}
-
-void Backend::giveUpRunning() {
-  std::vector<CallResultHandler> Handlers;
-  for (auto &[Number, Call] : Calls)
-    if (!std::exchange(Call.Abandoned, true))
-      Handlers.push_back(std::move(Call.Done));
-  for (const CallResultHandler &Done : Handlers) {
-    CallResult Result;
-    Result.ReachedServer = true;
-    Result.Cause = NodeStoppingCause;
-    Done(std::move(Result));
-  }
-}
-
 void Backend::sweep() {
   Loop.callAt(Loop.now() + SweepInterval, [this] { sweep(); });
   const Duration Elapsed = Loop.now() - LastSweepAt;
--- a/src/agent/Backend.h
+++ b/src/agent/Backend.h
@@ -170,6 +170,9 @@
   /// Reports the requests of the calls that were lost since `Since` as running
   /// at a crash.
   void reportCrash(Instant Since);
+  /// Reports a crash if calls were lost shortly before a new run of the server
+  /// is known, and none was answered since.
+  void reportCrashBeforeRestart();
   void onServerUnreachable();
   void sweep();
 
--- a/tests/serverlimit/RequestLimitTest.cpp
+++ b/tests/serverlimit/RequestLimitTest.cpp
@@ -83,6 +83,37 @@
   CHECK(static_cast<double>(Starts.size()) >= 0.9 * PerS * Seconds - 1);
 }
 
+TEST_CASE("A limit is in force for as long as the server names it",
+          "[serverlimit]") {
+  RequestLimit Limit;
+  REQUIRE(applyNotice(Limit, named(4), at(0), at(200)));
+  CHECK(Limit.RequestsPerS == 4);
+  SECTION("another one replaces it") {
+    CHECK(applyNotice(Limit, named(7), at(10), at(210)));
+    CHECK(Limit.RequestsPerS == 7);
+    CHECK_FALSE(applyNotice(Limit, named(7), at(20), at(220)));
+  }
+  SECTION("an answer without one to a later call ends it") {
+    CHECK(applyNotice(Limit, {}, at(200), at(400)));
+    CHECK(Limit.RequestsPerS == 0);
+  }
+  SECTION("an answer without one that was overtaken does not end it") {
+    // Guards against a limit that is lifted for a moment, in which all waiting
+    // calls start at once.
+    CHECK_FALSE(applyNotice(Limit, {}, at(199), at(201)));
+    CHECK(Limit.RequestsPerS == 4);
+  }
+  SECTION("an unreadable one does not end it") {
+    CHECK_FALSE(applyNotice(Limit, {{}, true, false}, at(300), at(400)));
+    CHECK(Limit.RequestsPerS == 4);
+  }
+  SECTION("one of zero leaves the answers that will end it") {
+    CHECK(applyNotice(Limit, named(0), at(300), at(400)));
+    CHECK(Limit.RequestsPerS == 0.5);
+    CHECK(applyNotice(Limit, {}, at(2400), at(2500)));
+  }
+}
+
 TEST_CASE("Calls wait for their turn at a limited server or leave it at once",
           "[serverlimit]") {
   LimitedServer Server(2);
