--- a/tests/agent/ServerRefusalTest.cpp
+++ b/tests/agent/ServerRefusalTest.cpp
@@ -108,6 +108,10 @@
   Submit("b", Waiting);
   Fixture.Target.refuseCalls("zone-evacuated");
   CHECK(Fixture.Target.load().MaxRunning == 0);
+  // Only what has not been sent leaves; the running call keeps its slot.
+  CHECK(Fixture.Target.load().Waiting == 0);
+  CHECK(Fixture.Target.load().Running == 1);
+  CHECK(Fixture.Target.pendingCount() == 1);
   SECTION("its waiting calls are placed elsewhere and running ones finish") {
     Fixture.runFor(100);
     REQUIRE(Waiting);
